--- /dev/null
+++ b/coord/log_client.cpp
@@ -0,0 +1,1 @@
+#include "coord/log_client.h"
--- /dev/null
+++ b/coord/log_client.h
@@ -0,0 +1,76 @@
+#pragma once
+
+// The platform's append-only log, as the coordination parts see it. Streams
+// are separate sequences of records with offsets of their own.
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "core/strong_type.h"
+
+namespace firefly::coord {
+
+// A record's place in its stream; grows by one with each record.
+using LogOffset = StrongType<struct LogOffsetTag, std::uint64_t>;
+
+// A stream's name, such as "authority" or "booking-17".
+using StreamName = StrongType<struct StreamNameTag, std::string>;
+
+// One record as it is read back.
+struct LogRecord
+{
+  LogOffset offset;
+  std::string payload;
+};
+
+// What a read found. Records older than the retention time are gone.
+struct LogBatch
+{
+  std::vector<LogRecord> records;
+  LogOffset first; // the oldest offset that is still kept
+  LogOffset end;   // one past the newest record at the time of the read
+};
+
+enum class LogErrorKind
+{
+  kUnavailable, // refused or not sent: the call had no effect
+  kUnknown,     // no answer: an append may or may not have taken effect
+  kTrimmed,     // the offset asked for is older than the retention time
+};
+
+// Why a call to the log failed.
+struct LogError
+{
+  LogErrorKind kind = LogErrorKind::kUnknown;
+  std::string message;
+};
+
+// The log service. Callbacks run on the caller's executor, exactly once and
+// never inside the call; a client that is destroyed drops its callbacks.
+class LogClient
+{
+public:
+  using AppendCallback = std::function<void(tl::expected<LogOffset, LogError>)>;
+  using ReadCallback = std::function<void(tl::expected<LogBatch, LogError>)>;
+
+  virtual ~LogClient() = default;
+
+  // Appends the payloads as consecutive records; the callback gets the first
+  // one's offset. kUnknown must be settled by reading the stream.
+  virtual void Append(const StreamName& aStream,
+                      std::vector<std::string> aPayloads,
+                      AppendCallback aCallback) = 0;
+
+  // Reads at most aLimit records from the offset on. At the end of the stream
+  // the answer is an empty batch.
+  virtual void Read(const StreamName& aStream,
+                    LogOffset aFrom,
+                    std::size_t aLimit,
+                    ReadCallback aCallback) = 0;
+};
+
+} // namespace firefly::coord
