--- /dev/null
+++ b/servers/http/http_message.h
@@ -0,0 +1,49 @@
+#pragma once
+
+// The HTTP messages that the servers and clients of the system exchange.
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace firefly {
+
+struct HttpHeader
+{
+  std::string name;
+  std::string value;
+};
+
+using HttpHeaders = std::vector<HttpHeader>;
+
+// The value of the header of that name, whatever its case; empty if absent.
+std::string_view
+FindHeader(const HttpHeaders& aHeaders, std::string_view aName);
+
+// A request as a server got it, whole.
+struct HttpRequest
+{
+  std::string method;
+  std::string path;  // without the query, still percent-encoded
+  std::string query; // without the question mark
+  HttpHeaders headers;
+  std::string body;
+
+  // The decoded value of a query parameter; empty if absent.
+  [[nodiscard]] std::string QueryValue(std::string_view aName) const;
+};
+
+// An answer that is sent whole.
+struct HttpResponse
+{
+  int status = 200;
+  std::string contentType = "application/json";
+  HttpHeaders headers;
+  std::string body;
+};
+
+// The path's segments, percent-decoded: "/a/b%20c" gives "a" and "b c".
+std::vector<std::string>
+SplitPath(std::string_view aPath);
+
+} // namespace firefly
