Serve and call HTTP through RESTinio and libcurl

Cause: callers, backend servers, the platform and operators speak HTTP; both ends stand behind our own headers on one asio executor. Ruled out: calling curl from inside its own callbacks (its multi interface refuses that, so adding and dropping transfers is put off until curl returns); an Abort of a chunked answer (RESTinio 0.6 can't close a single connection; an answer that is dropped unended is never ended, and its connection goes after the answer timeout).

--- a/core/clock.h
+++ b/core/clock.h
@@ -25,13 +25,15 @@
 using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
 
 // Seconds as a floating-point number, for reports and arithmetic on rates.
-inline double ToSeconds(Duration aDuration)
+inline double
+ToSeconds(Duration aDuration)
 {
   return std::chrono::duration<double>(aDuration).count();
 }
 
 // The duration of that many seconds.
-inline Duration FromSeconds(double aSeconds)
+inline Duration
+FromSeconds(double aSeconds)
 {
   return std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(aSeconds));
--- a/core/executor.cpp
+++ b/core/executor.cpp
@@ -9,7 +9,8 @@
 {
 }
 
-Timer& Timer::operator=(Timer&& aOther) noexcept
+Timer&
+Timer::operator=(Timer&& aOther) noexcept
 {
   if (this != &aOther) {
     Cancel();
@@ -23,7 +24,8 @@
   Cancel();
 }
 
-void Timer::Cancel()
+void
+Timer::Cancel()
 {
   if (mAlive) {
     *mAlive = false;
@@ -31,12 +33,14 @@
   mAlive.reset();
 }
 
-bool Timer::Pending() const
+bool
+Timer::Pending() const
 {
   return mAlive && *mAlive;
 }
 
-Timer Executor::RunAfter(Duration aDelay, std::function<void()> aCallback)
+Timer
+Executor::RunAfter(Duration aDelay, std::function<void()> aCallback)
 {
   auto alive = std::make_shared<bool>(true);
   Schedule(aDelay, [alive, callback = std::move(aCallback)] {
--- a/core/random.cpp
+++ b/core/random.cpp
@@ -4,7 +4,8 @@
 
 namespace firefly {
 
-std::uint64_t Random::Next()
+std::uint64_t
+Random::Next()
 {
   mState += 0x9E3779B97F4A7C15ULL;
   std::uint64_t n = mState;
@@ -13,7 +14,8 @@
   return n ^ (n >> 31);
 }
 
-std::uint64_t Random::Below(std::uint64_t aBound)
+std::uint64_t
+Random::Below(std::uint64_t aBound)
 {
   if (aBound == 0) {
     return 0;
@@ -21,13 +23,15 @@
   return Next() % aBound;
 }
 
-double Random::Uniform()
+double
+Random::Uniform()
 {
   constexpr double kStep = 1.0 / 9007199254740992.0; // 2^-53
   return static_cast<double>(Next() >> 11) * kStep;
 }
 
-double Random::Exponential(double aMean)
+double
+Random::Exponential(double aMean)
 {
   return -aMean * std::log1p(-Uniform());
 }
--- a/core/state_chart.cpp
+++ b/core/state_chart.cpp
@@ -10,16 +10,16 @@
 
 using Options = StateChart::Options;
 
-bool Contains(const std::vector<std::string>& aNames, std::string_view aName)
+bool
+Contains(const std::vector<std::string>& aNames, std::string_view aName)
 {
   return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
 }
 
 // The states that can be reached from the start set, along the transitions or
 // against them.
-std::set<std::string> Reach(const Options& aOptions,
-                            std::set<std::string> aFrom,
-                            bool aBackwards)
+std::set<std::string>
+Reach(const Options& aOptions, std::set<std::string> aFrom, bool aBackwards)
 {
   bool grown = true;
   while (grown) {
@@ -35,7 +35,8 @@
   return aFrom;
 }
 
-std::string FindUnknownState(const Options& aOptions)
+std::string
+FindUnknownState(const Options& aOptions)
 {
   if (!Contains(aOptions.states, aOptions.initial)) {
     return aOptions.initial;
@@ -56,7 +57,8 @@
   return {};
 }
 
-std::string FindFault(const Options& aOptions)
+std::string
+FindFault(const Options& aOptions)
 {
   if (const auto unknown = FindUnknownState(aOptions); !unknown.empty()) {
     return "unknown state '" + unknown + "'";
@@ -86,7 +88,8 @@
 
 } // namespace
 
-tl::expected<StateChart, ChartError> StateChart::Create(Options aOptions)
+tl::expected<StateChart, ChartError>
+StateChart::Create(Options aOptions)
 {
   const auto fault = FindFault(aOptions);
   if (!fault.empty()) {
@@ -104,13 +107,14 @@
   }
 }
 
-bool StateChart::IsFinal(std::string_view aState) const
+bool
+StateChart::IsFinal(std::string_view aState) const
 {
   return Contains(mOptions.finals, aState);
 }
 
-const std::string* StateChart::Next(const std::string& aState,
-                                    const std::string& aEvent) const
+const std::string*
+StateChart::Next(const std::string& aState, const std::string& aEvent) const
 {
   const auto it = mNext.find(std::pair(aState, aEvent));
   return it == mNext.end() ? nullptr : &it->second;
@@ -122,7 +126,8 @@
 {
 }
 
-bool StateMachine::Fire(const std::string& aEvent)
+bool
+StateMachine::Fire(const std::string& aEvent)
 {
   const auto* next = mChart->Next(*mState, aEvent);
   if (next == nullptr) {
--- a/core/state_chart_loader.cpp
+++ b/core/state_chart_loader.cpp
@@ -10,14 +10,16 @@
 
 namespace {
 
-StateChart::Transition ParseTransition(const toml::value& aValue)
+StateChart::Transition
+ParseTransition(const toml::value& aValue)
 {
   return { .from = toml::find<std::string>(aValue, "from"),
            .event = toml::find<std::string>(aValue, "event"),
            .to = toml::find<std::string>(aValue, "to") };
 }
 
-StateChart::Options ParseOptions(const toml::value& aValue)
+StateChart::Options
+ParseOptions(const toml::value& aValue)
 {
   using Names = std::vector<std::string>;
   StateChart::Options options{
@@ -35,8 +37,8 @@
 
 } // namespace
 
-tl::expected<StateChart, ChartError> LoadStateChart(
-  const std::filesystem::path& aFile)
+tl::expected<StateChart, ChartError>
+LoadStateChart(const std::filesystem::path& aFile)
 {
   try {
     return StateChart::Create(ParseOptions(toml::parse(aFile.string())))
--- a/core/state_chart_loader.h
+++ b/core/state_chart_loader.h
@@ -10,7 +10,7 @@
 
 // Loads and checks the chart of one file; see charts/ for the format. The
 // error names the file.
-tl::expected<StateChart, ChartError> LoadStateChart(
-  const std::filesystem::path& aFile);
+tl::expected<StateChart, ChartError>
+LoadStateChart(const std::filesystem::path& aFile);
 
 } // namespace firefly
--- a/core/strong_type.h
+++ b/core/strong_type.h
@@ -36,7 +36,8 @@
 };
 
 template<typename Tag, typename Rep>
-std::ostream& operator<<(std::ostream& aOut, const StrongType<Tag, Rep>& aId)
+std::ostream&
+operator<<(std::ostream& aOut, const StrongType<Tag, Rep>& aId)
 {
   return aOut << aId.Value();
 }
--- a/core/virtual_executor.cpp
+++ b/core/virtual_executor.cpp
@@ -13,25 +13,29 @@
 
 } // namespace
 
-bool VirtualExecutor::Later::operator()(const Event& aLeft,
-                                        const Event& aRight) const
+bool
+VirtualExecutor::Later::operator()(const Event& aLeft,
+                                   const Event& aRight) const
 {
   return std::tie(aLeft.due, aLeft.sequence) >
          std::tie(aRight.due, aRight.sequence);
 }
 
-WallTime VirtualExecutor::WallNow() const
+WallTime
+VirtualExecutor::WallNow() const
 {
   return kVirtualEpoch + std::chrono::duration_cast<std::chrono::milliseconds>(
                            mNow.time_since_epoch());
 }
 
-void VirtualExecutor::Post(std::function<void()> aCallback)
+void
+VirtualExecutor::Post(std::function<void()> aCallback)
 {
   Schedule(Duration::zero(), std::move(aCallback));
 }
 
-bool VirtualExecutor::RunOne()
+bool
+VirtualExecutor::RunOne()
 {
   if (mEvents.empty()) {
     return false;
@@ -43,7 +47,8 @@
   return true;
 }
 
-void VirtualExecutor::RunUntil(Instant aEnd)
+void
+VirtualExecutor::RunUntil(Instant aEnd)
 {
   while (!mEvents.empty() && mEvents.top().due <= aEnd) {
     RunOne();
@@ -51,7 +56,8 @@
   mNow = std::max(mNow, aEnd);
 }
 
-void VirtualExecutor::Schedule(Duration aDelay, std::function<void()> aCallback)
+void
+VirtualExecutor::Schedule(Duration aDelay, std::function<void()> aCallback)
 {
   mEvents.push({ .due = mNow + std::max(aDelay, Duration::zero()),
                  .sequence = mSequence++,
--- a/servers/http/asio_executor.cpp
+++ b/servers/http/asio_executor.cpp
@@ -10,7 +10,8 @@
 
 namespace firefly {
 
-Instant AsioExecutor::Now() const
+Instant
+AsioExecutor::Now() const
 {
   timespec time{};
   clock_gettime(CLOCK_BOOTTIME, &time);
@@ -18,29 +19,34 @@
                  std::chrono::nanoseconds(time.tv_nsec));
 }
 
-WallTime AsioExecutor::WallNow() const
+WallTime
+AsioExecutor::WallNow() const
 {
   return std::chrono::time_point_cast<std::chrono::milliseconds>(
     std::chrono::system_clock::now());
 }
 
-void AsioExecutor::Post(std::function<void()> aCallback)
+void
+AsioExecutor::Post(std::function<void()> aCallback)
 {
   asio::post(mContext, std::move(aCallback));
 }
 
-void AsioExecutor::Run()
+void
+AsioExecutor::Run()
 {
   auto guard = asio::make_work_guard(mContext);
   mContext.run();
 }
 
-void AsioExecutor::Stop()
+void
+AsioExecutor::Stop()
 {
   mContext.stop();
 }
 
-void AsioExecutor::Schedule(Duration aDelay, std::function<void()> aCallback)
+void
+AsioExecutor::Schedule(Duration aDelay, std::function<void()> aCallback)
 {
   auto timer = std::make_shared<asio::steady_timer>(mContext, aDelay);
   timer->async_wait(
--- a/servers/http/http_client.h
+++ b/servers/http/http_client.h
@@ -35,9 +35,9 @@
 struct HttpCall
 {
   std::string method = "GET";
-  std::string url;
-  HttpHeaders headers;
-  std::string body;
+  std::string url{};
+  HttpHeaders headers{};
+  std::string body{};
   Duration connectTimeout = std::chrono::seconds(1);
   Duration totalTimeout = std::chrono::seconds(30);
   // Ends the call when nothing arrives for so long; zero switches it off.
@@ -52,8 +52,8 @@
 struct HttpResult
 {
   int status = 0;
-  HttpHeaders headers;
-  std::string body;
+  HttpHeaders headers{};
+  std::string body{};
 };
 
 // A running call; dropping it cancels the call without a callback.
@@ -87,8 +87,9 @@
   virtual ~HttpClient() = default;
 
   // Starts a call whose answer is streamed.
-  [[nodiscard]] virtual HttpTransferPtr Stream(HttpCall aCall,
-                                               HttpStreamHandlers aHandlers) = 0;
+  [[nodiscard]] virtual HttpTransferPtr Stream(
+    HttpCall aCall,
+    HttpStreamHandlers aHandlers) = 0;
 
   // Makes a call whose answer comes whole.
   void Fetch(HttpCall aCall, Callback aCallback);
--- a/servers/http/http_message.h
+++ b/servers/http/http_message.h
@@ -24,10 +24,10 @@
 struct HttpRequest
 {
   std::string method;
-  std::string path;  // without the query, still percent-encoded
-  std::string query; // without the question mark
-  HttpHeaders headers;
-  std::string body;
+  std::string path;    // without the query, still percent-encoded
+  std::string query{}; // without the question mark
+  HttpHeaders headers{};
+  std::string body{};
 
   // The decoded value of a query parameter; empty if absent.
   [[nodiscard]] std::string QueryValue(std::string_view aName) const;
@@ -38,8 +38,8 @@
 {
   int status = 200;
   std::string contentType = "application/json";
-  HttpHeaders headers;
-  std::string body;
+  HttpHeaders headers{};
+  std::string body{};
 };
 
 // The path's segments, percent-decoded: "/a/b%20c" gives "a" and "b c".
--- a/servers/http/http_server.h
+++ b/servers/http/http_server.h
@@ -21,8 +21,8 @@
 };
 
 // Answers one request. A responder that is dropped unanswered sends status
-// 500; a stream that is dropped before End closes its connection, so that the
-// caller sees it was cut.
+// 500; a stream that is dropped before End is never ended, and its connection
+// is closed after the answer timeout, so that it can't pass for whole.
 class HttpResponder
 {
 public:
@@ -42,9 +42,6 @@
   // Ends a chunked answer.
   virtual void End() = 0;
 
-  // Closes the connection without ending the answer: the caller sees a cut.
-  virtual void Abort() = 0;
-
   // Bytes handed to Write that the connection has not taken yet.
   [[nodiscard]] virtual std::size_t Unsent() const = 0;
 
@@ -68,7 +65,8 @@
     std::size_t maxConnections = 12000;
     Duration readTimeout = std::chrono::seconds(20);
     Duration writeTimeout = std::chrono::seconds(20);
-    Duration answerTimeout = std::chrono::hours(1);
+    // Closes a connection whose answer gets no further byte for so long.
+    Duration answerTimeout = std::chrono::minutes(5);
   };
 
   HttpServer(AsioExecutor& aExecutor, Options aOptions, Handler aHandler);
