Read settings in TOML, checked whole at start

Each unknown key, wrong type, wrong range and clash is one line with file, line, key and what is allowed, and all of them are reported at once; clashes are looked for only once every single value is right, since they would repeat the first fault.

--- /dev/null
+++ b/servers/settings/section_reader.cpp
@@ -0,0 +1,292 @@
+#include "servers/settings/section_reader.h"
+
+#include <arpa/inet.h>
+#include <sstream>
+
+namespace firefly {
+
+namespace {
+
+const SettingTable kEmptyTable;
+
+std::string FormatRange(SettingRange<double> aRange)
+{
+  std::ostringstream out;
+  out << "a number from " << aRange.least << " to " << aRange.most;
+  return out.str();
+}
+
+std::string FormatRange(SettingRange<std::int64_t> aRange)
+{
+  return "a whole number from " + std::to_string(aRange.least) + " to " +
+         std::to_string(aRange.most);
+}
+
+bool IsAddress(const std::string& aText)
+{
+  in6_addr buf{};
+  return inet_pton(AF_INET, aText.c_str(), &buf) == 1 ||
+         inet_pton(AF_INET6, aText.c_str(), &buf) == 1;
+}
+
+bool IsUrl(const std::string& aText)
+{
+  const bool plain = aText.starts_with("http://") && aText.size() > 7;
+  const bool secure = aText.starts_with("https://") && aText.size() > 8;
+  return (plain || secure) && aText.find_first_of(" \t?#") == std::string::npos;
+}
+
+} // namespace
+
+void SettingProblems::Add(unsigned aLine, const std::string& aText)
+{
+  const std::string place = aLine == 0 ? "" : ":" + std::to_string(aLine);
+  mLines.push_back(mFile + place + ": " + aText);
+}
+
+SectionReader::SectionReader(const SettingValue* aValue,
+                             std::string aName,
+                             SettingProblems& aProblems)
+  : mTable(&kEmptyTable)
+  , mLine(aValue == nullptr ? 0 : aValue->line)
+  , mName(std::move(aName))
+  , mProblems(&aProblems)
+{
+  if (aValue == nullptr) {
+    return;
+  }
+  const auto* table = std::get_if<SettingTable>(&aValue->data);
+  if (table == nullptr) {
+    mProblems->Add(mLine, mName + ": must be a table");
+    return;
+  }
+  mTable = table;
+}
+
+std::string SectionReader::Text(const std::string& aKey,
+                                const std::optional<std::string>& aDefault)
+{
+  const std::string allowed = "a non-empty string";
+  const auto* value = Find(aKey, !aDefault.has_value(), allowed);
+  if (value == nullptr) {
+    return aDefault.value_or("");
+  }
+  const auto* text = std::get_if<std::string>(&value->data);
+  if (text == nullptr || text->empty()) {
+    Refuse(aKey, *value, allowed);
+    return aDefault.value_or("");
+  }
+  return *text;
+}
+
+std::int64_t SectionReader::Integer(const std::string& aKey,
+                                    SettingRange<std::int64_t> aRange,
+                                    std::optional<std::int64_t> aDefault)
+{
+  const std::int64_t fallback = aDefault.value_or(aRange.least);
+  const std::string allowed = FormatRange(aRange);
+  const auto* value = Find(aKey, !aDefault.has_value(), allowed);
+  if (value == nullptr) {
+    return fallback;
+  }
+  const auto* number = std::get_if<std::int64_t>(&value->data);
+  if (number == nullptr || *number < aRange.least || *number > aRange.most) {
+    Refuse(aKey, *value, allowed);
+    return fallback;
+  }
+  return *number;
+}
+
+double SectionReader::Real(const std::string& aKey,
+                           SettingRange<double> aRange,
+                           std::optional<double> aDefault)
+{
+  const double fallback = aDefault.value_or(aRange.least);
+  const std::string allowed = FormatRange(aRange);
+  const auto* value = Find(aKey, !aDefault.has_value(), allowed);
+  if (value == nullptr) {
+    return fallback;
+  }
+  std::optional<double> number;
+  if (const auto* real = std::get_if<double>(&value->data)) {
+    number = *real;
+  } else if (const auto* whole = std::get_if<std::int64_t>(&value->data)) {
+    number = static_cast<double>(*whole);
+  }
+  // Written so that NaN, which compares false, is refused.
+  if (!number || !(*number >= aRange.least && *number <= aRange.most)) {
+    Refuse(aKey, *value, allowed);
+    return fallback;
+  }
+  return *number;
+}
+
+Duration SectionReader::Millis(const std::string& aKey,
+                               SettingRange<std::int64_t> aRange,
+                               std::optional<std::int64_t> aDefault)
+{
+  return std::chrono::milliseconds(Integer(aKey, aRange, aDefault));
+}
+
+bool SectionReader::Flag(const std::string& aKey, std::optional<bool> aDefault)
+{
+  const std::string allowed = "true or false";
+  const auto* value = Find(aKey, !aDefault.has_value(), allowed);
+  if (value == nullptr) {
+    return aDefault.value_or(false);
+  }
+  const auto* flag = std::get_if<bool>(&value->data);
+  if (flag == nullptr) {
+    Refuse(aKey, *value, allowed);
+    return aDefault.value_or(false);
+  }
+  return *flag;
+}
+
+std::string SectionReader::Address(const std::string& aKey)
+{
+  const std::string allowed = "an IP number such as \"10.1.0.5\"";
+  const auto* value = Find(aKey, true, allowed);
+  if (value == nullptr) {
+    return "";
+  }
+  const auto* text = std::get_if<std::string>(&value->data);
+  if (text == nullptr || !IsAddress(*text)) {
+    Refuse(aKey, *value, allowed);
+    return "";
+  }
+  return *text;
+}
+
+std::string SectionReader::Url(const std::string& aKey)
+{
+  const std::string allowed = "a URL such as \"http://10.1.0.9:7000\"";
+  const auto* value = Find(aKey, true, allowed);
+  if (value == nullptr) {
+    return "";
+  }
+  const auto* text = std::get_if<std::string>(&value->data);
+  if (text == nullptr || !IsUrl(*text)) {
+    Refuse(aKey, *value, allowed);
+    return "";
+  }
+  return text->ends_with('/') ? text->substr(0, text->size() - 1) : *text;
+}
+
+std::vector<std::string> SectionReader::Texts(const std::string& aKey)
+{
+  const std::string allowed = "an array of non-empty strings";
+  const auto* value = Find(aKey, false, allowed);
+  if (value == nullptr) {
+    return {};
+  }
+  const auto* array = std::get_if<SettingArray>(&value->data);
+  if (array == nullptr) {
+    Refuse(aKey, *value, allowed);
+    return {};
+  }
+  std::vector<std::string> texts;
+  for (const auto& it : *array) {
+    const auto* text = std::get_if<std::string>(&it.data);
+    if (text == nullptr || text->empty()) {
+      Refuse(aKey, it, allowed);
+      return {};
+    }
+    texts.push_back(*text);
+  }
+  return texts;
+}
+
+SectionReader SectionReader::Section(const std::string& aKey)
+{
+  mKnown.insert(aKey);
+  const auto found = mTable->find(aKey);
+  const auto* value = found == mTable->end() ? nullptr : &found->second;
+  return { value, '[' + aKey + ']', *mProblems };
+}
+
+std::vector<SectionReader> SectionReader::Sections(const std::string& aKey)
+{
+  const std::string allowed = "an array of tables";
+  const auto* value = Find(aKey, false, allowed);
+  if (value == nullptr) {
+    return {};
+  }
+  const auto* array = std::get_if<SettingArray>(&value->data);
+  if (array == nullptr) {
+    Refuse(aKey, *value, allowed);
+    return {};
+  }
+  const std::string prefix = mName.empty() ? "" : mName + " ";
+  std::vector<SectionReader> sections;
+  for (const auto& it : *array) {
+    sections.emplace_back(&it, prefix + "[[" + aKey + "]]", *mProblems);
+  }
+  return sections;
+}
+
+bool SectionReader::Has(const std::string& aKey) const
+{
+  return mTable->contains(aKey);
+}
+
+void SectionReader::Finish()
+{
+  std::string allowed;
+  for (const auto& it : mKnown) {
+    allowed += (allowed.empty() ? "" : ", ") + it;
+  }
+  for (const auto& [key, value] : *mTable) {
+    if (!mKnown.contains(key)) {
+      mProblems->Add(value.line,
+                     NameOf(key) + ": unknown key; allowed are " + allowed);
+    }
+  }
+}
+
+const SettingValue* SectionReader::Find(const std::string& aKey,
+                                        bool aRequired,
+                                        const std::string& aAllowed)
+{
+  mKnown.insert(aKey);
+  const auto found = mTable->find(aKey);
+  if (found != mTable->end()) {
+    return &found->second;
+  }
+  if (aRequired) {
+    mProblems->Add(mLine, NameOf(aKey) + ": missing; must be " + aAllowed);
+  }
+  return nullptr;
+}
+
+void SectionReader::Refuse(const std::string& aKey,
+                           const SettingValue& aValue,
+                           const std::string& aAllowed)
+{
+  mProblems->Add(aValue.line,
+                 NameOf(aKey) + ": " + DescribeSetting(aValue) +
+                   " is not allowed; must be " + aAllowed);
+}
+
+std::string SectionReader::ChoiceText(const std::string& aKey,
+                                      const std::string& aAllowed,
+                                      bool aRequired)
+{
+  const auto* value = Find(aKey, aRequired, aAllowed);
+  if (value == nullptr) {
+    return "";
+  }
+  const auto* text = std::get_if<std::string>(&value->data);
+  if (text == nullptr || text->empty()) {
+    Refuse(aKey, *value, aAllowed);
+    return "";
+  }
+  return *text;
+}
+
+std::string SectionReader::NameOf(const std::string& aKey) const
+{
+  return mName.empty() ? aKey : mName + " " + aKey;
+}
+
+} // namespace firefly
--- /dev/null
+++ b/servers/settings/settings.cpp
@@ -0,0 +1,438 @@
+#include "servers/settings/settings.h"
+
+#include <algorithm>
+
+#include "servers/settings/section_reader.h"
+#include "servers/settings/settings_checks.h"
+
+namespace firefly {
+
+namespace {
+
+using Whole = SettingRange<std::int64_t>;
+using Fraction = SettingRange<double>;
+
+constexpr Whole kPort{ 1, 65535 };
+constexpr Whole kShortMillis{ 1, 60'000 };
+constexpr Whole kLongMillis{ 1, 3'600'000 };
+constexpr Whole kHours{ 1, 24 * 365 };
+constexpr Fraction kMoney{ 0, 1e9 };
+constexpr std::int64_t kMebibyte = 1 << 20;
+
+constexpr std::array<SettingChoice<BackendKind>, 2> kBackendKinds{ {
+  { "engine", BackendKind::kEngine },
+  { "plain", BackendKind::kPlain },
+} };
+
+constexpr std::array<SettingChoice<BackendRole>, 3> kBackendRoles{ {
+  { "mixed", BackendRole::kMixed },
+  { "prefill", BackendRole::kPrefill },
+  { "decode", BackendRole::kDecode },
+} };
+
+constexpr std::array<SettingChoice<ServiceKind>, 2> kServiceKinds{ {
+  { "model", ServiceKind::kModel },
+  { "plain", ServiceKind::kPlain },
+} };
+
+constexpr std::array<SettingChoice<LogLevel>, 4> kLogLevels{ {
+  { "info", LogLevel::kInfo },
+  { "debug", LogLevel::kDebug },
+  { "warning", LogLevel::kWarning },
+  { "error", LogLevel::kError },
+} };
+
+constexpr std::array<SettingChoice<LogLayout>, 2> kLogLayouts{ {
+  { "text", LogLayout::kText },
+  { "json", LogLayout::kJson },
+} };
+
+enum class Method
+{
+  kPost,
+  kGet,
+};
+
+constexpr std::array<SettingChoice<Method>, 2> kMethods{ {
+  { "POST", Method::kPost },
+  { "GET", Method::kGet },
+} };
+
+enum class PolicyName
+{
+  kFirefly,
+  kRoundRobin,
+  kLeastOutstanding,
+};
+
+constexpr std::array<SettingChoice<PolicyName>, 3> kPolicies{ {
+  { "firefly", PolicyName::kFirefly },
+  { "round-robin", PolicyName::kRoundRobin },
+  { "least-outstanding", PolicyName::kLeastOutstanding },
+} };
+
+template<typename E, std::size_t N>
+std::string_view WordOf(const std::array<SettingChoice<E>, N>& aChoices,
+                        E aValue)
+{
+  const auto found =
+    std::ranges::find(aChoices, aValue, &SettingChoice<E>::value);
+  return found == aChoices.end() ? "" : found->word;
+}
+
+std::uint16_t ReadPort(SectionReader& aReader,
+                       const std::string& aKey,
+                       std::int64_t aDefault)
+{
+  return static_cast<std::uint16_t>(aReader.Integer(aKey, kPort, aDefault));
+}
+
+std::size_t ReadCount(SectionReader& aReader,
+                      const std::string& aKey,
+                      Whole aRange,
+                      std::int64_t aDefault)
+{
+  return static_cast<std::size_t>(aReader.Integer(aKey, aRange, aDefault));
+}
+
+Duration ReadHours(SectionReader& aReader,
+                   const std::string& aKey,
+                   std::int64_t aDefault)
+{
+  return std::chrono::hours(aReader.Integer(aKey, kHours, aDefault));
+}
+
+HostSettings ReadHost(SectionReader& aReader)
+{
+  HostSettings host{
+    .id = HostId(aReader.Text("id")),
+    .domain = DomainId(aReader.Text("domain")),
+    .address = aReader.Address("address"),
+    .entryPort = ReadPort(aReader, "entry_port", 8080),
+    .entryAdminPort = ReadPort(aReader, "entry_admin_port", 8081),
+    .entryLinkPort = ReadPort(aReader, "entry_link_port", 8082),
+    .gossipPort = ReadPort(aReader, "gossip_port", 8083),
+    .stewardLinkPort = ReadPort(aReader, "steward_link_port", 8084),
+    .stewardAdminPort = ReadPort(aReader, "steward_admin_port", 8085),
+    .ledgerLinkPort = ReadPort(aReader, "ledger_link_port", 8086),
+    .ledgerAdminPort = ReadPort(aReader, "ledger_admin_port", 8087),
+  };
+  aReader.Finish();
+  return host;
+}
+
+EntrySettings ReadEntry(SectionReader aReader)
+{
+  EntrySettings entry{
+    .maxBodyBytes =
+      ReadCount(aReader, "max_body_bytes", { 1, 64 * kMebibyte }, kMebibyte),
+    .maxConnections =
+      ReadCount(aReader, "max_connections", { 1, 100'000 }, 12'000),
+    .maxConcurrentStreams =
+      ReadCount(aReader, "max_concurrent_streams", { 1, 100'000 }, 10'000),
+    .queueBound = ReadCount(aReader, "queue_bound", { 1, 100'000 }, 1'000),
+    .streamBufferBytes = ReadCount(
+      aReader, "stream_buffer_bytes", { 1'024, 64 * kMebibyte }, 256 * 1'024),
+    .readTimeout = aReader.Millis("read_timeout_ms", kShortMillis, 10'000),
+    .requestTimeout =
+      aReader.Millis("request_timeout_ms", kLongMillis, 120'000),
+    .connectTimeout = aReader.Millis("connect_timeout_ms", kShortMillis, 500),
+    .stallTimeout = aReader.Millis("stall_timeout_ms", kShortMillis, 3'000),
+    .drainTimeout = aReader.Millis("drain_timeout_ms", kLongMillis, 150'000),
+    .tableTimeout = aReader.Millis("table_timeout_ms", kLongMillis, 10'000),
+  };
+  aReader.Finish();
+  return entry;
+}
+
+MembershipSettings ReadMembership(SectionReader aReader)
+{
+  MembershipSettings membership{
+    .heartbeat = aReader.Millis("heartbeat_ms", kShortMillis, 200),
+    .suspectAfter = aReader.Millis("suspect_after_ms", kShortMillis, 1'000),
+    .deadAfter = aReader.Millis("dead_after_ms", kShortMillis, 3'000),
+    .fanOut = ReadCount(aReader, "fan_out", { 1, 64 }, 3),
+  };
+  aReader.Finish();
+  return membership;
+}
+
+LedgerSettings ReadLedger(SectionReader aReader)
+{
+  LedgerSettings ledger{
+    .partitions = static_cast<std::uint32_t>(
+      aReader.Integer("partitions", { 1, 4'096 }, 16)),
+    .batchInterval = aReader.Millis("batch_interval_ms", kShortMillis, 5),
+    .maxBatch = ReadCount(aReader, "max_batch", { 1, 10'000 }, 256),
+    .permitTimeout = aReader.Millis("permit_timeout_ms", kShortMillis, 3'000),
+    .window = ReadHours(aReader, "window_hours", 24),
+  };
+  aReader.Finish();
+  return ledger;
+}
+
+StewardSettings ReadSteward(SectionReader aReader)
+{
+  StewardSettings steward{
+    .lease = aReader.Millis("lease_ms", kLongMillis, 6'000),
+    .renew = aReader.Millis("renew_ms", kLongMillis, 2'000),
+    .grace = aReader.Millis("grace_ms", kLongMillis, 3'000),
+    .orderTimeout = aReader.Millis("order_timeout_ms", kLongMillis, 2'000),
+    .payback = aReader.Millis("payback_ms", kLongMillis, 60'000),
+    .planInterval = aReader.Millis("plan_interval_ms", kShortMillis, 1'000),
+    .drainTimeout = aReader.Millis("drain_timeout_ms", kLongMillis, 150'000),
+  };
+  aReader.Finish();
+  return steward;
+}
+
+PlatformSettings ReadPlatform(SectionReader aReader)
+{
+  PlatformSettings platform{
+    .logUrl = aReader.Url("log_url"),
+    .hostsUrl = aReader.Url("hosts_url"),
+    .storeUrl = aReader.Url("store_url"),
+    .logPrefix = aReader.Text("log_prefix", "firefly"),
+    .pollInterval = aReader.Millis("poll_ms", kShortMillis, 500),
+    .requestTimeout = aReader.Millis("request_timeout_ms", kShortMillis, 2'000),
+    .retention = ReadHours(aReader, "retention_hours", 72),
+  };
+  aReader.Finish();
+  return platform;
+}
+
+LogSettings ReadLog(SectionReader aReader)
+{
+  LogSettings log{
+    .level = aReader.Choice("level", kLogLevels, { LogLevel::kInfo }),
+    .layout = aReader.Choice("layout", kLogLayouts, { LogLayout::kText }),
+  };
+  aReader.Finish();
+  return log;
+}
+
+void ReadPlainBackend(SectionReader& aReader, BackendSettings& aBackend)
+{
+  aBackend.service = ServiceId(aReader.Text("service"));
+}
+
+void ReadEngineBackend(SectionReader& aReader, BackendSettings& aBackend)
+{
+  aBackend.checksFencing = aReader.Flag("checks_fencing");
+  aBackend.role =
+    aReader.Choice("role", kBackendRoles, { BackendRole::kMixed });
+  for (auto& it : aReader.Texts("models")) {
+    aBackend.models.emplace_back(std::move(it));
+  }
+  aBackend.kvPieces = ReadCount(aReader, "kv_pieces", { 1, 10'000'000 }, 2'000);
+}
+
+BackendSettings ReadBackend(SectionReader& aReader)
+{
+  BackendSettings backend{
+    .id = BackendId(aReader.Text("id")),
+    .domain = DomainId(aReader.Text("domain")),
+    .kind = aReader.Choice("kind", kBackendKinds),
+    .service = {},
+    .url = aReader.Url("url"),
+    .models = {},
+    .slots = ReadCount(aReader, "slots", { 1, 100'000 }, 32),
+  };
+  if (backend.kind == BackendKind::kPlain) {
+    ReadPlainBackend(aReader, backend);
+  } else {
+    ReadEngineBackend(aReader, backend);
+  }
+  aReader.Finish();
+  return backend;
+}
+
+std::string ReadPath(SectionReader& aReader)
+{
+  return aReader.Text("path", "/");
+}
+
+RequestTypeSettings ReadRequestType(SectionReader& aReader, ServiceKind aKind)
+{
+  const bool plain = aKind == ServiceKind::kPlain;
+  RequestTypeSettings type{
+    .name = RequestType(aReader.Text("name")),
+    .worth = aReader.Real("worth", kMoney),
+    .refund = 0,
+    .lateAfter = aReader.Millis("late_after_ms", kLongMillis),
+    .objective = aReader.Real("objective", { 0.5, 0.99999 }, 0.99),
+    .idempotent =
+      aReader.Flag("idempotent", plain ? std::optional<bool>{} : true),
+    .method = {},
+    .path = {},
+  };
+  type.refund = aReader.Real("refund", kMoney, type.worth);
+  if (plain) {
+    const auto method = aReader.Choice("method", kMethods, { Method::kPost });
+    type.method = WordOf(kMethods, method);
+    type.path = ReadPath(aReader);
+  } else {
+    constexpr Whole tokens{ 1, 10'000'000 };
+    type.expectedPromptTokens =
+      ReadCount(aReader, "expected_prompt_tokens", tokens, 1'000);
+    type.expectedOutputTokens =
+      ReadCount(aReader, "expected_output_tokens", tokens, 200);
+  }
+  aReader.Finish();
+  return type;
+}
+
+ServiceSettings ReadService(SectionReader& aReader)
+{
+  ServiceSettings service{
+    .id = ServiceId(aReader.Text("id")),
+    .kind = aReader.Choice("kind", kServiceKinds),
+    .model = {},
+    .requestTypes = {},
+  };
+  if (service.kind == ServiceKind::kModel) {
+    service.model = ModelId(aReader.Text("model"));
+    service.firstTokenTarget =
+      aReader.Millis("first_token_target_ms", kLongMillis, 730);
+    service.tokenGapTarget =
+      aReader.Millis("token_gap_target_ms", kShortMillis, 28);
+  }
+  for (auto& it : aReader.Sections("request_types")) {
+    service.requestTypes.push_back(ReadRequestType(it, service.kind));
+  }
+  aReader.Finish();
+  return service;
+}
+
+// The settings of this process's host: [host], or the peer that was named.
+void ChooseHost(SectionReader& aRoot,
+                const SettingsOptions& aOptions,
+                Settings& aSettings,
+                SettingProblems& aProblems)
+{
+  if (aRoot.Has("host") || (aOptions.needsHost && !aOptions.host)) {
+    auto reader = aRoot.Section("host");
+    aSettings.host = ReadHost(reader);
+  }
+  if (!aOptions.host) {
+    return;
+  }
+  const auto found =
+    std::ranges::find(aSettings.peers, *aOptions.host, &HostSettings::id);
+  if (found == aSettings.peers.end()) {
+    aProblems.Add(0,
+                  "[[peers]] id: none is \"" + aOptions.host->Value() +
+                    "\", the host asked for; must be one of them");
+    return;
+  }
+  aSettings.host = *found;
+}
+
+std::filesystem::path ReadCharts(SectionReader aReader,
+                                 const std::filesystem::path& aFile)
+{
+  const std::filesystem::path directory =
+    aReader.Text("directory", "../charts");
+  aReader.Finish();
+  return (aFile.parent_path() / directory).lexically_normal();
+}
+
+std::string ReadPolicy(SectionReader aReader)
+{
+  const auto policy =
+    aReader.Choice("name", kPolicies, { PolicyName::kFirefly });
+  aReader.Finish();
+  return std::string(WordOf(kPolicies, policy));
+}
+
+Settings ReadSettings(const SettingValue& aRoot,
+                      const SettingsOptions& aOptions,
+                      SettingProblems& aProblems)
+{
+  SectionReader root(&aRoot, "", aProblems);
+  Settings settings;
+  settings.entry = ReadEntry(root.Section("entry"));
+  settings.membership = ReadMembership(root.Section("membership"));
+  settings.ledger = ReadLedger(root.Section("ledger"));
+  settings.steward = ReadSteward(root.Section("steward"));
+  settings.platform = ReadPlatform(root.Section("platform"));
+  settings.log = ReadLog(root.Section("log"));
+  settings.chartsDirectory = ReadCharts(root.Section("charts"), aOptions.file);
+  settings.policyName = ReadPolicy(root.Section("policy"));
+  for (auto& it : root.Sections("peers")) {
+    settings.peers.push_back(ReadHost(it));
+  }
+  for (auto& it : root.Sections("backends")) {
+    settings.backends.push_back(ReadBackend(it));
+  }
+  for (auto& it : root.Sections("services")) {
+    settings.services.push_back(ReadService(it));
+  }
+  ChooseHost(root, aOptions, settings, aProblems);
+  root.Finish();
+  return settings;
+}
+
+} // namespace
+
+const ServiceSettings* Settings::FindService(const ServiceId& aId) const
+{
+  const auto found = std::ranges::find(services, aId, &ServiceSettings::id);
+  return found == services.end() ? nullptr : &*found;
+}
+
+const RequestTypeSettings* Settings::FindRequestType(
+  const ServiceId& aService,
+  const RequestType& aType) const
+{
+  const auto* service = FindService(aService);
+  if (service == nullptr) {
+    return nullptr;
+  }
+  const auto& types = service->requestTypes;
+  const auto found =
+    std::ranges::find(types, aType, &RequestTypeSettings::name);
+  return found == types.end() ? nullptr : &*found;
+}
+
+const BackendSettings* Settings::FindBackend(const BackendId& aId) const
+{
+  const auto found = std::ranges::find(backends, aId, &BackendSettings::id);
+  return found == backends.end() ? nullptr : &*found;
+}
+
+tl::expected<Settings, SettingsError> LoadSettings(
+  const SettingsOptions& aOptions)
+{
+  const auto root = ReadSettingFile(aOptions.file.string());
+  if (!root) {
+    return tl::unexpected(SettingsError{ { root.error().message } });
+  }
+  SettingProblems problems(aOptions.file.string());
+  Settings settings = ReadSettings(*root, aOptions, problems);
+  // Clashes between values that were refused would only repeat the fault.
+  if (problems.Lines().empty()) {
+    CheckClashes(settings, problems);
+  }
+  if (!problems.Lines().empty()) {
+    return tl::unexpected(SettingsError{ problems.Lines() });
+  }
+  return settings;
+}
+
+std::string_view NameOf(BackendKind aKind)
+{
+  return WordOf(kBackendKinds, aKind);
+}
+
+std::string_view NameOf(BackendRole aRole)
+{
+  return WordOf(kBackendRoles, aRole);
+}
+
+std::string_view NameOf(ServiceKind aKind)
+{
+  return WordOf(kServiceKinds, aKind);
+}
+
+} // namespace firefly
--- /dev/null
+++ b/tests/settings/command_line_test.cpp
@@ -0,0 +1,75 @@
+#include "servers/settings/command_line.h"
+
+#include <array>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace firefly;
+
+namespace {
+
+const DaemonOptions kDaemon{ .program = "firefly-test",
+                             .purpose = "Tests the command line.",
+                             .version = "1.2.3" };
+
+tl::expected<Settings, ExitCode> Start(std::vector<const char*> aWords)
+{
+  aWords.insert(aWords.begin(), "firefly-test");
+  return StartDaemon(kDaemon, static_cast<int>(aWords.size()), aWords.data());
+}
+
+// docopt compiles its patterns at their first use and keeps them for good; done
+// before the tests, so that none of them counts the patterns as its leak.
+bool PrepareDocopt()
+{
+  const std::array<const char*, 3> words{ "p", "--x", "1" };
+  const std::string usage =
+    "Usage:\n  p [--x N]\n\nOptions:\n  --x N  A number.\n";
+  return ParseArguments(usage, "1", words.size(), words.data()).has_value();
+}
+
+const bool kDocoptPrepared = PrepareDocopt();
+
+void CheckExit(ExitCode aCode, const tl::expected<Settings, ExitCode>& aStart)
+{
+  CHECK_FALSE(aStart.has_value());
+  LONGS_EQUAL(static_cast<int>(aCode), static_cast<int>(aStart.error()));
+}
+
+} // namespace
+
+TEST_GROUP(CommandLineTest){};
+
+TEST(CommandLineTest, AcceptsTheSampleFiles)
+{
+  const std::string directory = FIREFLY_SOURCE_DIR "/settings/";
+  for (const char* name : { "macaskill.toml", "hooghly.toml", "demo.toml" }) {
+    const std::string file = directory + name;
+    CheckExit(ExitCode::kOk,
+              Start({ "--settings", file.c_str(), "--check-settings" }));
+  }
+}
+
+TEST(CommandLineTest, StartsAsANamedHost)
+{
+  const std::string file = FIREFLY_SOURCE_DIR "/settings/macaskill.toml";
+  const auto settings =
+    Start({ "--settings", file.c_str(), "--host", "entry-9" });
+  CHECK_TRUE(settings.has_value());
+  STRCMP_EQUAL("yard-3", settings->host.domain.Value().c_str());
+}
+
+TEST(CommandLineTest, HelpAndVersionAreRight)
+{
+  CheckExit(ExitCode::kOk, Start({ "--help" }));
+  CheckExit(ExitCode::kOk, Start({ "--version" }));
+}
+
+TEST(CommandLineTest, WrongLinesAndSettingsAreUsageErrors)
+{
+  CHECK_TRUE(kDocoptPrepared);
+  CheckExit(ExitCode::kUsage, Start({}));
+  CheckExit(ExitCode::kUsage, Start({ "--nonsense" }));
+  CheckExit(ExitCode::kUsage, Start({ "--settings", "/no/such.toml" }));
+}
