--- /dev/null
+++ b/coord/booking_state.h
@@ -0,0 +1,123 @@
+#pragma once
+
+// The state of one partition's stream of bookings: which attempt may run for
+// each key. The first intent of a key that was not abandoned holds the permit,
+// in the order of the log, whoever wrote it.
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "coord/stream_fold.h"
+#include "core/ids.h"
+
+namespace firefly::coord {
+
+// A hash of a booking's request; the same key with another one is an error.
+using RequestDigest = StrongType<struct RequestDigestTag, std::uint64_t>;
+
+// What the service answered.
+struct BookingOutcome
+{
+  std::uint32_t status = 0; // the service's HTTP status
+  std::string answer;       // cut to the ledger's limit
+  bool truncated = false;
+
+  bool operator==(const BookingOutcome&) const = default;
+};
+
+// What is known of a key.
+struct BookingView
+{
+  AttemptId attempt; // the one that holds the permit
+  RequestDigest digest;
+  LogOffset offset; // of its intent
+  std::optional<BookingOutcome> outcome;
+};
+
+// The fold of one partition. A key is forgotten a window of time after its
+// last intent was read here: at most one attempt of a key runs within that
+// window. The window must be shorter than the log's retention.
+class BookingState : public Fold
+{
+public:
+  struct Options
+  {
+    Duration window = std::chrono::minutes(30);
+  };
+
+  BookingState(const Options& aOptions, Executor& aExecutor);
+
+  void Reset() override;
+  bool Apply(LogOffset aOffset, const Envelope& aRecord) override;
+  [[nodiscard]] std::string Save() const override { return {}; }
+  bool Load(std::string_view) override { return false; }
+
+  // The key's permit holder, or nothing if the key is free.
+  [[nodiscard]] std::optional<BookingView> Find(const BookingKey& aKey) const;
+
+  // Whether the attempt was abandoned.
+  [[nodiscard]] bool Abandoned(const BookingKey& aKey,
+                               const AttemptId& aAttempt) const;
+
+  // Forgets the keys whose window has passed.
+  void Expire();
+
+  [[nodiscard]] std::size_t Keys() const { return mKeys.size(); }
+  // An estimate of the memory of all keys, in bytes.
+  [[nodiscard]] std::size_t Bytes() const { return mBytes; }
+  // Outcomes of attempts that had been abandoned: each breaks the protocol.
+  [[nodiscard]] std::uint64_t Violations() const { return mViolations; }
+
+  // The bodies of the stream's records.
+  static std::string IntentBody(const BookingKey& aKey,
+                                const AttemptId& aAttempt,
+                                RequestDigest aDigest,
+                                WallTime aTime);
+  static std::string AbandonBody(const BookingKey& aKey,
+                                 const AttemptId& aAttempt);
+  static std::string OutcomeBody(const BookingKey& aKey,
+                                 const AttemptId& aAttempt,
+                                 const BookingOutcome& aOutcome);
+
+private:
+  struct Attempt
+  {
+    AttemptId id;
+    RequestDigest digest;
+    LogOffset offset;
+    std::optional<BookingOutcome> outcome;
+    bool abandoned = false;
+    bool intended = false; // its intent was read, not only its abandoning
+  };
+  struct Entry
+  {
+    std::vector<Attempt> attempts; // in log order
+    Instant touched{};
+  };
+  struct Visit
+  {
+    Instant at;
+    std::string key;
+  };
+
+  bool ApplyIntent(LogOffset aOffset, const std::string& aBody);
+  bool ApplyAbandon(const std::string& aBody);
+  bool ApplyOutcome(LogOffset aOffset, const std::string& aBody);
+  Entry& Touch(const std::string& aKey);
+  static Attempt* FindAttempt(Entry& aEntry, const std::string& aAttempt);
+  static const Attempt* Holder(const Entry& aEntry);
+
+  Options mOptions;
+  Executor& mExecutor;
+  std::unordered_map<std::string, Entry> mKeys;
+  std::deque<Visit> mVisits; // by time, to expire in order
+  std::size_t mBytes = 0;
+  std::uint64_t mViolations = 0;
+};
+
+} // namespace firefly::coord
--- /dev/null
+++ b/coord/stream_fold.cpp
@@ -0,0 +1,141 @@
+#include "coord/stream_fold.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coord/codec.h"
+
+namespace firefly::coord {
+
+namespace {
+
+// The state after all records before `next` were folded.
+struct Checkpoint
+{
+  LogOffset next;
+  std::string state;
+};
+
+std::string EncodeCheckpoint(const Checkpoint& aCheckpoint)
+{
+  return FieldWriter()
+    .Number(aCheckpoint.next.Value())
+    .Text(aCheckpoint.state)
+    .Take();
+}
+
+std::optional<Checkpoint> DecodeCheckpoint(std::string_view aBody)
+{
+  FieldReader reader(aBody);
+  Checkpoint checkpoint;
+  checkpoint.next = LogOffset(reader.Number());
+  checkpoint.state = reader.Text();
+  if (!reader.Ok()) {
+    return std::nullopt;
+  }
+  return checkpoint;
+}
+
+} // namespace
+
+StreamFold::StreamFold(StreamReader::Options aOptions,
+                       Executor& aExecutor,
+                       LogClient& aLog,
+                       Fold& aFold)
+  : mExecutor(aExecutor)
+  , mFold(aFold)
+  , mReader(std::move(aOptions), aExecutor, aLog, *this)
+{
+}
+
+void StreamFold::AddObserver(FoldObserver& aObserver)
+{
+  mObservers.push_back(&aObserver);
+}
+
+void StreamFold::RemoveObserver(FoldObserver& aObserver)
+{
+  std::erase(mObservers, &aObserver);
+}
+
+StreamFold::Status StreamFold::State() const
+{
+  if (!mReader.CaughtUp()) {
+    return Status::kReading;
+  }
+  return mBased ? Status::kReady : Status::kLost;
+}
+
+std::string StreamFold::MakeCheckpoint() const
+{
+  return EncodeCheckpoint(
+    { .next = mReader.Position(), .state = mFold.Save() });
+}
+
+void StreamFold::OnRestart(LogOffset aFirst)
+{
+  mFirst = aFirst;
+  mBased = aFirst == LogOffset(0);
+  mHeld.clear();
+  mLastCheckpoint = mExecutor.Now();
+  mFold.Reset();
+}
+
+void StreamFold::OnRecord(const LogRecord& aRecord)
+{
+  auto record = DecodeEnvelope(aRecord.payload);
+  if (!record) {
+    return;
+  }
+  if (record->kind == RecordKind::kCheckpoint) {
+    OnCheckpoint(*record);
+  }
+  if (mBased) {
+    ApplyOne(aRecord.offset, *record);
+    return;
+  }
+  mHeld.push_back({ .offset = aRecord.offset, .record = std::move(*record) });
+}
+
+void StreamFold::OnCheckpoint(const Envelope& aRecord)
+{
+  mLastCheckpoint = mExecutor.Now();
+  if (mBased) {
+    return;
+  }
+  const auto checkpoint = DecodeCheckpoint(aRecord.body);
+  if (!checkpoint || checkpoint->next < mFirst) {
+    return;
+  }
+  if (!mFold.Load(checkpoint->state)) {
+    mFold.Reset();
+    return;
+  }
+  mBased = true;
+  const auto held = std::exchange(mHeld, {});
+  for (const auto& it : held) {
+    if (it.offset >= checkpoint->next) {
+      ApplyOne(it.offset, it.record);
+    }
+  }
+}
+
+void StreamFold::ApplyOne(LogOffset aOffset, const Envelope& aRecord)
+{
+  const bool accepted =
+    aRecord.kind == RecordKind::kCheckpoint || mFold.Apply(aOffset, aRecord);
+  const auto observers = mObservers;
+  for (auto* it : observers) {
+    it->OnApplied(aRecord.id, aOffset, accepted);
+  }
+}
+
+void StreamFold::OnCaughtUp(LogOffset)
+{
+  const auto observers = mObservers;
+  for (auto* it : observers) {
+    it->OnCaughtUp();
+  }
+}
+
+} // namespace firefly::coord
--- /dev/null
+++ b/coord/stream_reader.cpp
@@ -0,0 +1,146 @@
+#include "coord/stream_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace firefly::coord {
+
+namespace {
+
+constexpr Duration kFirstBackoff = std::chrono::milliseconds(100);
+
+} // namespace
+
+StreamReader::StreamReader(Options aOptions,
+                           Executor& aExecutor,
+                           LogClient& aLog,
+                           StreamListener& aListener)
+  : mOptions(std::move(aOptions))
+  , mExecutor(aExecutor)
+  , mLog(aLog)
+  , mListener(aListener)
+  , mRandom(mOptions.seed)
+{
+}
+
+void StreamReader::Start()
+{
+  Read();
+}
+
+void StreamReader::Poke()
+{
+  if (mBusy) {
+    mPoked = true;
+    return;
+  }
+  Read();
+}
+
+void StreamReader::Read()
+{
+  mTimer.Cancel();
+  mBusy = true;
+  mPoked = false;
+  const auto read = ++mReads;
+  const auto sent = mExecutor.Now();
+  mTimeout = mExecutor.RunAfter(mOptions.readTimeout, [this, read, sent] {
+    OnAnswer(read,
+             sent,
+             tl::unexpected(LogError{ LogErrorKind::kUnknown, "timeout" }));
+  });
+  mLog.Read(
+    mOptions.stream,
+    mNext,
+    mOptions.batchLimit,
+    mGuard.Wrap([this, read, sent](tl::expected<LogBatch, LogError> aAnswer) {
+      OnAnswer(read, sent, aAnswer);
+    }));
+}
+
+void StreamReader::OnAnswer(std::uint64_t aRead,
+                            Instant aSent,
+                            const tl::expected<LogBatch, LogError>& aAnswer)
+{
+  if (aRead != mReads || !mBusy) {
+    return; // the answer to a read that was given up
+  }
+  mTimeout.Cancel();
+  mBusy = false;
+  if (!aAnswer) {
+    OnFailure(aAnswer.error());
+    return;
+  }
+  mBackoff = Duration::zero();
+  OnBatch(aSent, *aAnswer);
+}
+
+void StreamReader::OnBatch(Instant aSent, const LogBatch& aBatch)
+{
+  // From the start, a log may answer with its oldest kept record.
+  const bool skipped = !aBatch.records.empty()
+                         ? aBatch.records.front().offset > mNext
+                         : aBatch.first > mNext;
+  if (!mStarted || skipped || aBatch.end < mNext) {
+    Restart(aBatch.first);
+  }
+  Deliver(aBatch);
+  if (mNext < aBatch.end) {
+    Read();
+    return;
+  }
+  mCaughtUp = aSent;
+  mListener.OnCaughtUp(aBatch.end);
+  if (mPoked) {
+    Read();
+    return;
+  }
+  ReadAfter(Jittered(mOptions.pollInterval));
+}
+
+void StreamReader::Deliver(const LogBatch& aBatch)
+{
+  for (const auto& it : aBatch.records) {
+    if (it.offset != mNext) {
+      continue;
+    }
+    mNext = LogOffset(it.offset.Value() + 1);
+    mListener.OnRecord(it);
+  }
+}
+
+void StreamReader::Restart(LogOffset aFirst)
+{
+  mStarted = true;
+  ++mRestarts;
+  mNext = aFirst;
+  mCaughtUp.reset();
+  mListener.OnRestart(aFirst);
+}
+
+void StreamReader::OnFailure(const LogError& aError)
+{
+  ++mFailures;
+  if (aError.kind == LogErrorKind::kTrimmed) {
+    // Offset zero asks for the oldest record that is kept.
+    mNext = LogOffset(0);
+    mStarted = false;
+    mCaughtUp.reset();
+  }
+  mBackoff = std::clamp(mBackoff * 2, kFirstBackoff, mOptions.maxBackoff);
+  ReadAfter(Jittered(mBackoff));
+}
+
+void StreamReader::ReadAfter(Duration aDelay)
+{
+  mTimer = mExecutor.RunAfter(aDelay, [this] { Read(); });
+}
+
+Duration StreamReader::Jittered(Duration aDelay)
+{
+  constexpr double kJitter = 0.25;
+  const double factor = 1.0 + kJitter * (2.0 * mRandom.Uniform() - 1.0);
+  return FromSeconds(ToSeconds(aDelay) * factor);
+}
+
+} // namespace firefly::coord
--- /dev/null
+++ b/coord/writer.cpp
@@ -0,0 +1,154 @@
+#include "coord/writer.h"
+
+#include <utility>
+
+namespace firefly::coord {
+
+LogWriter::LogWriter(Options aOptions, Executor& aExecutor, LogClient& aLog)
+  : mOptions(std::move(aOptions))
+  , mExecutor(aExecutor)
+  , mLog(aLog)
+  , mRandom(mOptions.seed)
+{
+}
+
+RecordId LogWriter::Append(RecordKind aKind,
+                           std::string aBody,
+                           Instant aDeadline,
+                           Callback aCallback)
+{
+  const RecordId id{ .writer = mOptions.writer, .sequence = ++mSequence };
+  if (mQueue.size() >= mOptions.maxQueue) {
+    mExecutor.Post(mGuard.Wrap([callback = std::move(aCallback)] {
+      callback(tl::unexpected(
+        WriteError{ WriteErrorKind::kQueueFull, "too many records wait" }));
+    }));
+    return id;
+  }
+  mQueue.push_back({ .payload = EncodeEnvelope(
+                       { .id = id, .kind = aKind, .body = std::move(aBody) }),
+                     .deadline = aDeadline,
+                     .callback = std::move(aCallback) });
+  Arm();
+  return id;
+}
+
+void LogWriter::Arm()
+{
+  if (mBusy || mTimer.Pending()) {
+    return;
+  }
+  mTimer = mExecutor.RunAfter(mOptions.linger, [this] { Send(); });
+}
+
+void LogWriter::Send()
+{
+  GiveUpLate();
+  FillBatch();
+  if (mBatch.empty()) {
+    return;
+  }
+  mBusy = true;
+  const auto attempt = ++mAppends;
+  std::vector<std::string> payloads;
+  payloads.reserve(mBatch.size());
+  for (const auto& it : mBatch) {
+    payloads.push_back(it.payload);
+  }
+  mTimeout = mExecutor.RunAfter(mOptions.appendTimeout, [this, attempt] {
+    OnAnswer(attempt,
+             tl::unexpected(LogError{ LogErrorKind::kUnknown, "timeout" }));
+  });
+  mLog.Append(
+    mOptions.stream,
+    std::move(payloads),
+    mGuard.Wrap([this, attempt](tl::expected<LogOffset, LogError> aAnswer) {
+      OnAnswer(attempt, aAnswer);
+    }));
+}
+
+void LogWriter::GiveUpLate()
+{
+  std::vector<Item> late;
+  if (!mBusy) {
+    TakeLate(mBatch, late);
+  }
+  TakeLate(mQueue, late);
+  for (const auto& it : late) {
+    const auto kind =
+      it.uncertain ? WriteErrorKind::kUnknown : WriteErrorKind::kNotAppended;
+    it.callback(tl::unexpected(WriteError{ kind, "the deadline passed" }));
+  }
+}
+
+void LogWriter::TakeLate(std::deque<Item>& aQueue,
+                         std::vector<Item>& aLate) const
+{
+  std::deque<Item> kept;
+  for (auto& it : aQueue) {
+    if (it.deadline <= mExecutor.Now()) {
+      aLate.push_back(std::move(it));
+    } else {
+      kept.push_back(std::move(it));
+    }
+  }
+  aQueue.swap(kept);
+}
+
+// A batch that is tried again takes no more records: they come into the log in
+// the order of their sequences, but for late copies.
+void LogWriter::FillBatch()
+{
+  if (!mBatch.empty()) {
+    return;
+  }
+  std::size_t bytes = 0;
+  while (!mQueue.empty() && mBatch.size() < mOptions.maxBatchRecords &&
+         bytes < mOptions.maxBatchBytes) {
+    bytes += mQueue.front().payload.size();
+    mBatch.push_back(std::move(mQueue.front()));
+    mQueue.pop_front();
+  }
+}
+
+void LogWriter::OnAnswer(std::uint64_t aTry,
+                         const tl::expected<LogOffset, LogError>& aAnswer)
+{
+  if (aTry != mAppends || !mBusy) {
+    return; // the answer to a try that was given up
+  }
+  mTimeout.Cancel();
+  mBusy = false;
+  if (!aAnswer) {
+    OnFailed(aAnswer.error());
+    return;
+  }
+  OnAppended(*aAnswer);
+}
+
+void LogWriter::OnAppended(LogOffset aFirst)
+{
+  mRecords += mBatch.size();
+  auto done = std::exchange(mBatch, {});
+  if (!mQueue.empty()) {
+    Arm();
+  }
+  auto offset = aFirst.Value();
+  for (const auto& it : done) {
+    it.callback(LogOffset(offset++));
+  }
+}
+
+void LogWriter::OnFailed(const LogError& aError)
+{
+  if (aError.kind != LogErrorKind::kUnavailable) {
+    for (auto& it : mBatch) {
+      it.uncertain = true;
+    }
+  }
+  const auto delay =
+    FromSeconds(ToSeconds(mOptions.retryDelay) * (0.5 + mRandom.Uniform()));
+  mTimer = mExecutor.RunAfter(delay, [this] { Send(); });
+}
+
+} // namespace firefly::coord
