--- a/servers/http/http_client.h
+++ b/servers/http/http_client.h
@@ -87,8 +87,9 @@
   virtual ~HttpClient() = default;
 
   // Starts a call whose answer is streamed.
-  [[nodiscard]] virtual HttpTransferPtr Stream(HttpCall aCall,
-                                               HttpStreamHandlers aHandlers) = 0;
+  [[nodiscard]] virtual HttpTransferPtr Stream(
+    HttpCall aCall,
+    HttpStreamHandlers aHandlers) = 0;
 
   // Makes a call whose answer comes whole.
   void Fetch(HttpCall aCall, Callback aCallback);
--- a/servers/http/http_message.h
+++ b/servers/http/http_message.h
@@ -17,8 +17,8 @@
 using HttpHeaders = std::vector<HttpHeader>;
 
 // The value of the header of that name, whatever its case; empty if absent.
-std::string_view
-FindHeader(const HttpHeaders& aHeaders, std::string_view aName);
+std::string_view FindHeader(const HttpHeaders& aHeaders,
+                            std::string_view aName);
 
 // A request as a server got it, whole.
 struct HttpRequest
@@ -43,7 +43,6 @@
 };
 
 // The path's segments, percent-decoded: "/a/b%20c" gives "a" and "b c".
-std::vector<std::string>
-SplitPath(std::string_view aPath);
+std::vector<std::string> SplitPath(std::string_view aPath);
 
 } // namespace firefly
