--- a/coord/confirmed_writer.cpp
+++ b/coord/confirmed_writer.cpp
@@ -29,7 +29,7 @@
 {
   // The writer answers later than this call returns, so the sequence is known.
   auto sequence = std::make_shared<std::uint64_t>(0);
-  const auto id = mWriter.Append(
+  auto id = mWriter.Append(
     aKind,
     std::move(aBody),
     aDeadline,
--- a/coord/record.h
+++ b/coord/record.h
@@ -24,6 +24,7 @@
   WriterId writer;
   std::uint64_t sequence = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false finding on defaults
   auto operator<=>(const RecordId&) const = default;
 };
 
--- a/coord/stream_reader.cpp
+++ b/coord/stream_reader.cpp
@@ -49,13 +49,13 @@
              sent,
              tl::unexpected(LogError{ LogErrorKind::kUnknown, "timeout" }));
   });
-  mLog.Read(
-    mOptions.stream,
-    mNext,
-    mOptions.batchLimit,
-    mGuard.Wrap([this, read, sent](tl::expected<LogBatch, LogError> aAnswer) {
-      OnAnswer(read, sent, aAnswer);
-    }));
+  mLog.Read(mOptions.stream,
+            mNext,
+            mOptions.batchLimit,
+            mGuard.Wrap([this, read, sent](
+                          const tl::expected<LogBatch, LogError>& aAnswer) {
+              OnAnswer(read, sent, aAnswer);
+            }));
 }
 
 void StreamReader::OnAnswer(std::uint64_t aRead,
--- a/coord/versioned_table.h
+++ b/coord/versioned_table.h
@@ -90,7 +90,7 @@
     // How old the newest checkpoint may grow before this process re-appends
     // it; jittered, so that one of many does. Zero: never.
     Duration checkpointInterval = std::chrono::minutes(10);
-    std::size_t maxPayloadBytes = 1024 * 1024;
+    std::size_t maxPayloadBytes = 1048576;
     std::uint64_t seed = 1; // of the jitter
   };
 
--- a/coord/writer.cpp
+++ b/coord/writer.cpp
@@ -17,7 +17,7 @@
                            Instant aDeadline,
                            Callback aCallback)
 {
-  const RecordId id{ .writer = mOptions.writer, .sequence = ++mSequence };
+  RecordId id{ .writer = mOptions.writer, .sequence = ++mSequence };
   if (mQueue.size() >= mOptions.maxQueue) {
     mExecutor.Post(mGuard.Wrap([callback = std::move(aCallback)] {
       callback(tl::unexpected(
@@ -59,12 +59,12 @@
     OnAnswer(attempt,
              tl::unexpected(LogError{ LogErrorKind::kUnknown, "timeout" }));
   });
-  mLog.Append(
-    mOptions.stream,
-    std::move(payloads),
-    mGuard.Wrap([this, attempt](tl::expected<LogOffset, LogError> aAnswer) {
-      OnAnswer(attempt, aAnswer);
-    }));
+  mLog.Append(mOptions.stream,
+              std::move(payloads),
+              mGuard.Wrap([this, attempt](
+                            const tl::expected<LogOffset, LogError>& aAnswer) {
+                OnAnswer(attempt, aAnswer);
+              }));
 }
 
 void LogWriter::GiveUpLate()
--- a/coord/writer.h
+++ b/coord/writer.h
@@ -45,7 +45,7 @@
     // How long a record waits for others to share its append.
     Duration linger = std::chrono::milliseconds(5);
     std::size_t maxBatchRecords = 512;
-    std::size_t maxBatchBytes = 256 * 1024;
+    std::size_t maxBatchBytes = 262144;
     std::size_t maxQueue = 16384;
     // Without an answer for this long an append's outcome is unknown.
     Duration appendTimeout = std::chrono::seconds(2);
--- a/core/strong_type.h
+++ b/core/strong_type.h
@@ -28,6 +28,7 @@
   // The bare value, for codecs and logs.
   [[nodiscard]] constexpr const Rep& Value() const { return mValue; }
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false finding on defaults
   constexpr auto operator<=>(const StrongType&) const = default;
   constexpr bool operator==(const StrongType&) const = default;
 
