--- a/tests/servers/link/link_test.cpp
+++ b/tests/servers/link/link_test.cpp
@@ -15,7 +15,6 @@
 using firefly::LinkClient;
 using firefly::LinkError;
 using firefly::LinkErrorKind;
-using firefly::LinkReply;
 using firefly::LinkServer;
 using firefly::testing::RunUntil;
 
@@ -27,12 +26,13 @@
 struct Peer
 {
   explicit Peer(AsioExecutor& aExecutor)
-    : server(
-        aExecutor,
-        { .maxBodyBytes = 3U << 20U },
-        [this](std::string aPath, std::string aBody, LinkServer::Reply aReply) {
-          Answer(aPath, std::move(aBody), std::move(aReply));
-        })
+    : server(aExecutor,
+             { .maxBodyBytes = 3U << 20U },
+             [this](const std::string& aPath,
+                    std::string aBody,
+                    LinkServer::Reply aReply) {
+               Answer(aPath, std::move(aBody), std::move(aReply));
+             })
   {
     started = server.Start().has_value();
   }
@@ -93,7 +93,8 @@
   constexpr int kCalls = 200;
   int right = 0;
   for (int i = 0; i < kCalls; ++i) {
-    const std::string body(static_cast<std::size_t>(i) * 100, 'a' + i % 26);
+    const std::string body(static_cast<std::size_t>(i) * 100,
+                           static_cast<char>('a' + i % 26));
     client.Call("/echo", body, 30s, [&right, body](Result aResult) {
       right += aResult.has_value() && *aResult == body ? 1 : 0;
     });
