--- /dev/null
+++ b/servers/metrics/metrics.h
@@ -0,0 +1,186 @@
+#pragma once
+
+// Counters, gauges, histograms and summaries of one process, in families that
+// share a name and a bounded set of labels.
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace firefly {
+
+// Label names and values of one line, in order.
+struct MetricLabel
+{
+  std::string name;
+  std::string value;
+
+  bool operator==(const MetricLabel&) const = default;
+  auto operator<=>(const MetricLabel&) const = default;
+};
+
+using MetricLabels = std::vector<MetricLabel>;
+
+// One line of the text format: a series and its value.
+struct MetricSample
+{
+  std::string name;
+  MetricLabels labels;
+  double value = 0;
+};
+
+// A count that only grows.
+class Counter
+{
+public:
+  // A negative amount is ignored.
+  void Add(double aAmount = 1);
+  [[nodiscard]] double Value() const { return mValue; }
+
+private:
+  double mValue = 0;
+};
+
+// A value that goes up and down.
+class Gauge
+{
+public:
+  void Set(double aValue) { mValue = aValue; }
+  void Add(double aAmount) { mValue += aAmount; }
+  [[nodiscard]] double Value() const { return mValue; }
+
+private:
+  double mValue = 0;
+};
+
+// Counts by fixed upper bounds, which can be added up across processes.
+class Histogram
+{
+public:
+  // The bounds must ascend; one for all larger values is added.
+  explicit Histogram(const std::vector<double>& aBounds);
+
+  void Observe(double aValue);
+  [[nodiscard]] std::uint64_t Count() const { return mCount; }
+  [[nodiscard]] double Sum() const { return mSum; }
+
+  // Observations up to and including the bound of that index.
+  [[nodiscard]] std::uint64_t CountUpTo(std::size_t aIndex) const;
+  [[nodiscard]] const std::vector<double>& Bounds() const { return mBounds; }
+
+private:
+  std::vector<double> mBounds;
+  std::vector<std::uint64_t> mCounts;
+  std::uint64_t mCount = 0;
+  double mSum = 0;
+};
+
+// Mean and quantiles since the start of the process, in constant memory.
+class Summary
+{
+public:
+  Summary();
+  ~Summary();
+  Summary(const Summary&) = delete;
+  Summary& operator=(const Summary&) = delete;
+
+  void Observe(double aValue);
+  [[nodiscard]] std::uint64_t Count() const;
+  [[nodiscard]] double Sum() const;
+  [[nodiscard]] double Mean() const; // 0 without observations
+
+  // The quantiles that are estimated.
+  static constexpr std::array<double, 3> kQuantiles{ 0.5, 0.95, 0.99 };
+
+  // The estimate of one of kQuantiles; none for others, and none until there
+  // are enough observations.
+  [[nodiscard]] std::optional<double> Quantile(double aQuantile) const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+// What a family is called and how its series differ.
+struct MetricOptions
+{
+  std::string name;
+  std::string help;
+  std::vector<std::string> labelNames = {};
+  std::vector<double> bounds = {}; // of a histogram
+  // Further label values share one series whose values are all "other".
+  std::size_t maxSeries = 512;
+};
+
+// The series of one metric by their label values.
+template<typename T>
+class MetricFamily
+{
+public:
+  explicit MetricFamily(MetricOptions aOptions)
+    : mOptions(std::move(aOptions))
+  {
+  }
+
+  // The series with those label values, made at the first use. Stays valid as
+  // long as the family. There must be one value for each label name.
+  T& With(const std::vector<std::string>& aValues);
+
+  [[nodiscard]] const MetricOptions& Options() const { return mOptions; }
+  [[nodiscard]] const std::map<std::vector<std::string>, std::unique_ptr<T>>&
+  Series() const
+  {
+    return mSeries;
+  }
+
+private:
+  MetricOptions mOptions;
+  std::map<std::vector<std::string>, std::unique_ptr<T>> mSeries;
+};
+
+// All metrics of a process. Not for use by several threads.
+class MetricRegistry
+{
+public:
+  // Each returns the family of that name, made at the first call.
+  MetricFamily<Counter>& Counters(const MetricOptions& aOptions);
+  MetricFamily<Gauge>& Gauges(const MetricOptions& aOptions);
+  MetricFamily<Histogram>& Histograms(const MetricOptions& aOptions);
+  MetricFamily<Summary>& Summaries(const MetricOptions& aOptions);
+
+  // Runs the callback before each exposition, to set gauges.
+  void OnExpose(std::function<void()> aCallback);
+
+  // All series in the Prometheus text format, version 0.0.4.
+  [[nodiscard]] std::string Expose() const;
+
+  // The content type of that text.
+  static constexpr const char* kContentType =
+    "text/plain; version=0.0.4; charset=utf-8";
+
+private:
+  template<typename T>
+  using Families = std::map<std::string, MetricFamily<T>>;
+
+  Families<Counter> mCounters;
+  Families<Gauge> mGauges;
+  Families<Histogram> mHistograms;
+  Families<Summary> mSummaries;
+  std::vector<std::function<void()>> mCallbacks;
+};
+
+// Upper bounds in seconds for the time until the first token.
+std::vector<double> FirstTokenBounds();
+
+// Upper bounds in seconds for the time between two tokens.
+std::vector<double> TokenGapBounds();
+
+// Keeps the gauges of the process's own processor time and memory.
+void AddProcessMetrics(MetricRegistry& aRegistry);
+
+} // namespace firefly
--- /dev/null
+++ b/servers/metrics/process_metrics.cpp
@@ -0,0 +1,57 @@
+#include "servers/metrics/metrics.h"
+
+#include <fstream>
+#include <sys/resource.h>
+#include <unistd.h>
+
+namespace firefly {
+
+namespace {
+
+constexpr double kMicrosPerSecond = 1e6;
+
+double SecondsOf(const timeval& aTime)
+{
+  return static_cast<double>(aTime.tv_sec) +
+         static_cast<double>(aTime.tv_usec) / kMicrosPerSecond;
+}
+
+// Processor time in user and kernel mode, in seconds.
+double ProcessorSeconds()
+{
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return SecondsOf(usage.ru_utime) + SecondsOf(usage.ru_stime);
+}
+
+// Memory in RAM, in bytes.
+double ResidentBytes()
+{
+  std::ifstream in("/proc/self/statm");
+  double total = 0;
+  double resident = 0;
+  in >> total >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+} // namespace
+
+void AddProcessMetrics(MetricRegistry& aRegistry)
+{
+  auto& processor =
+    aRegistry
+      .Counters({ .name = "process_cpu_seconds_total",
+                  .help = "Processor time of the process, in seconds." })
+      .With({});
+  auto& memory =
+    aRegistry
+      .Gauges({ .name = "process_resident_memory_bytes",
+                .help = "Memory of the process that is in RAM, in bytes." })
+      .With({});
+  aRegistry.OnExpose([&processor, &memory] {
+    processor.Add(ProcessorSeconds() - processor.Value());
+    memory.Set(ResidentBytes());
+  });
+}
+
+} // namespace firefly
