--- a/servers/http/http_server.cpp
+++ b/servers/http/http_server.cpp
@@ -15,6 +15,7 @@
 
 struct ServerTraits : public restinio::default_single_thread_traits_t
 {
+  // NOLINTNEXTLINE(readability-identifier-naming): RESTinio names it.
   static constexpr bool use_connection_count_limiter = true;
 };
 
--- a/tests/servers/http/http_round_trip_test.cpp
+++ b/tests/servers/http/http_round_trip_test.cpp
@@ -12,7 +12,6 @@
 using firefly::AsioExecutor;
 using firefly::CurlClient;
 using firefly::HttpCall;
-using firefly::HttpClient;
 using firefly::HttpError;
 using firefly::HttpErrorKind;
 using firefly::HttpRequest;
