--- /dev/null
+++ b/servers/table/table_columns.cpp
@@ -0,0 +1,191 @@
+#include "servers/table/table_columns.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace firefly {
+
+namespace {
+
+constexpr double kMostWeight = 1'000;
+constexpr double kMostRate = 1e6;
+constexpr double kMostWorth = 1e9;
+constexpr std::uint32_t kMostConcurrent = 1'000'000;
+constexpr std::uint32_t kMostMillis = 3'600'000;
+constexpr std::size_t kLongestName = 128;
+
+constexpr std::string_view kNameAllowed =
+  "must be 1 to 128 printable characters that start with a letter, a digit or "
+  "*";
+constexpr std::string_view kWeightAllowed = "must be a number from 0 to 1000";
+constexpr std::string_view kConcurrentAllowed =
+  "must be empty or a whole number from 0 to 1000000";
+constexpr std::string_view kRateAllowed =
+  "must be empty or a number from 0 to 1000000";
+constexpr std::string_view kWorthAllowed =
+  "must be empty or a number from 0 to 1000000000";
+constexpr std::string_view kMillisAllowed =
+  "must be empty or a whole number from 1 to 3600000";
+
+// A spreadsheet would run a cell that starts with =, +, - or @ as a formula.
+bool IsName(const std::string& aText)
+{
+  if (aText.empty() || aText.size() > kLongestName) {
+    return false;
+  }
+  const auto first = static_cast<unsigned char>(aText.front());
+  const bool letter = std::isalnum(first) != 0 || first >= 0x80;
+  const bool printable = std::ranges::none_of(aText, [](char aChar) {
+    const auto byte = static_cast<unsigned char>(aChar);
+    return byte < 0x20 || byte == 0x7f;
+  });
+  return (letter || aText == "*") && printable;
+}
+
+template<typename T>
+std::optional<T> ParseNumber(const std::string& aText, T aLeast, T aMost)
+{
+  T number{};
+  const char* end = aText.data() + aText.size();
+  const auto [ptr, ec] = std::from_chars(aText.data(), end, number);
+  // Written so that NaN, which compares false, is refused.
+  const bool within = number >= aLeast && number <= aMost;
+  if (ec != std::errc{} || ptr != end || !within) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::string FormatNumber(double aNumber)
+{
+  std::array<char, 64> buf{};
+  const auto end =
+    std::to_chars(buf.data(), buf.data() + buf.size(), aNumber).ptr;
+  return { buf.data(), end };
+}
+
+std::string WriteWeight(const TableRow& aRow)
+{
+  return FormatNumber(aRow.weight);
+}
+
+std::string WriteConcurrent(const TableRow& aRow)
+{
+  return aRow.maxConcurrent ? std::to_string(*aRow.maxConcurrent) : "";
+}
+
+std::string WriteRate(const TableRow& aRow)
+{
+  return aRow.ratePerSecond ? FormatNumber(*aRow.ratePerSecond) : "";
+}
+
+std::string WriteWorth(const TableRow& aRow)
+{
+  return aRow.worth ? FormatNumber(*aRow.worth) : "";
+}
+
+std::string WriteLateAfter(const TableRow& aRow)
+{
+  if (!aRow.lateAfter) {
+    return "";
+  }
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(*aRow.lateAfter)
+      .count());
+}
+
+template<typename Id>
+std::string_view ReadName(const std::string& aText, Id& aId)
+{
+  aId = Id(aText);
+  return IsName(aText) ? "" : kNameAllowed;
+}
+
+// Reads a cell that may be empty.
+template<typename T>
+std::string_view ReadOptional(const std::string& aText,
+                              std::optional<T>& aValue,
+                              T aMost,
+                              std::string_view aAllowed)
+{
+  if (aText.empty()) {
+    aValue.reset();
+    return "";
+  }
+  aValue = ParseNumber<T>(aText, T{}, aMost);
+  return aValue ? "" : aAllowed;
+}
+
+std::string_view ReadWeight(const std::string& aText, TableRow& aRow)
+{
+  const auto weight = ParseNumber(aText, 0.0, kMostWeight);
+  aRow.weight = weight.value_or(0);
+  return weight ? "" : kWeightAllowed;
+}
+
+std::string_view ReadLateAfter(const std::string& aText, TableRow& aRow)
+{
+  std::optional<std::uint32_t> millis;
+  const auto allowed = ReadOptional(aText, millis, kMostMillis, kMillisAllowed);
+  aRow.lateAfter.reset();
+  if (millis) {
+    aRow.lateAfter = std::chrono::milliseconds(*millis);
+  }
+  return millis == 0U ? kMillisAllowed : allowed;
+}
+
+} // namespace
+
+const std::array<TableColumn, 8>& TableColumns()
+{
+  static const std::array<TableColumn, 8> kColumns{ {
+    { .name = "service",
+      .write = [](const TableRow& aRow) { return aRow.service.Value(); },
+      .read = [](const std::string& aText,
+                 TableRow& aRow) { return ReadName(aText, aRow.service); } },
+    { .name = "request_type",
+      .write = [](const TableRow& aRow) { return aRow.requestType.Value(); },
+      .read =
+        [](const std::string& aText, TableRow& aRow) {
+          return ReadName(aText, aRow.requestType);
+        } },
+    { .name = "customer",
+      .write = [](const TableRow& aRow) { return aRow.customer.Value(); },
+      .read = [](const std::string& aText,
+                 TableRow& aRow) { return ReadName(aText, aRow.customer); } },
+    { .name = "weight", .write = WriteWeight, .read = ReadWeight },
+    { .name = "max_concurrent",
+      .write = WriteConcurrent,
+      .read =
+        [](const std::string& aText, TableRow& aRow) {
+          return ReadOptional(
+            aText, aRow.maxConcurrent, kMostConcurrent, kConcurrentAllowed);
+        } },
+    { .name = "rate_per_second",
+      .write = WriteRate,
+      .read =
+        [](const std::string& aText, TableRow& aRow) {
+          return ReadOptional(
+            aText, aRow.ratePerSecond, kMostRate, kRateAllowed);
+        } },
+    { .name = "worth",
+      .write = WriteWorth,
+      .read =
+        [](const std::string& aText, TableRow& aRow) {
+          return ReadOptional(aText, aRow.worth, kMostWorth, kWorthAllowed);
+        } },
+    { .name = "late_after_ms", .write = WriteLateAfter, .read = ReadLateAfter },
+  } };
+  return kColumns;
+}
+
+std::vector<std::string> CellsOf(const TableRow& aRow)
+{
+  std::vector<std::string> cells;
+  for (const auto& it : TableColumns()) {
+    cells.push_back(it.write(aRow));
+  }
+  return cells;
+}
+
+} // namespace firefly
