--- a/coord/authority_state.h
+++ b/coord/authority_state.h
@@ -34,9 +34,9 @@
 struct WantedState
 {
   BackendRole role = BackendRole::kMixed;
-  ModelId model;
-  std::string modelVersion;
-  std::string adapter;
+  ModelId model{};
+  std::string modelVersion{};
+  std::string adapter{};
 
   bool operator==(const WantedState&) const = default;
 };
@@ -47,10 +47,10 @@
 // An order as it stands in the log.
 struct Order
 {
-  BackendId backend;
-  FencingNumber fence; // of the authority that gave it
-  OrderId id;
-  WantedState wanted;
+  BackendId backend{};
+  FencingNumber fence{}; // of the authority that gave it
+  OrderId id{};
+  WantedState wanted{};
 
   bool operator==(const Order&) const = default;
 };
@@ -68,29 +68,29 @@
 {
   // A state of charts/backend.toml: open, closing, draining, ordering,
   // settling or out. Only an open one gets new work.
-  std::string state;
+  std::string state{};
   // What it serves, or null until the first order was applied.
-  std::optional<WantedState> serving;
+  std::optional<WantedState> serving{};
   // The order under way; its outcome is not known yet.
-  std::optional<Order> open;
+  std::optional<Order> open{};
   // The newest order that the plan accepted for this backend server.
-  FencingNumber lastFence;
-  OrderId lastOrder;
+  FencingNumber lastFence{};
+  OrderId lastOrder{};
   // The offset of the newest record that changed this entry.
-  LogOffset version;
+  LogOffset version{};
 };
 
 // The claim that counts.
 struct LeaseView
 {
-  FencingNumber fence; // the claim's offset
-  HostId holder;
-  Incarnation incarnation;
-  LogOffset renewed; // the offset of the claim or its newest renewal
+  FencingNumber fence{}; // the claim's offset
+  HostId holder{};
+  Incarnation incarnation{};
+  LogOffset renewed{}; // the offset of the claim or its newest renewal
   bool released = false;
   // Only the claim's writer writes under its fence, in its own order: what
   // comes late, or as a copy of an earlier record, is rejected.
-  RecordId newest;
+  RecordId newest{};
 };
 
 // The fold of the stream.
--- a/coord/authority_stream.h
+++ b/coord/authority_stream.h
@@ -4,6 +4,7 @@
 // entries' view of the plan stand on it.
 
 #include <cstdint>
+#include <optional>
 
 #include "coord/authority_state.h"
 #include "coord/confirmed_writer.h"
@@ -47,7 +48,7 @@
   [[nodiscard]] ConfirmedWriter& Writer() { return mWriter; }
 
   // When the newest claim or renewal was read here; a challenger waits from
-  // then. The time of the restart before the first is read.
+  // then. Without any claim, when that was found.
   [[nodiscard]] Instant LeaseReadAt() const { return mLeaseReadAt; }
 
   // Appends a checkpoint if the last one is old, or if history was lost.
@@ -58,6 +59,8 @@
   void OnApplied(const RecordId& aId,
                  LogOffset aOffset,
                  bool aAccepted) override;
+  void OnCaughtUp() override;
+  void NoticeLease();
 
   Options mOptions;
   Executor& mExecutor;
@@ -65,6 +68,7 @@
   StreamFold mFold;
   ConfirmedWriter mWriter;
   std::optional<LogOffset> mLeaseRecord;
+  bool mLeaseRead = false;
   Instant mLeaseReadAt{};
   bool mCheckpointing = false;
 };
--- a/coord/booking_ledger.h
+++ b/coord/booking_ledger.h
@@ -31,15 +31,15 @@
 // An entry's wish to run a booking.
 struct PermitRequest
 {
-  BookingKey key;
+  BookingKey key{};
   // Made anew by the entry for each try; never used for two calls.
-  AttemptId attempt;
-  RequestDigest digest;
+  AttemptId attempt{};
+  RequestDigest digest{};
   // A permit is not given after this.
   Instant deadline{};
   // When the caller made the key, if it says so: with a key older than the
   // window the ledger can't tell whether it ran.
-  std::optional<WallTime> keyTime;
+  std::optional<WallTime> keyTime{};
 };
 
 enum class PermitVerdict
@@ -56,9 +56,9 @@
 struct Permit
 {
   PermitVerdict verdict = PermitVerdict::kOpen;
-  std::optional<BookingOutcome> outcome; // with kCompleted
-  LogOffset offset;                      // of the intent, with kGranted
-  AttemptId holder;                      // the attempt that holds the permit
+  std::optional<BookingOutcome> outcome{}; // with kCompleted
+  LogOffset offset{};                      // of the intent, with kGranted
+  AttemptId holder{};                      // the attempt that holds the permit
 };
 
 enum class LedgerErrorKind
@@ -72,7 +72,7 @@
 struct LedgerError
 {
   LedgerErrorKind kind = LedgerErrorKind::kUnavailable;
-  std::string message;
+  std::string message{};
 };
 
 // Counters since the start.
@@ -94,7 +94,7 @@
 
   struct Options
   {
-    WriterId writer;
+    WriterId writer{};
     const StateChart* chart = nullptr; // charts/booking.toml
     std::uint32_t partitions = 16;     // the same in all processes
     std::string streamPrefix = "booking-";
@@ -106,6 +106,8 @@
     // For how long outcomes and abandonings are tried.
     Duration recordTimeout = std::chrono::seconds(60);
     std::size_t maxAnswerBytes = 2048;
+    // With this many keys in memory no more permits are given.
+    std::size_t maxKeys = 100000;
     std::uint64_t seed = 1; // of the jitter
   };
 
@@ -114,14 +116,16 @@
   BookingLedger& operator=(const BookingLedger&) = delete;
   ~BookingLedger();
 
-  // Begins, or ends, to serve a partition.
+  // Begins, or ends, to serve a partition. What is under way when it ends is
+  // finished first.
   void Open(PartitionId aPartition);
   void Close(PartitionId aPartition);
 
   // Whether the partition is open and its stream was read to the end.
   [[nodiscard]] bool Ready(PartitionId aPartition) const;
 
-  // Asks for a permit. The callback runs once, at the latest at the deadline.
+  // Asks for a permit. The callback runs once, at the latest at the deadline;
+  // a permit that reaches the entry after the deadline must not be used.
   void RequestPermit(const PermitRequest& aRequest, PermitCallback aCallback);
 
   // Records the service's answer to the attempt that ran.
@@ -150,18 +154,23 @@
 private:
   struct Partition;
   struct Wish;
+  using WishPtr = std::shared_ptr<Wish>;
 
   Partition* Find(const BookingKey& aKey) const;
-  void Answer(Wish& aWish, tl::expected<Permit, LedgerError> aAnswer);
-  void SendIntent(Partition& aPartition, const std::shared_ptr<Wish>& aWish);
-  void OnIntent(PartitionId aPartition,
-                const std::shared_ptr<Wish>& aWish,
+  void Refuse(const WishPtr& aWish, LedgerErrorKind aKind, const char* aWhy);
+  void Answer(const WishPtr& aWish, Permit aPermit);
+  std::optional<Permit> Taken(const Partition& aPartition,
+                              const PermitRequest& aRequest) const;
+  void SendIntent(Partition& aPartition, const WishPtr& aWish);
+  void OnIntent(Partition& aPartition,
+                const WishPtr& aWish,
                 const tl::expected<Confirmation, WriteError>& aResult);
+  void AbandonQuietly(Partition& aPartition, const PermitRequest& aRequest);
   void Write(const BookingKey& aKey,
              RecordKind aKind,
              std::string aBody,
              RecordCallback aCallback);
-  void AbandonQuietly(const PermitRequest& aRequest);
+  void Release(Partition& aPartition);
   void ExpireSoon();
 
   Options mOptions;
--- a/coord/booking_state.h
+++ b/coord/booking_state.h
@@ -9,7 +9,6 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "coord/stream_fold.h"
@@ -24,7 +23,7 @@
 struct BookingOutcome
 {
   std::uint32_t status = 0; // the service's HTTP status
-  std::string answer;       // cut to the ledger's limit
+  std::string answer{};     // cut to the ledger's limit
   bool truncated = false;
 
   bool operator==(const BookingOutcome&) const = default;
@@ -33,14 +32,14 @@
 // What is known of a key.
 struct BookingView
 {
-  AttemptId attempt; // the one that holds the permit
-  RequestDigest digest;
-  LogOffset offset; // of its intent
-  std::optional<BookingOutcome> outcome;
+  AttemptId attempt{}; // the one that holds the permit
+  RequestDigest digest{};
+  LogOffset offset{}; // of its intent
+  std::optional<BookingOutcome> outcome{};
 };
 
 // The fold of one partition. A key is forgotten a window of time after its
-// last intent was read here: at most one attempt of a key runs within that
+// last record was read here: at most one attempt of a key runs within that
 // window. The window must be shorter than the log's retention.
 class BookingState : public Fold
 {
@@ -54,16 +53,13 @@
 
   void Reset() override;
   bool Apply(LogOffset aOffset, const Envelope& aRecord) override;
+  [[nodiscard]] bool NeedsHistory() const override { return false; }
   [[nodiscard]] std::string Save() const override { return {}; }
   bool Load(std::string_view) override { return false; }
 
   // The key's permit holder, or nothing if the key is free.
   [[nodiscard]] std::optional<BookingView> Find(const BookingKey& aKey) const;
 
-  // Whether the attempt was abandoned.
-  [[nodiscard]] bool Abandoned(const BookingKey& aKey,
-                               const AttemptId& aAttempt) const;
-
   // Forgets the keys whose window has passed.
   void Expire();
 
@@ -87,30 +83,35 @@
 private:
   struct Attempt
   {
-    AttemptId id;
-    RequestDigest digest;
-    LogOffset offset;
-    std::optional<BookingOutcome> outcome;
+    AttemptId id{};
+    RequestDigest digest{};
+    LogOffset offset{};
+    std::optional<BookingOutcome> outcome{};
     bool abandoned = false;
-    bool intended = false; // its intent was read, not only its abandoning
   };
   struct Entry
   {
     std::vector<Attempt> attempts; // in log order
-    Instant touched{};
+    Instant touched{};             // when the newest record was read
   };
   struct Visit
   {
     Instant at;
-    std::string key;
+    std::string key{};
   };
 
-  bool ApplyIntent(LogOffset aOffset, const std::string& aBody);
-  bool ApplyAbandon(const std::string& aBody);
-  bool ApplyOutcome(LogOffset aOffset, const std::string& aBody);
+  static bool ApplyIntent(Entry& aEntry,
+                          LogOffset aOffset,
+                          const std::string& aAttempt,
+                          RequestDigest aDigest);
+  static bool ApplyAbandon(Entry& aEntry, const std::string& aAttempt);
+  bool ApplyOutcome(Entry& aEntry,
+                    const std::string& aAttempt,
+                    BookingOutcome aOutcome);
   Entry& Touch(const std::string& aKey);
   static Attempt* FindAttempt(Entry& aEntry, const std::string& aAttempt);
   static const Attempt* Holder(const Entry& aEntry);
+  static std::size_t Cost(const std::string& aKey, const Entry& aEntry);
 
   Options mOptions;
   Executor& mExecutor;
--- a/coord/confirmed_writer.h
+++ b/coord/confirmed_writer.h
@@ -15,7 +15,7 @@
 // A record that was read back.
 struct Confirmation
 {
-  LogOffset offset;
+  LogOffset offset{};
   bool accepted = false; // by the fold's rules
 };
 
--- /dev/null
+++ b/coord/lease.cpp
@@ -0,0 +1,276 @@
+#include "coord/lease.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace firefly::coord {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(250);
+constexpr Duration kReleaseTimeout = std::chrono::seconds(5);
+
+constexpr const char* kHolding = "holding";
+constexpr const char* kLapsed = "lapsed";
+constexpr const char* kFollower = "follower";
+
+} // namespace
+
+Lease::Lease(const Options& aOptions,
+             Executor& aExecutor,
+             AuthorityStream& aStream,
+             LeaseObserver& aObserver)
+  : mOptions(aOptions)
+  , mExecutor(aExecutor)
+  , mStream(aStream)
+  , mObserver(aObserver)
+  , mMachine(*aOptions.chart)
+  , mRandom(aOptions.seed)
+{
+  mStream.Folding().AddObserver(*this);
+}
+
+Lease::~Lease()
+{
+  mStream.Folding().RemoveObserver(*this);
+}
+
+void Lease::Start()
+{
+  DrawDelay();
+  Tick();
+}
+
+std::optional<FencingNumber> Lease::Held() const
+{
+  if (!mMachine.Is(kHolding) || mExecutor.Now() >= mValidUntil) {
+    return std::nullopt;
+  }
+  return mFence;
+}
+
+std::optional<LeaseHolder> Lease::CurrentHolder() const
+{
+  const auto& lease = mStream.State().Lease();
+  if (!lease) {
+    return std::nullopt;
+  }
+  return LeaseHolder{ .host = lease->holder,
+                      .incarnation = lease->incarnation,
+                      .fence = lease->fence };
+}
+
+void Lease::Tick()
+{
+  mTimer = mExecutor.RunAfter(kTick, [this] { Tick(); });
+  if (mMachine.Is(kFollower)) {
+    TickFollower();
+    return;
+  }
+  TickHolder();
+}
+
+// A follower claims once the newest lease is over by its own reading, its
+// place in the stagger has come, and a read sent after that found nothing new.
+void Lease::TickFollower()
+{
+  if (mResigned) {
+    return;
+  }
+  const auto now = mExecutor.Now();
+  const auto due = LeaseOver() + mDelay;
+  const auto fresh = mStream.Folding().FreshAt();
+  if (!fresh || now < due) {
+    return;
+  }
+  if (*fresh < due) {
+    mStream.Folding().Poke();
+    return;
+  }
+  if (!mStream.Folding().Ready()) {
+    mStream.MaintainCheckpoint();
+    return;
+  }
+  SendClaim();
+}
+
+Instant Lease::LeaseOver() const
+{
+  const auto& lease = mStream.State().Lease();
+  const auto read = mStream.LeaseReadAt();
+  if (!lease || lease->released) {
+    return read;
+  }
+  return read + mOptions.duration + mOptions.grace;
+}
+
+void Lease::SendClaim()
+{
+  ++mClaims;
+  mMachine.Fire("claim");
+  const auto sent = mExecutor.Now();
+  mStream.Writer().Append(
+    RecordKind::kClaim,
+    AuthorityState::ClaimBody(
+      mStream.State().Lease(), mOptions.host, mOptions.incarnation),
+    sent + mOptions.duration,
+    mGuard.Wrap(
+      [this, sent](const tl::expected<Confirmation, WriteError>& aResult) {
+        OnClaim(sent, aResult);
+      }));
+}
+
+void Lease::OnClaim(Instant aSent,
+                    const tl::expected<Confirmation, WriteError>& aResult)
+{
+  if (!aResult || !aResult->accepted || mResigned) {
+    mMachine.Fire("lost");
+    DrawDelay();
+    return;
+  }
+  mFence = FencingNumber(aResult->offset.Value());
+  mSeen = mFence;
+  mRenewSent = aSent;
+  mMachine.Fire("won");
+  Extend(aSent);
+  if (Held()) {
+    mObserver.OnAcquired(*mFence);
+  }
+}
+
+void Lease::TickHolder()
+{
+  const bool holder = mMachine.Is(kHolding) || mMachine.Is(kLapsed);
+  if (!holder) {
+    return;
+  }
+  if (mExecutor.Now() >= mValidUntil) {
+    Lapse();
+  }
+  mStream.MaintainCheckpoint();
+  if (mExecutor.Now() - mRenewSent >= mOptions.renewInterval) {
+    SendRenewal();
+  }
+}
+
+void Lease::SendRenewal()
+{
+  const auto sent = mExecutor.Now();
+  const auto fence = *mFence;
+  mRenewSent = sent;
+  mStream.Writer().Append(
+    RecordKind::kRenewal,
+    AuthorityState::RenewalBody(fence),
+    sent + mOptions.duration,
+    mGuard.Wrap([this, fence, sent](
+                  const tl::expected<Confirmation, WriteError>& aResult) {
+      OnRenewal(fence, sent, aResult);
+    }));
+}
+
+void Lease::OnRenewal(FencingNumber aFence,
+                      Instant aSent,
+                      const tl::expected<Confirmation, WriteError>& aResult)
+{
+  if (!aResult || !aResult->accepted || mFence != aFence) {
+    return;
+  }
+  const bool lapsed = !Held();
+  Extend(aSent);
+  if (mExecutor.Now() >= mValidUntil) {
+    return;
+  }
+  mMachine.Fire("renewed");
+  if (lapsed) {
+    mObserver.OnAcquired(aFence);
+  }
+}
+
+// The lease counts from before its record was sent.
+void Lease::Extend(Instant aSent)
+{
+  mValidUntil =
+    std::max(mValidUntil, aSent + mOptions.duration - mOptions.margin);
+  const auto left = std::max(mValidUntil - mExecutor.Now(), Duration::zero());
+  mLapseTimer = mExecutor.RunAfter(left, [this] { Lapse(); });
+}
+
+void Lease::Lapse()
+{
+  if (mMachine.Is(kHolding) && mMachine.Fire("lapse")) {
+    mObserver.OnLost();
+  }
+}
+
+void Lease::OnApplied(const RecordId&, LogOffset, bool)
+{
+  NoticeHolder();
+}
+
+void Lease::OnCaughtUp()
+{
+  NoticeHolder();
+  if (mMachine.Is(kFollower) && mTimer.Pending()) {
+    TickFollower();
+  }
+}
+
+void Lease::NoticeHolder()
+{
+  const auto holder = CurrentHolder();
+  if (!holder || holder->fence == mSeen) {
+    return;
+  }
+  mSeen = holder->fence;
+  DrawDelay();
+  if (mFence && *mFence != holder->fence) {
+    Supersede();
+  }
+  mObserver.OnHolderChanged(*holder);
+}
+
+void Lease::Supersede()
+{
+  const bool held = mMachine.Is(kHolding);
+  mFence.reset();
+  mValidUntil = Instant{};
+  mLapseTimer.Cancel();
+  mMachine.Fire("superseded");
+  if (held) {
+    mObserver.OnLost();
+  }
+}
+
+void Lease::Resign(std::function<void(bool)> aCallback)
+{
+  mResigned = true;
+  if (!mFence) {
+    mExecutor.Post(
+      mGuard.Wrap([callback = std::move(aCallback)] { callback(true); }));
+    return;
+  }
+  const auto fence = *mFence;
+  const bool held = mMachine.Is(kHolding);
+  mFence.reset();
+  mValidUntil = Instant{};
+  mLapseTimer.Cancel();
+  mMachine.Fire("release");
+  mStream.Writer().Append(
+    RecordKind::kRelease,
+    AuthorityState::ReleaseBody(fence),
+    mExecutor.Now() + kReleaseTimeout,
+    [callback = std::move(aCallback)](
+      const tl::expected<Confirmation, WriteError>& aResult) {
+      callback(aResult && aResult->accepted);
+    });
+  if (held) {
+    mObserver.OnLost();
+  }
+}
+
+void Lease::DrawDelay()
+{
+  mDelay = FromSeconds(ToSeconds(mOptions.stagger) * mRandom.Uniform());
+}
+
+} // namespace firefly::coord
--- a/coord/lease.h
+++ b/coord/lease.h
@@ -7,9 +7,7 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
-#include <vector>
 
 #include "coord/authority_stream.h"
 #include "core/random.h"
@@ -20,9 +18,9 @@
 // Who holds the authority, as far as the log was read.
 struct LeaseHolder
 {
-  HostId host;
-  Incarnation incarnation;
-  FencingNumber fence;
+  HostId host{};
+  Incarnation incarnation{};
+  FencingNumber fence{};
 };
 
 // Hears of changes of the authority.
@@ -45,8 +43,8 @@
 public:
   struct Options
   {
-    HostId host;
-    Incarnation incarnation;
+    HostId host{};
+    Incarnation incarnation{};
     const StateChart* chart = nullptr; // charts/authority.toml
     // How long a claim or renewal holds, from before it was sent.
     Duration duration = std::chrono::seconds(6);
@@ -65,7 +63,6 @@
   // The stream and the observer must outlive the lease.
   Lease(const Options& aOptions,
         Executor& aExecutor,
-        LogClient& aLog,
         AuthorityStream& aStream,
         LeaseObserver& aObserver);
   Lease(const Lease&) = delete;
@@ -98,19 +95,23 @@
   void OnApplied(const RecordId& aId,
                  LogOffset aOffset,
                  bool aAccepted) override;
+  void OnCaughtUp() override;
   void Tick();
   void TickFollower();
-  void TickClaiming();
   void TickHolder();
   void SendClaim();
+  void OnClaim(Instant aSent,
+               const tl::expected<Confirmation, WriteError>& aResult);
   void SendRenewal();
-  void OnOwnRecord(std::uint64_t aSequence, bool aAccepted);
+  void OnRenewal(FencingNumber aFence,
+                 Instant aSent,
+                 const tl::expected<Confirmation, WriteError>& aResult);
+  void Extend(Instant aSent);
+  void Lapse();
   void NoticeHolder();
-  bool Own() const;
-  void FireLapse();
-  void FireLost(const char* aEvent);
-  Instant ClaimDue() const;
-  RecordId Send(RecordKind aKind, std::string aBody);
+  void Supersede();
+  void DrawDelay();
+  Instant LeaseOver() const;
 
   Options mOptions;
   Executor& mExecutor;
@@ -118,12 +119,9 @@
   LeaseObserver& mObserver;
   StateMachine mMachine;
   Random mRandom;
-  std::map<std::uint64_t, Instant> mSent; // by sequence, before the send
-  std::optional<FencingNumber> mFence;    // of the own claim
-  std::optional<FencingNumber> mSeen;     // the newest claim noticed
-  std::optional<std::uint64_t> mClaim;    // the claim under way
-  Instant mClaimSentAt{};
-  Instant mRenewSentAt{};
+  std::optional<FencingNumber> mFence; // of the own claim that counts
+  std::optional<FencingNumber> mSeen;  // the newest claim noticed
+  Instant mRenewSent{};
   Instant mValidUntil{};
   Duration mDelay{}; // this candidate's place in the stagger
   bool mResigned = false;
--- a/coord/membership.h
+++ b/coord/membership.h
@@ -42,15 +42,15 @@
 // What is known of a member.
 struct Member
 {
-  PeerAddress address;
-  HostId host;
-  DomainId domain;
-  std::string role; // such as "entry"
-  Incarnation incarnation;
+  PeerAddress address{};
+  HostId host{};
+  DomainId domain{};
+  std::string role{}; // such as "entry"
+  Incarnation incarnation{};
   std::uint64_t heartbeat = 0; // grows during one incarnation
   MemberStatus status = MemberStatus::kAlive;
-  std::string digest; // the member's newest application digest
-  Instant updated{};  // when this was last heard of here
+  std::string digest{}; // the member's newest application digest
+  Instant updated{};    // when this was last heard of here
 };
 
 // Hears of changes.
@@ -70,11 +70,11 @@
 public:
   struct Options
   {
-    PeerAddress address;
-    HostId host;
-    DomainId domain;
-    std::string role;
-    Incarnation incarnation; // larger for each start at this address
+    PeerAddress address{};
+    HostId host{};
+    DomainId domain{};
+    std::string role{};
+    Incarnation incarnation{}; // larger for each start at this address
     Duration roundInterval = std::chrono::milliseconds(500);
     // Peers asked each round.
     std::size_t fanOut = 2;
@@ -147,22 +147,20 @@
   };
   struct Probe
   {
-    PeerAddress target;
-    std::optional<PeerAddress> asker; // whom to tell of the answer
+    PeerAddress target{};
+    std::optional<PeerAddress> asker{}; // whom to tell of the answer
     std::uint64_t askerProbe = 0;
     Timer timer;
   };
 
   void Round();
-  void Ping(const PeerAddress& aPeer);
+  void AskSeed();
+  void Ping(const PeerAddress& aPeer,
+            const std::optional<PeerAddress>& aAsker,
+            std::uint64_t aAskerProbe);
   void OnSilence(std::uint64_t aProbe);
-  void ConfirmSilence(const PeerAddress& aPeer, std::uint64_t aHeartbeat);
-  void Suspect(const PeerAddress& aPeer);
-  void OnPing(const PeerAddress& aFrom, std::uint64_t aProbe);
   void OnAck(std::uint64_t aProbe);
-  void OnPingRequest(const PeerAddress& aFrom,
-                     std::uint64_t aProbe,
-                     const PeerAddress& aTarget);
+  void Suspect(const PeerAddress& aPeer);
   void Send(MessageKind aKind,
             const PeerAddress& aPeer,
             std::uint64_t aProbe,
@@ -171,6 +169,7 @@
                       const PeerAddress& aPeer,
                       std::uint64_t aProbe,
                       const PeerAddress& aTarget);
+  std::vector<Known*> Newest();
   void Merge(Member aMember);
   void MergeSelf(const Member& aMember);
   void Replace(Known& aKnown, Member aMember);
--- a/coord/record.h
+++ b/coord/record.h
@@ -21,7 +21,7 @@
 // append was repeated; folds ignore the second one.
 struct RecordId
 {
-  WriterId writer;
+  WriterId writer{};
   std::uint64_t sequence = 0;
 
   // NOLINTNEXTLINE(modernize-use-nullptr): a false finding on defaults
@@ -47,9 +47,9 @@
 // A record with its kind's fields still encoded in the body.
 struct Envelope
 {
-  RecordId id;
+  RecordId id{};
   RecordKind kind = RecordKind::kCheckpoint;
-  std::string body;
+  std::string body{};
 };
 
 // The envelope as a log payload.
--- a/coord/stream_fold.cpp
+++ b/coord/stream_fold.cpp
@@ -75,7 +75,7 @@
 void StreamFold::OnRestart(LogOffset aFirst)
 {
   mFirst = aFirst;
-  mBased = aFirst == LogOffset(0);
+  mBased = aFirst == LogOffset(0) || !mFold.NeedsHistory();
   mHeld.clear();
   mLastCheckpoint = mExecutor.Now();
   mFold.Reset();
--- a/coord/stream_fold.h
+++ b/coord/stream_fold.h
@@ -28,6 +28,10 @@
   // earlier record must leave the state as it is.
   virtual bool Apply(LogOffset aOffset, const Envelope& aRecord) = 0;
 
+  // Whether the state needs the records that retention drops. If not, it
+  // stands on the kept records alone, and there are no checkpoints.
+  [[nodiscard]] virtual bool NeedsHistory() const { return true; }
+
   // The state for a checkpoint.
   [[nodiscard]] virtual std::string Save() const = 0;
 
@@ -103,7 +107,7 @@
 
   struct Held
   {
-    LogOffset offset;
+    LogOffset offset{};
     Envelope record;
   };
 
--- a/coord/stream_reader.cpp
+++ b/coord/stream_reader.cpp
@@ -66,8 +66,8 @@
     return; // the answer to a read that was given up
   }
   mTimeout.Cancel();
-  mBusy = false;
   if (!aAnswer) {
+    mBusy = false;
     OnFailure(aAnswer.error());
     return;
   }
@@ -77,27 +77,30 @@
 
 void StreamReader::OnBatch(Instant aSent, const LogBatch& aBatch)
 {
-  // From the start, a log may answer with its oldest kept record.
-  const bool skipped = !aBatch.records.empty()
-                         ? aBatch.records.front().offset > mNext
-                         : aBatch.first > mNext;
-  if (!mStarted || skipped || aBatch.end < mNext) {
+  if (!mStarted || Lost(aBatch)) {
     Restart(aBatch.first);
   }
   Deliver(aBatch);
-  if (mNext < aBatch.end) {
-    Read();
-    return;
+  const bool atEnd = mNext >= aBatch.end;
+  if (atEnd) {
+    mCaughtUp = aSent;
+    mListener.OnCaughtUp(aBatch.end);
   }
-  mCaughtUp = aSent;
-  mListener.OnCaughtUp(aBatch.end);
-  if (mPoked) {
+  mBusy = false;
+  if (!atEnd || mPoked) {
     Read();
     return;
   }
   ReadAfter(Jittered(mOptions.pollInterval));
 }
 
+bool StreamReader::Lost(const LogBatch& aBatch) const
+{
+  const bool missed = aBatch.first > mNext || aBatch.end < mNext;
+  const bool allGone = aBatch.first >= mNext && mNext > mRunStart;
+  return missed || allGone;
+}
+
 void StreamReader::Deliver(const LogBatch& aBatch)
 {
   for (const auto& it : aBatch.records) {
@@ -114,6 +117,7 @@
   mStarted = true;
   ++mRestarts;
   mNext = aFirst;
+  mRunStart = aFirst;
   mCaughtUp.reset();
   mListener.OnRestart(aFirst);
 }
--- a/coord/stream_reader.h
+++ b/coord/stream_reader.h
@@ -19,9 +19,10 @@
 public:
   virtual ~StreamListener() = default;
 
-  // Reading starts, or starts again because records were lost to retention:
-  // all that was folded is void. aFirst is the first record to come; offset
-  // zero means that the whole history comes.
+  // Reading starts, or starts again because records were lost to retention
+  // before they were read, or because all that were read are gone by now: all
+  // that was folded is void, since a fresh reader would not find it. aFirst is
+  // the first record to come; offset zero means that the whole history comes.
   virtual void OnRestart(LogOffset aFirst) = 0;
 
   // The next record; each offset is delivered once.
@@ -81,6 +82,7 @@
                 const tl::expected<LogBatch, LogError>& aAnswer);
   void OnBatch(Instant aSent, const LogBatch& aBatch);
   void OnFailure(const LogError& aError);
+  bool Lost(const LogBatch& aBatch) const;
   void Restart(LogOffset aFirst);
   void Deliver(const LogBatch& aBatch);
   void ReadAfter(Duration aDelay);
@@ -92,6 +94,7 @@
   StreamListener& mListener;
   Random mRandom;
   LogOffset mNext;
+  LogOffset mRunStart; // where the listener was told that reading starts
   std::optional<Instant> mCaughtUp;
   bool mStarted = false; // the listener was told where reading starts
   bool mBusy = false;
--- /dev/null
+++ b/coord/testing/fake_log.cpp
@@ -0,0 +1,243 @@
+#include "coord/testing/fake_log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace firefly::coord {
+
+namespace {
+
+LogError Unavailable()
+{
+  return { .kind = LogErrorKind::kUnavailable, .message = "down" };
+}
+
+LogError Unknown()
+{
+  return { .kind = LogErrorKind::kUnknown, .message = "no answer" };
+}
+
+} // namespace
+
+// Calls reach the log over the common clock; answers come through the
+// process's own executor, so that a paused process hears them late.
+class FakeLog::Client : public LogClient
+{
+public:
+  Client(FakeLog& aLog, std::string aName, Executor& aExecutor)
+    : mLog(aLog)
+    , mName(std::move(aName))
+    , mExecutor(aExecutor)
+  {
+  }
+
+  void Append(const StreamName& aStream,
+              std::vector<std::string> aPayloads,
+              AppendCallback aCallback) override;
+  void Read(const StreamName& aStream,
+            LogOffset aFrom,
+            std::size_t aLimit,
+            ReadCallback aCallback) override;
+
+private:
+  template<typename Result, typename Callback>
+  void Answer(Duration aDelay, Result aResult, Callback aCallback);
+
+  FakeLog& mLog;
+  std::string mName;
+  Executor& mExecutor;
+};
+
+template<typename Result, typename Callback>
+void FakeLog::Client::Answer(Duration aDelay,
+                             Result aResult,
+                             Callback aCallback)
+{
+  mLog.After(aDelay,
+             [&executor = mExecutor,
+              result = std::move(aResult),
+              callback = std::move(aCallback)]() mutable {
+               executor.Post(
+                 [result = std::move(result), callback = std::move(callback)] {
+                   callback(result);
+                 });
+             });
+}
+
+void FakeLog::Client::Append(const StreamName& aStream,
+                             std::vector<std::string> aPayloads,
+                             AppendCallback aCallback)
+{
+  using Result = tl::expected<LogOffset, LogError>;
+  auto& options = mLog.mOptions;
+  if (mLog.mDown) {
+    Answer(
+      mLog.Latency() * 2, Result(tl::unexpected(Unavailable())), aCallback);
+    return;
+  }
+  const bool cut = mLog.Cut(mName);
+  if (cut || mLog.mRandom.Chance(options.lostRequest)) {
+    Answer(options.timeout, Result(tl::unexpected(Unknown())), aCallback);
+    return;
+  }
+  const bool late = mLog.mRandom.Chance(options.lateAppend);
+  const bool lost = mLog.mRandom.Chance(options.lostAnswer);
+  const auto there =
+    late ? options.timeout +
+             FromSeconds(ToSeconds(options.lateness) * mLog.mRandom.Uniform())
+         : mLog.Latency();
+  if (late || lost) {
+    Answer(options.timeout, Result(tl::unexpected(Unknown())), aCallback);
+    mLog.After(there, [&log = mLog, aStream, payloads = std::move(aPayloads)] {
+      log.Store(aStream, payloads);
+    });
+    return;
+  }
+  mLog.After(there,
+             [this, aStream, payloads = std::move(aPayloads), aCallback] {
+               const Result result(mLog.Store(aStream, payloads));
+               Answer(mLog.Latency(), result, aCallback);
+             });
+}
+
+void FakeLog::Client::Read(const StreamName& aStream,
+                           LogOffset aFrom,
+                           std::size_t aLimit,
+                           ReadCallback aCallback)
+{
+  using Result = tl::expected<LogBatch, LogError>;
+  if (mLog.mDown) {
+    Answer(
+      mLog.Latency() * 2, Result(tl::unexpected(Unavailable())), aCallback);
+    return;
+  }
+  if (mLog.Cut(mName) || mLog.mRandom.Chance(mLog.mOptions.lostRequest)) {
+    Answer(mLog.mOptions.timeout, Result(tl::unexpected(Unknown())), aCallback);
+    return;
+  }
+  mLog.After(mLog.Latency(), [this, aStream, aFrom, aLimit, aCallback] {
+    const auto result = mLog.Fetch(aStream, aFrom, aLimit);
+    Answer(mLog.Latency(), result, aCallback);
+  });
+}
+
+FakeLog::FakeLog(const Options& aOptions, VirtualExecutor& aExecutor)
+  : mOptions(aOptions)
+  , mExecutor(aExecutor)
+  , mRandom(aOptions.seed)
+{
+}
+
+FakeLog::~FakeLog() = default;
+
+LogClient& FakeLog::MakeClient(const std::string& aName, Executor& aExecutor)
+{
+  mClients.push_back(std::make_unique<Client>(*this, aName, aExecutor));
+  return *mClients.back();
+}
+
+void FakeLog::SetFaults(double aLostRequest,
+                        double aLostAnswer,
+                        double aLateAppend)
+{
+  mOptions.lostRequest = aLostRequest;
+  mOptions.lostAnswer = aLostAnswer;
+  mOptions.lateAppend = aLateAppend;
+}
+
+void FakeLog::SetCut(const std::string& aClient, bool aCut)
+{
+  mCut[aClient] = aCut;
+}
+
+void FakeLog::Trim(const StreamName& aStream, LogOffset aBefore)
+{
+  auto& stream = mStreams[aStream];
+  const auto end = stream.first + stream.payloads.size();
+  const auto first = std::clamp(aBefore.Value(), stream.first, end);
+  const auto dropped = static_cast<std::ptrdiff_t>(first - stream.first);
+  stream.payloads.erase(stream.payloads.begin(),
+                        stream.payloads.begin() + dropped);
+  stream.first = first;
+}
+
+LogOffset FakeLog::End(const StreamName& aStream) const
+{
+  const auto it = mStreams.find(aStream);
+  if (it == mStreams.end()) {
+    return LogOffset(0);
+  }
+  return LogOffset(it->second.first + it->second.payloads.size());
+}
+
+std::vector<LogRecord> FakeLog::Records(const StreamName& aStream) const
+{
+  std::vector<LogRecord> records;
+  const auto it = mStreams.find(aStream);
+  if (it == mStreams.end()) {
+    return records;
+  }
+  auto offset = it->second.first;
+  for (const auto& payload : it->second.payloads) {
+    records.push_back({ .offset = LogOffset(offset++), .payload = payload });
+  }
+  return records;
+}
+
+LogOffset FakeLog::Store(const StreamName& aStream,
+                         const std::vector<std::string>& aPayloads)
+{
+  auto& stream = mStreams[aStream];
+  const LogOffset first(stream.first + stream.payloads.size());
+  ++mAppends;
+  for (const auto& it : aPayloads) {
+    mAppendedBytes += it.size();
+    stream.payloads.push_back(it);
+  }
+  return first;
+}
+
+tl::expected<LogBatch, LogError> FakeLog::Fetch(const StreamName& aStream,
+                                                LogOffset aFrom,
+                                                std::size_t aLimit)
+{
+  ++mReads;
+  const auto& stream = mStreams[aStream];
+  const auto end = stream.first + stream.payloads.size();
+  const bool oldest = aFrom == LogOffset(0);
+  if (aFrom.Value() < stream.first && !oldest) {
+    return tl::unexpected(
+      LogError{ .kind = LogErrorKind::kTrimmed, .message = "trimmed" });
+  }
+  LogBatch batch{ .records = {},
+                  .first = LogOffset(stream.first),
+                  .end = LogOffset(end) };
+  auto offset = std::max(aFrom.Value(), stream.first);
+  for (; offset < end && batch.records.size() < aLimit; ++offset) {
+    batch.records.push_back(
+      { .offset = LogOffset(offset),
+        .payload = stream.payloads.at(offset - stream.first) });
+  }
+  return batch;
+}
+
+void FakeLog::After(Duration aDelay, std::function<void()> aCallback)
+{
+  // The timer may not cancel the call, so the call keeps it.
+  auto timer = std::make_shared<Timer>();
+  *timer = mExecutor.RunAfter(
+    aDelay, [timer, callback = std::move(aCallback)] { callback(); });
+}
+
+Duration FakeLog::Latency()
+{
+  return FromSeconds(ToSeconds(mOptions.latency) * (0.5 + mRandom.Uniform()));
+}
+
+bool FakeLog::Cut(const std::string& aClient) const
+{
+  const auto it = mCut.find(aClient);
+  return it != mCut.end() && it->second;
+}
+
+} // namespace firefly::coord
--- a/coord/testing/fake_log.h
+++ b/coord/testing/fake_log.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -37,9 +38,13 @@
 
   FakeLog(const Options& aOptions, VirtualExecutor& aExecutor);
 
-  // A client; callbacks run on the executor, which is that of its process.
-  std::unique_ptr<LogClient> MakeClient(const std::string& aName,
-                                        Executor& aExecutor);
+  FakeLog(const FakeLog&) = delete;
+  FakeLog& operator=(const FakeLog&) = delete;
+  ~FakeLog();
+
+  // A client, owned by the log; callbacks run on the executor, which is that
+  // of its process and must outlive the log's use.
+  LogClient& MakeClient(const std::string& aName, Executor& aExecutor);
 
   // The faults from now on.
   void SetFaults(double aLostRequest, double aLostAnswer, double aLateAppend);
@@ -71,12 +76,14 @@
   tl::expected<LogBatch, LogError> Fetch(const StreamName& aStream,
                                          LogOffset aFrom,
                                          std::size_t aLimit);
+  void After(Duration aDelay, std::function<void()> aCallback);
   Duration Latency();
   bool Cut(const std::string& aClient) const;
 
   Options mOptions;
   VirtualExecutor& mExecutor;
   Random mRandom;
+  std::vector<std::unique_ptr<Client>> mClients;
   std::map<StreamName, Stream> mStreams;
   std::map<std::string, bool> mCut;
   bool mDown = false;
--- a/coord/testing/fake_process.h
+++ b/coord/testing/fake_process.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <functional>
+#include <memory>
 
 #include "core/virtual_executor.h"
 
--- a/coord/versioned_table.h
+++ b/coord/versioned_table.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "coord/confirmed_writer.h"
 #include "core/ids.h"
@@ -17,9 +18,9 @@
 // One version of the table.
 struct Snapshot
 {
-  TableVersion version; // zero: no edit was accepted yet
-  std::string payload;
-  LogOffset offset; // of the edit
+  TableVersion version{}; // zero: no edit was accepted yet
+  std::string payload{};
+  LogOffset offset{}; // of the edit
   std::uint64_t digest = 0;
 
   bool operator==(const Snapshot&) const = default;
@@ -44,8 +45,8 @@
 struct TableError
 {
   TableErrorKind kind = TableErrorKind::kUnknown;
-  std::string message;
-  TableVersion current; // the version known here
+  std::string message{};
+  TableVersion current{}; // the version known here
 };
 
 // Hears of each newer version.
@@ -83,7 +84,7 @@
   struct Options
   {
     StreamName stream{ "table" };
-    WriterId writer;
+    WriterId writer{};
     Duration pollInterval = std::chrono::seconds(2);
     // For how long an edit may wait to be read back.
     Duration applyTimeout = std::chrono::seconds(8);
@@ -117,7 +118,8 @@
   // peer gave its table while the log could not be read.
   [[nodiscard]] bool Ready() const { return mCurrent.has_value(); }
 
-  // Whether all that the log held at that instant is known here.
+  // All that the log held at that instant is known here; nothing before the
+  // end was reached once.
   [[nodiscard]] std::optional<Instant> FreshAt() const
   {
     return mFold.FreshAt();
@@ -130,9 +132,11 @@
   void Poke() { mFold.Poke(); }
 
   // Edits the table: the payload replaces the version that it names.
-  void Apply(TableVersion aBase, std::string aPayload, ApplyCallback aCallback);
+  void Apply(TableVersion aBase,
+             const std::string& aPayload,
+             ApplyCallback aCallback);
 
-  // Offers that failed their digest, and regressions refused.
+  // Offers whose digest was wrong.
   [[nodiscard]] std::uint64_t RefusedOffers() const { return mRefusedOffers; }
 
 private:
@@ -140,10 +144,12 @@
                  LogOffset aOffset,
                  bool aAccepted) override;
   void OnCaughtUp() override;
-  void Adopt(const Snapshot& aSnapshot);
+  bool Adopt(const Snapshot& aSnapshot);
+  void OnEdit(const tl::expected<Confirmation, WriteError>& aResult,
+              const ApplyCallback& aCallback);
   void MaintainCheckpoint();
-  void AppendCheckpoint();
-  TableError Failure(const WriteError& aError) const;
+  void DrawCheckpointAge();
+  TableError Failure(TableErrorKind aKind, std::string aMessage) const;
 
   Options mOptions;
   Executor& mExecutor;
