--- /dev/null
+++ b/policy/backend_selector.cpp
@@ -0,0 +1,542 @@
+#include "policy/backend_selector.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace firefly::policy {
+
+namespace {
+
+// A sample below this part of the known speed counts as slow at once.
+constexpr double kSlowSample = 0.6;
+// What one slow sample closes of the gap to it.
+constexpr double kSlowStep = 0.5;
+// What one good sample gives back.
+constexpr double kGoodStep = 0.08;
+constexpr double kLeastSpeed = 0.05;
+// Below this speed a backend server only gets probes and what others can't
+// take.
+constexpr double kProbeSpeed = 0.7;
+// First tokens sooner than this beyond what was expected say nothing.
+constexpr double kWaitNoiseSeconds = 0.1;
+// How sure it is that a prefix is where the hash puts it.
+constexpr double kAffinityTrust = 0.5;
+// The gap between tokens with one request running, as a part of the full one.
+constexpr double kIdleGap = 0.5;
+// Checks for silent peers are this far apart.
+constexpr Duration kPeerCheck = std::chrono::milliseconds(200);
+
+bool Contains(const std::vector<BackendSlot>& aSlots, BackendSlot aSlot)
+{
+  return std::find(aSlots.begin(), aSlots.end(), aSlot) != aSlots.end();
+}
+
+bool IsOpenFor(const RequestInfo& aRequest, const Backend& aBackend)
+{
+  return aBackend.state == BackendState::kOpen && aBackend.Serves(aRequest);
+}
+
+// Depths at which prefixes are remembered: powers of two, and the whole.
+template<typename Visit>
+void ForRememberedDepths(std::size_t aBlocks, Visit aVisit)
+{
+  for (std::size_t depth = 1; depth < aBlocks; depth *= 2) {
+    aVisit(depth);
+  }
+  if (aBlocks > 0) {
+    aVisit(aBlocks);
+  }
+}
+
+} // namespace
+
+LearningSelector::LearningSelector(Options aOptions)
+  : mOptions(aOptions)
+{
+}
+
+tl::expected<Choice, SelectError> LearningSelector::Select(
+  const RequestInfo& aRequest,
+  const SelectQuery& aQuery,
+  const FleetView& aFleet,
+  Instant aNow)
+{
+  ForgetSilentPeers(aNow);
+  FindCandidates(aRequest, aQuery, aFleet, aNow);
+  if (mCandidates.empty()) {
+    return tl::make_unexpected(SelectError{ SelectFailure::kNoBackend, {} });
+  }
+  Prediction best;
+  best.score = std::numeric_limits<double>::max();
+  bool found = false;
+  auto leastWait = Duration::max();
+  for (const auto slot : mCandidates) {
+    const auto prediction = Predict(aRequest, aQuery, aFleet, slot);
+    leastWait = std::min(leastWait, prediction.choice.expectedWait);
+    const bool usable = prediction.hasRoom || aQuery.ignoreRoom;
+    if (usable && prediction.score < best.score) {
+      best = prediction;
+      found = true;
+    }
+  }
+  if (!found) {
+    return tl::make_unexpected(
+      SelectError{ SelectFailure::kNoRoom, leastWait });
+  }
+  return best.choice;
+}
+
+AttemptInfo LearningSelector::OnDispatch(const RequestInfo& aRequest,
+                                         const Choice& aChoice,
+                                         Lane aLane,
+                                         Instant aNow)
+{
+  auto& load = LoadAt(aChoice.slot);
+  const auto prompt = aRequest.promptTokens.Value();
+  const auto cached = std::min(prompt, aChoice.cachedTokens.Value());
+  load.requests++;
+  load.stragglers += aLane == Lane::kStraggler ? 1 : 0;
+  load.prefillTokens += prompt - cached;
+  load.lastDispatch = aNow;
+  if (aChoice.slot.Value() < mSlotHashes.size()) {
+    RememberPrefix(aRequest, mSlotHashes[aChoice.slot.Value()]);
+  }
+  return { .slot = aChoice.slot,
+           .prefillTokens = Tokens(prompt - cached),
+           .expectedWait = aChoice.expectedWait,
+           .expectedGap = aChoice.expectedGap,
+           .lane = aLane,
+           .hadFirstToken = false };
+}
+
+void LearningSelector::OnFirstToken(AttemptInfo& aAttempt,
+                                    Duration aWait,
+                                    Instant /*aNow*/)
+{
+  if (aAttempt.hadFirstToken) {
+    return;
+  }
+  aAttempt.hadFirstToken = true;
+  LoadAt(aAttempt.slot).prefillTokens -= aAttempt.prefillTokens.Value();
+  const double expected = ToSeconds(aAttempt.expectedWait) + kWaitNoiseSeconds;
+  const double wait = ToSeconds(aWait);
+  TakeSample(aAttempt.slot,
+             SpeedOf(aAttempt.slot) * expected / std::max(wait, expected));
+}
+
+void LearningSelector::OnTokens(const AttemptInfo& aAttempt,
+                                Duration aMeanGap,
+                                Instant /*aNow*/)
+{
+  const double full = ToSeconds(aAttempt.expectedGap);
+  const double gap = ToSeconds(aMeanGap);
+  if (gap > 0 && full > 0) {
+    TakeSample(aAttempt.slot, std::min(1.0, full / gap));
+  }
+}
+
+void LearningSelector::OnFinish(const AttemptInfo& aAttempt, Instant /*aNow*/)
+{
+  auto& load = LoadAt(aAttempt.slot);
+  load.requests--;
+  load.stragglers -= aAttempt.lane == Lane::kStraggler ? 1 : 0;
+  if (!aAttempt.hadFirstToken) {
+    load.prefillTokens -= aAttempt.prefillTokens.Value();
+  }
+}
+
+void LearningSelector::OnError(const AttemptInfo& aAttempt, Instant aNow)
+{
+  OnFinish(aAttempt, aNow);
+  TakeSample(aAttempt.slot, kLeastSpeed);
+}
+
+void LearningSelector::OnOverdue(const AttemptInfo& aAttempt,
+                                 Duration aWaited,
+                                 Instant /*aNow*/)
+{
+  const double expected = ToSeconds(aAttempt.expectedWait) + kWaitNoiseSeconds;
+  const double waited = std::max(ToSeconds(aWaited), expected);
+  TakeSample(aAttempt.slot, expected / waited);
+}
+
+void LearningSelector::OnReport(const LoadReport& /*aReport*/,
+                                const FleetView& /*aFleet*/,
+                                Instant /*aNow*/)
+{
+  // Own work and the peers' digests are both newer than any report.
+}
+
+void LearningSelector::OnPeerDigest(const Digest& aDigest,
+                                    const FleetView& aFleet,
+                                    Instant aNow)
+{
+  if (!mOptions.usePeers) {
+    return;
+  }
+  auto& peer = mPeers[aDigest.host];
+  Forget(peer);
+  peer.incarnation = aDigest.incarnation;
+  peer.sequence = aDigest.sequence;
+  peer.heard = aNow;
+  for (const auto& it : aDigest.work) {
+    const auto slot = aFleet.SlotOfHash(it.backend);
+    if (!slot) {
+      continue;
+    }
+    auto& load = LoadAt(*slot);
+    load.peers.requests += it.requests;
+    load.peers.prefillTokens += it.prefillTokens;
+    peer.work.emplace_back(*slot, PeerWork{ it.requests, it.prefillTokens });
+  }
+}
+
+void LearningSelector::FillDigest(Digest& aDigest,
+                                  const FleetView& aFleet,
+                                  Instant /*aNow*/) const
+{
+  for (std::size_t i = 0; i < mLoads.size(); ++i) {
+    const auto& load = mLoads[i];
+    if (load.requests == 0) {
+      continue;
+    }
+    const BackendSlot slot(static_cast<std::uint32_t>(i));
+    aDigest.work.push_back(
+      { .backend = aFleet.HashAt(slot),
+        .requests = load.requests,
+        .prefillTokens = load.prefillTokens,
+        .speedPermille = static_cast<std::uint32_t>(load.speed * 1000) });
+  }
+}
+
+double LearningSelector::SpeedOf(BackendSlot aSlot) const
+{
+  return aSlot.Value() < mLoads.size() ? mLoads[aSlot.Value()].speed : 1.0;
+}
+
+LearningSelector::Load& LearningSelector::LoadAt(BackendSlot aSlot)
+{
+  if (mLoads.size() <= aSlot.Value()) {
+    mLoads.resize(aSlot.Value() + 1);
+  }
+  return mLoads[aSlot.Value()];
+}
+
+void LearningSelector::TakeSample(BackendSlot aSlot, double aSpeed)
+{
+  if (!mOptions.useSpeed) {
+    return;
+  }
+  auto& speed = LoadAt(aSlot).speed;
+  if (aSpeed < speed * kSlowSample) {
+    speed += kSlowStep * (aSpeed - speed);
+  } else if (aSpeed > speed) {
+    speed += kGoodStep * (aSpeed - speed);
+  }
+  speed = std::clamp(speed, kLeastSpeed, 1.0);
+}
+
+void LearningSelector::Forget(Peer& aPeer)
+{
+  for (const auto& [slot, work] : aPeer.work) {
+    auto& load = LoadAt(slot);
+    load.peers.requests -= work.requests;
+    load.peers.prefillTokens -= work.prefillTokens;
+  }
+  aPeer.work.clear();
+}
+
+void LearningSelector::ForgetSilentPeers(Instant aNow)
+{
+  if (aNow - mPeersChecked < kPeerCheck) {
+    return;
+  }
+  mPeersChecked = aNow;
+  for (auto& [host, peer] : mPeers) {
+    if (aNow - peer.heard > mOptions.peerMemory) {
+      Forget(peer);
+    }
+  }
+}
+
+void LearningSelector::FindCandidates(const RequestInfo& aRequest,
+                                      const SelectQuery& aQuery,
+                                      const FleetView& aFleet,
+                                      Instant aNow)
+{
+  mOpen.clear();
+  mCandidates.clear();
+  const auto& all = aFleet.All();
+  for (std::uint32_t i = 0; i < all.size(); ++i) {
+    const BackendSlot slot(i);
+    if (IsOpenFor(aRequest, all[i]) && !Contains(aQuery.excluded, slot)) {
+      mOpen.push_back(slot);
+    }
+  }
+  while (mSlotHashes.size() < all.size()) {
+    const BackendSlot slot(static_cast<std::uint32_t>(mSlotHashes.size()));
+    mSlotHashes.push_back(aFleet.HashAt(slot));
+  }
+  if (mOpen.empty()) {
+    return;
+  }
+  for (std::uint32_t i = 0; i < mOptions.randomCandidates; ++i) {
+    AddCandidate(mOpen[mRandom.Below(mOpen.size())]);
+  }
+  if (!mOptions.useAffinity || aRequest.prefixHashes.empty()) {
+    return;
+  }
+  // The highest hashes win, as in rendezvous hashing.
+  std::vector<std::pair<std::uint64_t, BackendSlot>> ranked;
+  ranked.reserve(mOpen.size());
+  for (const auto slot : mOpen) {
+    ranked.emplace_back(
+      MixHash(aRequest.prefixHashes.front(), mSlotHashes[slot.Value()]), slot);
+  }
+  const auto n =
+    std::min<std::size_t>(mOptions.affinityCandidates, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(n),
+                    ranked.end(),
+                    std::greater<>());
+  for (std::size_t i = 0; i < n; ++i) {
+    AddCandidate(ranked[i].second);
+  }
+  (void)aNow;
+}
+
+void LearningSelector::AddCandidate(BackendSlot aSlot)
+{
+  if (!Contains(mCandidates, aSlot)) {
+    mCandidates.push_back(aSlot);
+  }
+}
+
+LearningSelector::Prediction LearningSelector::Predict(
+  const RequestInfo& aRequest,
+  const SelectQuery& aQuery,
+  const FleetView& aFleet,
+  BackendSlot aSlot)
+{
+  const auto& backend = aFleet.At(aSlot);
+  const auto& capacity = backend.capacity;
+  const auto& load = LoadAt(aSlot);
+  const double speed = load.speed;
+  const auto prompt = aRequest.promptTokens.Value();
+  const auto cached =
+    std::min(prompt, CachedTokens(aRequest, mSlotHashes[aSlot.Value()]));
+  const double backlog =
+    static_cast<double>(load.prefillTokens) + load.peers.prefillTokens;
+  const double requests =
+    static_cast<double>(load.requests) + load.peers.requests;
+  const double rate = capacity.prefillTokensPerSecond * speed;
+  const double fullness =
+    requests / std::max(1.0, static_cast<double>(capacity.slots));
+  const double gap = capacity.tokenGapSeconds *
+                     (kIdleGap + (1 - kIdleGap) * std::min(1.0, fullness)) /
+                     speed;
+  const double queueing = backlog / rate;
+  const double own = (prompt - cached) / rate + gap;
+  const double wait = queueing + own;
+  Prediction prediction;
+  prediction.choice = { .slot = aSlot,
+                        .backend = backend.id,
+                        .expectedWait = FromSeconds(wait),
+                        .expectedGap = FromSeconds(capacity.tokenGapSeconds),
+                        .cachedTokens = Tokens(cached) };
+  prediction.score = wait + aQuery.size.usual.Value() * gap;
+  double slots = capacity.slots * speed;
+  if (mOptions.useLanes && aQuery.lane != Lane::kShort) {
+    slots *= 1 - mOptions.shortReserve;
+  }
+  const bool stragglerFull =
+    mOptions.useLanes && aQuery.lane == Lane::kStraggler &&
+    load.stragglers + 1 > std::max(1.0, slots * mOptions.stragglerSlots);
+  prediction.hasRoom = FromSeconds(queueing) < mOptions.fullAt &&
+                       requests < std::max(1.0, slots) && !stragglerFull;
+  return prediction;
+}
+
+std::uint32_t LearningSelector::CachedTokens(const RequestInfo& aRequest,
+                                             std::uint64_t aBackend) const
+{
+  if (!mOptions.useAffinity) {
+    return 0;
+  }
+  std::uint32_t cached = 0;
+  const auto block = aRequest.prefixBlockTokens.Value();
+  ForRememberedDepths(aRequest.prefixHashes.size(), [&](std::size_t aDepth) {
+    const auto key = MixHash(aRequest.prefixHashes[aDepth - 1], aBackend);
+    if (mPrefixPlaces.contains(key)) {
+      cached = static_cast<std::uint32_t>(aDepth * block);
+    }
+  });
+  return cached;
+}
+
+void LearningSelector::RememberPrefix(const RequestInfo& aRequest,
+                                      std::uint64_t aBackend)
+{
+  ForRememberedDepths(aRequest.prefixHashes.size(), [&](std::size_t aDepth) {
+    const auto key = MixHash(aRequest.prefixHashes[aDepth - 1], aBackend);
+    const auto it = mPrefixPlaces.find(key);
+    if (it != mPrefixPlaces.end()) {
+      mPrefixes.splice(mPrefixes.begin(), mPrefixes, it->second);
+      return;
+    }
+    mPrefixes.push_front({ key, static_cast<std::uint32_t>(aDepth) });
+    mPrefixPlaces[key] = mPrefixes.begin();
+    if (mPrefixes.size() > mOptions.prefixMemory) {
+      mPrefixPlaces.erase(mPrefixes.back().key);
+      mPrefixes.pop_back();
+    }
+  });
+}
+
+std::vector<BackendSlot> RoundRobinSelector::Eligible(
+  const RequestInfo& aRequest,
+  const SelectQuery& aQuery,
+  const FleetView& aFleet)
+{
+  // Prompts longer than so many times the expected output are prefill work.
+  constexpr double kPrefillRatio = 10;
+  const bool prefill =
+    aRequest.promptTokens.Value() > kPrefillRatio * aQuery.size.usual.Value();
+  const auto unsuited = prefill ? EngineRole::kDecode : EngineRole::kPrefill;
+  std::vector<BackendSlot> open;
+  std::vector<BackendSlot> suited;
+  const auto& all = aFleet.All();
+  for (std::uint32_t i = 0; i < all.size(); ++i) {
+    const BackendSlot slot(i);
+    if (!IsOpenFor(aRequest, all[i]) || Contains(aQuery.excluded, slot)) {
+      continue;
+    }
+    open.push_back(slot);
+    if (all[i].role != unsuited) {
+      suited.push_back(slot);
+    }
+  }
+  return suited.empty() ? open : suited;
+}
+
+tl::expected<Choice, SelectError> RoundRobinSelector::Select(
+  const RequestInfo& aRequest,
+  const SelectQuery& aQuery,
+  const FleetView& aFleet,
+  Instant /*aNow*/)
+{
+  const auto slots = Eligible(aRequest, aQuery, aFleet);
+  if (slots.empty()) {
+    return tl::make_unexpected(SelectError{ SelectFailure::kNoBackend, {} });
+  }
+  const auto slot = slots[mTurn++ % slots.size()];
+  return Choice{ .slot = slot,
+                 .backend = aFleet.At(slot).id,
+                 .expectedWait = {},
+                 .expectedGap = {},
+                 .cachedTokens = {} };
+}
+
+AttemptInfo RoundRobinSelector::OnDispatch(const RequestInfo& aRequest,
+                                           const Choice& aChoice,
+                                           Lane aLane,
+                                           Instant /*aNow*/)
+{
+  return { .slot = aChoice.slot,
+           .prefillTokens = aRequest.promptTokens,
+           .expectedWait = {},
+           .expectedGap = {},
+           .lane = aLane,
+           .hadFirstToken = false };
+}
+
+void RoundRobinSelector::OnFirstToken(AttemptInfo& aAttempt,
+                                      Duration /*aWait*/,
+                                      Instant /*aNow*/)
+{
+  aAttempt.hadFirstToken = true;
+}
+
+void RoundRobinSelector::OnTokens(const AttemptInfo& /*aAttempt*/,
+                                  Duration /*aMeanGap*/,
+                                  Instant /*aNow*/)
+{
+}
+
+void RoundRobinSelector::OnFinish(const AttemptInfo& /*aAttempt*/,
+                                  Instant /*aNow*/)
+{
+}
+
+void RoundRobinSelector::OnError(const AttemptInfo& /*aAttempt*/,
+                                 Instant /*aNow*/)
+{
+}
+
+void RoundRobinSelector::OnOverdue(const AttemptInfo& /*aAttempt*/,
+                                   Duration /*aWaited*/,
+                                   Instant /*aNow*/)
+{
+}
+
+void RoundRobinSelector::OnReport(const LoadReport& /*aReport*/,
+                                  const FleetView& /*aFleet*/,
+                                  Instant /*aNow*/)
+{
+}
+
+void RoundRobinSelector::OnPeerDigest(const Digest& /*aDigest*/,
+                                      const FleetView& /*aFleet*/,
+                                      Instant /*aNow*/)
+{
+}
+
+void RoundRobinSelector::FillDigest(Digest& /*aDigest*/,
+                                    const FleetView& /*aFleet*/,
+                                    Instant /*aNow*/) const
+{
+}
+
+tl::expected<Choice, SelectError> LeastReportedLoadSelector::Select(
+  const RequestInfo& aRequest,
+  const SelectQuery& aQuery,
+  const FleetView& aFleet,
+  Instant /*aNow*/)
+{
+  const auto slots = Eligible(aRequest, aQuery, aFleet);
+  if (slots.empty()) {
+    return tl::make_unexpected(SelectError{ SelectFailure::kNoBackend, {} });
+  }
+  const auto loadOf = [&](BackendSlot aSlot) {
+    return aSlot.Value() < mReported.size() ? mReported[aSlot.Value()] : 0;
+  };
+  // Ties go round, so that fresh processes don't all start with the first.
+  auto best = slots[mTurn++ % slots.size()];
+  for (const auto slot : slots) {
+    if (loadOf(slot) < loadOf(best)) {
+      best = slot;
+    }
+  }
+  return Choice{ .slot = best,
+                 .backend = aFleet.At(best).id,
+                 .expectedWait = {},
+                 .expectedGap = {},
+                 .cachedTokens = {} };
+}
+
+void LeastReportedLoadSelector::OnReport(const LoadReport& aReport,
+                                         const FleetView& aFleet,
+                                         Instant /*aNow*/)
+{
+  if (!aFleet.Find(aReport.backend)) {
+    return;
+  }
+  const auto slot = aFleet.SlotOf(aReport.backend).Value();
+  if (mReported.size() <= slot) {
+    mReported.resize(slot + 1);
+  }
+  mReported[slot] = aReport.requests;
+}
+
+} // namespace firefly::policy
--- /dev/null
+++ b/policy/backend_selector.h
@@ -0,0 +1,334 @@
+#pragma once
+
+// The choice of a backend server for one request.
+
+#include <cstdint>
+#include <list>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "core/random.h"
+#include "policy/digest.h"
+#include "policy/fleet_view.h"
+#include "policy/request_info.h"
+#include "policy/size_estimator.h"
+
+namespace firefly::policy {
+
+// A backend server that was chosen, and what is expected of it.
+struct Choice
+{
+  BackendSlot slot;
+  BackendId backend;
+  // From the dispatch to the first token (or a plain service's answer).
+  Duration expectedWait{};
+  // Between tokens.
+  Duration expectedGap{};
+  // Prompt tokens that its prefix cache is expected to hold.
+  Tokens cachedTokens;
+};
+
+enum class SelectFailure : std::uint8_t
+{
+  // No open backend server has the model or the service.
+  kNoBackend,
+  // All candidates are full; the request may wait.
+  kNoRoom,
+};
+
+struct SelectError
+{
+  SelectFailure failure = SelectFailure::kNoBackend;
+  // With kNoRoom: the least wait that a candidate promises.
+  Duration expectedWait{};
+};
+
+// What Select is asked for beside the request.
+struct SelectQuery
+{
+  // Expected output size.
+  SizeEstimate size;
+  Lane lane = Lane::kNormal;
+  // Backend servers that must not be chosen: those of earlier attempts.
+  std::vector<BackendSlot> excluded;
+  // Whether room doesn't matter: a retry after a crash, a hedge.
+  bool ignoreRoom = false;
+};
+
+// An engine's own report of its load, some time old when it comes.
+struct LoadReport
+{
+  BackendId backend;
+  // Requests running and waiting there.
+  std::uint32_t requests = 0;
+  // Prompt tokens waiting there.
+  std::uint32_t prefillTokens = 0;
+};
+
+// One dispatched attempt, told to the selector's feedback calls.
+struct AttemptInfo
+{
+  BackendSlot slot;
+  // Prompt tokens that count as backlog until the first token.
+  Tokens prefillTokens;
+  Duration expectedWait{};
+  Duration expectedGap{};
+  Lane lane = Lane::kNormal;
+  bool hadFirstToken = false;
+};
+
+class BackendSelector
+{
+public:
+  virtual ~BackendSelector() = default;
+
+  // Chooses a backend server; it never returns one that is not open.
+  virtual tl::expected<Choice, SelectError> Select(const RequestInfo& aRequest,
+                                                   const SelectQuery& aQuery,
+                                                   const FleetView& aFleet,
+                                                   Instant aNow) = 0;
+
+  // The chosen backend server gets the request now. The result goes to the
+  // calls below.
+  virtual AttemptInfo OnDispatch(const RequestInfo& aRequest,
+                                 const Choice& aChoice,
+                                 Lane aLane,
+                                 Instant aNow) = 0;
+
+  // The first token (or a plain service's answer) came after that wait.
+  virtual void OnFirstToken(AttemptInfo& aAttempt,
+                            Duration aWait,
+                            Instant aNow) = 0;
+
+  // More tokens came, with that mean gap.
+  virtual void OnTokens(const AttemptInfo& aAttempt,
+                        Duration aMeanGap,
+                        Instant aNow) = 0;
+
+  // The attempt is over: finished or cancelled.
+  virtual void OnFinish(const AttemptInfo& aAttempt, Instant aNow) = 0;
+
+  // The attempt is over by an error of the backend server.
+  virtual void OnError(const AttemptInfo& aAttempt, Instant aNow) = 0;
+
+  // No token has come for longer than expected, and still none has.
+  virtual void OnOverdue(const AttemptInfo& aAttempt,
+                         Duration aWaited,
+                         Instant aNow) = 0;
+
+  // A load report came; it is as old as the reports' lag.
+  virtual void OnReport(const LoadReport& aReport,
+                        const FleetView& aFleet,
+                        Instant aNow) = 0;
+
+  // A peer told of its own outstanding work.
+  virtual void OnPeerDigest(const Digest& aDigest,
+                            const FleetView& aFleet,
+                            Instant aNow) = 0;
+
+  // Adds this process's own outstanding work to its digest.
+  virtual void FillDigest(Digest& aDigest,
+                          const FleetView& aFleet,
+                          Instant aNow) const = 0;
+};
+
+// Predicts each candidate's time from own and peers' outstanding work, the
+// speed it has shown and the prefix it is likely to hold, and takes the best of
+// a few candidates.
+class LearningSelector : public BackendSelector
+{
+public:
+  struct Options
+  {
+    std::uint64_t seed = 1;
+    // Random candidates for each choice.
+    std::uint32_t randomCandidates = 3;
+    // Candidates that the prefix hash names, the same in all entries.
+    std::uint32_t affinityCandidates = 2;
+    // A backend server with this much predicted wait has no room.
+    Duration fullAt = std::chrono::milliseconds(400);
+    // The part of the slots that stragglers may take ...
+    double stragglerSlots = 0.5;
+    // ... and the part that only short work may take.
+    double shortReserve = 0.1;
+    // A slow backend server that got nothing for this long is probed.
+    Duration probeAfter = std::chrono::seconds(1);
+    // A peer whose digest is older no longer counts.
+    Duration peerMemory = std::chrono::seconds(3);
+    // Prefix blocks remembered.
+    std::size_t prefixMemory = 16384;
+    // Switches for ablations.
+    bool usePeers = true;
+    bool useSpeed = true;
+    bool useAffinity = true;
+    bool useLanes = true;
+  };
+
+  LearningSelector() = default;
+  explicit LearningSelector(Options aOptions);
+
+  tl::expected<Choice, SelectError> Select(const RequestInfo& aRequest,
+                                           const SelectQuery& aQuery,
+                                           const FleetView& aFleet,
+                                           Instant aNow) override;
+  AttemptInfo OnDispatch(const RequestInfo& aRequest,
+                         const Choice& aChoice,
+                         Lane aLane,
+                         Instant aNow) override;
+  void OnFirstToken(AttemptInfo& aAttempt,
+                    Duration aWait,
+                    Instant aNow) override;
+  void OnTokens(const AttemptInfo& aAttempt,
+                Duration aMeanGap,
+                Instant aNow) override;
+  void OnFinish(const AttemptInfo& aAttempt, Instant aNow) override;
+  void OnError(const AttemptInfo& aAttempt, Instant aNow) override;
+  void OnOverdue(const AttemptInfo& aAttempt,
+                 Duration aWaited,
+                 Instant aNow) override;
+  void OnReport(const LoadReport& aReport,
+                const FleetView& aFleet,
+                Instant aNow) override;
+  void OnPeerDigest(const Digest& aDigest,
+                    const FleetView& aFleet,
+                    Instant aNow) override;
+  void FillDigest(Digest& aDigest,
+                  const FleetView& aFleet,
+                  Instant aNow) const override;
+
+  // The speed that a backend server has shown, 1 being its usual one.
+  [[nodiscard]] double SpeedOf(BackendSlot aSlot) const;
+
+private:
+  struct PeerWork
+  {
+    std::uint32_t requests = 0;
+    std::uint32_t prefillTokens = 0;
+  };
+  struct Load
+  {
+    std::uint32_t requests = 0;
+    std::uint32_t stragglers = 0;
+    std::uint32_t prefillTokens = 0;
+    // Sums over the peers' digests.
+    PeerWork peers;
+    double speed = 1.0;
+    Instant lastDispatch{};
+  };
+  struct Peer
+  {
+    Incarnation incarnation;
+    std::uint64_t sequence = 0;
+    Instant heard{};
+    std::vector<std::pair<BackendSlot, PeerWork>> work;
+  };
+  struct PrefixRecord
+  {
+    std::uint64_t key = 0;
+    std::uint32_t tokens = 0;
+  };
+  struct Prediction
+  {
+    Choice choice;
+    double score = 0;
+    bool hasRoom = false;
+  };
+
+  Load& LoadAt(BackendSlot aSlot);
+  void TakeSample(BackendSlot aSlot, double aSpeed);
+  void Forget(Peer& aPeer);
+  void ForgetSilentPeers(Instant aNow);
+  void FindCandidates(const RequestInfo& aRequest,
+                      const SelectQuery& aQuery,
+                      const FleetView& aFleet,
+                      Instant aNow);
+  void AddCandidate(BackendSlot aSlot);
+  Prediction Predict(const RequestInfo& aRequest,
+                     const SelectQuery& aQuery,
+                     const FleetView& aFleet,
+                     BackendSlot aSlot);
+  [[nodiscard]] std::uint32_t CachedTokens(const RequestInfo& aRequest,
+                                           std::uint64_t aBackend) const;
+  void RememberPrefix(const RequestInfo& aRequest, std::uint64_t aBackend);
+
+  Options mOptions;
+  Random mRandom{ mOptions.seed };
+  std::vector<Load> mLoads;
+  std::unordered_map<HostId, Peer> mPeers;
+  Instant mPeersChecked{};
+  // Scratch space of Select, kept to save allocations.
+  std::vector<BackendSlot> mOpen;
+  std::vector<BackendSlot> mCandidates;
+  // Prefix blocks sent to backend servers, the newest first.
+  std::list<PrefixRecord> mPrefixes;
+  std::unordered_map<std::uint64_t, std::list<PrefixRecord>::iterator>
+    mPrefixPlaces;
+  // Hashes of the slots' ids, learned from the fleet view.
+  std::vector<std::uint64_t> mSlotHashes;
+};
+
+// Takes open backend servers in turn, whatever their load.
+class RoundRobinSelector : public BackendSelector
+{
+public:
+  tl::expected<Choice, SelectError> Select(const RequestInfo& aRequest,
+                                           const SelectQuery& aQuery,
+                                           const FleetView& aFleet,
+                                           Instant aNow) override;
+  AttemptInfo OnDispatch(const RequestInfo& aRequest,
+                         const Choice& aChoice,
+                         Lane aLane,
+                         Instant aNow) override;
+  void OnFirstToken(AttemptInfo& aAttempt,
+                    Duration aWait,
+                    Instant aNow) override;
+  void OnTokens(const AttemptInfo& aAttempt,
+                Duration aMeanGap,
+                Instant aNow) override;
+  void OnFinish(const AttemptInfo& aAttempt, Instant aNow) override;
+  void OnError(const AttemptInfo& aAttempt, Instant aNow) override;
+  void OnOverdue(const AttemptInfo& aAttempt,
+                 Duration aWaited,
+                 Instant aNow) override;
+  void OnReport(const LoadReport& aReport,
+                const FleetView& aFleet,
+                Instant aNow) override;
+  void OnPeerDigest(const Digest& aDigest,
+                    const FleetView& aFleet,
+                    Instant aNow) override;
+  void FillDigest(Digest& aDigest,
+                  const FleetView& aFleet,
+                  Instant aNow) const override;
+
+protected:
+  // The open backend servers that serve the request and aren't excluded; with
+  // static roles, those whose role suits its shape, if there are any.
+  static std::vector<BackendSlot> Eligible(const RequestInfo& aRequest,
+                                           const SelectQuery& aQuery,
+                                           const FleetView& aFleet);
+
+private:
+  std::uint64_t mTurn = 0;
+};
+
+// Takes the backend server with the least load in its last report.
+class LeastReportedLoadSelector : public RoundRobinSelector
+{
+public:
+  tl::expected<Choice, SelectError> Select(const RequestInfo& aRequest,
+                                           const SelectQuery& aQuery,
+                                           const FleetView& aFleet,
+                                           Instant aNow) override;
+  void OnReport(const LoadReport& aReport,
+                const FleetView& aFleet,
+                Instant aNow) override;
+
+private:
+  std::vector<double> mReported;
+  std::uint64_t mTurn = 0;
+};
+
+} // namespace firefly::policy
--- /dev/null
+++ b/policy/policy_set.cpp
@@ -0,0 +1,132 @@
+#include "policy/policy_set.h"
+
+#include <algorithm>
+
+namespace firefly::policy {
+
+namespace {
+
+const std::string kFirefly = "firefly";
+const std::string kRoundRobin = "round-robin";
+const std::string kLeastReportedLoad = "least-reported-load";
+
+PolicyError UnknownName(const std::string& aName)
+{
+  return { "unknown policy '" + aName + "'; known are " + kFirefly + ", " +
+           kRoundRobin + " and " + kLeastReportedLoad };
+}
+
+bool IsKnown(const std::string& aName)
+{
+  return aName == kFirefly || aName == kRoundRobin ||
+         aName == kLeastReportedLoad;
+}
+
+PolicySet MakeFirefly(const PolicyOptions& aOptions)
+{
+  const auto has = [&](const char* aPart) {
+    return !aOptions.without.contains(aPart);
+  };
+  PolicySet set;
+  set.estimator = std::make_unique<QuantileSizeEstimator>();
+  set.limits = std::make_unique<SharedLimitKeeper>(
+    SharedLimitKeeper::Options{ .self = aOptions.self });
+  set.queue = std::make_unique<WorthQueue>(WorthQueue::Options{
+    .bound = aOptions.queueBound, .firstInFirstOut = !has("queue") });
+  set.selector = std::make_unique<LearningSelector>(
+    LearningSelector::Options{ .seed = aOptions.seed,
+                               .usePeers = has("peers"),
+                               .useSpeed = has("speed"),
+                               .useAffinity = has("affinity"),
+                               .useLanes = has("lanes") });
+  if (has("admission")) {
+    set.admission = std::make_unique<WorthAdmission>();
+  } else {
+    set.admission = std::make_unique<PlainAdmission>();
+  }
+  if (has("retry-budget")) {
+    set.retries = std::make_unique<ShareRetryBudget>();
+  } else {
+    set.retries = std::make_unique<UnboundedRetryBudget>();
+  }
+  if (has("hedge")) {
+    set.hedger = std::make_unique<QuantileHedger>();
+  } else {
+    set.hedger = std::make_unique<NoHedger>();
+  }
+  if (has("poison")) {
+    set.poison = std::make_unique<SuspectPoisonGuard>();
+  } else {
+    set.poison = std::make_unique<NoPoisonGuard>();
+  }
+  return set;
+}
+
+PolicySet MakePlain(const PolicyOptions& aOptions)
+{
+  PolicySet set;
+  set.estimator = std::make_unique<QuantileSizeEstimator>();
+  set.limits = std::make_unique<SharedLimitKeeper>(
+    SharedLimitKeeper::Options{ .self = aOptions.self });
+  set.admission = std::make_unique<PlainAdmission>();
+  set.queue = std::make_unique<WorthQueue>(WorthQueue::Options{
+    .bound = aOptions.queueBound, .firstInFirstOut = true });
+  set.retries = std::make_unique<UnboundedRetryBudget>();
+  set.hedger = std::make_unique<NoHedger>();
+  set.poison = std::make_unique<NoPoisonGuard>();
+  return set;
+}
+
+} // namespace
+
+const std::set<std::string>& PolicyParts()
+{
+  static const std::set<std::string> kParts{
+    "admission", "queue",        "peers", "speed",  "affinity",
+    "lanes",     "retry-budget", "hedge", "poison", "roles"
+  };
+  return kParts;
+}
+
+tl::expected<PolicySet, PolicyError> MakePolicySet(
+  const std::string& aName,
+  const PolicyOptions& aOptions)
+{
+  for (const auto& part : aOptions.without) {
+    if (!PolicyParts().contains(part)) {
+      return tl::make_unexpected(PolicyError{ "unknown part '" + part + "'" });
+    }
+  }
+  if (!IsKnown(aName)) {
+    return tl::make_unexpected(UnknownName(aName));
+  }
+  PolicySet set;
+  if (aName == kFirefly) {
+    set = MakeFirefly(aOptions);
+  } else {
+    set = MakePlain(aOptions);
+    if (aName == kRoundRobin) {
+      set.selector = std::make_unique<RoundRobinSelector>();
+    } else {
+      set.selector = std::make_unique<LeastReportedLoadSelector>();
+    }
+  }
+  set.name = aName;
+  return set;
+}
+
+tl::expected<std::unique_ptr<RoleController>, PolicyError> MakeRoleController(
+  const std::string& aName,
+  const CostRoleController::Options& aOptions,
+  const std::set<std::string>& aWithout)
+{
+  if (!IsKnown(aName)) {
+    return tl::make_unexpected(UnknownName(aName));
+  }
+  if (aName == kFirefly && !aWithout.contains("roles")) {
+    return std::make_unique<CostRoleController>(aOptions);
+  }
+  return std::make_unique<StaticRoleController>();
+}
+
+} // namespace firefly::policy
--- /dev/null
+++ b/policy/request_router.cpp
@@ -0,0 +1,723 @@
+#include "policy/request_router.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+namespace firefly::policy {
+
+namespace {
+
+// Demand of about this long ago weighs a third.
+constexpr double kDemandMemorySeconds = 5.0;
+// A peer's demand counts for so long.
+constexpr Duration kPeerDemandMemory = std::chrono::seconds(5);
+// Between two notes to the selector on the same overdue attempt.
+constexpr Duration kOverdueStep = std::chrono::milliseconds(250);
+// A queued request is given up when less than this is left for its answer.
+constexpr Duration kLeastServiceTime = std::chrono::milliseconds(40);
+
+} // namespace
+
+std::string_view ToString(FailureReason aReason)
+{
+  switch (aReason) {
+    case FailureReason::kOutcomeUnknown:
+      return "outcome-unknown";
+    case FailureReason::kAttemptsExhausted:
+      return "attempts-exhausted";
+    case FailureReason::kQuarantined:
+      return "quarantined";
+  }
+  return "unknown";
+}
+
+RequestRouter::RequestRouter(Options aOptions,
+                             PolicySet aPolicies,
+                             const FleetView& aFleet,
+                             RouterSink& aSink)
+  : mOptions(std::move(aOptions))
+  , mPolicies(std::move(aPolicies))
+  , mFleet(aFleet)
+  , mSink(aSink)
+  , mEntries{ mOptions.self }
+{
+}
+
+void RequestRouter::OnArrival(RequestInfo aRequest, Instant aNow)
+{
+  const auto id = aRequest.requestId;
+  auto& request = mRequests[id];
+  request.info = std::move(aRequest);
+  const auto& info = request.info;
+  const auto verdict = mPolicies.poison->VerdictOf(info.fingerprint, aNow);
+  if (verdict == PoisonVerdict::kQuarantined) {
+    Refuse(id, RefusalReason::kQuarantined, {});
+    return;
+  }
+  if (info.NeedsEngine()) {
+    request.size = mPolicies.estimator->Estimate(info);
+    request.lane = LaneOf(info, request.size);
+  }
+  auto permit = mPolicies.limits->TryStart(info, aNow);
+  if (!permit) {
+    const auto reason = permit.error().customersOwn
+                          ? RefusalReason::kCustomerLimit
+                          : RefusalReason::kTypeLimit;
+    Refuse(id, reason, permit.error().retryAfter);
+    return;
+  }
+  request.permit = std::move(*permit);
+  if (verdict == PoisonVerdict::kSuspect) {
+    AddSuspect(id, aNow);
+    return;
+  }
+  Admit(request, aNow);
+}
+
+void RequestRouter::Admit(Request& aRequest, Instant aNow)
+{
+  const auto id = aRequest.info.requestId;
+  const auto choice =
+    mPolicies.selector->Select(aRequest.info, QueryFor(aRequest), mFleet, aNow);
+  if (!choice && choice.error().failure == SelectFailure::kNoBackend) {
+    Refuse(id, RefusalReason::kNoBackend, {});
+    return;
+  }
+  aRequest.engineSeconds =
+    EngineSeconds(aRequest, choice ? choice->cachedTokens : Tokens(0));
+  CountDemand(aRequest, aNow);
+  const auto decision = mPolicies.admission->Decide(
+    aRequest.info, Summarize(aRequest, choice), aNow);
+  if (decision.action == AdmissionAction::kRefuse) {
+    mPolicies.admission->OnShed(Density(aRequest), aNow);
+    Refuse(id, decision.reason, decision.retryAfter);
+    return;
+  }
+  mCounters.admitted++;
+  if (decision.action == AdmissionAction::kQueue) {
+    Enqueue(aRequest, aNow);
+    Pump(aNow);
+    return;
+  }
+  mPolicies.retries->OnFirstAttempt();
+  Start(aRequest, *choice, false, aNow);
+}
+
+bool RequestRouter::OnFirstToken(const RequestId& aId,
+                                 AttemptNumber aAttempt,
+                                 Instant aNow)
+{
+  const auto it = mRequests.find(aId);
+  if (it == mRequests.end()) {
+    return false;
+  }
+  auto& request = it->second;
+  const auto attempt = request.attempts.find(aAttempt);
+  if (attempt == request.attempts.end()) {
+    return false;
+  }
+  const bool taken = request.answering.Value() != 0;
+  if (taken && request.answering != aAttempt) {
+    CancelAttempt(request, aAttempt, aNow);
+    return false;
+  }
+  auto& running = attempt->second;
+  const auto wait = aNow - running.dispatched;
+  mPolicies.selector->OnFirstToken(running.info, wait, aNow);
+  mPolicies.hedger->OnFirstToken(running.info.expectedWait, wait);
+  running.lastTokens = aNow;
+  request.answering = aAttempt;
+  request.mayHaveRun = true;
+  CancelOthers(request, aAttempt, aNow);
+  Pump(aNow);
+  return true;
+}
+
+void RequestRouter::OnTokens(const RequestId& aId,
+                             AttemptNumber aAttempt,
+                             Tokens aCount,
+                             Instant aNow)
+{
+  const auto it = mRequests.find(aId);
+  if (it == mRequests.end() || it->second.answering != aAttempt) {
+    return;
+  }
+  auto& request = it->second;
+  const auto attempt = request.attempts.find(aAttempt);
+  if (attempt == request.attempts.end() || aCount.Value() == 0) {
+    return;
+  }
+  const auto gap = (aNow - attempt->second.lastTokens) / aCount.Value();
+  mPolicies.selector->OnTokens(attempt->second.info, gap, aNow);
+  mPolicies.hedger->OnTokenGap(gap);
+  attempt->second.lastTokens = aNow;
+  request.delivered = Tokens(request.delivered.Value() + aCount.Value());
+  const auto fingerprint = request.info.fingerprint;
+  mPolicies.poison->OnProgress(fingerprint, request.delivered);
+  if (mSuspectRunning == aId &&
+      mPolicies.poison->VerdictOf(fingerprint, aNow) == PoisonVerdict::kClear) {
+    ReleaseSuspect(aId, aNow);
+  }
+}
+
+void RequestRouter::OnFinish(const RequestId& aId,
+                             AttemptNumber aAttempt,
+                             Instant aNow)
+{
+  const auto it = mRequests.find(aId);
+  if (it == mRequests.end()) {
+    return;
+  }
+  auto& request = it->second;
+  const auto attempt = request.attempts.find(aAttempt);
+  if (attempt == request.attempts.end()) {
+    return;
+  }
+  mPolicies.selector->OnFinish(attempt->second.info, aNow);
+  request.attempts.erase(attempt);
+  CancelOthers(request, aAttempt, aNow);
+  if (request.info.NeedsEngine()) {
+    mPolicies.estimator->OnFinish(request.info, request.delivered);
+  }
+  mPolicies.poison->OnFinish(request.info.fingerprint);
+  Drop(aId);
+  ReleaseSuspect(aId, aNow);
+  Pump(aNow);
+}
+
+void RequestRouter::OnError(const RequestId& aId,
+                            AttemptNumber aAttempt,
+                            AttemptError aError,
+                            Instant aNow)
+{
+  const auto it = mRequests.find(aId);
+  if (it == mRequests.end() || !it->second.attempts.contains(aAttempt)) {
+    return;
+  }
+  EndAttempt(it->second, aAttempt, aError, aNow);
+  if (it->second.attempts.empty()) {
+    Retry(aId, aError, aNow);
+  }
+  ReleaseSuspect(aId, aNow);
+  Pump(aNow);
+}
+
+void RequestRouter::EndAttempt(Request& aRequest,
+                               AttemptNumber aAttempt,
+                               AttemptError aError,
+                               Instant aNow)
+{
+  const auto attempt = std::move(aRequest.attempts.at(aAttempt));
+  aRequest.attempts.erase(aAttempt);
+  aRequest.failedAt.push_back(attempt.info.slot);
+  if (aRequest.answering == aAttempt) {
+    aRequest.answering = {};
+  }
+  mPolicies.selector->OnError(attempt.info, aNow);
+  if (aError != AttemptError::kBroken) {
+    return;
+  }
+  aRequest.mayHaveRun = true;
+  mPolicies.poison->OnCrash(
+    aRequest.info.fingerprint, aRequest.delivered, attempt.dispatched, aNow);
+}
+
+void RequestRouter::Retry(const RequestId& aId,
+                          AttemptError aError,
+                          Instant aNow)
+{
+  auto& request = mRequests.at(aId);
+  const bool broken = aError == AttemptError::kBroken;
+  if (!request.info.idempotent && request.mayHaveRun) {
+    Fail(aId, FailureReason::kOutcomeUnknown);
+    return;
+  }
+  if (request.attemptsMade >= mOptions.maxAttempts) {
+    Fail(aId, FailureReason::kAttemptsExhausted);
+    return;
+  }
+  const auto verdict =
+    mPolicies.poison->VerdictOf(request.info.fingerprint, aNow);
+  if (verdict == PoisonVerdict::kQuarantined) {
+    Fail(aId, FailureReason::kQuarantined);
+    return;
+  }
+  // What a crash cut off is run again at once; other retries are rationed.
+  if (!broken && !mPolicies.retries->TrySpend()) {
+    if (request.mayHaveRun) {
+      Fail(aId, FailureReason::kAttemptsExhausted);
+    } else {
+      Refuse(aId, RefusalReason::kRetryBudget, {});
+    }
+    return;
+  }
+  mCounters.retries++;
+  if (verdict == PoisonVerdict::kSuspect) {
+    AddSuspect(aId, aNow);
+    return;
+  }
+  auto query = QueryFor(request);
+  query.ignoreRoom = true;
+  auto choice = mPolicies.selector->Select(request.info, query, mFleet, aNow);
+  if (!choice) {
+    query.excluded.clear();
+    choice = mPolicies.selector->Select(request.info, query, mFleet, aNow);
+  }
+  if (choice) {
+    Start(request, *choice, false, aNow);
+  } else if (request.mayHaveRun) {
+    Fail(aId, FailureReason::kAttemptsExhausted);
+  } else {
+    Refuse(aId, RefusalReason::kNoBackend, {});
+  }
+}
+
+void RequestRouter::OnCallerGone(const RequestId& aId, Instant aNow)
+{
+  const auto it = mRequests.find(aId);
+  if (it == mRequests.end()) {
+    return;
+  }
+  CancelOthers(it->second, AttemptNumber(0), aNow);
+  Drop(aId);
+  ReleaseSuspect(aId, aNow);
+  Pump(aNow);
+}
+
+void RequestRouter::Tick(Instant aNow)
+{
+  ExpireQueue(aNow);
+  std::vector<RequestId> running;
+  for (const auto& [id, request] : mRequests) {
+    if (!request.attempts.empty()) {
+      running.push_back(id);
+    }
+  }
+  // An order that doesn't hang on the hash table's.
+  std::sort(running.begin(), running.end());
+  for (const auto& id : running) {
+    const auto it = mRequests.find(id);
+    if (it != mRequests.end()) {
+      Watch(it->second, aNow);
+    }
+  }
+  PumpSuspects(aNow);
+  Pump(aNow);
+}
+
+void RequestRouter::Configure(const std::vector<LimitRow>& aRows)
+{
+  mPolicies.limits->Configure(aRows);
+}
+
+void RequestRouter::SetEntries(const std::vector<HostId>& aEntries)
+{
+  mEntries = aEntries;
+  std::sort(mEntries.begin(), mEntries.end());
+  mPolicies.limits->SetEntries(aEntries);
+}
+
+void RequestRouter::OnReport(const LoadReport& aReport, Instant aNow)
+{
+  mPolicies.selector->OnReport(aReport, mFleet, aNow);
+}
+
+void RequestRouter::OnPeerDigest(const Digest& aDigest, Instant aNow)
+{
+  auto& peer = mPeers[aDigest.host];
+  const bool older = aDigest.incarnation < peer.incarnation ||
+                     (aDigest.incarnation == peer.incarnation &&
+                      aDigest.sequence <= peer.sequence && peer.sequence > 0);
+  if (older || aDigest.host == mOptions.self) {
+    return;
+  }
+  peer.incarnation = aDigest.incarnation;
+  peer.sequence = aDigest.sequence;
+  peer.heard = aNow;
+  peer.demand = {};
+  for (const auto& it : aDigest.models) {
+    peer.demand.promptTokensPerSecond += it.promptTokensPerSecond;
+    peer.demand.outputTokensPerSecond += it.outputTokensPerSecond;
+  }
+  mPolicies.limits->OnPeerDigest(aDigest, aNow);
+  mPolicies.selector->OnPeerDigest(aDigest, mFleet, aNow);
+  mPolicies.poison->OnPeer(aDigest.quarantined, aDigest.suspects, aNow);
+}
+
+Digest RequestRouter::MakeDigest(Instant aNow)
+{
+  FadeDemand(aNow);
+  Digest digest;
+  digest.host = mOptions.self;
+  digest.incarnation = mOptions.incarnation;
+  digest.sequence = ++mSequence;
+  mPolicies.selector->FillDigest(digest, mFleet, aNow);
+  mPolicies.limits->FillDigest(digest, aNow);
+  for (const auto& [model, sum] : mDemand) {
+    digest.models.push_back(
+      { .model = model,
+        .promptTokensPerSecond =
+          static_cast<std::uint32_t>(sum.promptTokens / kDemandMemorySeconds),
+        .outputTokensPerSecond = static_cast<std::uint32_t>(
+          sum.outputTokens / kDemandMemorySeconds) });
+  }
+  digest.quarantined = mPolicies.poison->Quarantined(aNow);
+  digest.suspects = mPolicies.poison->Suspects(aNow);
+  return digest;
+}
+
+FleetDemand RequestRouter::Demand(Instant aNow) const
+{
+  FleetDemand demand;
+  const double fade =
+    std::exp(-ToSeconds(aNow - mDemandAt) / kDemandMemorySeconds) /
+    kDemandMemorySeconds;
+  for (const auto& [model, sum] : mDemand) {
+    demand.promptTokensPerSecond += sum.promptTokens * fade;
+    demand.outputTokensPerSecond += sum.outputTokens * fade;
+  }
+  for (const auto& [host, peer] : mPeers) {
+    if (aNow - peer.heard <= kPeerDemandMemory) {
+      demand.promptTokensPerSecond += peer.demand.promptTokensPerSecond;
+      demand.outputTokensPerSecond += peer.demand.outputTokensPerSecond;
+    }
+  }
+  return demand;
+}
+
+LoadSummary RequestRouter::Summarize(
+  const Request& aRequest,
+  const tl::expected<Choice, SelectError>& aChoice) const
+{
+  return { .expectedWait =
+             aChoice ? aChoice->expectedWait : aChoice.error().expectedWait,
+           .hasRoom = aChoice.has_value(),
+           .queued = mPolicies.queue->Size(),
+           .queueBound = mPolicies.queue->Bound(),
+           .engineSeconds = aRequest.engineSeconds };
+}
+
+SelectQuery RequestRouter::QueryFor(const Request& aRequest) const
+{
+  return { .size = aRequest.size,
+           .lane = aRequest.lane,
+           .excluded = aRequest.failedAt,
+           .ignoreRoom = false };
+}
+
+double RequestRouter::EngineSeconds(const Request& aRequest,
+                                    Tokens aCached) const
+{
+  const auto& info = aRequest.info;
+  for (const auto& backend : mFleet.All()) {
+    if (!backend.Serves(info)) {
+      continue;
+    }
+    const auto& capacity = backend.capacity;
+    if (!info.NeedsEngine()) {
+      return 1.0 / std::max<std::uint32_t>(1, capacity.slots);
+    }
+    const auto prompt = info.promptTokens.Value();
+    const auto cached = std::min(prompt, aCached.Value());
+    return (prompt - cached) / capacity.prefillTokensPerSecond +
+           aRequest.size.usual.Value() / capacity.decodeTokensPerSecond;
+  }
+  return 1;
+}
+
+double RequestRouter::Density(const Request& aRequest) const
+{
+  constexpr double kLeastSeconds = 1e-6;
+  return aRequest.info.worth.Value() * aRequest.info.weight /
+         std::max(kLeastSeconds, aRequest.engineSeconds);
+}
+
+void RequestRouter::Enqueue(Request& aRequest, Instant aNow)
+{
+  mCounters.queued++;
+  const auto evicted = mPolicies.queue->Push(
+    { .requestId = aRequest.info.requestId,
+      .lane = aRequest.lane,
+      .worthPerSecond = Density(aRequest),
+      .firstTokenDeadline = aRequest.info.FirstTokenDeadline() });
+  if (evicted) {
+    mPolicies.admission->OnShed(evicted->worthPerSecond, aNow);
+    Refuse(evicted->requestId, RefusalReason::kOverload, {});
+  }
+}
+
+void RequestRouter::Start(Request& aRequest,
+                          const Choice& aChoice,
+                          bool aIsHedge,
+                          Instant aNow)
+{
+  const AttemptNumber number(++aRequest.attemptsMade);
+  auto& attempt = aRequest.attempts[number];
+  attempt.info =
+    mPolicies.selector->OnDispatch(aRequest.info, aChoice, aRequest.lane, aNow);
+  attempt.dispatched = aNow;
+  attempt.lastTokens = aNow;
+  attempt.isHedge = aIsHedge;
+  if (number.Value() == 1) {
+    aRequest.dispatchedFirst = aNow;
+  }
+  mSink.Dispatch({ .requestId = aRequest.info.requestId,
+                   .attempt = number,
+                   .backend = aChoice.backend,
+                   .priority = EnginePriority(aRequest.lane),
+                   .resumeFrom = aRequest.delivered,
+                   .isHedge = aIsHedge });
+}
+
+void RequestRouter::AddSuspect(const RequestId& aId, Instant aNow)
+{
+  if (mSuspects.empty()) {
+    mSuspectsSince = aNow;
+  }
+  mSuspects.push_back(aId);
+  PumpSuspects(aNow);
+}
+
+void RequestRouter::ReleaseSuspect(const RequestId& aId, Instant aNow)
+{
+  if (mSuspectRunning == aId) {
+    mSuspectRunning = {};
+    PumpSuspects(aNow);
+  }
+}
+
+std::vector<BackendSlot> RequestRouter::SuspectPlaces(
+  const Request& aRequest) const
+{
+  std::vector<BackendSlot> places;
+  const auto& failed = aRequest.failedAt;
+  const auto& all = mFleet.All();
+  for (std::uint32_t i = 0; i < all.size(); ++i) {
+    const BackendSlot slot(i);
+    if (all[i].state == BackendState::kOpen && all[i].Serves(aRequest.info) &&
+        std::find(failed.begin(), failed.end(), slot) == failed.end()) {
+      places.push_back(slot);
+    }
+  }
+  // The same order in all entries, whatever their slots.
+  std::sort(places.begin(), places.end(), [this](auto aLeft, auto aRight) {
+    return mFleet.HashAt(aLeft) < mFleet.HashAt(aRight);
+  });
+  return places;
+}
+
+void RequestRouter::PumpSuspects(Instant aNow)
+{
+  if (mSuspects.empty() || !mSuspectRunning.Value().empty()) {
+    return;
+  }
+  const auto id = mSuspects.front();
+  const auto it = mRequests.find(id);
+  if (it == mRequests.end()) {
+    mSuspects.erase(mSuspects.begin());
+    PumpSuspects(aNow);
+    return;
+  }
+  auto& request = it->second;
+  const auto places = SuspectPlaces(request);
+  if (places.empty()) {
+    mSuspects.erase(mSuspects.begin());
+    Fail(id, FailureReason::kAttemptsExhausted);
+    PumpSuspects(aNow);
+    return;
+  }
+  // Each entry tries its suspects on a backend server of its own; where there
+  // are fewer of them than entries, one after the other.
+  const auto self = std::find(mEntries.begin(), mEntries.end(), mOptions.self);
+  const auto rank = static_cast<std::size_t>(self - mEntries.begin());
+  const auto turn = static_cast<std::int64_t>(rank / places.size());
+  if (aNow < mSuspectsSince + turn * mOptions.suspectTurn) {
+    return;
+  }
+  mSuspects.erase(mSuspects.begin());
+  mSuspectRunning = id;
+  const auto slot = places[rank % places.size()];
+  Start(request,
+        { .slot = slot,
+          .backend = mFleet.At(slot).id,
+          .expectedWait = {},
+          .expectedGap = {},
+          .cachedTokens = {} },
+        false,
+        aNow);
+}
+
+void RequestRouter::Hedge(Request& aRequest, Instant aNow)
+{
+  auto query = QueryFor(aRequest);
+  for (const auto& [number, attempt] : aRequest.attempts) {
+    query.excluded.push_back(attempt.info.slot);
+  }
+  const auto choice =
+    mPolicies.selector->Select(aRequest.info, query, mFleet, aNow);
+  if (!choice || !mPolicies.retries->TrySpend()) {
+    return;
+  }
+  aRequest.hedged = true;
+  mCounters.hedges++;
+  Start(aRequest, *choice, true, aNow);
+}
+
+void RequestRouter::Resume(Request& aRequest,
+                           AttemptNumber aAttempt,
+                           Instant aNow)
+{
+  auto query = QueryFor(aRequest);
+  query.excluded.push_back(aRequest.attempts.at(aAttempt).info.slot);
+  const auto choice =
+    mPolicies.selector->Select(aRequest.info, query, mFleet, aNow);
+  if (!choice || !mPolicies.retries->TrySpend()) {
+    return;
+  }
+  aRequest.answering = {};
+  CancelAttempt(aRequest, aAttempt, aNow);
+  mCounters.resumes++;
+  Start(aRequest, *choice, false, aNow);
+}
+
+void RequestRouter::Watch(Request& aRequest, Instant aNow)
+{
+  if (mSuspectRunning == aRequest.info.requestId) {
+    return;
+  }
+  const auto [number, attempt] = *aRequest.attempts.begin();
+  const bool answering = aRequest.answering.Value() != 0;
+  const bool may = aRequest.info.idempotent && aRequest.info.NeedsEngine() &&
+                   aRequest.attemptsMade < mOptions.maxAttempts;
+  const auto& hedger = *mPolicies.hedger;
+  if (!answering) {
+    const auto waited = aNow - attempt.dispatched;
+    if (waited < hedger.HedgeAfter(attempt.info.expectedWait)) {
+      return;
+    }
+    if (aNow >= attempt.overdueAt) {
+      aRequest.attempts.begin()->second.overdueAt = aNow + kOverdueStep;
+      mPolicies.selector->OnOverdue(attempt.info, waited, aNow);
+    }
+    if (may && !aRequest.hedged && aRequest.attempts.size() == 1) {
+      Hedge(aRequest, aNow);
+    }
+    return;
+  }
+  const auto stalled =
+    aNow - aRequest.attempts.at(aRequest.answering).lastTokens;
+  if (may && stalled > hedger.ResumeAfter()) {
+    Resume(aRequest, aRequest.answering, aNow);
+  }
+}
+
+void RequestRouter::CancelAttempt(Request& aRequest,
+                                  AttemptNumber aAttempt,
+                                  Instant aNow)
+{
+  const auto it = aRequest.attempts.find(aAttempt);
+  if (it == aRequest.attempts.end()) {
+    return;
+  }
+  mPolicies.selector->OnFinish(it->second.info, aNow);
+  aRequest.attempts.erase(it);
+  mSink.Cancel(aRequest.info.requestId, aAttempt);
+}
+
+void RequestRouter::CancelOthers(Request& aRequest,
+                                 AttemptNumber aKept,
+                                 Instant aNow)
+{
+  std::vector<AttemptNumber> others;
+  for (const auto& [number, attempt] : aRequest.attempts) {
+    if (number != aKept) {
+      others.push_back(number);
+    }
+  }
+  for (const auto number : others) {
+    CancelAttempt(aRequest, number, aNow);
+  }
+}
+
+void RequestRouter::Pump(Instant aNow)
+{
+  std::optional<Choice> chosen;
+  const auto canRun = [&](const QueuedRequest& aQueued) {
+    const auto& request = mRequests.at(aQueued.requestId);
+    const auto choice =
+      mPolicies.selector->Select(request.info, QueryFor(request), mFleet, aNow);
+    if (choice) {
+      chosen = *choice;
+    }
+    return choice.has_value();
+  };
+  while (const auto next = mPolicies.queue->Pop(canRun)) {
+    mPolicies.retries->OnFirstAttempt();
+    Start(mRequests.at(next->requestId), *chosen, false, aNow);
+  }
+}
+
+void RequestRouter::ExpireQueue(Instant aNow)
+{
+  for (const auto& late : mPolicies.queue->Expire(aNow + kLeastServiceTime)) {
+    mPolicies.admission->OnShed(late.worthPerSecond, aNow);
+    Refuse(late.requestId, RefusalReason::kDeadline, {});
+  }
+}
+
+void RequestRouter::Refuse(const RequestId& aId,
+                           RefusalReason aReason,
+                           Duration aRetryAfter)
+{
+  constexpr Duration kShortest = std::chrono::seconds(1);
+  mCounters.refused++;
+  const auto id = aId;
+  Drop(id);
+  mSink.Refuse(
+    id, { .reason = aReason, .retryAfter = std::max(aRetryAfter, kShortest) });
+}
+
+void RequestRouter::Fail(const RequestId& aId, FailureReason aReason)
+{
+  mCounters.failed++;
+  const auto id = aId;
+  Drop(id);
+  mSink.Fail(id, aReason);
+}
+
+void RequestRouter::Drop(const RequestId& aId)
+{
+  const auto it = mRequests.find(aId);
+  if (it == mRequests.end()) {
+    return;
+  }
+  mPolicies.queue->Remove(aId);
+  mPolicies.limits->Finish(it->second.permit);
+  mRequests.erase(it);
+}
+
+void RequestRouter::CountDemand(const Request& aRequest, Instant aNow)
+{
+  if (!aRequest.info.NeedsEngine()) {
+    return;
+  }
+  FadeDemand(aNow);
+  auto& sum = mDemand[StableHash(aRequest.info.model.Value())];
+  sum.promptTokens += aRequest.info.promptTokens.Value();
+  sum.outputTokens += aRequest.size.usual.Value();
+}
+
+void RequestRouter::FadeDemand(Instant aNow)
+{
+  const double fade =
+    std::exp(-ToSeconds(aNow - mDemandAt) / kDemandMemorySeconds);
+  for (auto& [model, sum] : mDemand) {
+    sum.promptTokens *= fade;
+    sum.outputTokens *= fade;
+  }
+  mDemandAt = aNow;
+}
+
+} // namespace firefly::policy
--- /dev/null
+++ b/policy/role_controller.cpp
@@ -0,0 +1,215 @@
+#include "policy/role_controller.h"
+
+#include <algorithm>
+#include <array>
+
+namespace firefly::policy {
+
+namespace {
+
+// The weight of a newly seen time away.
+constexpr double kAwayWeight = 0.3;
+constexpr std::array kRoles{ EngineRole::kMixed,
+                             EngineRole::kPrefill,
+                             EngineRole::kDecode };
+
+} // namespace
+
+double& CostRoleController::RoleCounts::Of(EngineRole aRole)
+{
+  switch (aRole) {
+    case EngineRole::kPrefill:
+      return prefill;
+    case EngineRole::kDecode:
+      return decode;
+    case EngineRole::kMixed:
+      break;
+  }
+  return mixed;
+}
+
+CostRoleController::CostRoleController(Options aOptions)
+  : mOptions(aOptions)
+  , mAwaySeconds(ToSeconds(aOptions.away))
+{
+}
+
+std::vector<RoleChange> CostRoleController::Decide(const FleetView& aFleet,
+                                                   const FleetDemand& aDemand,
+                                                   Instant aNow)
+{
+  RoleCounts counts;
+  for (const auto& backend : aFleet.All()) {
+    if (backend.kind == BackendKind::kEngine &&
+        backend.state == BackendState::kOpen) {
+      counts.Of(backend.role)++;
+    }
+  }
+  const FleetDemand demand{
+    aDemand.promptTokensPerSecond * mOptions.headroom,
+    aDemand.outputTokensPerSecond * mOptions.headroom,
+  };
+  const double before = Served(counts, demand);
+  RoleChange best;
+  double bestNet = 0;
+  double bestPayback = 0;
+  for (const auto from : kRoles) {
+    for (const auto to : kRoles) {
+      if (from == to || counts.Of(from) < 1) {
+        continue;
+      }
+      auto during = counts;
+      during.Of(from)--;
+      auto after = during;
+      after.Of(to)++;
+      const double gain = Served(after, demand) - before;
+      const double lost =
+        std::max(0.0, before - Served(during, demand)) * mAwaySeconds;
+      const double span = ToSeconds(mOptions.horizon) - mAwaySeconds;
+      const double net = gain * span - lost * mOptions.margin;
+      if (gain < mOptions.deadband || net <= bestNet) {
+        continue;
+      }
+      const auto it = std::find_if(
+        aFleet.All().begin(), aFleet.All().end(), [&](const auto& aBackend) {
+          return aBackend.role == from && MayChange(aBackend, to, aFleet, aNow);
+        });
+      if (it == aFleet.All().end()) {
+        continue;
+      }
+      best = { it->id, to };
+      bestNet = net;
+      bestPayback = mAwaySeconds + lost / gain;
+    }
+  }
+  if (bestNet <= 0) {
+    mWanted = {};
+    return {};
+  }
+  if (mWanted.role != best.role || mWanted.backend.Value().empty()) {
+    mWantedSince = aNow;
+  }
+  mWanted = best;
+  if (aNow - mWantedSince < mOptions.hold) {
+    return {};
+  }
+  mLastPayback = std::max(mOptions.leastPayback, FromSeconds(bestPayback));
+  return { best };
+}
+
+void CostRoleController::OnStarted(const RoleChange& aChange, Instant aNow)
+{
+  const auto until = aNow + mLastPayback;
+  mStarted[aChange.backend] = { aNow, until };
+  mKeepUntil[aChange.role] = until;
+  mRunning[aChange.backend] = aNow;
+}
+
+void CostRoleController::OnFinished(const BackendId& aBackend, Instant aNow)
+{
+  const auto it = mRunning.find(aBackend);
+  if (it == mRunning.end()) {
+    return;
+  }
+  const double away = ToSeconds(aNow - it->second);
+  mAwaySeconds += kAwayWeight * (away - mAwaySeconds);
+  mRunning.erase(it);
+}
+
+double CostRoleController::Served(const RoleCounts& aCounts,
+                                  const FleetDemand& aDemand) const
+{
+  if (aDemand.promptTokensPerSecond <= 0 &&
+      aDemand.outputTokensPerSecond <= 0) {
+    return 1;
+  }
+  struct Group
+  {
+    double engines;
+    double prefill;
+    double decode;
+  };
+  const auto group = [](double aEngines, const BackendCapacity& aCapacity) {
+    return Group{ aEngines,
+                  aCapacity.prefillTokensPerSecond,
+                  aCapacity.decodeTokensPerSecond };
+  };
+  std::array groups{ group(aCounts.mixed, mOptions.capacities.mixed),
+                     group(aCounts.prefill, mOptions.capacities.prefill),
+                     group(aCounts.decode, mOptions.capacities.decode) };
+  // Prefill goes to those who are best at it, relative to their decoding.
+  std::sort(groups.begin(), groups.end(), [](const auto& aL, const auto& aR) {
+    return aL.prefill * aR.decode > aR.prefill * aL.decode;
+  });
+  const auto fits = [&](double aPart) {
+    double prompt = aPart * aDemand.promptTokensPerSecond;
+    double output = aPart * aDemand.outputTokensPerSecond;
+    for (const auto& it : groups) {
+      const double engines = std::min(it.engines, prompt / it.prefill);
+      prompt -= engines * it.prefill;
+      output -= (it.engines - engines) * it.decode;
+    }
+    return prompt <= 1e-6 && output <= 1e-6;
+  };
+  if (fits(1)) {
+    return 1;
+  }
+  constexpr int kSteps = 20;
+  double low = 0;
+  double high = 1;
+  for (int i = 0; i < kSteps; ++i) {
+    const double middle = (low + high) / 2;
+    (fits(middle) ? low : high) = middle;
+  }
+  return low;
+}
+
+bool CostRoleController::MayChange(const Backend& aBackend,
+                                   EngineRole /*aTo*/,
+                                   const FleetView& aFleet,
+                                   Instant aNow) const
+{
+  if (aBackend.kind != BackendKind::kEngine ||
+      aBackend.state != BackendState::kOpen) {
+    return false;
+  }
+  const auto started = mStarted.find(aBackend.id);
+  if (started != mStarted.end() && aNow < started->second.notBefore) {
+    return false;
+  }
+  const auto keep = mKeepUntil.find(aBackend.role);
+  if (keep != mKeepUntil.end() && aNow < keep->second) {
+    return false;
+  }
+  return !DomainBusy(aBackend.domain, aFleet);
+}
+
+bool CostRoleController::DomainBusy(const DomainId& aDomain,
+                                    const FleetView& aFleet) const
+{
+  return std::any_of(
+    mRunning.begin(), mRunning.end(), [&](const auto& aRunning) {
+      const auto* const backend = aFleet.Find(aRunning.first);
+      return backend && backend->domain == aDomain;
+    });
+}
+
+std::vector<RoleChange> StaticRoleController::Decide(
+  const FleetView& /*aFleet*/,
+  const FleetDemand& /*aDemand*/,
+  Instant /*aNow*/)
+{
+  return {};
+}
+
+void StaticRoleController::OnStarted(const RoleChange& /*aChange*/,
+                                     Instant /*aNow*/)
+{
+}
+
+void StaticRoleController::OnFinished(const BackendId& /*aBackend*/,
+                                      Instant /*aNow*/)
+{
+}
+
+} // namespace firefly::policy
--- /dev/null
+++ b/policy/size_estimator.cpp
@@ -0,0 +1,114 @@
+#include "policy/size_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace firefly::policy {
+
+namespace {
+
+// Buckets for each doubling of the size.
+constexpr double kBucketsPerDoubling = 4.0;
+constexpr std::size_t kBuckets = 80;
+
+// Above this usual output a request is a straggler.
+constexpr std::uint32_t kStragglerTokens = 800;
+// Up to this much expected output and prompt a request is short.
+constexpr std::uint32_t kShortOutputTokens = 160;
+constexpr std::uint32_t kShortPromptTokens = 1500;
+
+std::size_t BucketOf(std::uint32_t aTokens)
+{
+  const double place =
+    std::log2(static_cast<double>(aTokens) + 1) * kBucketsPerDoubling;
+  return std::min(kBuckets - 1, static_cast<std::size_t>(place));
+}
+
+std::uint32_t UpperEdge(std::size_t aBucket)
+{
+  const double edge =
+    std::exp2(static_cast<double>(aBucket + 1) / kBucketsPerDoubling) - 1;
+  return static_cast<std::uint32_t>(std::ceil(edge));
+}
+
+std::uint32_t QuantileOf(const std::vector<std::uint32_t>& aCounts,
+                         std::uint32_t aTotal,
+                         double aQuantile)
+{
+  const double wanted = aQuantile * aTotal;
+  double seen = 0;
+  for (std::size_t i = 0; i < aCounts.size(); ++i) {
+    seen += aCounts[i];
+    if (seen >= wanted) {
+      return UpperEdge(i);
+    }
+  }
+  return UpperEdge(aCounts.size() - 1);
+}
+
+Tokens Bounded(std::uint32_t aTokens, Tokens aLimit)
+{
+  if (aLimit.Value() == 0) {
+    return Tokens(aTokens);
+  }
+  return Tokens(std::min(aTokens, aLimit.Value()));
+}
+
+} // namespace
+
+QuantileSizeEstimator::QuantileSizeEstimator(Options aOptions)
+  : mOptions(aOptions)
+{
+}
+
+SizeEstimate QuantileSizeEstimator::Estimate(const RequestInfo& aRequest) const
+{
+  const auto it = mTypes.find(KeyOf(aRequest));
+  const auto limit = aRequest.maxOutputTokens;
+  if (it == mTypes.end() || it->second.total < mOptions.minSamples) {
+    return { .usual = Bounded(mOptions.defaultUsual.Value(), limit),
+             .high = Bounded(mOptions.defaultHigh.Value(), limit),
+             .samples = 0 };
+  }
+  constexpr double kMedian = 0.5;
+  constexpr double kHigh = 0.95;
+  const auto& [counts, total] = it->second;
+  return { .usual = Bounded(QuantileOf(counts, total, kMedian), limit),
+           .high = Bounded(QuantileOf(counts, total, kHigh), limit),
+           .samples = total };
+}
+
+void QuantileSizeEstimator::OnFinish(const RequestInfo& aRequest,
+                                     Tokens aOutput)
+{
+  auto& histogram = mTypes[KeyOf(aRequest)];
+  histogram.counts.resize(kBuckets);
+  histogram.counts[BucketOf(aOutput.Value())]++;
+  if (++histogram.total < mOptions.fadeAt) {
+    return;
+  }
+  histogram.total = 0;
+  for (auto& count : histogram.counts) {
+    count /= 2;
+    histogram.total += count;
+  }
+}
+
+std::string QuantileSizeEstimator::KeyOf(const RequestInfo& aRequest)
+{
+  return aRequest.service.Value() + '\n' + aRequest.requestType.Value();
+}
+
+Lane LaneOf(const RequestInfo& aRequest, const SizeEstimate& aEstimate)
+{
+  if (aEstimate.usual.Value() >= kStragglerTokens) {
+    return Lane::kStraggler;
+  }
+  if (aEstimate.usual.Value() <= kShortOutputTokens &&
+      aRequest.promptTokens.Value() <= kShortPromptTokens) {
+    return Lane::kShort;
+  }
+  return Lane::kNormal;
+}
+
+} // namespace firefly::policy
