--- a/policy/digest.cpp
+++ b/policy/digest.cpp
@@ -44,24 +44,24 @@
            aDigest.quarantined,  aDigest.suspects };
 }
 
-Digest FromTuple(DigestTuple aTuple)
+Digest FromTuple(const DigestTuple& aTuple)
 {
-  auto& [host,
-         incarnation,
-         sequence,
-         work,
-         rows,
-         models,
-         quarantined,
-         suspects] = aTuple;
-  Digest digest{ .host = HostId(std::move(host)),
+  const auto& [host,
+               incarnation,
+               sequence,
+               work,
+               rows,
+               models,
+               quarantined,
+               suspects] = aTuple;
+  Digest digest{ .host = HostId(host),
                  .incarnation = Incarnation(incarnation),
                  .sequence = sequence,
                  .work = {},
                  .rows = {},
                  .models = {},
-                 .quarantined = std::move(quarantined),
-                 .suspects = std::move(suspects) };
+                 .quarantined = quarantined,
+                 .suspects = suspects };
   for (const auto& [backend, requests, prefill, speed] : work) {
     digest.work.push_back({ backend, requests, prefill, speed });
   }
--- a/policy/limits.cpp
+++ b/policy/limits.cpp
@@ -296,9 +296,11 @@
   std::sort(rests.begin(), rests.end(), [](const auto& aL, const auto& aR) {
     return aL.first != aR.first ? aL.first < aR.first : *aL.second < *aR.second;
   });
-  const auto left = static_cast<std::size_t>(std::max(0.0, aLimit - whole));
+  const auto left =
+    std::min(static_cast<std::ptrdiff_t>(std::max(0.0, aLimit - whole)),
+             std::ssize(rests));
   const double own = std::floor(aParts.front().share * aLimit + kRounding);
-  const auto end = rests.begin() + std::min(left, rests.size());
+  const auto end = rests.begin() + left;
   const bool extra = std::any_of(rests.begin(), end, [this](const auto& aRest) {
     return *aRest.second == mOptions.self.Value();
   });
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -209,7 +209,7 @@
                                AttemptError aError,
                                Instant aNow)
 {
-  const auto attempt = std::move(aRequest.attempts.at(aAttempt));
+  const auto attempt = aRequest.attempts.at(aAttempt);
   aRequest.attempts.erase(aAttempt);
   aRequest.failedAt.push_back(attempt.info.slot);
   if (aRequest.answering == aAttempt) {
@@ -673,18 +673,16 @@
 {
   constexpr Duration kShortest = std::chrono::seconds(1);
   mCounters.refused++;
-  const auto id = aId;
-  Drop(id);
   mSink.Refuse(
-    id, { .reason = aReason, .retryAfter = std::max(aRetryAfter, kShortest) });
+    aId, { .reason = aReason, .retryAfter = std::max(aRetryAfter, kShortest) });
+  Drop(aId);
 }
 
 void RequestRouter::Fail(const RequestId& aId, FailureReason aReason)
 {
   mCounters.failed++;
-  const auto id = aId;
-  Drop(id);
-  mSink.Fail(id, aReason);
+  mSink.Fail(aId, aReason);
+  Drop(aId);
 }
 
 void RequestRouter::Drop(const RequestId& aId)
