--- /dev/null
+++ b/servers/platform/weight_store_client.h
@@ -0,0 +1,41 @@
+#pragma once
+
+// The platform's weight store. Its rate is limited: before an engine is
+// ordered to load a model, a load is reserved here.
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <tl/expected.hpp>
+
+#include "core/ids.h"
+#include "servers/http/http_client.h"
+#include "servers/platform/host_list_client.h"
+
+namespace firefly {
+
+class WeightStoreClient
+{
+public:
+  using Callback = std::function<void(tl::expected<void, PlatformError>)>;
+
+  struct Options
+  {
+    std::string url;
+    Duration requestTimeout = std::chrono::seconds(5);
+  };
+
+  // The client must outlive this one.
+  WeightStoreClient(HttpClient& aClient, Options aOptions);
+
+  // Reserves one load of the model; kLimited tells when to ask again.
+  void Reserve(const ModelId& aModel, Callback aCallback);
+
+private:
+  HttpClient& mClient;
+  Options mOptions;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+} // namespace firefly
--- /dev/null
+++ b/tests/process/platform_process_test.cpp
@@ -0,0 +1,32 @@
+#include <csignal>
+
+#include "tests/process/process_harness.h"
+
+#include <CppUTest/TestHarness.h>
+
+using firefly::testing::BlockingHttp;
+using firefly::testing::ChildProcess;
+using firefly::testing::FreePort;
+using firefly::testing::LoopbackUrl;
+using firefly::testing::WaitFor;
+
+TEST_GROUP(PlatformProcessTest){};
+
+TEST(PlatformProcessTest, StandInKeepsItsLogWhileFrozenAndEndsWhenKilled)
+{
+  const std::uint16_t port = FreePort();
+  ChildProcess platform(
+    { .program = "tests/stand_ins/platform/firefly-standin-platform",
+      .arguments = { "--port=" + std::to_string(port) } });
+  BlockingHttp http;
+  const std::string url = LoopbackUrl(port);
+  CHECK_TRUE(WaitFor([&] { return http.Succeeds(url + "/control"); }));
+  LONGS_EQUAL(200, http.Ask("POST", url + "/log/s", R"(["YQ=="])").status);
+  platform.Freeze();
+  platform.Resume();
+  const auto records = http.Ask("GET", url + "/log/s?from=0");
+  STRCMP_CONTAINS(R"("payload":"YQ==")", records.body.c_str());
+  platform.Kill();
+  CHECK_TRUE(platform.EndedBySignal(SIGKILL));
+  LONGS_EQUAL(0, http.Ask("GET", url + "/control").status);
+}
--- /dev/null
+++ b/tests/stand_ins/platform/platform_log.h
@@ -0,0 +1,65 @@
+#pragma once
+
+// The log of the platform's stand-in: streams in memory, with retention.
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+
+namespace firefly::stand_ins {
+
+struct StoredRecord
+{
+  std::uint64_t offset = 0;
+  std::string payload;
+  Instant at{};
+};
+
+struct StoredBatch
+{
+  std::vector<StoredRecord> records;
+  std::uint64_t first = 0;
+  std::uint64_t end = 0;
+};
+
+// How long records are kept; zero keeps them for ever.
+struct Retention
+{
+  std::size_t maxRecords = 0; // of each stream
+  Duration maxAge = Duration::zero();
+};
+
+class PlatformLog
+{
+public:
+  // Appends the payloads; the result is the first one's offset.
+  std::uint64_t Append(const std::string& aStream,
+                       const std::vector<std::string>& aPayloads,
+                       Instant aNow);
+
+  // The records from the offset on, at most aLimit of them.
+  StoredBatch Read(const std::string& aStream,
+                   std::uint64_t aFrom,
+                   std::size_t aLimit,
+                   Instant aNow);
+
+  void SetRetention(Retention aRetention) { mRetention = aRetention; }
+
+private:
+  struct Stream
+  {
+    std::deque<StoredRecord> records;
+    std::uint64_t end = 0;
+  };
+
+  void Trim(Stream& aStream, Instant aNow) const;
+
+  Retention mRetention;
+  std::map<std::string, Stream> mStreams;
+};
+
+} // namespace firefly::stand_ins
