--- a/servers/platform/host_list_client.cpp
+++ b/servers/platform/host_list_client.cpp
@@ -57,7 +57,7 @@
 void HostListClient::Fetch(Callback aCallback)
 {
   HttpCall call;
-  call.url = mOptions.url + "/hosts";
+  call.url = mOptions.url;
   call.totalTimeout = mOptions.requestTimeout;
   mClient.Fetch(
     std::move(call),
--- a/servers/platform/host_list_client.h
+++ b/servers/platform/host_list_client.h
@@ -47,7 +47,7 @@
 
   struct Options
   {
-    std::string url;
+    std::string url; // such as "http://10.0.0.1:9000/hosts"
     Duration requestTimeout = std::chrono::seconds(5);
   };
 
--- a/servers/platform/http_log_client.cpp
+++ b/servers/platform/http_log_client.cpp
@@ -100,7 +100,7 @@
 HttpCall HttpLogClient::MakeCall(const coord::StreamName& aStream) const
 {
   HttpCall call;
-  call.url = mOptions.url + "/log/" + mOptions.streamPrefix + aStream.Value();
+  call.url = mOptions.url + "/" + mOptions.streamPrefix + aStream.Value();
   call.connectTimeout = mOptions.connectTimeout;
   call.totalTimeout = mOptions.requestTimeout;
   return call;
--- a/servers/platform/weight_store_client.cpp
+++ b/servers/platform/weight_store_client.cpp
@@ -49,7 +49,7 @@
 void WeightStoreClient::Reserve(const ModelId& aModel, Callback aCallback)
 {
   HttpCall call;
-  call.url = mOptions.url + "/weights/" + aModel.Value();
+  call.url = mOptions.url + "/" + aModel.Value();
   call.totalTimeout = mOptions.requestTimeout;
   mClient.Fetch(
     std::move(call),
--- a/servers/platform/weight_store_client.h
+++ b/servers/platform/weight_store_client.h
@@ -22,7 +22,7 @@
 
   struct Options
   {
-    std::string url;
+    std::string url; // such as "http://10.0.0.1:9000/weights"
     Duration requestTimeout = std::chrono::seconds(5);
   };
 
--- a/tests/servers/platform/platform_test.cpp
+++ b/tests/servers/platform/platform_test.cpp
@@ -107,7 +107,8 @@
 
 TEST(PlatformTest, RecordsComeBackInOrder)
 {
-  firefly::HttpLogClient log(http, { .url = url, .streamPrefix = "p-" });
+  firefly::HttpLogClient log(http,
+                             { .url = url + "/log", .streamPrefix = "p-" });
   const std::string binary("\0\xff\n\"", 4);
   CHECK(LogOffset(0) == *Append(log, binary));
   CHECK(LogOffset(1) == *Append(log, "b"));
@@ -120,7 +121,7 @@
 
 TEST(PlatformTest, LostAnswerIsUnknownAndTheRecordStands)
 {
-  firefly::HttpLogClient log(http, { .url = url });
+  firefly::HttpLogClient log(http, { .url = url + "/log" });
   Ask("POST", "/control", R"({"lose_next": 1})");
   const Appended lost = Append(log, "a");
   CHECK_FALSE(lost.has_value());
@@ -130,7 +131,7 @@
 
 TEST(PlatformTest, OutageHasNoEffect)
 {
-  firefly::HttpLogClient log(http, { .url = url });
+  firefly::HttpLogClient log(http, { .url = url + "/log" });
   Ask("POST", "/control", R"({"outage": true})");
   const Appended refused = Append(log, "a");
   CHECK_FALSE(refused.has_value());
@@ -142,7 +143,7 @@
 
 TEST(PlatformTest, UnreachableLogHasNoEffect)
 {
-  firefly::HttpLogClient log(http, { .url = url });
+  firefly::HttpLogClient log(http, { .url = url + "/log" });
   server.Stop();
   const Appended refused = Append(log, "a");
   CHECK(LogErrorKind::kUnavailable == refused.error().kind);
@@ -150,7 +151,7 @@
 
 TEST(PlatformTest, RecordsOlderThanRetentionAreTrimmed)
 {
-  firefly::HttpLogClient log(http, { .url = url });
+  firefly::HttpLogClient log(http, { .url = url + "/log" });
   Ask("POST", "/control", R"({"retention_records": 2})");
   for (const char* payload : { "a", "b", "c" }) {
     CHECK_TRUE(Append(log, payload).has_value());
@@ -161,7 +162,7 @@
 
 TEST(PlatformTest, WaitingReadReturnsWithTheRecord)
 {
-  firefly::HttpLogClient log(http, { .url = url, .readWait = 25s });
+  firefly::HttpLogClient log(http, { .url = url + "/log", .readWait = 25s });
   std::optional<Batch> result;
   log.Read(StreamName("s"), LogOffset(0), 10, [&](const Batch& aBatch) {
     result = aBatch;
@@ -177,7 +178,7 @@
   Ask("PUT", "/hosts/h1", R"({"address": "10.0.0.1", "domain": "yard-1"})");
   Ask("PUT", "/hosts/h2", R"({"address": "10.0.0.2", "leaving": true})");
   Ask("DELETE", "/hosts/h1", "");
-  firefly::HostListClient list(http, { .url = url });
+  firefly::HostListClient list(http, { .url = url + "/hosts" });
   std::optional<std::vector<firefly::ListedHost>> hosts;
   list.Fetch([&](const auto& aResult) { hosts = aResult.value(); });
   CHECK_TRUE(RunUntil(executor, [&] { return hosts.has_value(); }));
@@ -189,7 +190,7 @@
 TEST(PlatformTest, WeightStoreLimitsItsRate)
 {
   Ask("POST", "/control", R"({"loads_per_second": 0.001})");
-  firefly::WeightStoreClient store(http, { .url = url });
+  firefly::WeightStoreClient store(http, { .url = url + "/weights" });
   std::optional<tl::expected<void, firefly::PlatformError>> second;
   store.Reserve(firefly::ModelId("m"), [&](const auto& aFirst) {
     CHECK_TRUE(aFirst.has_value());
