--- a/tests/process/process_harness.cpp
+++ b/tests/process/process_harness.cpp
@@ -88,7 +88,7 @@
 std::filesystem::path TemporaryDirectory::Write(const std::string& aName,
                                                 const std::string& aText) const
 {
-  const std::filesystem::path file = mPath / aName;
+  std::filesystem::path file = mPath / aName;
   std::ofstream(file) << aText;
   return file;
 }
@@ -101,6 +101,7 @@
   words.insert(
     words.end(), aOptions.arguments.begin(), aOptions.arguments.end());
   std::vector<char*> pointers;
+  pointers.reserve(words.size() + 1);
   for (std::string& word : words) {
     pointers.push_back(word.data());
   }
