--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -331,7 +331,7 @@
           [this, i, entry] { Arrive(i, entry); });
   }
   for (const auto& slowdown : mScenario.slowdowns) {
-    for (std::uint32_t i = 0; i < slowdown.engines; ++i) {
+    for (std::size_t i = 0; i < slowdown.engines; ++i) {
       // Spread over the failure domains.
       auto& engine = *mEngines[i * (mDeployment.domains + 1)];
       After(slowdown.from, [&engine, factor = slowdown.factor] {
