Add the operators' commands

table export, apply, diff, history and wait, status, fleet, drain, undrain, why and booking, over a blocking fetcher behind an interface. An edit whose answer was lost is read back and never sent again; a host counts as confirmed when any entry's view has it so; of several stewards that believe they lead, the one with the greatest fencing number is asked. Processes that are away are named. docopt knows no underscore in an argument's name, which is why the request's id is REQUEST in the usage.

--- /dev/null
+++ b/servers/control/control_program.cpp
@@ -0,0 +1,252 @@
+#include "servers/control/control_program.h"
+
+#include <charconv>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+#include "servers/control/fleet_commands.h"
+#include "servers/control/table_commands.h"
+
+namespace firefly {
+
+namespace {
+
+constexpr std::uint64_t kMostSeconds = 3'600;
+
+constexpr const char* kUsage = R"(fireflyctl: looks at and steers a deployment.
+
+Usage:
+  fireflyctl table export [--entry URL]... [--settings FILE] [--format FORMAT]
+  fireflyctl table apply FILE [--base N] [--timeout S] [--entry URL]... [--settings FILE] [--format FORMAT]
+  fireflyctl table diff FILE [--entry URL]... [--settings FILE] [--format FORMAT]
+  fireflyctl table history [--entry URL]... [--settings FILE] [--format FORMAT]
+  fireflyctl table wait VERSION [--timeout S] [--entry URL]... [--settings FILE] [--format FORMAT]
+  fireflyctl status [--entry URL]... [--steward URL]... [--settings FILE] [--format FORMAT]
+  fireflyctl fleet [--steward URL]... [--settings FILE] [--format FORMAT]
+  fireflyctl drain BACKEND [--steward URL]... [--settings FILE] [--format FORMAT]
+  fireflyctl undrain BACKEND [--steward URL]... [--settings FILE] [--format FORMAT]
+  fireflyctl why REQUEST [--entry URL]... [--settings FILE] [--format FORMAT]
+  fireflyctl booking show KEY [--entry URL]... [--settings FILE] [--format FORMAT]
+  fireflyctl --help
+  fireflyctl --version
+
+Options:
+  --entry URL       Admin address of an entry; may be repeated.
+  --steward URL     Admin address of a steward; may be repeated.
+  --settings FILE   Ask all hosts that this settings file names.
+  --format FORMAT   text or json [default: text].
+  --base N          Edit just this version; else the newest one.
+  --timeout S       Seconds to wait for confirmations [default: 10].
+  --help            Show this text.
+  --version         Show the version.
+
+Commands:
+  table export      Print the table as CSV; its version goes to stderr.
+  table apply       Put FILE in force and wait until all live entries have it.
+  table diff        Show what FILE would change.
+  table history     List the versions that the entries have seen.
+  table wait        Wait until all live entries have VERSION.
+  status            Show entries, members, backend servers, queues and limits.
+  fleet             Show the leader's view of each backend server.
+  drain, undrain    Take a backend server out of service, or back in.
+  why               Show what became of a request.
+  booking show      Show the state of a booking.
+
+Examples:
+  fireflyctl status --settings settings/demo.toml
+  fireflyctl table export --entry http://127.0.0.1:17101 > table.csv
+  fireflyctl table apply table.csv --settings settings/demo.toml --timeout 12
+  fireflyctl drain engine-1 --settings settings/demo.toml
+
+Exit codes:
+  0  done
+  1  refused, unknown, or nobody leads
+  2  wrong command line, settings or table; each fault is a line on stderr
+  3  no process that was asked answered
+  4  the edit lost to another one; nothing changed
+  5  accepted, but not yet confirmed by all live entries
+)";
+
+std::optional<std::uint64_t> ParseWhole(const std::string& aText)
+{
+  std::uint64_t number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [ptr, ec] = std::from_chars(aText.data(), end, number);
+  if (aText.empty() || ec != std::errc{} || ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+// Turns the parsed words into one command and runs it.
+class ControlProgram
+{
+public:
+  ControlProgram(Fetcher& aFetcher,
+                 std::ostream& aOut,
+                 std::ostream& aErr,
+                 const ParsedArguments& aArguments)
+    : mFetcher(aFetcher)
+    , mArguments(aArguments)
+    , mOptions{ .targets = {}, .out = aOut, .err = aErr }
+  {
+  }
+
+  ExitCode Run();
+
+private:
+  bool ReadOptions();
+  bool ReadTargets();
+  ExitCode RunTable();
+  ExitCode RunApply(TableCommands& aCommands, const std::string& aCsv);
+  std::optional<std::string> ReadFile();
+  ExitCode Refuse(const std::string& aText);
+
+  Fetcher& mFetcher;
+  const ParsedArguments& mArguments;
+  ControlOptions mOptions;
+};
+
+ExitCode ControlProgram::Run()
+{
+  if (!ReadOptions() || !ReadTargets()) {
+    return ExitCode::kUsage;
+  }
+  if (mArguments.Has("table")) {
+    return RunTable();
+  }
+  FleetCommands commands(mFetcher, mOptions);
+  if (mArguments.Has("status")) {
+    return commands.Status();
+  }
+  if (mArguments.Has("fleet")) {
+    return commands.Fleet();
+  }
+  if (mArguments.Has("drain")) {
+    return commands.Drain(BackendId(mArguments.Text("BACKEND")));
+  }
+  if (mArguments.Has("undrain")) {
+    return commands.Undrain(BackendId(mArguments.Text("BACKEND")));
+  }
+  if (mArguments.Has("why")) {
+    return commands.Why(RequestId(mArguments.Text("REQUEST")));
+  }
+  return commands.Booking(BookingKey(mArguments.Text("KEY")));
+}
+
+bool ControlProgram::ReadOptions()
+{
+  const std::string format = mArguments.Text("--format");
+  if (format != "text" && format != "json") {
+    Refuse("--format: must be text or json");
+    return false;
+  }
+  mOptions.format =
+    format == "json" ? OutputFormat::kJson : OutputFormat::kText;
+  const auto seconds = ParseWhole(mArguments.Text("--timeout"));
+  if (!seconds || *seconds > kMostSeconds) {
+    Refuse("--timeout: must be a whole number from 0 to 3600");
+    return false;
+  }
+  mOptions.timeout = std::chrono::seconds(*seconds);
+  return true;
+}
+
+bool ControlProgram::ReadTargets()
+{
+  if (mArguments.Has("--settings")) {
+    const auto settings = LoadSettings(
+      { .file = mArguments.Text("--settings"), .needsHost = false });
+    if (!settings) {
+      for (const auto& it : settings.error().lines) {
+        Refuse(it);
+      }
+      return false;
+    }
+    mOptions.targets = TargetsOf(*settings);
+  }
+  for (auto& it : mArguments.Texts("--entry")) {
+    mOptions.targets.entries.push_back(std::move(it));
+  }
+  for (auto& it : mArguments.Texts("--steward")) {
+    mOptions.targets.stewards.push_back(std::move(it));
+  }
+  const bool asksSteward = mArguments.Has("fleet") || mArguments.Has("drain") ||
+                           mArguments.Has("undrain");
+  if (asksSteward && mOptions.targets.stewards.empty()) {
+    Refuse("whom to ask: give --steward URL or --settings FILE");
+    return false;
+  }
+  if (!asksSteward && mOptions.targets.entries.empty()) {
+    Refuse("whom to ask: give --entry URL or --settings FILE");
+    return false;
+  }
+  return true;
+}
+
+ExitCode ControlProgram::RunTable()
+{
+  TableCommands commands(mFetcher, mOptions);
+  if (mArguments.Has("export")) {
+    return commands.Export();
+  }
+  if (mArguments.Has("history")) {
+    return commands.History();
+  }
+  if (mArguments.Has("wait")) {
+    const auto version = ParseWhole(mArguments.Text("VERSION"));
+    return version ? commands.Wait(*version)
+                   : Refuse("VERSION: must be a whole number");
+  }
+  const auto csv = ReadFile();
+  if (!csv) {
+    return Refuse(mArguments.Text("FILE") + ": can't be read");
+  }
+  return mArguments.Has("diff") ? commands.Diff(*csv)
+                                : RunApply(commands, *csv);
+}
+
+ExitCode ControlProgram::RunApply(TableCommands& aCommands,
+                                  const std::string& aCsv)
+{
+  if (!mArguments.Has("--base")) {
+    return aCommands.Apply(aCsv, {});
+  }
+  const auto base = ParseWhole(mArguments.Text("--base"));
+  return base ? aCommands.Apply(aCsv, base)
+              : Refuse("--base: must be a whole number");
+}
+
+std::optional<std::string> ControlProgram::ReadFile()
+{
+  std::ifstream in(mArguments.Text("FILE"), std::ios::binary);
+  if (!in) {
+    return std::nullopt;
+  }
+  return std::string(std::istreambuf_iterator<char>(in), {});
+}
+
+ExitCode ControlProgram::Refuse(const std::string& aText)
+{
+  mOptions.err << aText << '\n';
+  return ExitCode::kUsage;
+}
+
+} // namespace
+
+ExitCode RunControl(Fetcher& aFetcher,
+                    std::ostream& aOut,
+                    std::ostream& aErr,
+                    const std::string& aVersion,
+                    int aCount,
+                    const char* const* aWords)
+{
+  const auto arguments = ParseArguments(kUsage, aVersion, aCount, aWords);
+  if (!arguments) {
+    return arguments.error();
+  }
+  return ControlProgram(aFetcher, aOut, aErr, *arguments).Run();
+}
+
+} // namespace firefly
--- /dev/null
+++ b/servers/control/fleet_commands.h
@@ -0,0 +1,49 @@
+#pragma once
+
+// The commands that look at the system and those that drain backend servers.
+
+#include <string>
+#include <vector>
+
+#include "servers/control/control.h"
+
+namespace firefly {
+
+// Asks entries and stewards what they know.
+class FleetCommands
+{
+public:
+  // Both must outlive the object.
+  FleetCommands(Fetcher& aFetcher, const ControlOptions& aOptions)
+    : mFetcher(aFetcher)
+    , mOptions(aOptions)
+  {
+  }
+
+  // Entries, members, backend servers, queues, limits and open bookings.
+  ExitCode Status();
+
+  // The leading steward's view of each backend server.
+  ExitCode Fleet();
+
+  // Takes a backend server out of service, or back in.
+  ExitCode Drain(const BackendId& aBackend);
+  ExitCode Undrain(const BackendId& aBackend);
+
+  // What became of a request.
+  ExitCode Why(const RequestId& aRequest);
+
+  // The state of a booking.
+  ExitCode Booking(const BookingKey& aKey);
+
+private:
+  ExitCode Order(const std::string& aVerb, const BackendId& aBackend);
+
+  // Prints the answers of those entries that know the thing.
+  ExitCode ShowKnown(const std::string& aPath, const std::string& aWhat);
+
+  Fetcher& mFetcher;
+  const ControlOptions& mOptions;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/tests/servers/control/control_test.cpp
@@ -0,0 +1,207 @@
+#include "servers/control/control_program.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include "servers/control/text_table.h"
+#include "tests/servers/control/fake_fetcher.h"
+#include "tests/servers/settings/prepare_docopt.h"
+
+#include <CppUTest/TestHarness.h>
+
+using firefly::ExitCode;
+using firefly::FakeFetcher;
+using firefly::HttpErrorKind;
+using firefly::PercentEncode;
+using firefly::PrepareDocopt;
+using firefly::RunControl;
+using firefly::TextTable;
+
+namespace {
+
+const bool kDocoptPrepared = PrepareDocopt();
+
+constexpr const char* kStatus = R"({"host":"h1","domain":"d1","ready":true,
+"draining":false,"table_version":3,"plan_version":7,
+"members":[{"host":"h1","state":"alive"},
+{"host":"h2","domain":"d2","state":"suspect"}],
+"backends":[{"id":"e1","domain":"d1","state":"serving","role":"mixed",
+"model":"m","outstanding":2,"weight":0.5}],
+"queues":[{"service":"s","request_type":"t","waiting":1,"running":2}],
+"limits":[],"unknown_bookings":[{"key":"k1","service":"desk",
+"request_type":"book"}]})";
+
+// A steward that lost its authority and still believes in it, and the leader.
+constexpr const char* kOldFleet =
+  R"({"host":"h2","leading":true,"fencing":9,"backends":[]})";
+constexpr const char* kFleet = R"({"host":"h1","leading":true,"fencing":12,
+"plan_version":40,"backends":[{"id":"e1","state":"draining","role":"mixed",
+"model":"m","last_order":{"kind":"set-role","outcome":"done"},
+"waiting_for":["h3"]}]})";
+
+} // namespace
+
+TEST_GROUP(ControlTest)
+{
+  FakeFetcher fetcher;
+  std::ostringstream out;
+  std::ostringstream err;
+
+  void Run(ExitCode aExpected, std::vector<const char*> aWords)
+  {
+    out.str("");
+    err.str("");
+    aWords.insert(aWords.begin(), "fireflyctl");
+    const auto code = RunControl(
+      fetcher, out, err, "1", static_cast<int>(aWords.size()), aWords.data());
+    LONGS_EQUAL_TEXT(
+      static_cast<int>(aExpected), static_cast<int>(code), err.str().c_str());
+  }
+};
+
+TEST(ControlTest, StatusShowsWhatEntriesKnowAndNamesThoseAway)
+{
+  fetcher.Answer("GET http://a/admin/status", 200, kStatus);
+  fetcher.Answer("GET http://c/admin/status", 200, "not json");
+  fetcher.Answer("GET http://s/fleet", 200, kFleet);
+  Run(ExitCode::kOk,
+      { "status",
+        "--entry",
+        "http://a",
+        "--entry",
+        "http://b",
+        "--entry",
+        "http://c",
+        "--steward",
+        "http://s" });
+  STRCMP_EQUAL("leader h1\n"
+               "\n"
+               "ENTRY  DOMAIN  READY  TABLE  PLAN  ALIVE\n"
+               "h1     d1      yes    3      7     1 of 2\n"
+               "\n"
+               "MEMBER  DOMAIN  STATE    SEEN BY\n"
+               "h2      d2      suspect  h1\n"
+               "\n"
+               "BACKEND  DOMAIN  STATE    ROLE   MODEL  OUTSTANDING  "
+               "LEAST WEIGHT\n"
+               "e1       d1      serving  mixed  m      2.0          0.5\n"
+               "\n"
+               "SERVICE  REQUEST TYPE  WAITING  RUNNING\n"
+               "s        t             1        2\n"
+               "\n"
+               "BOOKING OF UNKNOWN OUTCOME  SERVICE  REQUEST TYPE\n"
+               "k1                          desk     book\n",
+               out.str().c_str());
+  STRCMP_EQUAL("away: http://b: can't be reached (refused)\n"
+               "away: http://c: the answer is no JSON object\n",
+               err.str().c_str());
+}
+
+TEST(ControlTest, StatusAsJsonHoldsTheAnswersAndTheAway)
+{
+  fetcher.Answer("GET http://a/admin/status", 200, R"({"host":"h1"})");
+  Run(ExitCode::kOk,
+      { "status", "--entry=http://a", "--entry=http://b", "--format", "json" });
+  STRCMP_EQUAL("{\"away\":[{\"error\":\"can't be reached (refused)\","
+               "\"url\":\"http://b\"}],\"entries\":[{\"host\":\"h1\","
+               "\"url\":\"http://a\"}],\"fleet\":null}\n",
+               out.str().c_str());
+}
+
+TEST(ControlTest, FleetShowsTheHolderOfTheGreatestFencingNumber)
+{
+  fetcher.Answer("GET http://s/fleet", 200, kOldFleet);
+  fetcher.Answer("GET http://t/fleet", 200, kFleet);
+  Run(ExitCode::kOk, { "fleet", "--steward=http://s", "--steward=http://t" });
+  STRCMP_EQUAL("leader h1, fencing number 12, plan 40\n"
+               "\n"
+               "BACKEND  STATE     ROLE   MODEL  LAST ORDER  OUTCOME  "
+               "WAITING FOR\n"
+               "e1       draining  mixed  m      set-role    done     h3\n",
+               out.str().c_str());
+}
+
+TEST(ControlTest, ADrainGoesToTheLeaderOnce)
+{
+  fetcher.Answer("GET http://s/fleet", 200, kOldFleet);
+  fetcher.Answer("GET http://t/fleet", 200, kFleet);
+  fetcher.Answer("POST http://t/drain/e%201", 202, R"({"plan_version":41})");
+  Run(ExitCode::kOk,
+      { "drain", "e 1", "--steward=http://s", "--steward=http://t" });
+  STRCMP_EQUAL("drain e 1 accepted, plan 41\n", out.str().c_str());
+  fetcher.Fail("POST http://t/undrain/e1", HttpErrorKind::kTimeout);
+  Run(ExitCode::kFailed,
+      { "undrain", "e1", "--steward=http://s", "--steward=http://t" });
+  STRCMP_EQUAL("h1: no answer in time; see fleet for what became of it\n",
+               err.str().c_str());
+  LONGS_EQUAL(1, std::ranges::count(fetcher.calls, "POST http://t/undrain/e1"));
+}
+
+TEST(ControlTest, NoLeaderIsSaid)
+{
+  fetcher.Answer("GET http://s/fleet", 200, R"({"host":"h","leading":false})");
+  Run(ExitCode::kFailed, { "drain", "e1", "--steward=http://s" });
+  STRCMP_EQUAL("no steward that answered leads; nothing changed\n",
+               err.str().c_str());
+  Run(ExitCode::kFailed, { "fleet", "--steward=http://s" });
+  Run(ExitCode::kAway, { "fleet", "--steward=http://none" });
+}
+
+TEST(ControlTest, WhyAndBookingFindTheEntryThatKnows)
+{
+  fetcher.Answer("GET http://a/admin/why/r%2F1", 404, "{}");
+  fetcher.Answer("GET http://b/admin/why/r%2F1",
+                 200,
+                 R"({"request_id":"r/1","service":"s","request_type":"t",
+                     "outcome":"late","steps":[{"at_ms":1.5,"step":"sent",
+                     "backend":"e1","detail":"first"}]})");
+  Run(ExitCode::kOk, { "why", "r/1", "--entry=http://a", "--entry=http://b" });
+  STRCMP_EQUAL("request r/1 of s, t: late (http://b)\n"
+               "AT MS  STEP  BACKEND  DETAIL\n"
+               "1.5    sent  e1       first\n",
+               out.str().c_str());
+  fetcher.Answer("GET http://a/admin/bookings/k", 404, "{}");
+  Run(ExitCode::kFailed,
+      { "booking", "show", "k", "--entry=http://a", "--entry=http://b" });
+  STRCMP_EQUAL("away: http://b: can't be reached (refused)\n"
+               "booking k: unknown to 1 entries of 2\n",
+               err.str().c_str());
+  fetcher.Answer("GET http://a/admin/bookings/k",
+                 200,
+                 R"({"key":"k","state":"done","service":"s",
+                     "request_type":"t","attempt":"a-1"})");
+  Run(ExitCode::kFailed, { "booking", "show", "k", "--entry=http://a" });
+  Run(ExitCode::kOk, { "booking", "show", "k", "--entry=http://a" });
+  STRCMP_EQUAL("booking k of s, t: done, attempt a-1 (http://a)\n",
+               out.str().c_str());
+}
+
+TEST(ControlTest, SettingsNameAllHosts)
+{
+  Run(ExitCode::kAway,
+      { "status", "--settings", FIREFLY_SOURCE_DIR "/settings/demo.toml" });
+  LONGS_EQUAL(6, fetcher.calls.size());
+  STRCMP_EQUAL("GET http://127.0.0.1:17101/admin/status",
+               fetcher.calls[0].c_str());
+  STRCMP_EQUAL("GET http://127.0.0.1:17105/fleet", fetcher.calls[3].c_str());
+}
+
+TEST(ControlTest, WrongLinesAreUsageErrors)
+{
+  CHECK_TRUE(kDocoptPrepared);
+  Run(ExitCode::kUsage, { "status" });
+  STRCMP_CONTAINS("give --entry URL or --settings FILE", err.str().c_str());
+  Run(ExitCode::kUsage, { "status", "--entry=http://a", "--format=xml" });
+  Run(ExitCode::kUsage, { "table", "wait", "x", "--entry=http://a" });
+  Run(ExitCode::kUsage, { "table", "apply", "/no/such", "--entry=http://a" });
+  Run(ExitCode::kUsage, { "nonsense" });
+  Run(ExitCode::kOk, { "--help" });
+}
+
+TEST(ControlTest, ForeignTextCantSteerTheTerminal)
+{
+  TextTable table({ "A", "B" });
+  table.Add({ "x\x1b[2J\ny", "\xc3\xa9" });
+  STRCMP_EQUAL("A        B\nx?[2J?y  \xc3\xa9\n", table.Text().c_str());
+  STRCMP_EQUAL("a%2Fb%3F%C3%A9", PercentEncode("a/b?\xc3\xa9").c_str());
+}
--- a/tests/servers/settings/command_line_test.cpp
+++ b/tests/servers/settings/command_line_test.cpp
@@ -1,13 +1,14 @@
 #include "servers/settings/command_line.h"
 
-#include <array>
 #include <string>
 
+#include "tests/servers/settings/prepare_docopt.h"
+
 #include <CppUTest/TestHarness.h>
 
 using firefly::DaemonOptions;
 using firefly::ExitCode;
-using firefly::ParseArguments;
+using firefly::PrepareDocopt;
 using firefly::Settings;
 using firefly::StartDaemon;
 
@@ -23,16 +24,6 @@
   return StartDaemon(kDaemon, static_cast<int>(aWords.size()), aWords.data());
 }
 
-// docopt compiles its patterns at their first use and keeps them for good; done
-// before the tests, so that none of them counts the patterns as its leak.
-bool PrepareDocopt()
-{
-  const std::array<const char*, 3> words{ "p", "--x", "1" };
-  const std::string usage =
-    "Usage:\n  p [--x N]\n\nOptions:\n  --x N  A number.\n";
-  return ParseArguments(usage, "1", words.size(), words.data()).has_value();
-}
-
 const bool kDocoptPrepared = PrepareDocopt();
 
 void CheckExit(ExitCode aCode, const tl::expected<Settings, ExitCode>& aStart)
