Let a server cut an answer at once

Cause: stand-ins must cut answers, and RESTinio 0.6 can't close one connection; leaving the answer unended kept the caller waiting for the answer timeout. Ruled out: RESTinio's internal upgrade interface (it moves the socket out under a live connection); a socket type of our own (a global registry for it). Conclusion: the socket is found by its peer's address and shut down.

--- a/servers/http/http_server.cpp
+++ b/servers/http/http_server.cpp
@@ -3,6 +3,9 @@
 #include <exception>
 #include <utility>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <restinio/all.hpp>
 
 namespace firefly {
@@ -23,6 +26,23 @@
 using ChunkedResponse =
   restinio::response_builder_t<restinio::chunked_output_t>;
 
+using Endpoint = asio::ip::tcp::endpoint;
+
+// RESTinio can't close a single connection. Its socket is found among the
+// process's descriptors by its peer and shut down; RESTinio then closes it.
+void
+ShutDownConnectionOf(const Endpoint& aPeer)
+{
+  const int limit = getdtablesize();
+  for (int fd = 0; fd < limit; ++fd) {
+    Endpoint peer;
+    auto size = static_cast<socklen_t>(peer.capacity());
+    if (getpeername(fd, peer.data(), &size) == 0 && peer == aPeer) {
+      ::shutdown(fd, SHUT_RDWR);
+    }
+  }
+}
+
 // Counts the requests that are being answered.
 struct RunningCount
 {
@@ -36,7 +56,7 @@
                     std::shared_ptr<RunningCount> aRunning)
     : mRequest(std::move(aRequest))
     , mRunning(std::move(aRunning))
-    , mConnection(mRequest->connection_id())
+    , mPeer(mRequest->remote_endpoint())
   {
     ++mRunning->requests;
   }
@@ -115,6 +135,13 @@
     });
   }
 
+  void Abort() override
+  {
+    mRequest.reset();
+    mStream.reset();
+    ShutDownConnectionOf(mPeer);
+  }
+
   [[nodiscard]] std::size_t Unsent() const override { return mState->unsent; }
   [[nodiscard]] bool Lost() const override { return mState->lost; }
 
@@ -138,7 +165,7 @@
 
   restinio::request_handle_t mRequest;
   std::shared_ptr<RunningCount> mRunning;
-  restinio::connection_id_t mConnection;
+  Endpoint mPeer;
   std::unique_ptr<ChunkedResponse> mStream;
   std::shared_ptr<State> mState = std::make_shared<State>();
 };
--- a/servers/http/http_server.h
+++ b/servers/http/http_server.h
@@ -42,6 +42,10 @@
   // Ends a chunked answer.
   virtual void End() = 0;
 
+  // Shuts the connection down without ending the answer: the caller sees a
+  // cut at once. Costs a system call for each descriptor; for faults only.
+  virtual void Abort() = 0;
+
   // Bytes handed to Write that the connection has not taken yet.
   [[nodiscard]] virtual std::size_t Unsent() const = 0;
 
--- a/tests/servers/http/http_round_trip_test.cpp
+++ b/tests/servers/http/http_round_trip_test.cpp
@@ -142,6 +142,17 @@
   CHECK(got == "onetwo");
 }
 
+TEST(HttpRoundTripTest, AbortedStreamIsSeenAsCutAtOnce)
+{
+  handler = [](const HttpRequest&, const HttpResponderPtr& aAnswer) {
+    aAnswer->Begin(200, {});
+    aAnswer->Write("one", [aAnswer](bool) { aAnswer->Abort(); });
+  };
+  const auto result = Fetch({ .url = Url("/") });
+  CHECK_FALSE(result.has_value());
+  CHECK(result.error().kind == HttpErrorKind::kCut);
+}
+
 TEST(HttpRoundTripTest, TransferMayBeDroppedInItsOwnHandler)
 {
   handler = [](const HttpRequest&, const HttpResponderPtr& aAnswer) {
