--- a/servers/burn/burn_alerts.cpp
+++ b/servers/burn/burn_alerts.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 // The action against the outcome that costs most requests.
-std::string ActionFor(const OutcomeAmounts& aRequests)
+std::string
+ActionFor(const OutcomeAmounts& aRequests)
 {
   if (aRequests.failed >= aRequests.late &&
       aRequests.failed >= aRequests.refused) {
@@ -25,7 +26,8 @@
          "give this row more weight, or drain the slow one";
 }
 
-std::string FiringText(const WindowBurn& aBurn)
+std::string
+FiringText(const WindowBurn& aBurn)
 {
   const auto& window = *aBurn.window;
   std::string text = "burns " + FormatNumber(aBurn.longBurn) +
@@ -40,7 +42,8 @@
 }
 
 // The most urgent window that fires, or null.
-const WindowBurn* FindFiring(const BurnRow& aRow)
+const WindowBurn*
+FindFiring(const BurnRow& aRow)
 {
   const auto found =
     std::ranges::find(aRow.windows, AlertState::kFiring, &WindowBurn::state);
@@ -49,7 +52,8 @@
 
 } // namespace
 
-std::vector<BurnAlert> MakeAlerts(const BurnReport& aReport)
+std::vector<BurnAlert>
+MakeAlerts(const BurnReport& aReport)
 {
   std::vector<BurnAlert> alerts;
   for (const auto& row : aReport.rows) {
--- a/servers/burn/burn_alerts.h
+++ b/servers/burn/burn_alerts.h
@@ -10,6 +10,7 @@
 
 // The alerts of a report whose rows are complete, the most urgent first. Of a
 // row's windows only the most urgent one is told.
-std::vector<BurnAlert> MakeAlerts(const BurnReport& aReport);
+std::vector<BurnAlert>
+MakeAlerts(const BurnReport& aReport);
 
 } // namespace firefly
--- a/servers/burn/burn_format.cpp
+++ b/servers/burn/burn_format.cpp
@@ -6,21 +6,24 @@
 
 namespace firefly {
 
-std::string FormatNumber(double aNumber)
+std::string
+FormatNumber(double aNumber)
 {
   std::array<char, 32> buf{};
   std::snprintf(buf.data(), buf.size(), "%.3g", aNumber);
   return buf.data();
 }
 
-std::string FormatShare(double aShare)
+std::string
+FormatShare(double aShare)
 {
   std::array<char, 32> buf{};
   std::snprintf(buf.data(), buf.size(), "%.4g %%", aShare * 100);
   return buf.data();
 }
 
-std::string FormatSpan(Duration aSpan)
+std::string
+FormatSpan(Duration aSpan)
 {
   const double seconds = ToSeconds(aSpan);
   constexpr double kMinute = 60;
@@ -38,7 +41,8 @@
   return FormatNumber(seconds / kDay) + " d";
 }
 
-std::string FormatTime(WallTime aTime)
+std::string
+FormatTime(WallTime aTime)
 {
   const auto seconds = std::chrono::system_clock::to_time_t(aTime);
   std::tm utc{};
--- a/servers/burn/burn_format.h
+++ b/servers/burn/burn_format.h
@@ -8,20 +8,27 @@
 
 namespace firefly {
 
-std::string FormatText(const BurnReport& aReport);
-std::string FormatJson(const BurnReport& aReport);
-std::string FormatHtml(const BurnReport& aReport);
+std::string
+FormatText(const BurnReport& aReport);
+std::string
+FormatJson(const BurnReport& aReport);
+std::string
+FormatHtml(const BurnReport& aReport);
 
 // A number for people: three significant digits.
-std::string FormatNumber(double aNumber);
+std::string
+FormatNumber(double aNumber);
 
 // A share as a percentage.
-std::string FormatShare(double aShare);
+std::string
+FormatShare(double aShare);
 
 // A time span in its largest fitting unit.
-std::string FormatSpan(Duration aSpan);
+std::string
+FormatSpan(Duration aSpan);
 
 // A time in UTC.
-std::string FormatTime(WallTime aTime);
+std::string
+FormatTime(WallTime aTime);
 
 } // namespace firefly
--- a/servers/burn/burn_history.cpp
+++ b/servers/burn/burn_history.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 // Whether the process counts from zero again.
-bool Restarted(const EntrySample& aBefore, const EntrySample& aAfter)
+bool
+Restarted(const EntrySample& aBefore, const EntrySample& aAfter)
 {
   if (aBefore.incarnation != aAfter.incarnation) {
     return true;
@@ -20,10 +21,8 @@
 }
 
 // The share of the step's time that lies between the two times.
-double Overlap(WallTime aStepFrom,
-               WallTime aStepTo,
-               WallTime aFrom,
-               WallTime aTo)
+double
+Overlap(WallTime aStepFrom, WallTime aStepTo, WallTime aFrom, WallTime aTo)
 {
   const auto from = std::max(aStepFrom, aFrom);
   const auto to = std::min(aStepTo, aTo);
@@ -36,7 +35,8 @@
 
 } // namespace
 
-void BurnHistory::Add(const BurnSnapshot& aSnapshot)
+void
+BurnHistory::Add(const BurnSnapshot& aSnapshot)
 {
   if (mEnd && aSnapshot.time <= *mEnd) {
     return;
@@ -48,7 +48,8 @@
   }
 }
 
-void BurnHistory::AddEntry(WallTime aTime, const EntrySample& aSample)
+void
+BurnHistory::AddEntry(WallTime aTime, const EntrySample& aSample)
 {
   auto& state = mEntries[aSample.url];
   state.error = aSample.error;
@@ -66,9 +67,10 @@
   mLast[aSample.url] = { aTime, aSample };
 }
 
-void BurnHistory::AddSteps(const Last& aLast,
-                           WallTime aTime,
-                           const EntrySample& aSample)
+void
+BurnHistory::AddSteps(const Last& aLast,
+                      WallTime aTime,
+                      const EntrySample& aSample)
 {
   const bool restarted = Restarted(aLast.sample, aSample);
   for (const auto& [key, counters] : aSample.counters) {
@@ -81,9 +83,8 @@
   }
 }
 
-BurnCounters BurnHistory::Between(const BurnKey& aKey,
-                                  WallTime aFrom,
-                                  WallTime aTo) const
+BurnCounters
+BurnHistory::Between(const BurnKey& aKey, WallTime aFrom, WallTime aTo) const
 {
   BurnCounters sum;
   const auto found = mSteps.find(aKey);
@@ -99,7 +100,8 @@
   return sum;
 }
 
-std::vector<BurnKey> BurnHistory::Keys() const
+std::vector<BurnKey>
+BurnHistory::Keys() const
 {
   std::vector<BurnKey> keys;
   keys.reserve(mSteps.size());
--- a/servers/burn/burn_html.cpp
+++ b/servers/burn/burn_html.cpp
@@ -31,7 +31,8 @@
 .key span { margin-right: 1rem; }
 )";
 
-std::string Escape(const std::string& aText)
+std::string
+Escape(const std::string& aText)
 {
   std::string escaped;
   for (const char it : aText) {
@@ -55,9 +56,10 @@
   return escaped;
 }
 
-void WriteRow(std::ostream& aOut,
-              const char* aTag,
-              const std::vector<std::string>& aCells)
+void
+WriteRow(std::ostream& aOut,
+         const char* aTag,
+         const std::vector<std::string>& aCells)
 {
   aOut << "<tr>";
   for (const auto& it : aCells) {
@@ -67,7 +69,8 @@
 }
 
 // The top of the plot's scale: room for the points and the alert of a page.
-double ScaleOf(const BurnRow& aRow)
+double
+ScaleOf(const BurnRow& aRow)
 {
   double most = 2;
   for (const auto& it : aRow.points) {
@@ -77,7 +80,8 @@
 }
 
 // A line across the plot at a burn rate, if it is within the scale.
-void WriteLevel(std::ostream& aOut, double aBurn, double aScale)
+void
+WriteLevel(std::ostream& aOut, double aBurn, double aScale)
 {
   if (aBurn > aScale) {
     return;
@@ -90,9 +94,8 @@
        << "' text-anchor='end'>" << FormatNumber(aBurn) << "</text>\n";
 }
 
-void WritePlot(std::ostream& aOut,
-               const BurnReport& aReport,
-               const BurnRow& aRow)
+void
+WritePlot(std::ostream& aOut, const BurnReport& aReport, const BurnRow& aRow)
 {
   if (aRow.points.empty()) {
     aOut << "<p class='unknown'>Too little time between samples to plot.</p>\n";
@@ -125,7 +128,8 @@
 }
 
 // The outcomes as shares of one bar.
-void WriteBar(std::ostream& aOut, const OutcomeAmounts& aRequests)
+void
+WriteBar(std::ostream& aOut, const OutcomeAmounts& aRequests)
 {
   struct Part
   {
@@ -162,7 +166,8 @@
   aOut << "</p>\n";
 }
 
-void WriteWindows(std::ostream& aOut, const BurnRow& aRow)
+void
+WriteWindows(std::ostream& aOut, const BurnRow& aRow)
 {
   aOut << "<table>\n";
   WriteRow(aOut,
@@ -179,8 +184,9 @@
   aOut << "</table>\n";
 }
 
-std::string Latency(const std::optional<double>& aSeconds,
-                    const std::optional<Duration>& aTarget)
+std::string
+Latency(const std::optional<double>& aSeconds,
+        const std::optional<Duration>& aTarget)
 {
   if (!aSeconds) {
     return "no observations";
@@ -192,9 +198,8 @@
   return text;
 }
 
-void WriteSection(std::ostream& aOut,
-                  const BurnReport& aReport,
-                  const BurnRow& aRow)
+void
+WriteSection(std::ostream& aOut, const BurnReport& aReport, const BurnRow& aRow)
 {
   aOut << "<h2>" << Escape(aRow.key.service.Value()) << " &middot; "
        << Escape(aRow.key.type.Value()) << "</h2>\n<table>\n";
@@ -227,7 +232,8 @@
   }
 }
 
-void WriteAlerts(std::ostream& aOut, const BurnReport& aReport)
+void
+WriteAlerts(std::ostream& aOut, const BurnReport& aReport)
 {
   for (const auto& it : aReport.entries) {
     if (!it.state.error.empty()) {
@@ -248,7 +254,8 @@
 
 } // namespace
 
-std::string FormatHtml(const BurnReport& aReport)
+std::string
+FormatHtml(const BurnReport& aReport)
 {
   std::ostringstream out;
   out << "<!doctype html>\n<html lang='en'><head><meta charset='utf-8'>"
--- a/servers/burn/burn_json.cpp
+++ b/servers/burn/burn_json.cpp
@@ -8,7 +8,8 @@
 
 using Json = nlohmann::json;
 
-Json ToJson(const OutcomeAmounts& aAmounts)
+Json
+ToJson(const OutcomeAmounts& aAmounts)
 {
   return { { "in_time", aAmounts.inTime },
            { "late", aAmounts.late },
@@ -16,17 +17,20 @@
            { "failed", aAmounts.failed } };
 }
 
-Json ToJson(const std::optional<double>& aNumber)
+Json
+ToJson(const std::optional<double>& aNumber)
 {
   return aNumber ? Json(*aNumber) : Json(nullptr);
 }
 
-Json ToJson(const std::optional<Duration>& aSpan)
+Json
+ToJson(const std::optional<Duration>& aSpan)
 {
   return aSpan ? Json(ToSeconds(*aSpan)) : Json(nullptr);
 }
 
-Json ToJson(const WindowBurn& aBurn)
+Json
+ToJson(const WindowBurn& aBurn)
 {
   return { { "name", std::string(aBurn.window->name) },
            { "long_s", ToSeconds(aBurn.window->longSpan) },
@@ -38,7 +42,8 @@
            { "state", std::string(NameOf(aBurn.state)) } };
 }
 
-Json ToJson(const BurnRow& aRow)
+Json
+ToJson(const BurnRow& aRow)
 {
   Json windows = Json::array();
   for (const auto& it : aRow.windows) {
@@ -64,7 +69,8 @@
            { "points", points } };
 }
 
-Json ToJson(const BurnEntry& aEntry)
+Json
+ToJson(const BurnEntry& aEntry)
 {
   const auto& seen = aEntry.state.lastSeen;
   return { { "url", aEntry.url },
@@ -73,7 +79,8 @@
              seen ? Json(seen->time_since_epoch().count()) : Json(nullptr) } };
 }
 
-Json ToJson(const BurnAlert& aAlert)
+Json
+ToJson(const BurnAlert& aAlert)
 {
   return { { "severity", aAlert.severity },
            { "service", aAlert.key.service.Value() },
@@ -83,7 +90,8 @@
 }
 
 template<typename T>
-Json ListOf(const std::vector<T>& aItems)
+Json
+ListOf(const std::vector<T>& aItems)
 {
   Json list = Json::array();
   for (const auto& it : aItems) {
@@ -94,7 +102,8 @@
 
 } // namespace
 
-std::string FormatJson(const BurnReport& aReport)
+std::string
+FormatJson(const BurnReport& aReport)
 {
   const Json json{ { "from_ms", aReport.from.time_since_epoch().count() },
                    { "to_ms", aReport.to.time_since_epoch().count() },
--- a/servers/burn/burn_program.cpp
+++ b/servers/burn/burn_program.cpp
@@ -47,8 +47,8 @@
   3  no entry answered and there are no saved samples
 )";
 
-std::optional<std::uint64_t> ParseWhole(const std::string& aText,
-                                        std::uint64_t aMost)
+std::optional<std::uint64_t>
+ParseWhole(const std::string& aText, std::uint64_t aMost)
 {
   std::uint64_t number = 0;
   const char* end = aText.data() + aText.size();
@@ -92,7 +92,8 @@
   BurnHistory mHistory;
 };
 
-ExitCode BurnProgram::Run()
+ExitCode
+BurnProgram::Run()
 {
   if (!ReadOptions() || !ReadSettings()) {
     return ExitCode::kUsage;
@@ -111,7 +112,8 @@
   return mHistory.Keys().empty() ? ExitCode::kAway : ExitCode::kOk;
 }
 
-bool BurnProgram::ReadOptions()
+bool
+BurnProgram::ReadOptions()
 {
   const std::string format = mArguments.Text("--format");
   if (format != "text" && format != "json" && format != "html") {
@@ -131,7 +133,8 @@
   return true;
 }
 
-bool BurnProgram::ReadSettings()
+bool
+BurnProgram::ReadSettings()
 {
   if (mArguments.Has("--settings")) {
     const auto settings = LoadSettings(
@@ -158,7 +161,8 @@
   return true;
 }
 
-bool BurnProgram::Replay(const std::string& aFile)
+bool
+BurnProgram::Replay(const std::string& aFile)
 {
   std::ifstream in(aFile);
   if (!in) {
@@ -177,7 +181,8 @@
   return true;
 }
 
-bool BurnProgram::Poll()
+bool
+BurnProgram::Poll()
 {
   for (std::uint64_t n = 0; n < mSamples; ++n) {
     if (n > 0) {
@@ -192,7 +197,8 @@
   return true;
 }
 
-BurnSnapshot BurnProgram::TakeSnapshot()
+BurnSnapshot
+BurnProgram::TakeSnapshot()
 {
   std::vector<HttpCall> calls;
   for (const auto& it : mEntries) {
@@ -209,8 +215,8 @@
   return snapshot;
 }
 
-EntrySample BurnProgram::MakeSample(const std::string& aUrl,
-                                    const FetchResult& aResult)
+EntrySample
+BurnProgram::MakeSample(const std::string& aUrl, const FetchResult& aResult)
 {
   EntrySample away{ .url = aUrl, .error = "", .counters = {} };
   if (!aResult) {
@@ -230,7 +236,8 @@
   return MakeEntrySample(aUrl, *samples);
 }
 
-bool BurnProgram::Record(const BurnSnapshot& aSnapshot)
+bool
+BurnProgram::Record(const BurnSnapshot& aSnapshot)
 {
   const std::string file = mArguments.Text("--record");
   if (file.empty()) {
@@ -242,7 +249,8 @@
   return out ? true : Refuse(file + ": can't be written");
 }
 
-bool BurnProgram::Write(const BurnReport& aReport)
+bool
+BurnProgram::Write(const BurnReport& aReport)
 {
   const std::string format = mArguments.Text("--format");
   std::string text;
@@ -265,7 +273,8 @@
 }
 
 // Says what is wrong; false, for the caller to return.
-bool BurnProgram::Refuse(const std::string& aText)
+bool
+BurnProgram::Refuse(const std::string& aText)
 {
   mSurroundings.err << aText << '\n';
   return false;
@@ -273,9 +282,10 @@
 
 } // namespace
 
-ExitCode RunBurn(const BurnSurroundings& aSurroundings,
-                 int aCount,
-                 const char* const* aWords)
+ExitCode
+RunBurn(const BurnSurroundings& aSurroundings,
+        int aCount,
+        const char* const* aWords)
 {
   const auto arguments =
     ParseArguments(kUsage, aSurroundings.version, aCount, aWords);
--- a/servers/burn/burn_program.h
+++ b/servers/burn/burn_program.h
@@ -22,8 +22,9 @@
 };
 
 // Gathers the samples, writes the report, and returns the exit code.
-ExitCode RunBurn(const BurnSurroundings& aSurroundings,
-                 int aCount,
-                 const char* const* aWords);
+ExitCode
+RunBurn(const BurnSurroundings& aSurroundings,
+        int aCount,
+        const char* const* aWords);
 
 } // namespace firefly
--- a/servers/burn/burn_record.cpp
+++ b/servers/burn/burn_record.cpp
@@ -10,7 +10,8 @@
 
 using Json = nlohmann::json;
 
-Json ToJson(const OutcomeAmounts& aAmounts)
+Json
+ToJson(const OutcomeAmounts& aAmounts)
 {
   return { { "in_time", aAmounts.inTime },
            { "late", aAmounts.late },
@@ -18,7 +19,8 @@
            { "failed", aAmounts.failed } };
 }
 
-OutcomeAmounts ToAmounts(const Json& aJson)
+OutcomeAmounts
+ToAmounts(const Json& aJson)
 {
   return { .inTime = aJson.at("in_time"),
            .late = aJson.at("late"),
@@ -27,7 +29,8 @@
 }
 
 // JSON has no infinity: the last bound is null.
-Json ToJson(const BucketCounts& aCounts)
+Json
+ToJson(const BucketCounts& aCounts)
 {
   Json list = Json::array();
   for (const auto& [bound, count] : aCounts) {
@@ -37,7 +40,8 @@
   return list;
 }
 
-BucketCounts ToBuckets(const Json& aJson)
+BucketCounts
+ToBuckets(const Json& aJson)
 {
   BucketCounts counts;
   for (const auto& it : aJson) {
@@ -49,7 +53,8 @@
   return counts;
 }
 
-Json ToJson(const BurnKey& aKey, const BurnCounters& aCounters)
+Json
+ToJson(const BurnKey& aKey, const BurnCounters& aCounters)
 {
   return { { "service", aKey.service.Value() },
            { "request_type", aKey.type.Value() },
@@ -60,7 +65,8 @@
            { "token_gap", ToJson(aCounters.tokenGap) } };
 }
 
-BurnCounters ToCounters(const Json& aJson)
+BurnCounters
+ToCounters(const Json& aJson)
 {
   return { .requests = ToAmounts(aJson.at("requests")),
            .worth = ToAmounts(aJson.at("worth")),
@@ -69,7 +75,8 @@
            .tokenGap = ToBuckets(aJson.at("token_gap")) };
 }
 
-Json ToJson(const EntrySample& aEntry)
+Json
+ToJson(const EntrySample& aEntry)
 {
   Json types = Json::array();
   for (const auto& [key, counters] : aEntry.counters) {
@@ -81,7 +88,8 @@
            { "types", types } };
 }
 
-EntrySample ToEntry(const Json& aJson)
+EntrySample
+ToEntry(const Json& aJson)
 {
   EntrySample entry{ .url = aJson.at("url"),
                      .error = aJson.at("error"),
@@ -97,7 +105,8 @@
 
 } // namespace
 
-std::string FormatSnapshot(const BurnSnapshot& aSnapshot)
+std::string
+FormatSnapshot(const BurnSnapshot& aSnapshot)
 {
   Json entries = Json::array();
   for (const auto& it : aSnapshot.entries) {
@@ -108,7 +117,8 @@
   return line.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-tl::expected<BurnSnapshot, std::string> ParseSnapshot(const std::string& aLine)
+tl::expected<BurnSnapshot, std::string>
+ParseSnapshot(const std::string& aLine)
 {
   try {
     const Json json = Json::parse(aLine);
--- a/servers/burn/burn_report.cpp
+++ b/servers/burn/burn_report.cpp
@@ -16,19 +16,19 @@
 constexpr double kRisingFactor = 1.25;
 constexpr double kFallingFactor = 0.8;
 
-BurnCounters Last(const BurnHistory& aHistory,
-                  const BurnKey& aKey,
-                  Duration aSpan)
+BurnCounters
+Last(const BurnHistory& aHistory, const BurnKey& aKey, Duration aSpan)
 {
   const auto span =
     std::chrono::duration_cast<std::chrono::milliseconds>(aSpan);
   return aHistory.Between(aKey, aHistory.End() - span, aHistory.End());
 }
 
-WindowBurn MakeWindow(const BurnHistory& aHistory,
-                      const BurnKey& aKey,
-                      double aObjective,
-                      const BurnWindow& aWindow)
+WindowBurn
+MakeWindow(const BurnHistory& aHistory,
+           const BurnKey& aKey,
+           double aObjective,
+           const BurnWindow& aWindow)
 {
   const Duration known = aHistory.End() - aHistory.Begin();
   WindowBurn burn{
@@ -50,9 +50,8 @@
 
 // Compares the newest quarter of the time, or the shortest window, with as
 // much before it.
-BurnTrend MakeTrend(const BurnHistory& aHistory,
-                    const BurnKey& aKey,
-                    double aObjective)
+BurnTrend
+MakeTrend(const BurnHistory& aHistory, const BurnKey& aKey, double aObjective)
 {
   const auto known = aHistory.End() - aHistory.Begin();
   const auto shortest = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -73,9 +72,8 @@
                                       : BurnTrend::kSteady;
 }
 
-std::vector<BurnPoint> MakePoints(const BurnHistory& aHistory,
-                                  const BurnKey& aKey,
-                                  double aObjective)
+std::vector<BurnPoint>
+MakePoints(const BurnHistory& aHistory, const BurnKey& aKey, double aObjective)
 {
   std::vector<BurnPoint> points;
   const auto known = aHistory.End() - aHistory.Begin();
@@ -92,7 +90,8 @@
   return points;
 }
 
-std::optional<Duration> ExhaustedIn(double aBudgetUsed, double aBurn)
+std::optional<Duration>
+ExhaustedIn(double aBudgetUsed, double aBurn)
 {
   if (aBudgetUsed >= 1) {
     return Duration::zero();
@@ -103,9 +102,10 @@
   return FromSeconds((1 - aBudgetUsed) * ToSeconds(kBudgetPeriod) / aBurn);
 }
 
-BurnRow MakeRow(const BurnHistory& aHistory,
-                const BurnKey& aKey,
-                const BurnObjective& aObjective)
+BurnRow
+MakeRow(const BurnHistory& aHistory,
+        const BurnKey& aKey,
+        const BurnObjective& aObjective)
 {
   const Duration known = aHistory.End() - aHistory.Begin();
   BurnRow row{ .key = aKey,
@@ -136,7 +136,8 @@
 
 } // namespace
 
-std::map<BurnKey, BurnObjective> ObjectivesOf(const Settings& aSettings)
+std::map<BurnKey, BurnObjective>
+ObjectivesOf(const Settings& aSettings)
 {
   std::map<BurnKey, BurnObjective> objectives;
   for (const auto& service : aSettings.services) {
@@ -154,8 +155,9 @@
   return objectives;
 }
 
-BurnReport MakeBurnReport(const BurnHistory& aHistory,
-                          const std::map<BurnKey, BurnObjective>& aObjectives)
+BurnReport
+MakeBurnReport(const BurnHistory& aHistory,
+               const std::map<BurnKey, BurnObjective>& aObjectives)
 {
   BurnReport report{ .from = aHistory.Begin(),
                      .to = aHistory.End(),
@@ -175,7 +177,8 @@
   return report;
 }
 
-double BurnRate(const OutcomeAmounts& aRequests, double aObjective)
+double
+BurnRate(const OutcomeAmounts& aRequests, double aObjective)
 {
   if (aRequests.Total() <= 0) {
     return 0;
@@ -183,7 +186,8 @@
   return aRequests.Bad() / aRequests.Total() / (1 - aObjective);
 }
 
-std::optional<double> QuantileOf(const BucketCounts& aCounts, double aQuantile)
+std::optional<double>
+QuantileOf(const BucketCounts& aCounts, double aQuantile)
 {
   if (aCounts.empty() || aCounts.rbegin()->second <= 0) {
     return std::nullopt;
@@ -204,7 +208,8 @@
   return bound;
 }
 
-std::string_view NameOf(BurnTrend aTrend)
+std::string_view
+NameOf(BurnTrend aTrend)
 {
   switch (aTrend) {
     case BurnTrend::kFalling:
@@ -219,7 +224,8 @@
   return "unknown";
 }
 
-std::string_view NameOf(AlertState aState)
+std::string_view
+NameOf(AlertState aState)
 {
   switch (aState) {
     case AlertState::kQuiet:
--- a/servers/burn/burn_report.h
+++ b/servers/burn/burn_report.h
@@ -23,7 +23,8 @@
 };
 
 // The objectives of all request types of the settings.
-std::map<BurnKey, BurnObjective> ObjectivesOf(const Settings& aSettings);
+std::map<BurnKey, BurnObjective>
+ObjectivesOf(const Settings& aSettings);
 
 // A pair of windows and the burn rate at which both together raise an alert.
 struct BurnWindow
@@ -133,18 +134,23 @@
 };
 
 // Works out the report. Request types without an objective get the default.
-BurnReport MakeBurnReport(const BurnHistory& aHistory,
-                          const std::map<BurnKey, BurnObjective>& aObjectives);
+BurnReport
+MakeBurnReport(const BurnHistory& aHistory,
+               const std::map<BurnKey, BurnObjective>& aObjectives);
 
 // The rate at which the budget is used: 1 uses it up just at its period's end.
-double BurnRate(const OutcomeAmounts& aRequests, double aObjective);
+double
+BurnRate(const OutcomeAmounts& aRequests, double aObjective);
 
 // The quantile by linear interpolation within the buckets; none without
 // observations. A quantile above the last finite bound is that bound.
-std::optional<double> QuantileOf(const BucketCounts& aCounts, double aQuantile);
+std::optional<double>
+QuantileOf(const BucketCounts& aCounts, double aQuantile);
 
 // Words for reports.
-std::string_view NameOf(BurnTrend aTrend);
-std::string_view NameOf(AlertState aState);
+std::string_view
+NameOf(BurnTrend aTrend);
+std::string_view
+NameOf(AlertState aState);
 
 } // namespace firefly
--- a/servers/burn/burn_sample.cpp
+++ b/servers/burn/burn_sample.cpp
@@ -7,9 +7,8 @@
 
 namespace {
 
-void AddScaled(OutcomeAmounts& aSum,
-               const OutcomeAmounts& aAmounts,
-               double aFactor)
+void
+AddScaled(OutcomeAmounts& aSum, const OutcomeAmounts& aAmounts, double aFactor)
 {
   aSum.inTime += aAmounts.inTime * aFactor;
   aSum.late += aAmounts.late * aFactor;
@@ -17,14 +16,16 @@
   aSum.failed += aAmounts.failed * aFactor;
 }
 
-void AddScaled(BucketCounts& aSum, const BucketCounts& aCounts, double aFactor)
+void
+AddScaled(BucketCounts& aSum, const BucketCounts& aCounts, double aFactor)
 {
   for (const auto& [bound, count] : aCounts) {
     aSum[bound] += count * aFactor;
   }
 }
 
-std::string LabelOf(const MetricSample& aSample, const std::string& aName)
+std::string
+LabelOf(const MetricSample& aSample, const std::string& aName)
 {
   for (const auto& it : aSample.labels) {
     if (it.name == aName) {
@@ -34,7 +35,8 @@
   return "";
 }
 
-void SetOutcome(OutcomeAmounts& aAmounts, const MetricSample& aSample)
+void
+SetOutcome(OutcomeAmounts& aAmounts, const MetricSample& aSample)
 {
   const std::string outcome = LabelOf(aSample, "outcome");
   if (outcome == "in_time") {
@@ -48,7 +50,8 @@
   }
 }
 
-void SetBucket(BucketCounts& aCounts, const MetricSample& aSample)
+void
+SetBucket(BucketCounts& aCounts, const MetricSample& aSample)
 {
   const std::string text = LabelOf(aSample, "le");
   if (text == "+Inf") {
@@ -63,7 +66,8 @@
   }
 }
 
-void SetCounter(BurnCounters& aCounters, const MetricSample& aSample)
+void
+SetCounter(BurnCounters& aCounters, const MetricSample& aSample)
 {
   if (aSample.name == "firefly_requests_total") {
     SetOutcome(aCounters.requests, aSample);
@@ -78,7 +82,8 @@
   }
 }
 
-bool IsBurnMetric(const std::string& aName)
+bool
+IsBurnMetric(const std::string& aName)
 {
   return aName == "firefly_requests_total" || aName == "firefly_worth_total" ||
          aName == "firefly_refunds_total" ||
@@ -88,7 +93,8 @@
 
 } // namespace
 
-void AddScaled(BurnCounters& aSum, const BurnCounters& aAmounts, double aFactor)
+void
+AddScaled(BurnCounters& aSum, const BurnCounters& aAmounts, double aFactor)
 {
   AddScaled(aSum.requests, aAmounts.requests, aFactor);
   AddScaled(aSum.worth, aAmounts.worth, aFactor);
@@ -97,8 +103,8 @@
   AddScaled(aSum.tokenGap, aAmounts.tokenGap, aFactor);
 }
 
-EntrySample MakeEntrySample(std::string aUrl,
-                            const std::vector<MetricSample>& aSamples)
+EntrySample
+MakeEntrySample(std::string aUrl, const std::vector<MetricSample>& aSamples)
 {
   EntrySample sample{ .url = std::move(aUrl), .error = "", .counters = {} };
   for (const auto& it : aSamples) {
--- a/servers/burn/burn_sample.h
+++ b/servers/burn/burn_sample.h
@@ -57,9 +57,8 @@
 using BurnCountersByKey = std::map<BurnKey, BurnCounters>;
 
 // Adds the amounts times the factor to the sum.
-void AddScaled(BurnCounters& aSum,
-               const BurnCounters& aAmounts,
-               double aFactor);
+void
+AddScaled(BurnCounters& aSum, const BurnCounters& aAmounts, double aFactor);
 
 // One entry's counters, or why it gave none.
 struct EntrySample
@@ -82,11 +81,13 @@
 };
 
 // Picks the report's counters from an entry's metrics.
-EntrySample MakeEntrySample(std::string aUrl,
-                            const std::vector<MetricSample>& aSamples);
+EntrySample
+MakeEntrySample(std::string aUrl, const std::vector<MetricSample>& aSamples);
 
 // The snapshot as a line of JSON, without a line end, and back.
-std::string FormatSnapshot(const BurnSnapshot& aSnapshot);
-tl::expected<BurnSnapshot, std::string> ParseSnapshot(const std::string& aLine);
+std::string
+FormatSnapshot(const BurnSnapshot& aSnapshot);
+tl::expected<BurnSnapshot, std::string>
+ParseSnapshot(const std::string& aLine);
 
 } // namespace firefly
--- a/servers/burn/burn_text.cpp
+++ b/servers/burn/burn_text.cpp
@@ -8,13 +8,15 @@
 
 namespace {
 
-std::string Count(double aCount)
+std::string
+Count(double aCount)
 {
   return std::to_string(std::llround(aCount));
 }
 
-std::string Millis(const std::optional<double>& aSeconds,
-                   const std::optional<Duration>& aTarget)
+std::string
+Millis(const std::optional<double>& aSeconds,
+       const std::optional<Duration>& aTarget)
 {
   if (!aSeconds) {
     return "-";
@@ -26,7 +28,8 @@
   return text + " ms";
 }
 
-std::string BudgetTable(const BurnReport& aReport)
+std::string
+BudgetTable(const BurnReport& aReport)
 {
   TextTable table({ "SERVICE",
                     "REQUEST TYPE",
@@ -58,7 +61,8 @@
   return table.Text();
 }
 
-std::string WindowTable(const BurnReport& aReport)
+std::string
+WindowTable(const BurnReport& aReport)
 {
   TextTable table({ "SERVICE",
                     "REQUEST TYPE",
@@ -83,7 +87,8 @@
   return table.Text();
 }
 
-std::string LatencyTable(const BurnReport& aReport)
+std::string
+LatencyTable(const BurnReport& aReport)
 {
   TextTable table(
     { "SERVICE", "REQUEST TYPE", "FIRST TOKEN 95 %", "TOKEN GAP 95 %" });
@@ -98,7 +103,8 @@
   return table.Text();
 }
 
-std::string EntryLines(const BurnReport& aReport)
+std::string
+EntryLines(const BurnReport& aReport)
 {
   std::string text;
   for (const auto& it : aReport.entries) {
@@ -113,7 +119,8 @@
   return text;
 }
 
-std::string AlertLines(const BurnReport& aReport)
+std::string
+AlertLines(const BurnReport& aReport)
 {
   std::string text;
   for (const auto& it : aReport.alerts) {
@@ -124,14 +131,16 @@
 }
 
 // A part of the report behind an empty line, or nothing.
-std::string Part(const std::string& aText)
+std::string
+Part(const std::string& aText)
 {
   return aText.empty() ? "" : '\n' + aText;
 }
 
 } // namespace
 
-std::string FormatText(const BurnReport& aReport)
+std::string
+FormatText(const BurnReport& aReport)
 {
   std::string text = "service-level burn from " + FormatTime(aReport.from) +
                      " to " + FormatTime(aReport.to) + " (" +
--- a/tests/servers/burn/burn_fixture.h
+++ b/tests/servers/burn/burn_fixture.h
@@ -9,15 +9,17 @@
 namespace firefly {
 
 // The only key that the tests of the arithmetic use.
-inline BurnKey TestKey()
+inline BurnKey
+TestKey()
 {
   return { ServiceId("desk"), RequestType("book") };
 }
 
 // An entry that has counted these requests since its start.
-inline EntrySample Counted(const std::string& aUrl,
-                           const OutcomeAmounts& aRequests,
-                           double aIncarnation = 1)
+inline EntrySample
+Counted(const std::string& aUrl,
+        const OutcomeAmounts& aRequests,
+        double aIncarnation = 1)
 {
   EntrySample sample{
     .url = aUrl, .error = "", .incarnation = aIncarnation, .counters = {}
@@ -27,7 +29,8 @@
 }
 
 // A snapshot so many minutes after the epoch.
-inline BurnSnapshot AtMinute(int aMinute, std::vector<EntrySample> aEntries)
+inline BurnSnapshot
+AtMinute(int aMinute, std::vector<EntrySample> aEntries)
 {
   return { .time = WallTime(std::chrono::minutes(aMinute)),
            .entries = std::move(aEntries) };
--- a/tests/servers/burn/burn_program_test.cpp
+++ b/tests/servers/burn/burn_program_test.cpp
@@ -27,7 +27,8 @@
 const bool kDocoptPrepared = PrepareDocopt();
 
 // An entry's metrics after so many requests, a tenth of which were late.
-std::string Metrics(int aRequests)
+std::string
+Metrics(int aRequests)
 {
   const std::string labels = "service=\"rota<b>\",request_type=\"lookup\"";
   const std::string inTime = std::to_string(aRequests * 9 / 10);
@@ -43,7 +44,8 @@
          ",le=\"+Inf\"} " + late + "\n";
 }
 
-std::string ReadFile(const std::string& aName)
+std::string
+ReadFile(const std::string& aName)
 {
   std::stringstream text;
   text << std::ifstream(aName).rdbuf();
