Hand the table's rows to the decision classes

MakeLimitRows joins table and settings. The limit keeper takes 0 for no limit, while an operator who writes 0 means none may run, so the table now refuses 0 for max_concurrent and rate_per_second: an empty cell is no limit. The settings name the baselines as the policies do.

--- a/servers/settings/section_reader.h
+++ b/servers/settings/section_reader.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "servers/settings/setting_range.h"
 #include "servers/settings/setting_value.h"
 
 namespace firefly {
@@ -35,14 +36,6 @@
   std::vector<std::string> mLines;
 };
 
-// The least and the greatest value that a number may have.
-template<typename T>
-struct SettingRange
-{
-  T least;
-  T most;
-};
-
 // A word of the settings and the enumerator it stands for.
 template<typename E>
 struct SettingChoice
--- a/servers/settings/settings.cpp
+++ b/servers/settings/settings.cpp
@@ -62,13 +62,13 @@
 {
   kFirefly,
   kRoundRobin,
-  kLeastOutstanding,
+  kLeastReportedLoad,
 };
 
 constexpr std::array<SettingChoice<PolicyName>, 3> kPolicies{ {
   { "firefly", PolicyName::kFirefly },
   { "round-robin", PolicyName::kRoundRobin },
-  { "least-outstanding", PolicyName::kLeastOutstanding },
+  { "least-reported-load", PolicyName::kLeastReportedLoad },
 } };
 
 template<typename E, std::size_t N>
--- a/servers/table/table_columns.cpp
+++ b/servers/table/table_columns.cpp
@@ -3,15 +3,17 @@
 #include <algorithm>
 #include <charconv>
 
+#include "servers/settings/setting_range.h"
+
 namespace firefly {
 
 namespace {
 
-constexpr double kMostWeight = 1'000;
-constexpr double kMostRate = 1e6;
-constexpr double kMostWorth = 1e9;
-constexpr std::uint32_t kMostConcurrent = 1'000'000;
-constexpr std::uint32_t kMostMillis = 3'600'000;
+constexpr SettingRange<double> kWeights{ 0, 1'000 };
+constexpr SettingRange<std::uint32_t> kConcurrent{ 1, 1'000'000 };
+constexpr SettingRange<double> kRates{ 0.001, 1e6 };
+constexpr SettingRange<double> kWorths{ 0, 1e9 };
+constexpr SettingRange<std::uint32_t> kMillis{ 1, 3'600'000 };
 constexpr std::size_t kLongestName = 128;
 
 constexpr std::string_view kNameAllowed =
@@ -19,9 +21,9 @@
   "*";
 constexpr std::string_view kWeightAllowed = "must be a number from 0 to 1000";
 constexpr std::string_view kConcurrentAllowed =
-  "must be empty or a whole number from 0 to 1000000";
+  "must be empty or a whole number from 1 to 1000000";
 constexpr std::string_view kRateAllowed =
-  "must be empty or a number from 0 to 1000000";
+  "must be empty or a number from 0.001 to 1000000";
 constexpr std::string_view kWorthAllowed =
   "must be empty or a number from 0 to 1000000000";
 constexpr std::string_view kMillisAllowed =
@@ -43,13 +45,13 @@
 }
 
 template<typename T>
-std::optional<T> ParseNumber(const std::string& aText, T aLeast, T aMost)
+std::optional<T> ParseNumber(const std::string& aText, SettingRange<T> aRange)
 {
   T number{};
   const char* end = aText.data() + aText.size();
   const auto [ptr, ec] = std::from_chars(aText.data(), end, number);
   // Written so that NaN, which compares false, is refused.
-  const bool within = number >= aLeast && number <= aMost;
+  const bool within = number >= aRange.least && number <= aRange.most;
   if (ec != std::errc{} || ptr != end || !within) {
     return std::nullopt;
   }
@@ -105,20 +107,20 @@
 template<typename T>
 std::string_view ReadOptional(const std::string& aText,
                               std::optional<T>& aValue,
-                              T aMost,
+                              SettingRange<T> aRange,
                               std::string_view aAllowed)
 {
   if (aText.empty()) {
     aValue.reset();
     return "";
   }
-  aValue = ParseNumber<T>(aText, T{}, aMost);
+  aValue = ParseNumber<T>(aText, aRange);
   return aValue ? "" : aAllowed;
 }
 
 std::string_view ReadWeight(const std::string& aText, TableRow& aRow)
 {
-  const auto weight = ParseNumber(aText, 0.0, kMostWeight);
+  const auto weight = ParseNumber(aText, kWeights);
   aRow.weight = weight.value_or(0);
   return weight ? "" : kWeightAllowed;
 }
@@ -126,12 +128,12 @@
 std::string_view ReadLateAfter(const std::string& aText, TableRow& aRow)
 {
   std::optional<std::uint32_t> millis;
-  const auto allowed = ReadOptional(aText, millis, kMostMillis, kMillisAllowed);
+  const auto allowed = ReadOptional(aText, millis, kMillis, kMillisAllowed);
   aRow.lateAfter.reset();
   if (millis) {
     aRow.lateAfter = std::chrono::milliseconds(*millis);
   }
-  return millis == 0U ? kMillisAllowed : allowed;
+  return allowed;
 }
 
 } // namespace
@@ -159,20 +161,19 @@
       .read =
         [](const std::string& aText, TableRow& aRow) {
           return ReadOptional(
-            aText, aRow.maxConcurrent, kMostConcurrent, kConcurrentAllowed);
+            aText, aRow.maxConcurrent, kConcurrent, kConcurrentAllowed);
         } },
     { .name = "rate_per_second",
       .write = WriteRate,
       .read =
         [](const std::string& aText, TableRow& aRow) {
-          return ReadOptional(
-            aText, aRow.ratePerSecond, kMostRate, kRateAllowed);
+          return ReadOptional(aText, aRow.ratePerSecond, kRates, kRateAllowed);
         } },
     { .name = "worth",
       .write = WriteWorth,
       .read =
         [](const std::string& aText, TableRow& aRow) {
-          return ReadOptional(aText, aRow.worth, kMostWorth, kWorthAllowed);
+          return ReadOptional(aText, aRow.worth, kWorths, kWorthAllowed);
         } },
     { .name = "late_after_ms", .write = WriteLateAfter, .read = ReadLateAfter },
   } };
--- a/tests/servers/table/operators_table_test.cpp
+++ b/tests/servers/table/operators_table_test.cpp
@@ -4,6 +4,7 @@
 
 #include "core/random.h"
 #include "servers/table/csv.h"
+#include "servers/table/limit_rows.h"
 
 using firefly::CustomerId;
 using firefly::DiffTables;
@@ -13,6 +14,7 @@
 using firefly::FormatTable;
 using firefly::LoadSettings;
 using firefly::MakeDefaultTable;
+using firefly::MakeLimitRows;
 using firefly::OperatorsTable;
 using firefly::ParseCsv;
 using firefly::ParseTable;
@@ -65,11 +67,11 @@
                            .worth = {},
                            .lateAfter = {} };
     if (aRandom.Chance(0.5)) {
-      row.maxConcurrent = aRandom.Below(1'000'001);
+      row.maxConcurrent = 1 + aRandom.Below(1'000'000);
       row.worth = aRandom.Uniform() * 1e9;
     }
     if (aRandom.Chance(0.5)) {
-      row.ratePerSecond = aRandom.Uniform() * 1e6;
+      row.ratePerSecond = 0.001 + aRandom.Uniform() * 1e5;
       row.lateAfter = std::chrono::milliseconds(1 + aRandom.Below(3'600'000));
     }
     table.Add(row);
@@ -149,10 +151,13 @@
       "to 1000" },
     { "desk,book,*,1,-1,,,\n",
       "line 2, column max_concurrent: \"-1\" is not allowed; must be empty or "
-      "a whole number from 0 to 1000000" },
+      "a whole number from 1 to 1000000" },
+    { "desk,book,*,1,0,,,\n",
+      "line 2, column max_concurrent: \"0\" is not allowed; must be empty or "
+      "a whole number from 1 to 1000000" },
     { "desk,book,*,1,,1e7,,\n",
       "line 2, column rate_per_second: \"1e7\" is not allowed; must be empty "
-      "or a number from 0 to 1000000" },
+      "or a number from 0.001 to 1000000" },
     { "desk,book,*,1,,,5 EUR,\n",
       "line 2, column worth: \"5 EUR\" is not allowed; must be empty or a "
       "number from 0 to 1000000000" },
@@ -224,3 +229,25 @@
     CHECK_TRUE(ParseTable(FormatTable(table), &*settings).has_value());
   }
 }
+
+TEST(OperatorsTableTest, LimitsComeFromTheTableAndTheRestFromTheSettings)
+{
+  const auto settings = DemoSettings();
+  const auto table = *ParseTable(kHeader + "desk,book,*,2,7,,9,\n"
+                                           "desk,book,acme,0.5,,3,,250\n"
+                                           "gone,book,*,1,,,,\n",
+                                 nullptr);
+  const auto rows = MakeLimitRows(table, settings);
+  LONGS_EQUAL(4, rows.size());
+  const auto& all = rows[2];
+  STRCMP_EQUAL("book", all.requestType.Value().c_str());
+  LONGS_EQUAL(7, all.maxConcurrent);
+  DOUBLES_EQUAL(9, all.worth.Value(), 0);
+  CHECK_TRUE(all.lateAfter == std::chrono::seconds(5));
+  const auto& own = rows[3];
+  STRCMP_EQUAL("acme", own.customer.Value().c_str());
+  LONGS_EQUAL(0, own.maxConcurrent);
+  DOUBLES_EQUAL(3, own.ratePerSecond, 0);
+  DOUBLES_EQUAL(9, own.worth.Value(), 0);
+  CHECK_TRUE(own.lateAfter == std::chrono::milliseconds(250));
+}
