--- a/bench/engine_model.cpp
+++ b/bench/engine_model.cpp
@@ -15,7 +15,8 @@
 // Tokens told at once, to spare events.
 constexpr std::uint32_t kTokensTold = 4;
 
-policy::BackendCapacity CapacityOf(policy::EngineRole aRole)
+policy::BackendCapacity
+CapacityOf(policy::EngineRole aRole)
 {
   const auto [chunk, slots] = TuningOf(aRole);
   const double step = ToSeconds(StepTime(chunk, slots));
@@ -27,7 +28,8 @@
 
 } // namespace
 
-RoleTuning TuningOf(policy::EngineRole aRole)
+RoleTuning
+TuningOf(policy::EngineRole aRole)
 {
   switch (aRole) {
     case policy::EngineRole::kPrefill:
@@ -40,14 +42,16 @@
   return { .chunkTokens = 200, .slots = 24 };
 }
 
-policy::RoleCapacities EngineCapacities()
+policy::RoleCapacities
+EngineCapacities()
 {
   return { .mixed = CapacityOf(policy::EngineRole::kMixed),
            .prefill = CapacityOf(policy::EngineRole::kPrefill),
            .decode = CapacityOf(policy::EngineRole::kDecode) };
 }
 
-Duration StepTime(std::uint32_t aPromptTokens, std::uint32_t aOutputs)
+Duration
+StepTime(std::uint32_t aPromptTokens, std::uint32_t aOutputs)
 {
   return kStepBase + aPromptTokens * kPromptTokenTime + aOutputs * kOutputTime;
 }
@@ -63,7 +67,8 @@
 {
 }
 
-bool EngineModel::Submit(EngineRequest aRequest)
+bool
+EngineModel::Submit(EngineRequest aRequest)
 {
   if (!mUp) {
     return false;
@@ -74,7 +79,8 @@
   return true;
 }
 
-void EngineModel::Cancel(AttemptKey aKey)
+void
+EngineModel::Cancel(AttemptKey aKey)
 {
   std::erase_if(mWaiting,
                 [&](const auto& aItem) { return aItem.second.key == aKey; });
@@ -87,7 +93,8 @@
   }
 }
 
-void EngineModel::Crash()
+void
+EngineModel::Crash()
 {
   mUp = false;
   mStep.Cancel();
@@ -110,13 +117,14 @@
   }
 }
 
-Duration EngineModel::RestartTime()
+Duration
+EngineModel::RestartTime()
 {
   return kRestartTime;
 }
 
-void EngineModel::ChangeRole(policy::EngineRole aRole,
-                             std::function<void()> aDone)
+void
+EngineModel::ChangeRole(policy::EngineRole aRole, std::function<void()> aDone)
 {
   mUp = false;
   mCache.clear();
@@ -129,7 +137,8 @@
     });
 }
 
-policy::LoadReport EngineModel::Report() const
+policy::LoadReport
+EngineModel::Report() const
 {
   policy::LoadReport report{ .backend = mId };
   report.requests =
@@ -143,7 +152,8 @@
   return report;
 }
 
-void EngineModel::AdmitWaiting()
+void
+EngineModel::AdmitWaiting()
 {
   const auto slots = TuningOf(mRole).slots;
   while (!mWaiting.empty() && mActive.size() < slots) {
@@ -174,7 +184,8 @@
   Shrink();
 }
 
-void EngineModel::ScheduleStep()
+void
+EngineModel::ScheduleStep()
 {
   if (!mUp || mStep.Pending()) {
     return;
@@ -206,7 +217,8 @@
     span, [this, done = std::move(chunks)] { EndStep(done); });
 }
 
-void EngineModel::EndStep(std::map<Order, std::uint32_t> aChunks)
+void
+EngineModel::EndStep(std::map<Order, std::uint32_t> aChunks)
 {
   std::vector<Order> finished;
   for (auto& [order, running] : mActive) {
@@ -241,7 +253,8 @@
   ScheduleStep();
 }
 
-void EngineModel::EndPrompt(Running& aRunning)
+void
+EngineModel::EndPrompt(Running& aRunning)
 {
   Cache(aRunning.request);
   aRunning.outputLeft--;
@@ -249,7 +262,8 @@
   mListener.OnTokens(aRunning.request.key, 1);
 }
 
-std::uint32_t EngineModel::CachedTokens(const EngineRequest& aRequest)
+std::uint32_t
+EngineModel::CachedTokens(const EngineRequest& aRequest)
 {
   std::uint32_t cached = 0;
   for (const auto hash : aRequest.prefixHashes) {
@@ -263,7 +277,8 @@
   return cached;
 }
 
-void EngineModel::Cache(const EngineRequest& aRequest)
+void
+EngineModel::Cache(const EngineRequest& aRequest)
 {
   for (const auto hash : aRequest.prefixHashes) {
     const auto it = mCachePlaces.find(hash);
@@ -277,7 +292,8 @@
   Shrink();
 }
 
-void EngineModel::Shrink()
+void
+EngineModel::Shrink()
 {
   const auto room = kPieces - std::min(kPieces, mPiecesRunning);
   while (mCache.size() > room) {
--- a/bench/engine_model.h
+++ b/bench/engine_model.h
@@ -59,13 +59,16 @@
 };
 
 // The tuning of a role.
-RoleTuning TuningOf(policy::EngineRole aRole);
+RoleTuning
+TuningOf(policy::EngineRole aRole);
 
 // What an engine carries in each role, worked out from its tuning.
-policy::RoleCapacities EngineCapacities();
+policy::RoleCapacities
+EngineCapacities();
 
 // A step's length.
-Duration StepTime(std::uint32_t aPromptTokens, std::uint32_t aOutputs);
+Duration
+StepTime(std::uint32_t aPromptTokens, std::uint32_t aOutputs);
 
 class EngineModel
 {
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -33,7 +33,8 @@
 // The load of scenarios that aren't about too much of it.
 constexpr double kUsualLoad = 0.6;
 
-double Normal(Random& aRandom)
+double
+Normal(Random& aRandom)
 {
   constexpr int kTerms = 12;
   double sum = 0;
@@ -43,13 +44,15 @@
   return sum - kTerms / 2.0;
 }
 
-std::uint32_t Spread(Random& aRandom, std::uint32_t aUsual)
+std::uint32_t
+Spread(Random& aRandom, std::uint32_t aUsual)
 {
   const double factor = std::exp(kSizeSpread * Normal(aRandom));
   return std::max(1U, static_cast<std::uint32_t>(aUsual * factor));
 }
 
-std::size_t Pick(Random& aRandom, const std::vector<double>& aParts)
+std::size_t
+Pick(Random& aRandom, const std::vector<double>& aParts)
 {
   double left = aRandom.Uniform();
   for (std::size_t i = 0; i < aParts.size(); ++i) {
@@ -61,7 +64,8 @@
   return 0;
 }
 
-std::uint32_t PickDocument(Random& aRandom, std::uint32_t aCount)
+std::uint32_t
+PickDocument(Random& aRandom, std::uint32_t aCount)
 {
   double sum = 0;
   for (std::uint32_t i = 1; i <= aCount; ++i) {
@@ -77,7 +81,8 @@
   return aCount;
 }
 
-double MeanSeconds(const std::vector<double>& aMix)
+double
+MeanSeconds(const std::vector<double>& aMix)
 {
   double sum = 0;
   for (std::size_t i = 0; i < aMix.size(); ++i) {
@@ -88,10 +93,11 @@
   return sum * std::exp(kSizeSpread * kSizeSpread / 2);
 }
 
-Arrival MakeArrival(Random& aRandom,
-                    std::size_t aType,
-                    std::size_t aNumber,
-                    Instant aAt)
+Arrival
+MakeArrival(Random& aRandom,
+            std::size_t aType,
+            std::size_t aNumber,
+            Instant aAt)
 {
   const auto& type = RequestTypes()[aType];
   Arrival arrival;
@@ -121,7 +127,8 @@
 
 } // namespace
 
-const Deployment* FindDeployment(const std::string& aName)
+const Deployment*
+FindDeployment(const std::string& aName)
 {
   static const std::vector<Deployment> kDeployments{
     { .name = "macaskill",
@@ -143,12 +150,14 @@
   return nullptr;
 }
 
-std::vector<std::string> DeploymentNames()
+std::vector<std::string>
+DeploymentNames()
 {
   return { "macaskill", "hooghly" };
 }
 
-const std::vector<TypeShape>& RequestTypes()
+const std::vector<TypeShape>&
+RequestTypes()
 {
   static const std::vector<TypeShape> kTypes{
     { .name = "lookup",
@@ -183,8 +192,8 @@
   return kTypes;
 }
 
-tl::expected<Scenario, std::string> FindScenario(const std::string& aName,
-                                                 double aLoad)
+tl::expected<Scenario, std::string>
+FindScenario(const std::string& aName, double aLoad)
 {
   if (aName == "shift") {
     return Scenario{ .name = aName,
@@ -232,21 +241,23 @@
   return tl::make_unexpected("unknown scenario '" + aName + "'");
 }
 
-std::vector<std::string> ScenarioNames()
+std::vector<std::string>
+ScenarioNames()
 {
   return { "shift", "crest", "hol", "slow", "poison" };
 }
 
-double LeastEngineSeconds(std::uint32_t aPromptTokens,
-                          std::uint32_t aOutputTokens)
+double
+LeastEngineSeconds(std::uint32_t aPromptTokens, std::uint32_t aOutputTokens)
 {
   return aPromptTokens * kPromptTokenSeconds +
          aOutputTokens * kOutputTokenSeconds;
 }
 
-std::vector<Arrival> MakeArrivals(const Deployment& aDeployment,
-                                  const Scenario& aScenario,
-                                  std::uint64_t aSeed)
+std::vector<Arrival>
+MakeArrivals(const Deployment& aDeployment,
+             const Scenario& aScenario,
+             std::uint64_t aSeed)
 {
   Random random(aSeed);
   std::vector<Arrival> arrivals;
@@ -276,7 +287,8 @@
   return arrivals;
 }
 
-Duration AnswerDue(const Arrival& aArrival)
+Duration
+AnswerDue(const Arrival& aArrival)
 {
   return aArrival.info.lateAfter + aArrival.outputTokens * kTokenPace;
 }
--- a/coord/membership.cpp
+++ b/coord/membership.cpp
@@ -19,7 +19,8 @@
 // Peers that are told at once of a leaving.
 constexpr std::size_t kLeaveFanOut = 6;
 
-std::string EncodeMember(const Member& aMember)
+std::string
+EncodeMember(const Member& aMember)
 {
   return FieldWriter()
     .Text(aMember.address.Value())
@@ -33,7 +34,8 @@
     .Take();
 }
 
-Member ReadMember(FieldReader& aReader)
+Member
+ReadMember(FieldReader& aReader)
 {
   Member member;
   member.address = PeerAddress(aReader.Text());
@@ -47,13 +49,15 @@
   return member;
 }
 
-bool Gone(MemberStatus aStatus)
+bool
+Gone(MemberStatus aStatus)
 {
   return aStatus == MemberStatus::kDead || aStatus == MemberStatus::kLeft;
 }
 
 // Whether the report tells something newer of the same address.
-bool Outdates(const Member& aNew, const Member& aOld)
+bool
+Outdates(const Member& aNew, const Member& aOld)
 {
   if (aNew.incarnation != aOld.incarnation) {
     return aNew.incarnation > aOld.incarnation;
@@ -90,7 +94,8 @@
   mKnown.emplace(aOptions.address, std::move(self));
 }
 
-void Membership::Start()
+void
+Membership::Start()
 {
   // Rounds of processes started together spread over the interval.
   const auto first =
@@ -98,12 +103,14 @@
   mTimer = mExecutor.RunAfter(first, [this] { Round(); });
 }
 
-void Membership::SetSeeds(std::vector<PeerAddress> aSeeds)
+void
+Membership::SetSeeds(std::vector<PeerAddress> aSeeds)
 {
   mSeeds = std::move(aSeeds);
 }
 
-bool Membership::SetDigest(std::string aDigest)
+bool
+Membership::SetDigest(std::string aDigest)
 {
   if (aDigest.size() > mOptions.maxDigestBytes) {
     return false;
@@ -118,7 +125,8 @@
   return true;
 }
 
-void Membership::Round()
+void
+Membership::Round()
 {
   mTimer = mExecutor.RunAfter(mOptions.roundInterval, [this] { Round(); });
   if (mKnown.at(mOptions.address).member.status == MemberStatus::kLeft) {
@@ -135,7 +143,8 @@
 }
 
 // One of the host list's addresses that isn't a live member.
-void Membership::AskSeed()
+void
+Membership::AskSeed()
 {
   std::vector<PeerAddress> missing;
   for (const auto& it : mSeeds) {
@@ -150,7 +159,8 @@
 }
 
 // All live peers in turn, in an order that is drawn anew for each turn.
-std::optional<PeerAddress> Membership::NextPeer()
+std::optional<PeerAddress>
+Membership::NextPeer()
 {
   for (int turn = 0; turn < 2; ++turn) {
     while (!mOrder.empty()) {
@@ -166,8 +176,8 @@
   return std::nullopt;
 }
 
-std::vector<PeerAddress> Membership::RandomPeers(std::size_t aCount,
-                                                 const PeerAddress& aExcept)
+std::vector<PeerAddress>
+Membership::RandomPeers(std::size_t aCount, const PeerAddress& aExcept)
 {
   std::vector<PeerAddress> peers;
   for (const auto& [address, known] : mKnown) {
@@ -184,9 +194,10 @@
   return peers;
 }
 
-void Membership::Ping(const PeerAddress& aPeer,
-                      const std::optional<PeerAddress>& aAsker,
-                      std::uint64_t aAskerProbe)
+void
+Membership::Ping(const PeerAddress& aPeer,
+                 const std::optional<PeerAddress>& aAsker,
+                 std::uint64_t aAskerProbe)
 {
   const auto id = mNextProbe++;
   auto& probe = mProbes[id];
@@ -199,7 +210,8 @@
 }
 
 // No answer yet: others are asked to try, then the peer is suspect.
-void Membership::OnSilence(std::uint64_t aProbe)
+void
+Membership::OnSilence(std::uint64_t aProbe)
 {
   auto& probe = mProbes.at(aProbe);
   if (probe.asker) {
@@ -217,7 +229,8 @@
   }
 }
 
-void Membership::Suspect(const PeerAddress& aPeer)
+void
+Membership::Suspect(const PeerAddress& aPeer)
 {
   const auto it = mKnown.find(aPeer);
   if (it == mKnown.end() || it->second.member.status != MemberStatus::kAlive) {
@@ -228,7 +241,8 @@
   Replace(it->second, std::move(member));
 }
 
-void Membership::OnMessage(std::string_view aBytes)
+void
+Membership::OnMessage(std::string_view aBytes)
 {
   mBytesReceived += aBytes.size();
   FieldReader reader(aBytes);
@@ -259,7 +273,8 @@
   }
 }
 
-void Membership::OnAck(std::uint64_t aProbe)
+void
+Membership::OnAck(std::uint64_t aProbe)
 {
   const auto it = mProbes.find(aProbe);
   if (it == mProbes.end()) {
@@ -272,7 +287,8 @@
   }
 }
 
-void Membership::Leave()
+void
+Membership::Leave()
 {
   auto& self = mKnown.at(mOptions.address);
   self.member.status = MemberStatus::kLeft;
@@ -282,10 +298,11 @@
   }
 }
 
-void Membership::Send(MessageKind aKind,
-                      const PeerAddress& aPeer,
-                      std::uint64_t aProbe,
-                      const PeerAddress& aTarget)
+void
+Membership::Send(MessageKind aKind,
+                 const PeerAddress& aPeer,
+                 std::uint64_t aProbe,
+                 const PeerAddress& aTarget)
 {
   auto bytes = Compose(aKind, aPeer, aProbe, aTarget);
   ++mMessagesSent;
@@ -295,10 +312,11 @@
 
 // The sender first, then the receiver if it is not taken for alive, so that it
 // can refute; then the newest changes, then some members at random.
-std::string Membership::Compose(MessageKind aKind,
-                                const PeerAddress& aPeer,
-                                std::uint64_t aProbe,
-                                const PeerAddress& aTarget)
+std::string
+Membership::Compose(MessageKind aKind,
+                    const PeerAddress& aPeer,
+                    std::uint64_t aProbe,
+                    const PeerAddress& aTarget)
 {
   auto bytes = FieldWriter()
                  .Number(static_cast<std::uint64_t>(aKind))
@@ -332,7 +350,8 @@
 }
 
 // The changes that have been passed on the least.
-std::vector<Membership::Known*> Membership::Newest()
+std::vector<Membership::Known*>
+Membership::Newest()
 {
   std::vector<Known*> newest;
   for (auto& [address, known] : mKnown) {
@@ -347,7 +366,8 @@
   return newest;
 }
 
-void Membership::Merge(Member aMember)
+void
+Membership::Merge(Member aMember)
 {
   if (aMember.address == mOptions.address) {
     MergeSelf(aMember);
@@ -367,7 +387,8 @@
 }
 
 // A report that this member doesn't answer is refuted by a newer heartbeat.
-void Membership::MergeSelf(const Member& aMember)
+void
+Membership::MergeSelf(const Member& aMember)
 {
   auto& self = mKnown.at(mOptions.address);
   if (aMember.incarnation != self.member.incarnation ||
@@ -380,7 +401,8 @@
   Queue(self);
 }
 
-void Membership::Replace(Known& aKnown, Member aMember)
+void
+Membership::Replace(Known& aKnown, Member aMember)
 {
   const bool fresh = aKnown.member.address != aMember.address;
   const bool changed = fresh || aKnown.member.status != aMember.status ||
@@ -400,14 +422,16 @@
   }
 }
 
-void Membership::Queue(Known& aKnown)
+void
+Membership::Queue(Known& aKnown)
 {
   aKnown.sendsLeft =
     mOptions.repeats * static_cast<std::size_t>(std::bit_width(mKnown.size()));
 }
 
 // A suspect dies, a dead one is forgotten.
-void Membership::SetTimer(Known& aKnown)
+void
+Membership::SetTimer(Known& aKnown)
 {
   const auto address = aKnown.member.address;
   aKnown.timer.Cancel();
@@ -424,7 +448,8 @@
   }
 }
 
-std::vector<Member> Membership::Members() const
+std::vector<Member>
+Membership::Members() const
 {
   std::vector<Member> members;
   members.reserve(mKnown.size());
@@ -434,13 +459,15 @@
   return members;
 }
 
-const Member* Membership::Find(const PeerAddress& aAddress) const
+const Member*
+Membership::Find(const PeerAddress& aAddress) const
 {
   const auto it = mKnown.find(aAddress);
   return it == mKnown.end() ? nullptr : &it->second.member;
 }
 
-std::size_t Membership::LiveCount() const
+std::size_t
+Membership::LiveCount() const
 {
   const auto count =
     std::count_if(mKnown.begin(), mKnown.end(), [](const auto& aKnown) {
@@ -449,8 +476,8 @@
   return static_cast<std::size_t>(count);
 }
 
-bool Membership::Settled(const PeerAddress& aAddress,
-                         Incarnation aIncarnation) const
+bool
+Membership::Settled(const PeerAddress& aAddress, Incarnation aIncarnation) const
 {
   const auto* known = Find(aAddress);
   if (known == nullptr) {
--- a/coord/testing/fake_process.cpp
+++ b/coord/testing/fake_process.cpp
@@ -15,12 +15,14 @@
   Kill();
 }
 
-void FakeProcess::Post(std::function<void()> aCallback)
+void
+FakeProcess::Post(std::function<void()> aCallback)
 {
   Schedule(Duration::zero(), std::move(aCallback));
 }
 
-void FakeProcess::Schedule(Duration aDelay, std::function<void()> aCallback)
+void
+FakeProcess::Schedule(Duration aDelay, std::function<void()> aCallback)
 {
   // The timer may not cancel the call, so the call keeps it.
   auto timer = std::make_shared<Timer>();
@@ -30,8 +32,9 @@
     });
 }
 
-void FakeProcess::Run(const std::shared_ptr<Life>& aLife,
-                      std::function<void()> aCallback)
+void
+FakeProcess::Run(const std::shared_ptr<Life>& aLife,
+                 std::function<void()> aCallback)
 {
   if (aLife->dead) {
     return;
@@ -43,12 +46,14 @@
   aCallback();
 }
 
-void FakeProcess::Pause()
+void
+FakeProcess::Pause()
 {
   mLife->paused = true;
 }
 
-void FakeProcess::Resume()
+void
+FakeProcess::Resume()
 {
   mLife->paused = false;
   auto waiting = std::exchange(mLife->waiting, {});
@@ -57,13 +62,15 @@
   }
 }
 
-void FakeProcess::Kill()
+void
+FakeProcess::Kill()
 {
   mLife->dead = true;
   mLife->waiting.clear();
 }
 
-bool FakeProcess::Running() const
+bool
+FakeProcess::Running() const
 {
   return !mLife->paused && !mLife->dead;
 }
--- a/main/firefly_bench.cpp
+++ b/main/firefly_bench.cpp
@@ -65,7 +65,8 @@
 )";
 
 // A whole number of an option; throws std::invalid_argument if it is none.
-std::uint64_t NumberOf(const Arguments& aArguments, const std::string& aName)
+std::uint64_t
+NumberOf(const Arguments& aArguments, const std::string& aName)
 {
   const long number = aArguments.at(aName).asLong();
   if (number < 0) {
@@ -74,7 +75,8 @@
   return static_cast<std::uint64_t>(number);
 }
 
-std::set<std::string> SplitParts(const std::string& aText)
+std::set<std::string>
+SplitParts(const std::string& aText)
 {
   std::set<std::string> parts;
   std::size_t from = 0;
@@ -88,13 +90,15 @@
   return parts;
 }
 
-int Complain(const std::string& aMessage)
+int
+Complain(const std::string& aMessage)
 {
   std::cerr << "firefly-bench: " << aMessage << "\n";
   return kExitUsage;
 }
 
-int RunOne(const Arguments& aArguments)
+int
+RunOne(const Arguments& aArguments)
 {
   firefly::bench::RunOptions options;
   if (aArguments.at("--scenario")) {
@@ -127,7 +131,8 @@
   return kExitOk;
 }
 
-int CompareAll(const Arguments& aArguments)
+int
+CompareAll(const Arguments& aArguments)
 {
   firefly::bench::CompareOptions options;
   options.seeds = static_cast<std::uint32_t>(NumberOf(aArguments, "--seeds"));
@@ -169,7 +174,8 @@
 
 } // namespace
 
-int main(int aCount, char** aValues)
+int
+main(int aCount, char** aValues)
 {
   try {
     const auto arguments = docopt::docopt_parse(
--- a/policy/admission.h
+++ b/policy/admission.h
@@ -32,7 +32,8 @@
 };
 
 // The reason as a word for problem+json and metrics, such as "deadline".
-std::string_view ToString(RefusalReason aReason);
+std::string_view
+ToString(RefusalReason aReason);
 
 enum class AdmissionAction : std::uint8_t
 {
--- a/policy/backend_selector.cpp
+++ b/policy/backend_selector.cpp
@@ -33,10 +33,11 @@
 constexpr double kHashUnit = 1.0 / 9007199254740994.0; // 2^53 + 2
 
 // What a request takes of a backend server, as seconds of all of it.
-double CostAt(const RequestInfo& aRequest,
-              const SelectQuery& aQuery,
-              const BackendCapacity& aCapacity,
-              std::uint32_t aCached)
+double
+CostAt(const RequestInfo& aRequest,
+       const SelectQuery& aQuery,
+       const BackendCapacity& aCapacity,
+       std::uint32_t aCached)
 {
   if (!aRequest.NeedsEngine()) {
     return 1.0 / std::max(1U, aCapacity.slots);
@@ -49,19 +50,22 @@
          aQuery.size.usual.Value() / aCapacity.decodeTokensPerSecond;
 }
 
-bool Contains(const std::vector<BackendSlot>& aSlots, BackendSlot aSlot)
+bool
+Contains(const std::vector<BackendSlot>& aSlots, BackendSlot aSlot)
 {
   return std::find(aSlots.begin(), aSlots.end(), aSlot) != aSlots.end();
 }
 
-bool IsOpenFor(const RequestInfo& aRequest, const Backend& aBackend)
+bool
+IsOpenFor(const RequestInfo& aRequest, const Backend& aBackend)
 {
   return aBackend.state == BackendState::kOpen && aBackend.Serves(aRequest);
 }
 
 // Depths at which prefixes are remembered: powers of two, and the whole.
 template<typename Visit>
-void ForRememberedDepths(std::size_t aBlocks, Visit aVisit)
+void
+ForRememberedDepths(std::size_t aBlocks, Visit aVisit)
 {
   for (std::size_t depth = 1; depth < aBlocks; depth *= 2) {
     aVisit(depth);
@@ -78,11 +82,11 @@
 {
 }
 
-tl::expected<Choice, SelectError> LearningSelector::Select(
-  const RequestInfo& aRequest,
-  const SelectQuery& aQuery,
-  const FleetView& aFleet,
-  Instant aNow)
+tl::expected<Choice, SelectError>
+LearningSelector::Select(const RequestInfo& aRequest,
+                         const SelectQuery& aQuery,
+                         const FleetView& aFleet,
+                         Instant aNow)
 {
   ForgetSilentPeers(aNow);
   FindCandidates(aRequest, aQuery, aFleet, aNow);
@@ -109,10 +113,11 @@
   return best.choice;
 }
 
-AttemptInfo LearningSelector::OnDispatch(const RequestInfo& aRequest,
-                                         const Choice& aChoice,
-                                         Lane aLane,
-                                         Instant aNow)
+AttemptInfo
+LearningSelector::OnDispatch(const RequestInfo& aRequest,
+                             const Choice& aChoice,
+                             Lane aLane,
+                             Instant aNow)
 {
   auto& load = LoadAt(aChoice.slot);
   const auto prompt = aRequest.promptTokens.Value();
@@ -132,9 +137,10 @@
            .hadFirstToken = false };
 }
 
-void LearningSelector::OnFirstToken(AttemptInfo& aAttempt,
-                                    Duration aWait,
-                                    Instant /*aNow*/)
+void
+LearningSelector::OnFirstToken(AttemptInfo& aAttempt,
+                               Duration aWait,
+                               Instant /*aNow*/)
 {
   if (aAttempt.hadFirstToken) {
     return;
@@ -147,9 +153,10 @@
              SpeedOf(aAttempt.slot) * expected / std::max(wait, expected));
 }
 
-void LearningSelector::OnTokens(const AttemptInfo& aAttempt,
-                                Duration aMeanGap,
-                                Instant /*aNow*/)
+void
+LearningSelector::OnTokens(const AttemptInfo& aAttempt,
+                           Duration aMeanGap,
+                           Instant /*aNow*/)
 {
   const double full = ToSeconds(aAttempt.expectedGap);
   const double gap = ToSeconds(aMeanGap);
@@ -158,7 +165,8 @@
   }
 }
 
-void LearningSelector::OnFinish(const AttemptInfo& aAttempt, Instant /*aNow*/)
+void
+LearningSelector::OnFinish(const AttemptInfo& aAttempt, Instant /*aNow*/)
 {
   auto& load = LoadAt(aAttempt.slot);
   load.requests--;
@@ -168,31 +176,35 @@
   }
 }
 
-void LearningSelector::OnError(const AttemptInfo& aAttempt, Instant aNow)
+void
+LearningSelector::OnError(const AttemptInfo& aAttempt, Instant aNow)
 {
   OnFinish(aAttempt, aNow);
   TakeSample(aAttempt.slot, kLeastSpeed);
 }
 
-void LearningSelector::OnOverdue(const AttemptInfo& aAttempt,
-                                 Duration aWaited,
-                                 Instant /*aNow*/)
+void
+LearningSelector::OnOverdue(const AttemptInfo& aAttempt,
+                            Duration aWaited,
+                            Instant /*aNow*/)
 {
   const double expected = ToSeconds(aAttempt.expectedWait) + kWaitNoiseSeconds;
   const double waited = std::max(ToSeconds(aWaited), expected);
   TakeSample(aAttempt.slot, expected / waited);
 }
 
-void LearningSelector::OnReport(const LoadReport& /*aReport*/,
-                                const FleetView& /*aFleet*/,
-                                Instant /*aNow*/)
+void
+LearningSelector::OnReport(const LoadReport& /*aReport*/,
+                           const FleetView& /*aFleet*/,
+                           Instant /*aNow*/)
 {
   // Own work and the peers' digests are both newer than any report.
 }
 
-void LearningSelector::OnPeerDigest(const Digest& aDigest,
-                                    const FleetView& aFleet,
-                                    Instant aNow)
+void
+LearningSelector::OnPeerDigest(const Digest& aDigest,
+                               const FleetView& aFleet,
+                               Instant aNow)
 {
   if (!mOptions.usePeers) {
     return;
@@ -214,9 +226,10 @@
   }
 }
 
-void LearningSelector::FillDigest(Digest& aDigest,
-                                  const FleetView& aFleet,
-                                  Instant /*aNow*/) const
+void
+LearningSelector::FillDigest(Digest& aDigest,
+                             const FleetView& aFleet,
+                             Instant /*aNow*/) const
 {
   for (std::size_t i = 0; i < mLoads.size(); ++i) {
     const auto& load = mLoads[i];
@@ -232,12 +245,14 @@
   }
 }
 
-double LearningSelector::SpeedOf(BackendSlot aSlot) const
+double
+LearningSelector::SpeedOf(BackendSlot aSlot) const
 {
   return aSlot.Value() < mLoads.size() ? mLoads[aSlot.Value()].speed : 1.0;
 }
 
-LearningSelector::Load& LearningSelector::LoadAt(BackendSlot aSlot)
+LearningSelector::Load&
+LearningSelector::LoadAt(BackendSlot aSlot)
 {
   if (mLoads.size() <= aSlot.Value()) {
     mLoads.resize(aSlot.Value() + 1);
@@ -245,7 +260,8 @@
   return mLoads[aSlot.Value()];
 }
 
-void LearningSelector::TakeSample(BackendSlot aSlot, double aSpeed)
+void
+LearningSelector::TakeSample(BackendSlot aSlot, double aSpeed)
 {
   if (!mOptions.useSpeed) {
     return;
@@ -259,7 +275,8 @@
   speed = std::clamp(speed, kLeastSpeed, 1.0);
 }
 
-void LearningSelector::Forget(Peer& aPeer)
+void
+LearningSelector::Forget(Peer& aPeer)
 {
   for (const auto& [slot, work] : aPeer.work) {
     auto& load = LoadAt(slot);
@@ -269,7 +286,8 @@
   aPeer.work.clear();
 }
 
-void LearningSelector::ForgetSilentPeers(Instant aNow)
+void
+LearningSelector::ForgetSilentPeers(Instant aNow)
 {
   if (aNow - mPeersChecked < kPeerCheck) {
     return;
@@ -282,10 +300,11 @@
   }
 }
 
-void LearningSelector::FindCandidates(const RequestInfo& aRequest,
-                                      const SelectQuery& aQuery,
-                                      const FleetView& aFleet,
-                                      Instant aNow)
+void
+LearningSelector::FindCandidates(const RequestInfo& aRequest,
+                                 const SelectQuery& aQuery,
+                                 const FleetView& aFleet,
+                                 Instant aNow)
 {
   mOpen.clear();
   mCandidates.clear();
@@ -331,18 +350,19 @@
   (void)aNow;
 }
 
-void LearningSelector::AddCandidate(BackendSlot aSlot)
+void
+LearningSelector::AddCandidate(BackendSlot aSlot)
 {
   if (!Contains(mCandidates, aSlot)) {
     mCandidates.push_back(aSlot);
   }
 }
 
-LearningSelector::Prediction LearningSelector::Predict(
-  const RequestInfo& aRequest,
-  const SelectQuery& aQuery,
-  const FleetView& aFleet,
-  BackendSlot aSlot)
+LearningSelector::Prediction
+LearningSelector::Predict(const RequestInfo& aRequest,
+                          const SelectQuery& aQuery,
+                          const FleetView& aFleet,
+                          BackendSlot aSlot)
 {
   const auto& backend = aFleet.At(aSlot);
   const auto& capacity = backend.capacity;
@@ -384,8 +404,9 @@
   return prediction;
 }
 
-std::uint32_t LearningSelector::CachedTokens(const RequestInfo& aRequest,
-                                             std::uint64_t aBackend) const
+std::uint32_t
+LearningSelector::CachedTokens(const RequestInfo& aRequest,
+                               std::uint64_t aBackend) const
 {
   if (!mOptions.useAffinity) {
     return 0;
@@ -401,8 +422,9 @@
   return cached;
 }
 
-void LearningSelector::RememberPrefix(const RequestInfo& aRequest,
-                                      std::uint64_t aBackend)
+void
+LearningSelector::RememberPrefix(const RequestInfo& aRequest,
+                                 std::uint64_t aBackend)
 {
   ForRememberedDepths(aRequest.prefixHashes.size(), [&](std::size_t aDepth) {
     const auto key = MixHash(aRequest.prefixHashes[aDepth - 1], aBackend);
@@ -420,10 +442,10 @@
   });
 }
 
-std::vector<BackendSlot> RoundRobinSelector::Eligible(
-  const RequestInfo& aRequest,
-  const SelectQuery& aQuery,
-  const FleetView& aFleet)
+std::vector<BackendSlot>
+RoundRobinSelector::Eligible(const RequestInfo& aRequest,
+                             const SelectQuery& aQuery,
+                             const FleetView& aFleet)
 {
   // Prompts longer than so many times the expected output are prefill work.
   constexpr double kPrefillRatio = 10;
@@ -446,11 +468,11 @@
   return suited.empty() ? open : suited;
 }
 
-tl::expected<Choice, SelectError> RoundRobinSelector::Select(
-  const RequestInfo& aRequest,
-  const SelectQuery& aQuery,
-  const FleetView& aFleet,
-  Instant /*aNow*/)
+tl::expected<Choice, SelectError>
+RoundRobinSelector::Select(const RequestInfo& aRequest,
+                           const SelectQuery& aQuery,
+                           const FleetView& aFleet,
+                           Instant /*aNow*/)
 {
   const auto slots = Eligible(aRequest, aQuery, aFleet);
   if (slots.empty()) {
@@ -464,10 +486,11 @@
                  .cachedTokens = {} };
 }
 
-AttemptInfo RoundRobinSelector::OnDispatch(const RequestInfo& aRequest,
-                                           const Choice& aChoice,
-                                           Lane aLane,
-                                           Instant /*aNow*/)
+AttemptInfo
+RoundRobinSelector::OnDispatch(const RequestInfo& aRequest,
+                               const Choice& aChoice,
+                               Lane aLane,
+                               Instant /*aNow*/)
 {
   return { .slot = aChoice.slot,
            .prefillTokens = aRequest.promptTokens,
@@ -477,58 +500,64 @@
            .hadFirstToken = false };
 }
 
-void RoundRobinSelector::OnFirstToken(AttemptInfo& aAttempt,
-                                      Duration /*aWait*/,
-                                      Instant /*aNow*/)
+void
+RoundRobinSelector::OnFirstToken(AttemptInfo& aAttempt,
+                                 Duration /*aWait*/,
+                                 Instant /*aNow*/)
 {
   aAttempt.hadFirstToken = true;
 }
 
-void RoundRobinSelector::OnTokens(const AttemptInfo& /*aAttempt*/,
-                                  Duration /*aMeanGap*/,
-                                  Instant /*aNow*/)
+void
+RoundRobinSelector::OnTokens(const AttemptInfo& /*aAttempt*/,
+                             Duration /*aMeanGap*/,
+                             Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::OnFinish(const AttemptInfo& /*aAttempt*/,
-                                  Instant /*aNow*/)
+void
+RoundRobinSelector::OnFinish(const AttemptInfo& /*aAttempt*/, Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::OnError(const AttemptInfo& /*aAttempt*/,
-                                 Instant /*aNow*/)
+void
+RoundRobinSelector::OnError(const AttemptInfo& /*aAttempt*/, Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::OnOverdue(const AttemptInfo& /*aAttempt*/,
-                                   Duration /*aWaited*/,
-                                   Instant /*aNow*/)
+void
+RoundRobinSelector::OnOverdue(const AttemptInfo& /*aAttempt*/,
+                              Duration /*aWaited*/,
+                              Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::OnReport(const LoadReport& /*aReport*/,
-                                  const FleetView& /*aFleet*/,
-                                  Instant /*aNow*/)
+void
+RoundRobinSelector::OnReport(const LoadReport& /*aReport*/,
+                             const FleetView& /*aFleet*/,
+                             Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::OnPeerDigest(const Digest& /*aDigest*/,
-                                      const FleetView& /*aFleet*/,
-                                      Instant /*aNow*/)
+void
+RoundRobinSelector::OnPeerDigest(const Digest& /*aDigest*/,
+                                 const FleetView& /*aFleet*/,
+                                 Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::FillDigest(Digest& /*aDigest*/,
-                                    const FleetView& /*aFleet*/,
-                                    Instant /*aNow*/) const
+void
+RoundRobinSelector::FillDigest(Digest& /*aDigest*/,
+                               const FleetView& /*aFleet*/,
+                               Instant /*aNow*/) const
 {
 }
 
-tl::expected<Choice, SelectError> LeastReportedLoadSelector::Select(
-  const RequestInfo& aRequest,
-  const SelectQuery& aQuery,
-  const FleetView& aFleet,
-  Instant /*aNow*/)
+tl::expected<Choice, SelectError>
+LeastReportedLoadSelector::Select(const RequestInfo& aRequest,
+                                  const SelectQuery& aQuery,
+                                  const FleetView& aFleet,
+                                  Instant /*aNow*/)
 {
   const auto slots = Eligible(aRequest, aQuery, aFleet);
   if (slots.empty()) {
@@ -551,9 +580,10 @@
                  .cachedTokens = {} };
 }
 
-void LeastReportedLoadSelector::OnReport(const LoadReport& aReport,
-                                         const FleetView& aFleet,
-                                         Instant /*aNow*/)
+void
+LeastReportedLoadSelector::OnReport(const LoadReport& aReport,
+                                    const FleetView& aFleet,
+                                    Instant /*aNow*/)
 {
   if (!aFleet.Find(aReport.backend)) {
     return;
--- a/policy/policy_set.cpp
+++ b/policy/policy_set.cpp
@@ -10,19 +10,22 @@
 const std::string kRoundRobin = "round-robin";
 const std::string kLeastReportedLoad = "least-reported-load";
 
-PolicyError UnknownName(const std::string& aName)
+PolicyError
+UnknownName(const std::string& aName)
 {
   return { "unknown policy '" + aName + "'; known are " + kFirefly + ", " +
            kRoundRobin + " and " + kLeastReportedLoad };
 }
 
-bool IsKnown(const std::string& aName)
+bool
+IsKnown(const std::string& aName)
 {
   return aName == kFirefly || aName == kRoundRobin ||
          aName == kLeastReportedLoad;
 }
 
-PolicySet MakeFirefly(const PolicyOptions& aOptions)
+PolicySet
+MakeFirefly(const PolicyOptions& aOptions)
 {
   const auto has = [&](const char* aPart) {
     return !aOptions.without.contains(aPart);
@@ -62,7 +65,8 @@
   return set;
 }
 
-PolicySet MakePlain(const PolicyOptions& aOptions)
+PolicySet
+MakePlain(const PolicyOptions& aOptions)
 {
   PolicySet set;
   set.estimator = std::make_unique<QuantileSizeEstimator>();
@@ -79,7 +83,8 @@
 
 } // namespace
 
-const std::set<std::string>& PolicyParts()
+const std::set<std::string>&
+PolicyParts()
 {
   static const std::set<std::string> kParts{
     "admission", "queue",        "peers", "speed",  "affinity",
@@ -88,9 +93,8 @@
   return kParts;
 }
 
-tl::expected<PolicySet, PolicyError> MakePolicySet(
-  const std::string& aName,
-  const PolicyOptions& aOptions)
+tl::expected<PolicySet, PolicyError>
+MakePolicySet(const std::string& aName, const PolicyOptions& aOptions)
 {
   for (const auto& part : aOptions.without) {
     if (!PolicyParts().contains(part)) {
@@ -115,10 +119,10 @@
   return set;
 }
 
-tl::expected<std::unique_ptr<RoleController>, PolicyError> MakeRoleController(
-  const std::string& aName,
-  const CostRoleController::Options& aOptions,
-  const std::set<std::string>& aWithout)
+tl::expected<std::unique_ptr<RoleController>, PolicyError>
+MakeRoleController(const std::string& aName,
+                   const CostRoleController::Options& aOptions,
+                   const std::set<std::string>& aWithout)
 {
   if (!IsKnown(aName)) {
     return tl::make_unexpected(UnknownName(aName));
--- a/policy/request_queue.cpp
+++ b/policy/request_queue.cpp
@@ -11,7 +11,8 @@
 {
 }
 
-std::optional<QueuedRequest> WorthQueue::Push(QueuedRequest aRequest)
+std::optional<QueuedRequest>
+WorthQueue::Push(QueuedRequest aRequest)
 {
   const auto key = KeyOf(aRequest);
   const auto lane = static_cast<std::size_t>(aRequest.lane);
@@ -23,8 +24,8 @@
   return Take(*Last());
 }
 
-std::optional<QueuedRequest> WorthQueue::Pop(
-  const std::function<bool(const QueuedRequest&)>& aCanRun)
+std::optional<QueuedRequest>
+WorthQueue::Pop(const std::function<bool(const QueuedRequest&)>& aCanRun)
 {
   std::vector<std::size_t> order;
   for (std::size_t i = 0; i < mLanes.size(); ++i) {
@@ -44,7 +45,8 @@
   return std::nullopt;
 }
 
-bool WorthQueue::Remove(const RequestId& aId)
+bool
+WorthQueue::Remove(const RequestId& aId)
 {
   const auto it = mPlaces.find(aId);
   if (it == mPlaces.end()) {
@@ -54,7 +56,8 @@
   return true;
 }
 
-std::vector<QueuedRequest> WorthQueue::Expire(Instant aDeadline)
+std::vector<QueuedRequest>
+WorthQueue::Expire(Instant aDeadline)
 {
   std::vector<Place> late;
   for (std::size_t i = 0; i < mLanes.size(); ++i) {
@@ -72,7 +75,8 @@
   return expired;
 }
 
-WorthQueue::Key WorthQueue::KeyOf(const QueuedRequest& aRequest)
+WorthQueue::Key
+WorthQueue::KeyOf(const QueuedRequest& aRequest)
 {
   if (mOptions.firstInFirstOut) {
     return { .worthStep = 0, .deadline = {}, .sequence = mSequence++ };
@@ -84,7 +88,8 @@
            .sequence = mSequence++ };
 }
 
-std::optional<WorthQueue::Place> WorthQueue::Last() const
+std::optional<WorthQueue::Place>
+WorthQueue::Last() const
 {
   std::optional<Place> last;
   for (std::size_t i = 0; i < mLanes.size(); ++i) {
@@ -99,7 +104,8 @@
   return last;
 }
 
-QueuedRequest WorthQueue::Take(const Place& aPlace)
+QueuedRequest
+WorthQueue::Take(const Place& aPlace)
 {
   auto node = mLanes[aPlace.lane].extract(aPlace.key);
   mPlaces.erase(node.mapped().requestId);
--- a/policy/role_controller.cpp
+++ b/policy/role_controller.cpp
@@ -15,7 +15,8 @@
 
 } // namespace
 
-double& CostRoleController::RoleCounts::Of(EngineRole aRole)
+double&
+CostRoleController::RoleCounts::Of(EngineRole aRole)
 {
   switch (aRole) {
     case EngineRole::kPrefill:
@@ -34,9 +35,10 @@
 {
 }
 
-std::vector<RoleChange> CostRoleController::Decide(const FleetView& aFleet,
-                                                   const FleetDemand& aDemand,
-                                                   Instant aNow)
+std::vector<RoleChange>
+CostRoleController::Decide(const FleetView& aFleet,
+                           const FleetDemand& aDemand,
+                           Instant aNow)
 {
   RoleCounts counts;
   for (const auto& backend : aFleet.All()) {
@@ -97,7 +99,8 @@
   return { best };
 }
 
-void CostRoleController::OnStarted(const RoleChange& aChange, Instant aNow)
+void
+CostRoleController::OnStarted(const RoleChange& aChange, Instant aNow)
 {
   const auto until = aNow + mLastPayback;
   mStarted[aChange.backend] = { aNow, until };
@@ -105,7 +108,8 @@
   mRunning[aChange.backend] = aNow;
 }
 
-void CostRoleController::OnFinished(const BackendId& aBackend, Instant aNow)
+void
+CostRoleController::OnFinished(const BackendId& aBackend, Instant aNow)
 {
   const auto it = mRunning.find(aBackend);
   if (it == mRunning.end()) {
@@ -116,8 +120,9 @@
   mRunning.erase(it);
 }
 
-double CostRoleController::Served(const RoleCounts& aCounts,
-                                  const FleetDemand& aDemand) const
+double
+CostRoleController::Served(const RoleCounts& aCounts,
+                           const FleetDemand& aDemand) const
 {
   if (aDemand.promptTokensPerSecond <= 0 &&
       aDemand.outputTokensPerSecond <= 0) {
@@ -136,10 +141,11 @@
                     sum(&BackendCapacity::decodeTokensPerSecond) / output });
 }
 
-bool CostRoleController::MayChange(const Backend& aBackend,
-                                   EngineRole /*aTo*/,
-                                   const FleetView& aFleet,
-                                   Instant aNow) const
+bool
+CostRoleController::MayChange(const Backend& aBackend,
+                              EngineRole /*aTo*/,
+                              const FleetView& aFleet,
+                              Instant aNow) const
 {
   if (aBackend.kind != BackendKind::kEngine ||
       aBackend.state != BackendState::kOpen) {
@@ -156,8 +162,9 @@
   return !DomainBusy(aBackend.domain, aFleet);
 }
 
-bool CostRoleController::DomainBusy(const DomainId& aDomain,
-                                    const FleetView& aFleet) const
+bool
+CostRoleController::DomainBusy(const DomainId& aDomain,
+                               const FleetView& aFleet) const
 {
   return std::any_of(
     mRunning.begin(), mRunning.end(), [&](const auto& aRunning) {
@@ -166,21 +173,22 @@
     });
 }
 
-std::vector<RoleChange> StaticRoleController::Decide(
-  const FleetView& /*aFleet*/,
-  const FleetDemand& /*aDemand*/,
-  Instant /*aNow*/)
+std::vector<RoleChange>
+StaticRoleController::Decide(const FleetView& /*aFleet*/,
+                             const FleetDemand& /*aDemand*/,
+                             Instant /*aNow*/)
 {
   return {};
 }
 
-void StaticRoleController::OnStarted(const RoleChange& /*aChange*/,
-                                     Instant /*aNow*/)
+void
+StaticRoleController::OnStarted(const RoleChange& /*aChange*/, Instant /*aNow*/)
 {
 }
 
-void StaticRoleController::OnFinished(const BackendId& /*aBackend*/,
-                                      Instant /*aNow*/)
+void
+StaticRoleController::OnFinished(const BackendId& /*aBackend*/,
+                                 Instant /*aNow*/)
 {
 }
 
--- a/policy/size_estimator.cpp
+++ b/policy/size_estimator.cpp
@@ -17,23 +17,26 @@
 constexpr std::uint32_t kShortOutputTokens = 160;
 constexpr std::uint32_t kShortPromptTokens = 1500;
 
-std::size_t BucketOf(std::uint32_t aTokens)
+std::size_t
+BucketOf(std::uint32_t aTokens)
 {
   const double place =
     std::log2(static_cast<double>(aTokens) + 1) * kBucketsPerDoubling;
   return std::min(kBuckets - 1, static_cast<std::size_t>(place));
 }
 
-std::uint32_t UpperEdge(std::size_t aBucket)
+std::uint32_t
+UpperEdge(std::size_t aBucket)
 {
   const double edge =
     std::exp2(static_cast<double>(aBucket + 1) / kBucketsPerDoubling) - 1;
   return static_cast<std::uint32_t>(std::ceil(edge));
 }
 
-std::uint32_t QuantileOf(const std::vector<std::uint32_t>& aCounts,
-                         std::uint32_t aTotal,
-                         double aQuantile)
+std::uint32_t
+QuantileOf(const std::vector<std::uint32_t>& aCounts,
+           std::uint32_t aTotal,
+           double aQuantile)
 {
   const double wanted = aQuantile * aTotal;
   double seen = 0;
@@ -46,7 +49,8 @@
   return UpperEdge(aCounts.size() - 1);
 }
 
-Tokens Bounded(std::uint32_t aTokens, Tokens aLimit)
+Tokens
+Bounded(std::uint32_t aTokens, Tokens aLimit)
 {
   if (aLimit.Value() == 0) {
     return Tokens(aTokens);
@@ -61,7 +65,8 @@
 {
 }
 
-SizeEstimate QuantileSizeEstimator::Estimate(const RequestInfo& aRequest) const
+SizeEstimate
+QuantileSizeEstimator::Estimate(const RequestInfo& aRequest) const
 {
   const auto it = mTypes.find(KeyOf(aRequest));
   const auto limit = aRequest.maxOutputTokens;
@@ -78,8 +83,8 @@
            .samples = total };
 }
 
-void QuantileSizeEstimator::OnFinish(const RequestInfo& aRequest,
-                                     Tokens aOutput)
+void
+QuantileSizeEstimator::OnFinish(const RequestInfo& aRequest, Tokens aOutput)
 {
   auto& histogram = mTypes[KeyOf(aRequest)];
   histogram.counts.resize(kBuckets);
@@ -94,12 +99,14 @@
   }
 }
 
-std::string QuantileSizeEstimator::KeyOf(const RequestInfo& aRequest)
+std::string
+QuantileSizeEstimator::KeyOf(const RequestInfo& aRequest)
 {
   return aRequest.service.Value() + '\n' + aRequest.requestType.Value();
 }
 
-Lane LaneOf(const RequestInfo& aRequest, const SizeEstimate& aEstimate)
+Lane
+LaneOf(const RequestInfo& aRequest, const SizeEstimate& aEstimate)
 {
   if (aEstimate.usual.Value() >= kStragglerTokens) {
     return Lane::kStraggler;
--- a/policy/size_estimator.h
+++ b/policy/size_estimator.h
@@ -72,6 +72,7 @@
 };
 
 // The lane that the estimate puts the request into.
-Lane LaneOf(const RequestInfo& aRequest, const SizeEstimate& aEstimate);
+Lane
+LaneOf(const RequestInfo& aRequest, const SizeEstimate& aEstimate);
 
 } // namespace firefly::policy
--- a/servers/ledger/ledger_messages.h
+++ b/servers/ledger/ledger_messages.h
@@ -54,24 +54,31 @@
   BookingKey key;
 };
 
-std::string Encode(const PermitMessage& aMessage);
-std::string Encode(const OutcomeMessage& aMessage);
-std::string Encode(const AbandonMessage& aMessage);
-std::string Encode(const ShowMessage& aMessage);
-std::string Encode(const coord::Permit& aPermit);
-std::string Encode(const std::optional<coord::BookingView>& aView);
+std::string
+Encode(const PermitMessage& aMessage);
+std::string
+Encode(const OutcomeMessage& aMessage);
+std::string
+Encode(const AbandonMessage& aMessage);
+std::string
+Encode(const ShowMessage& aMessage);
+std::string
+Encode(const coord::Permit& aPermit);
+std::string
+Encode(const std::optional<coord::BookingView>& aView);
 
 // Each reads a whole body of its type; a longer or shorter one is an error.
-tl::expected<PermitMessage, MessageError> DecodePermitMessage(
-  std::string_view aBody);
-tl::expected<OutcomeMessage, MessageError> DecodeOutcomeMessage(
-  std::string_view aBody);
-tl::expected<AbandonMessage, MessageError> DecodeAbandonMessage(
-  std::string_view aBody);
-tl::expected<ShowMessage, MessageError> DecodeShowMessage(
-  std::string_view aBody);
-tl::expected<coord::Permit, MessageError> DecodePermit(std::string_view aBody);
-tl::expected<std::optional<coord::BookingView>, MessageError> DecodeView(
-  std::string_view aBody);
+tl::expected<PermitMessage, MessageError>
+DecodePermitMessage(std::string_view aBody);
+tl::expected<OutcomeMessage, MessageError>
+DecodeOutcomeMessage(std::string_view aBody);
+tl::expected<AbandonMessage, MessageError>
+DecodeAbandonMessage(std::string_view aBody);
+tl::expected<ShowMessage, MessageError>
+DecodeShowMessage(std::string_view aBody);
+tl::expected<coord::Permit, MessageError>
+DecodePermit(std::string_view aBody);
+tl::expected<std::optional<coord::BookingView>, MessageError>
+DecodeView(std::string_view aBody);
 
 } // namespace firefly
--- a/servers/ledger/ledger_service.cpp
+++ b/servers/ledger/ledger_service.cpp
@@ -11,12 +11,14 @@
 constexpr int kUnavailable = 503;
 constexpr int kUnknownEffect = 504;
 
-void Refuse(const LinkServer::Reply& aReply, const MessageError& aError)
+void
+Refuse(const LinkServer::Reply& aReply, const MessageError& aError)
 {
   aReply({ .status = kBadRequest, .body = aError.message });
 }
 
-void Refuse(const LinkServer::Reply& aReply, const coord::LedgerError& aError)
+void
+Refuse(const LinkServer::Reply& aReply, const coord::LedgerError& aError)
 {
   const bool unknown = aError.kind == coord::LedgerErrorKind::kUnknown;
   aReply({ .status = unknown ? kUnknownEffect : kUnavailable,
@@ -39,13 +41,15 @@
 {
 }
 
-tl::expected<void, LinkServerError> LedgerService::Start()
+tl::expected<void, LinkServerError>
+LedgerService::Start()
 {
   CloseIdle();
   return mServer.Start();
 }
 
-void LedgerService::AddMetrics(MetricRegistry& aRegistry)
+void
+LedgerService::AddMetrics(MetricRegistry& aRegistry)
 {
   auto& events = aRegistry.Gauges(
     { .name = "firefly_ledger_events",
@@ -77,9 +81,10 @@
   });
 }
 
-void LedgerService::Handle(const std::string& aPath,
-                           const std::string& aBody,
-                           Reply aReply)
+void
+LedgerService::Handle(const std::string& aPath,
+                      const std::string& aBody,
+                      Reply aReply)
 {
   if (aPath == kPermitPath) {
     OnPermit(aBody, std::move(aReply));
@@ -95,10 +100,11 @@
 }
 
 // Opens the key's partition and acts once it has been read to the end.
-void LedgerService::WhenReady(const BookingKey& aKey,
-                              Instant aDeadline,
-                              Reply aReply,
-                              std::function<void(Reply)> aAction)
+void
+LedgerService::WhenReady(const BookingKey& aKey,
+                         Instant aDeadline,
+                         Reply aReply,
+                         std::function<void(Reply)> aAction)
 {
   const auto partition = coord::PartitionOf(aKey, mOptions.ledger.partitions);
   const Instant now = mExecutor.Now();
@@ -125,7 +131,8 @@
   *timer = mExecutor.RunAfter(mOptions.openPoll, std::move(again));
 }
 
-void LedgerService::OnPermit(const std::string& aBody, Reply aReply)
+void
+LedgerService::OnPermit(const std::string& aBody, Reply aReply)
 {
   const auto message = DecodePermitMessage(aBody);
   if (!message) {
@@ -156,8 +163,8 @@
     });
 }
 
-coord::BookingLedger::RecordCallback LedgerService::ReplyToRecord(
-  Reply aReply) const
+coord::BookingLedger::RecordCallback
+LedgerService::ReplyToRecord(Reply aReply) const
 {
   return [reply = std::move(aReply)](
            const tl::expected<void, coord::LedgerError>& aResult) {
@@ -169,7 +176,8 @@
   };
 }
 
-void LedgerService::OnOutcome(const std::string& aBody, Reply aReply)
+void
+LedgerService::OnOutcome(const std::string& aBody, Reply aReply)
 {
   auto message = DecodeOutcomeMessage(aBody);
   if (!message) {
@@ -188,7 +196,8 @@
             });
 }
 
-void LedgerService::OnAbandon(const std::string& aBody, Reply aReply)
+void
+LedgerService::OnAbandon(const std::string& aBody, Reply aReply)
 {
   auto message = DecodeAbandonMessage(aBody);
   if (!message) {
@@ -205,7 +214,8 @@
             });
 }
 
-void LedgerService::OnShow(const std::string& aBody, Reply aReply)
+void
+LedgerService::OnShow(const std::string& aBody, Reply aReply)
 {
   const auto message = DecodeShowMessage(aBody);
   if (!message) {
@@ -225,7 +235,8 @@
             });
 }
 
-void LedgerService::CloseIdle()
+void
+LedgerService::CloseIdle()
 {
   const Instant oldest = mExecutor.Now() - mOptions.idleClose;
   std::erase_if(mUsed, [&](const auto& aUse) {
--- a/servers/link/http2_connection.cpp
+++ b/servers/link/http2_connection.cpp
@@ -19,7 +19,8 @@
 constexpr std::size_t kWriteBatchBytes = 64U << 10U;
 constexpr std::int32_t kWindowBytes = 4 << 20;
 
-nghttp2_nv MakeHeader(std::string_view aName, std::string_view aValue)
+nghttp2_nv
+MakeHeader(std::string_view aName, std::string_view aValue)
 {
   nghttp2_nv header{};
   // The library takes mutable pointers and copies what they point to.
@@ -33,12 +34,14 @@
   return header;
 }
 
-std::string_view TextOf(const std::uint8_t* aData, std::size_t aLength)
+std::string_view
+TextOf(const std::uint8_t* aData, std::size_t aLength)
 {
   return { reinterpret_cast<const char*>(aData), aLength };
 }
 
-int ParseStatus(std::string_view aText)
+int
+ParseStatus(std::string_view aText)
 {
   int status = 0;
   std::from_chars(aText.data(), aText.data() + aText.size(), status);
@@ -181,7 +184,8 @@
   nghttp2_session_del(mSession);
 }
 
-void Http2Connection::OpenSession()
+void
+Http2Connection::OpenSession()
 {
   nghttp2_session_callbacks* callbacks = nullptr;
   nghttp2_session_callbacks_new(&callbacks);
@@ -205,7 +209,8 @@
   nghttp2_session_callbacks_del(callbacks);
 }
 
-Http2Connection::Stream& Http2Connection::StreamAt(StreamNumber aStream)
+Http2Connection::Stream&
+Http2Connection::StreamAt(StreamNumber aStream)
 {
   std::unique_ptr<Stream>& slot = mStreams[aStream];
   if (!slot) {
@@ -214,7 +219,8 @@
   return *slot;
 }
 
-void Http2Connection::Start()
+void
+Http2Connection::Start()
 {
   std::error_code ec;
   mSocket.set_option(asio::ip::tcp::no_delay(true), ec);
@@ -224,7 +230,8 @@
   Read();
 }
 
-void Http2Connection::SubmitSettings()
+void
+Http2Connection::SubmitSettings()
 {
   const std::array<nghttp2_settings_entry, 2> settings{ {
     { NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, mOptions.maxStreams },
@@ -236,8 +243,8 @@
     mSession, NGHTTP2_FLAG_NONE, 0, kWindowBytes);
 }
 
-StreamNumber Http2Connection::SendRequest(const std::string& aPath,
-                                          std::string aBody)
+StreamNumber
+Http2Connection::SendRequest(const std::string& aPath, std::string aBody)
 {
   if (mClosed) {
     return -1;
@@ -262,9 +269,10 @@
   return number;
 }
 
-void Http2Connection::SendAnswer(StreamNumber aStream,
-                                 int aStatus,
-                                 std::string aBody)
+void
+Http2Connection::SendAnswer(StreamNumber aStream,
+                            int aStatus,
+                            std::string aBody)
 {
   const auto it = mStreams.find(aStream);
   if (mClosed || it == mStreams.end()) {
@@ -281,7 +289,8 @@
   ScheduleFlush();
 }
 
-void Http2Connection::Cancel(StreamNumber aStream)
+void
+Http2Connection::Cancel(StreamNumber aStream)
 {
   const auto it = mStreams.find(aStream);
   if (mClosed || it == mStreams.end()) {
@@ -293,14 +302,16 @@
   ScheduleFlush();
 }
 
-Http2Delivery Http2Connection::Delivery(StreamNumber aStream) const
+Http2Delivery
+Http2Connection::Delivery(StreamNumber aStream) const
 {
   const auto it = mStreams.find(aStream);
   const bool unsent = it != mStreams.end() && !it->second->sent;
   return unsent ? Http2Delivery::kNotSent : Http2Delivery::kMaybeSent;
 }
 
-void Http2Connection::Close(const std::string& aReason)
+void
+Http2Connection::Close(const std::string& aReason)
 {
   if (mClosed) {
     return;
@@ -314,13 +325,15 @@
   }
 }
 
-void Http2Connection::Detach()
+void
+Http2Connection::Detach()
 {
   mListener = nullptr;
   Close("detached");
 }
 
-void Http2Connection::Read()
+void
+Http2Connection::Read()
 {
   auto self = shared_from_this();
   mSocket.async_read_some(
@@ -337,7 +350,8 @@
     });
 }
 
-void Http2Connection::TakeBytes(std::size_t aCount)
+void
+Http2Connection::TakeBytes(std::size_t aCount)
 {
   mHeard = true;
   const auto* data = reinterpret_cast<const std::uint8_t*>(mReadBuffer.data());
@@ -353,7 +367,8 @@
   Read();
 }
 
-void Http2Connection::ScheduleFlush()
+void
+Http2Connection::ScheduleFlush()
 {
   if (mFlushScheduled || mClosed) {
     return;
@@ -365,7 +380,8 @@
   });
 }
 
-void Http2Connection::Flush()
+void
+Http2Connection::Flush()
 {
   if (mWriting || mClosed) {
     return;
@@ -396,13 +412,15 @@
                     });
 }
 
-void Http2Connection::SchedulePing()
+void
+Http2Connection::SchedulePing()
 {
   mPingTimer =
     mExecutor.RunAfter(mOptions.pingInterval, [this] { SendPing(); });
 }
 
-void Http2Connection::SendPing()
+void
+Http2Connection::SendPing()
 {
   mHeard = false;
   nghttp2_submit_ping(mSession, NGHTTP2_FLAG_NONE, nullptr);
@@ -416,7 +434,8 @@
   });
 }
 
-void Http2Connection::FinishMessage(StreamNumber aStream)
+void
+Http2Connection::FinishMessage(StreamNumber aStream)
 {
   Stream& stream = StreamAt(aStream);
   if (stream.delivered || mListener == nullptr) {
@@ -426,7 +445,8 @@
   mListener->OnMessage(aStream, std::move(stream.incoming));
 }
 
-void Http2Connection::EndStream(StreamNumber aStream, std::uint32_t aErrorCode)
+void
+Http2Connection::EndStream(StreamNumber aStream, std::uint32_t aErrorCode)
 {
   const auto it = mStreams.find(aStream);
   if (it == mStreams.end()) {
--- a/servers/metrics/metrics_text.cpp
+++ b/servers/metrics/metrics_text.cpp
@@ -10,18 +10,21 @@
 
 namespace {
 
-bool IsNameStart(char aChar)
+bool
+IsNameStart(char aChar)
 {
   return (aChar >= 'a' && aChar <= 'z') || (aChar >= 'A' && aChar <= 'Z') ||
          aChar == '_';
 }
 
-bool IsNamePart(char aChar)
+bool
+IsNamePart(char aChar)
 {
   return IsNameStart(aChar) || (aChar >= '0' && aChar <= '9');
 }
 
-std::string FormatValue(double aValue)
+std::string
+FormatValue(double aValue)
 {
   if (std::isnan(aValue)) {
     return "NaN";
@@ -35,7 +38,8 @@
   return { buf.data(), end };
 }
 
-std::string Escape(std::string_view aText, bool aQuotes)
+std::string
+Escape(std::string_view aText, bool aQuotes)
 {
   std::string escaped;
   for (const char it : aText) {
@@ -52,8 +56,8 @@
   return escaped;
 }
 
-MetricLabels LabelsOf(const MetricOptions& aOptions,
-                      const std::vector<std::string>& aValues)
+MetricLabels
+LabelsOf(const MetricOptions& aOptions, const std::vector<std::string>& aValues)
 {
   MetricLabels labels;
   for (std::size_t n = 0; n < aValues.size(); ++n) {
@@ -63,9 +67,8 @@
 }
 
 // The labels with one more at the end.
-MetricLabels Extend(MetricLabels aLabels,
-                    const std::string& aName,
-                    std::string aValue)
+MetricLabels
+Extend(MetricLabels aLabels, const std::string& aName, std::string aValue)
 {
   aLabels.push_back({ aName, std::move(aValue) });
   return aLabels;
@@ -125,7 +128,8 @@
   std::string_view mRest;
 };
 
-tl::expected<std::string, std::string> LineReader::TakeQuoted()
+tl::expected<std::string, std::string>
+LineReader::TakeQuoted()
 {
   if (!Take('"')) {
     return tl::unexpected<std::string>("a label value must be quoted");
@@ -149,7 +153,8 @@
   return tl::unexpected<std::string>("a label value has no closing quote");
 }
 
-tl::expected<MetricLabels, std::string> ParseLabels(LineReader& aReader)
+tl::expected<MetricLabels, std::string>
+ParseLabels(LineReader& aReader)
 {
   MetricLabels labels;
   if (!aReader.Take('{')) {
@@ -170,7 +175,8 @@
   return labels;
 }
 
-tl::expected<double, std::string> ParseValue(std::string_view aWord)
+tl::expected<double, std::string>
+ParseValue(std::string_view aWord)
 {
   if (aWord == "NaN") {
     return std::numeric_limits<double>::quiet_NaN();
@@ -187,7 +193,8 @@
   return value;
 }
 
-tl::expected<MetricSample, std::string> ParseSample(std::string_view aLine)
+tl::expected<MetricSample, std::string>
+ParseSample(std::string_view aLine)
 {
   LineReader reader(aLine);
   MetricSample sample;
@@ -216,13 +223,15 @@
 
 } // namespace
 
-bool IsMetricName(std::string_view aName)
+bool
+IsMetricName(std::string_view aName)
 {
   return !aName.empty() && IsNameStart(aName.front()) &&
          std::ranges::all_of(aName, IsNamePart);
 }
 
-void MetricsWriter::Write(const MetricFamily<Counter>& aFamily)
+void
+MetricsWriter::Write(const MetricFamily<Counter>& aFamily)
 {
   WriteHead(aFamily.Options(), "counter");
   for (const auto& [values, it] : aFamily.Series()) {
@@ -231,7 +240,8 @@
   }
 }
 
-void MetricsWriter::Write(const MetricFamily<Gauge>& aFamily)
+void
+MetricsWriter::Write(const MetricFamily<Gauge>& aFamily)
 {
   WriteHead(aFamily.Options(), "gauge");
   for (const auto& [values, it] : aFamily.Series()) {
@@ -240,7 +250,8 @@
   }
 }
 
-void MetricsWriter::Write(const MetricFamily<Histogram>& aFamily)
+void
+MetricsWriter::Write(const MetricFamily<Histogram>& aFamily)
 {
   const auto& options = aFamily.Options();
   WriteHead(options, "histogram");
@@ -258,7 +269,8 @@
   }
 }
 
-void MetricsWriter::Write(const MetricFamily<Summary>& aFamily)
+void
+MetricsWriter::Write(const MetricFamily<Summary>& aFamily)
 {
   const auto& options = aFamily.Options();
   WriteHead(options, "summary");
@@ -277,8 +289,8 @@
   }
 }
 
-void MetricsWriter::WriteHead(const MetricOptions& aOptions,
-                              std::string_view aType)
+void
+MetricsWriter::WriteHead(const MetricOptions& aOptions, std::string_view aType)
 {
   mText += "# HELP " + aOptions.name;
   mText += ' ';
@@ -289,9 +301,10 @@
   mText += '\n';
 }
 
-void MetricsWriter::WriteSample(std::string_view aName,
-                                const MetricLabels& aLabels,
-                                double aValue)
+void
+MetricsWriter::WriteSample(std::string_view aName,
+                           const MetricLabels& aLabels,
+                           double aValue)
 {
   mText += aName;
   if (!aLabels.empty()) {
@@ -311,8 +324,8 @@
   mText += '\n';
 }
 
-tl::expected<std::vector<MetricSample>, MetricsTextError> ParseMetrics(
-  std::string_view aText)
+tl::expected<std::vector<MetricSample>, MetricsTextError>
+ParseMetrics(std::string_view aText)
 {
   std::vector<MetricSample> samples;
   std::size_t number = 0;
--- a/servers/platform/base64.cpp
+++ b/servers/platform/base64.cpp
@@ -23,7 +23,8 @@
 
 } // namespace
 
-std::string EncodeBase64(std::string_view aBytes)
+std::string
+EncodeBase64(std::string_view aBytes)
 {
   std::string text(Encoder(aBytes.begin()), Encoder(aBytes.end()));
   while (text.size() % kGroup != 0) {
@@ -32,7 +33,8 @@
   return text;
 }
 
-std::optional<std::string> DecodeBase64(std::string_view aText)
+std::optional<std::string>
+DecodeBase64(std::string_view aText)
 {
   if (aText.size() % kGroup != 0) {
     return std::nullopt;
--- a/servers/platform/platform_options.h
+++ b/servers/platform/platform_options.h
@@ -9,9 +9,11 @@
 
 namespace firefly {
 
-HttpLogClient::Options LogOptionsOf(const PlatformSettings& aSettings);
-HostListClient::Options HostListOptionsOf(const PlatformSettings& aSettings);
-WeightStoreClient::Options WeightStoreOptionsOf(
-  const PlatformSettings& aSettings);
+HttpLogClient::Options
+LogOptionsOf(const PlatformSettings& aSettings);
+HostListClient::Options
+HostListOptionsOf(const PlatformSettings& aSettings);
+WeightStoreClient::Options
+WeightStoreOptionsOf(const PlatformSettings& aSettings);
 
 } // namespace firefly
--- a/servers/settings/section_reader.cpp
+++ b/servers/settings/section_reader.cpp
@@ -9,27 +9,31 @@
 
 const SettingTable kEmptyTable;
 
-std::string FormatRange(SettingRange<double> aRange)
+std::string
+FormatRange(SettingRange<double> aRange)
 {
   std::ostringstream out;
   out << "a number from " << aRange.least << " to " << aRange.most;
   return out.str();
 }
 
-std::string FormatRange(SettingRange<std::int64_t> aRange)
+std::string
+FormatRange(SettingRange<std::int64_t> aRange)
 {
   return "a whole number from " + std::to_string(aRange.least) + " to " +
          std::to_string(aRange.most);
 }
 
-bool IsAddress(const std::string& aText)
+bool
+IsAddress(const std::string& aText)
 {
   in6_addr buf{};
   return inet_pton(AF_INET, aText.c_str(), &buf) == 1 ||
          inet_pton(AF_INET6, aText.c_str(), &buf) == 1;
 }
 
-bool IsUrl(const std::string& aText)
+bool
+IsUrl(const std::string& aText)
 {
   const bool plain = aText.starts_with("http://") && aText.size() > 7;
   const bool secure = aText.starts_with("https://") && aText.size() > 8;
@@ -38,7 +42,8 @@
 
 } // namespace
 
-void SettingProblems::Add(unsigned aLine, const std::string& aText)
+void
+SettingProblems::Add(unsigned aLine, const std::string& aText)
 {
   const std::string place = aLine == 0 ? "" : ":" + std::to_string(aLine);
   mLines.push_back(mFile + place + ": " + aText);
@@ -63,8 +68,9 @@
   mTable = table;
 }
 
-std::string SectionReader::Text(const std::string& aKey,
-                                const std::optional<std::string>& aDefault)
+std::string
+SectionReader::Text(const std::string& aKey,
+                    const std::optional<std::string>& aDefault)
 {
   const std::string allowed = "a non-empty string";
   const auto* value = Find(aKey, !aDefault.has_value(), allowed);
@@ -79,9 +85,10 @@
   return *text;
 }
 
-std::int64_t SectionReader::Integer(const std::string& aKey,
-                                    SettingRange<std::int64_t> aRange,
-                                    std::optional<std::int64_t> aDefault)
+std::int64_t
+SectionReader::Integer(const std::string& aKey,
+                       SettingRange<std::int64_t> aRange,
+                       std::optional<std::int64_t> aDefault)
 {
   const std::int64_t fallback = aDefault.value_or(aRange.least);
   const std::string allowed = FormatRange(aRange);
@@ -97,9 +104,10 @@
   return *number;
 }
 
-double SectionReader::Real(const std::string& aKey,
-                           SettingRange<double> aRange,
-                           std::optional<double> aDefault)
+double
+SectionReader::Real(const std::string& aKey,
+                    SettingRange<double> aRange,
+                    std::optional<double> aDefault)
 {
   const double fallback = aDefault.value_or(aRange.least);
   const std::string allowed = FormatRange(aRange);
@@ -121,14 +129,16 @@
   return *number;
 }
 
-Duration SectionReader::Millis(const std::string& aKey,
-                               SettingRange<std::int64_t> aRange,
-                               std::optional<std::int64_t> aDefault)
+Duration
+SectionReader::Millis(const std::string& aKey,
+                      SettingRange<std::int64_t> aRange,
+                      std::optional<std::int64_t> aDefault)
 {
   return std::chrono::milliseconds(Integer(aKey, aRange, aDefault));
 }
 
-bool SectionReader::Flag(const std::string& aKey, std::optional<bool> aDefault)
+bool
+SectionReader::Flag(const std::string& aKey, std::optional<bool> aDefault)
 {
   const std::string allowed = "true or false";
   const auto* value = Find(aKey, !aDefault.has_value(), allowed);
@@ -143,7 +153,8 @@
   return *flag;
 }
 
-std::string SectionReader::Address(const std::string& aKey)
+std::string
+SectionReader::Address(const std::string& aKey)
 {
   const std::string allowed = "an IP number such as \"10.1.0.5\"";
   const auto* value = Find(aKey, true, allowed);
@@ -158,7 +169,8 @@
   return *text;
 }
 
-std::string SectionReader::Url(const std::string& aKey)
+std::string
+SectionReader::Url(const std::string& aKey)
 {
   const std::string allowed = "a URL such as \"http://10.1.0.9:7000\"";
   const auto* value = Find(aKey, true, allowed);
@@ -173,7 +185,8 @@
   return text->ends_with('/') ? text->substr(0, text->size() - 1) : *text;
 }
 
-std::vector<std::string> SectionReader::Texts(const std::string& aKey)
+std::vector<std::string>
+SectionReader::Texts(const std::string& aKey)
 {
   const std::string allowed = "an array of non-empty strings";
   const auto* value = Find(aKey, false, allowed);
@@ -197,7 +210,8 @@
   return texts;
 }
 
-SectionReader SectionReader::Section(const std::string& aKey)
+SectionReader
+SectionReader::Section(const std::string& aKey)
 {
   mKnown.insert(aKey);
   const auto found = mTable->find(aKey);
@@ -205,7 +219,8 @@
   return { value, '[' + aKey + ']', *mProblems };
 }
 
-std::vector<SectionReader> SectionReader::Sections(const std::string& aKey)
+std::vector<SectionReader>
+SectionReader::Sections(const std::string& aKey)
 {
   const std::string allowed = "an array of tables";
   const auto* value = Find(aKey, false, allowed);
@@ -225,12 +240,14 @@
   return sections;
 }
 
-bool SectionReader::Has(const std::string& aKey) const
+bool
+SectionReader::Has(const std::string& aKey) const
 {
   return mTable->contains(aKey);
 }
 
-void SectionReader::Finish()
+void
+SectionReader::Finish()
 {
   std::string allowed;
   for (const auto& it : mKnown) {
@@ -244,9 +261,10 @@
   }
 }
 
-const SettingValue* SectionReader::Find(const std::string& aKey,
-                                        bool aRequired,
-                                        const std::string& aAllowed)
+const SettingValue*
+SectionReader::Find(const std::string& aKey,
+                    bool aRequired,
+                    const std::string& aAllowed)
 {
   mKnown.insert(aKey);
   const auto found = mTable->find(aKey);
@@ -259,18 +277,20 @@
   return nullptr;
 }
 
-void SectionReader::Refuse(const std::string& aKey,
-                           const SettingValue& aValue,
-                           const std::string& aAllowed)
+void
+SectionReader::Refuse(const std::string& aKey,
+                      const SettingValue& aValue,
+                      const std::string& aAllowed)
 {
   mProblems->Add(aValue.line,
                  NameOf(aKey) + ": " + DescribeSetting(aValue) +
                    " is not allowed; must be " + aAllowed);
 }
 
-std::string SectionReader::ChoiceText(const std::string& aKey,
-                                      const std::string& aAllowed,
-                                      bool aRequired)
+std::string
+SectionReader::ChoiceText(const std::string& aKey,
+                          const std::string& aAllowed,
+                          bool aRequired)
 {
   const auto* value = Find(aKey, aRequired, aAllowed);
   if (value == nullptr) {
@@ -284,7 +304,8 @@
   return *text;
 }
 
-std::string SectionReader::NameOf(const std::string& aKey) const
+std::string
+SectionReader::NameOf(const std::string& aKey) const
 {
   return mName.empty() ? aKey : mName + " " + aKey;
 }
--- a/servers/settings/setting_value.cpp
+++ b/servers/settings/setting_value.cpp
@@ -10,9 +10,11 @@
 
 namespace {
 
-SettingValue Convert(const toml::value& aValue);
+SettingValue
+Convert(const toml::value& aValue);
 
-SettingArray ConvertArray(const toml::value& aValue)
+SettingArray
+ConvertArray(const toml::value& aValue)
 {
   SettingArray array;
   for (const auto& it : aValue.as_array()) {
@@ -21,7 +23,8 @@
   return array;
 }
 
-SettingTable ConvertTable(const toml::value& aValue)
+SettingTable
+ConvertTable(const toml::value& aValue)
 {
   SettingTable table;
   for (const auto& [key, value] : aValue.as_table()) {
@@ -30,7 +33,8 @@
   return table;
 }
 
-SettingValue Convert(const toml::value& aValue)
+SettingValue
+Convert(const toml::value& aValue)
 {
   SettingValue value{ .data = SettingUnused{},
                       .line = static_cast<unsigned>(aValue.location().line()) };
@@ -51,7 +55,8 @@
 }
 
 // The library draws its errors over several lines; the operator gets one.
-std::string JoinLines(const std::string& aText)
+std::string
+JoinLines(const std::string& aText)
 {
   std::istringstream in(aText);
   std::string joined;
@@ -67,8 +72,8 @@
 
 } // namespace
 
-tl::expected<SettingValue, SettingFileError> ReadSettingFile(
-  const std::string& aFile)
+tl::expected<SettingValue, SettingFileError>
+ReadSettingFile(const std::string& aFile)
 {
   std::ifstream in(aFile, std::ios::binary);
   if (!in) {
@@ -82,7 +87,8 @@
   }
 }
 
-std::string DescribeSetting(const SettingValue& aValue)
+std::string
+DescribeSetting(const SettingValue& aValue)
 {
   struct Describer
   {
--- a/servers/settings/settings.cpp
+++ b/servers/settings/settings.cpp
@@ -72,37 +72,39 @@
 } };
 
 template<typename E, std::size_t N>
-std::string_view WordOf(const std::array<SettingChoice<E>, N>& aChoices,
-                        E aValue)
+std::string_view
+WordOf(const std::array<SettingChoice<E>, N>& aChoices, E aValue)
 {
   const auto found =
     std::ranges::find(aChoices, aValue, &SettingChoice<E>::value);
   return found == aChoices.end() ? "" : found->word;
 }
 
-std::uint16_t ReadPort(SectionReader& aReader,
-                       const std::string& aKey,
-                       std::int64_t aDefault)
+std::uint16_t
+ReadPort(SectionReader& aReader, const std::string& aKey, std::int64_t aDefault)
 {
   return static_cast<std::uint16_t>(aReader.Integer(aKey, kPort, aDefault));
 }
 
-std::size_t ReadCount(SectionReader& aReader,
-                      const std::string& aKey,
-                      Whole aRange,
-                      std::int64_t aDefault)
+std::size_t
+ReadCount(SectionReader& aReader,
+          const std::string& aKey,
+          Whole aRange,
+          std::int64_t aDefault)
 {
   return static_cast<std::size_t>(aReader.Integer(aKey, aRange, aDefault));
 }
 
-Duration ReadHours(SectionReader& aReader,
-                   const std::string& aKey,
-                   std::int64_t aDefault)
+Duration
+ReadHours(SectionReader& aReader,
+          const std::string& aKey,
+          std::int64_t aDefault)
 {
   return std::chrono::hours(aReader.Integer(aKey, kHours, aDefault));
 }
 
-HostSettings ReadHost(SectionReader& aReader)
+HostSettings
+ReadHost(SectionReader& aReader)
 {
   HostSettings host{
     .id = HostId(aReader.Text("id")),
@@ -121,7 +123,8 @@
   return host;
 }
 
-EntrySettings ReadEntry(SectionReader aReader)
+EntrySettings
+ReadEntry(SectionReader aReader)
 {
   EntrySettings entry{
     .maxBodyBytes =
@@ -145,7 +148,8 @@
   return entry;
 }
 
-MembershipSettings ReadMembership(SectionReader aReader)
+MembershipSettings
+ReadMembership(SectionReader aReader)
 {
   MembershipSettings membership{
     .heartbeat = aReader.Millis("heartbeat_ms", kShortMillis, 200),
@@ -157,7 +161,8 @@
   return membership;
 }
 
-LedgerSettings ReadLedger(SectionReader aReader)
+LedgerSettings
+ReadLedger(SectionReader aReader)
 {
   LedgerSettings ledger{
     .partitions = static_cast<std::uint32_t>(
@@ -171,7 +176,8 @@
   return ledger;
 }
 
-StewardSettings ReadSteward(SectionReader aReader)
+StewardSettings
+ReadSteward(SectionReader aReader)
 {
   StewardSettings steward{
     .lease = aReader.Millis("lease_ms", kLongMillis, 6'000),
@@ -186,7 +192,8 @@
   return steward;
 }
 
-PlatformSettings ReadPlatform(SectionReader aReader)
+PlatformSettings
+ReadPlatform(SectionReader aReader)
 {
   PlatformSettings platform{
     .logUrl = aReader.Url("log_url"),
@@ -201,7 +208,8 @@
   return platform;
 }
 
-LogSettings ReadLog(SectionReader aReader)
+LogSettings
+ReadLog(SectionReader aReader)
 {
   LogSettings log{
     .level = aReader.Choice("level", kLogLevels, { LogLevel::kInfo }),
@@ -211,12 +219,14 @@
   return log;
 }
 
-void ReadPlainBackend(SectionReader& aReader, BackendSettings& aBackend)
+void
+ReadPlainBackend(SectionReader& aReader, BackendSettings& aBackend)
 {
   aBackend.service = ServiceId(aReader.Text("service"));
 }
 
-void ReadEngineBackend(SectionReader& aReader, BackendSettings& aBackend)
+void
+ReadEngineBackend(SectionReader& aReader, BackendSettings& aBackend)
 {
   aBackend.checksFencing = aReader.Flag("checks_fencing");
   aBackend.role =
@@ -227,7 +237,8 @@
   aBackend.kvPieces = ReadCount(aReader, "kv_pieces", { 1, 10'000'000 }, 2'000);
 }
 
-BackendSettings ReadBackend(SectionReader& aReader)
+BackendSettings
+ReadBackend(SectionReader& aReader)
 {
   BackendSettings backend{
     .id = BackendId(aReader.Text("id")),
@@ -247,12 +258,14 @@
   return backend;
 }
 
-std::string ReadPath(SectionReader& aReader)
+std::string
+ReadPath(SectionReader& aReader)
 {
   return aReader.Text("path", "/");
 }
 
-RequestTypeSettings ReadRequestType(SectionReader& aReader, ServiceKind aKind)
+RequestTypeSettings
+ReadRequestType(SectionReader& aReader, ServiceKind aKind)
 {
   const bool plain = aKind == ServiceKind::kPlain;
   RequestTypeSettings type{
@@ -282,7 +295,8 @@
   return type;
 }
 
-ServiceSettings ReadService(SectionReader& aReader)
+ServiceSettings
+ReadService(SectionReader& aReader)
 {
   ServiceSettings service{
     .id = ServiceId(aReader.Text("id")),
@@ -305,10 +319,11 @@
 }
 
 // The settings of this process's host: [host], or the peer that was named.
-void ChooseHost(SectionReader& aRoot,
-                const SettingsOptions& aOptions,
-                Settings& aSettings,
-                SettingProblems& aProblems)
+void
+ChooseHost(SectionReader& aRoot,
+           const SettingsOptions& aOptions,
+           Settings& aSettings,
+           SettingProblems& aProblems)
 {
   if (aRoot.Has("host") || (aOptions.needsHost && !aOptions.host)) {
     auto reader = aRoot.Section("host");
@@ -328,8 +343,8 @@
   aSettings.host = *found;
 }
 
-std::filesystem::path ReadCharts(SectionReader aReader,
-                                 const std::filesystem::path& aFile)
+std::filesystem::path
+ReadCharts(SectionReader aReader, const std::filesystem::path& aFile)
 {
   const std::filesystem::path directory =
     aReader.Text("directory", "../charts");
@@ -337,7 +352,8 @@
   return (aFile.parent_path() / directory).lexically_normal();
 }
 
-std::string ReadPolicy(SectionReader aReader)
+std::string
+ReadPolicy(SectionReader aReader)
 {
   const auto policy =
     aReader.Choice("name", kPolicies, { PolicyName::kFirefly });
@@ -345,9 +361,10 @@
   return std::string(WordOf(kPolicies, policy));
 }
 
-Settings ReadSettings(const SettingValue& aRoot,
-                      const SettingsOptions& aOptions,
-                      SettingProblems& aProblems)
+Settings
+ReadSettings(const SettingValue& aRoot,
+             const SettingsOptions& aOptions,
+             SettingProblems& aProblems)
 {
   SectionReader root(&aRoot, "", aProblems);
   Settings settings;
@@ -375,15 +392,16 @@
 
 } // namespace
 
-const ServiceSettings* Settings::FindService(const ServiceId& aId) const
+const ServiceSettings*
+Settings::FindService(const ServiceId& aId) const
 {
   const auto found = std::ranges::find(services, aId, &ServiceSettings::id);
   return found == services.end() ? nullptr : &*found;
 }
 
-const RequestTypeSettings* Settings::FindRequestType(
-  const ServiceId& aService,
-  const RequestType& aType) const
+const RequestTypeSettings*
+Settings::FindRequestType(const ServiceId& aService,
+                          const RequestType& aType) const
 {
   const auto* service = FindService(aService);
   if (service == nullptr) {
@@ -395,14 +413,15 @@
   return found == types.end() ? nullptr : &*found;
 }
 
-const BackendSettings* Settings::FindBackend(const BackendId& aId) const
+const BackendSettings*
+Settings::FindBackend(const BackendId& aId) const
 {
   const auto found = std::ranges::find(backends, aId, &BackendSettings::id);
   return found == backends.end() ? nullptr : &*found;
 }
 
-tl::expected<Settings, SettingsError> LoadSettings(
-  const SettingsOptions& aOptions)
+tl::expected<Settings, SettingsError>
+LoadSettings(const SettingsOptions& aOptions)
 {
   const auto root = ReadSettingFile(aOptions.file.string());
   if (!root) {
@@ -420,17 +439,20 @@
   return settings;
 }
 
-std::string_view NameOf(BackendKind aKind)
+std::string_view
+NameOf(BackendKind aKind)
 {
   return WordOf(kBackendKinds, aKind);
 }
 
-std::string_view NameOf(BackendRole aRole)
+std::string_view
+NameOf(BackendRole aRole)
 {
   return WordOf(kBackendRoles, aRole);
 }
 
-std::string_view NameOf(ServiceKind aKind)
+std::string_view
+NameOf(ServiceKind aKind)
 {
   return WordOf(kServiceKinds, aKind);
 }
--- a/servers/settings/settings.h
+++ b/servers/settings/settings.h
@@ -218,12 +218,15 @@
 };
 
 // Reads a settings file and checks it whole.
-tl::expected<Settings, SettingsError> LoadSettings(
-  const SettingsOptions& aOptions);
+tl::expected<Settings, SettingsError>
+LoadSettings(const SettingsOptions& aOptions);
 
 // The word that settings, reports and the table use for the value.
-std::string_view NameOf(BackendKind aKind);
-std::string_view NameOf(BackendRole aRole);
-std::string_view NameOf(ServiceKind aKind);
+std::string_view
+NameOf(BackendKind aKind);
+std::string_view
+NameOf(BackendRole aRole);
+std::string_view
+NameOf(ServiceKind aKind);
 
 } // namespace firefly
--- a/servers/table/csv.cpp
+++ b/servers/table/csv.cpp
@@ -45,7 +45,8 @@
   std::size_t mLine = 1;
 };
 
-tl::expected<CsvRecord, CsvError> CsvReader::TakeRecord()
+tl::expected<CsvRecord, CsvError>
+CsvReader::TakeRecord()
 {
   CsvRecord record{ .line = mLine, .fields = {} };
   while (true) {
@@ -65,7 +66,8 @@
   }
 }
 
-tl::expected<std::string, CsvError> CsvReader::TakeField()
+tl::expected<std::string, CsvError>
+CsvReader::TakeField()
 {
   if (Take('"')) {
     return TakeQuoted();
@@ -78,7 +80,8 @@
   return field;
 }
 
-tl::expected<std::string, CsvError> CsvReader::TakeQuoted()
+tl::expected<std::string, CsvError>
+CsvReader::TakeQuoted()
 {
   const std::size_t start = mLine;
   std::string field;
@@ -94,7 +97,8 @@
   return tl::unexpected(CsvError{ start, "a quoted field has no end" });
 }
 
-std::string CsvReader::TakePlain()
+std::string
+CsvReader::TakePlain()
 {
   const auto end = mRest.find_first_of(",\r\n");
   std::string field(mRest.substr(0, end));
@@ -102,7 +106,8 @@
   return field;
 }
 
-bool CsvReader::TakeLineEnd()
+bool
+CsvReader::TakeLineEnd()
 {
   const bool carriage = Take('\r');
   if (!Take('\n') && !carriage) {
@@ -114,7 +119,8 @@
 
 } // namespace
 
-tl::expected<std::vector<CsvRecord>, CsvError> ParseCsv(std::string_view aText)
+tl::expected<std::vector<CsvRecord>, CsvError>
+ParseCsv(std::string_view aText)
 {
   CsvReader reader(aText);
   std::vector<CsvRecord> records;
@@ -130,7 +136,8 @@
   return records;
 }
 
-std::string FormatCsvRecord(const std::vector<std::string>& aFields)
+std::string
+FormatCsvRecord(const std::vector<std::string>& aFields)
 {
   std::string line;
   for (const auto& it : aFields) {
--- a/servers/table/limit_rows.cpp
+++ b/servers/table/limit_rows.cpp
@@ -5,8 +5,8 @@
 namespace {
 
 // The row that holds for a type before the table says anything.
-policy::LimitRow SettingsRow(const ServiceSettings& aService,
-                             const RequestTypeSettings& aType)
+policy::LimitRow
+SettingsRow(const ServiceSettings& aService, const RequestTypeSettings& aType)
 {
   return { .service = aService.id,
            .requestType = aType.name,
@@ -17,7 +17,8 @@
 
 // What the table's row says, with the rest taken from another row. Limits are
 // a row's own: none of them are taken over.
-policy::LimitRow Merge(const TableRow& aRow, const policy::LimitRow& aRest)
+policy::LimitRow
+Merge(const TableRow& aRow, const policy::LimitRow& aRest)
 {
   policy::LimitRow merged = aRest;
   merged.customer = aRow.customer;
@@ -33,8 +34,8 @@
 
 } // namespace
 
-std::vector<policy::LimitRow> MakeLimitRows(const OperatorsTable& aTable,
-                                            const Settings& aSettings)
+std::vector<policy::LimitRow>
+MakeLimitRows(const OperatorsTable& aTable, const Settings& aSettings)
 {
   const auto& any = OperatorsTable::AnyCustomer();
   std::vector<policy::LimitRow> rows;
--- a/servers/table/limit_rows.h
+++ b/servers/table/limit_rows.h
@@ -13,7 +13,7 @@
 // the settings, and those of named customers. What the table leaves empty
 // comes from the type's row for all customers, then from the settings. Rows of
 // services or types that the settings lack are left out.
-std::vector<policy::LimitRow> MakeLimitRows(const OperatorsTable& aTable,
-                                            const Settings& aSettings);
+std::vector<policy::LimitRow>
+MakeLimitRows(const OperatorsTable& aTable, const Settings& aSettings);
 
 } // namespace firefly
--- a/tests/coord/booking_faults_test.cpp
+++ b/tests/coord/booking_faults_test.cpp
@@ -139,7 +139,8 @@
   }
 }
 
-void World::StartLedger(int aLedger)
+void
+World::StartLedger(int aLedger)
 {
   auto& slot = mLedgers[aLedger];
   if (slot.process) {
@@ -161,7 +162,8 @@
   }
 }
 
-void World::StartCaller(int aKey)
+void
+World::StartCaller(int aKey)
 {
   const BookingKey key("key-" + std::to_string(aKey));
   After(FromSeconds(30 * mRandom.Uniform()), [this, key] { Call(key, 1); });
@@ -171,7 +173,8 @@
   }
 }
 
-void World::Call(const BookingKey& aKey, int aNumber)
+void
+World::Call(const BookingKey& aKey, int aNumber)
 {
   auto attempt = std::make_shared<Try>(
     Try{ .key = aKey,
@@ -182,7 +185,8 @@
 
 // The entry: one permit request to one ledger for each attempt. Whatever comes
 // after its own time-out is dropped.
-void World::Ask(FakeProcess& aEntry, const TryPtr& aTry)
+void
+World::Ask(FakeProcess& aEntry, const TryPtr& aTry)
 {
   const auto deadline = mExecutor.Now() + kPermitTimeout;
   const auto index = mRandom.Below(kLedgers);
@@ -208,9 +212,10 @@
   });
 }
 
-void World::OnPermit(FakeProcess& aEntry,
-                     const TryPtr& aTry,
-                     const tl::expected<Permit, LedgerError>& aPermit)
+void
+World::OnPermit(FakeProcess& aEntry,
+                const TryPtr& aTry,
+                const tl::expected<Permit, LedgerError>& aPermit)
 {
   if (aTry->over) {
     return;
@@ -228,7 +233,8 @@
   }
 }
 
-void World::Dispatch(FakeProcess& aEntry, const TryPtr& aTry)
+void
+World::Dispatch(FakeProcess& aEntry, const TryPtr& aTry)
 {
   auto answered = std::make_shared<bool>(false);
   After(FromSeconds(mRandom.Uniform()), [this, &aEntry, aTry, answered] {
@@ -249,7 +255,8 @@
   });
 }
 
-void World::Record(FakeProcess& aEntry, const TryPtr& aTry, int aLeft)
+void
+World::Record(FakeProcess& aEntry, const TryPtr& aTry, int aLeft)
 {
   const auto index = mRandom.Below(kLedgers);
   auto done = std::make_shared<bool>(false);
@@ -272,7 +279,8 @@
   });
 }
 
-void World::GiveUp(FakeProcess&, const TryPtr& aTry)
+void
+World::GiveUp(FakeProcess&, const TryPtr& aTry)
 {
   const auto index = mRandom.Below(kLedgers);
   Message(*mLedgers[index].process, [this, aTry, index] {
@@ -282,7 +290,8 @@
 }
 
 // The caller comes again after a refusal, and asks again after "unknown".
-void World::Tell(const TryPtr& aTry, Told aTold, const std::string& aAnswer)
+void
+World::Tell(const TryPtr& aTry, Told aTold, const std::string& aAnswer)
 {
   if (aTold == Told::kAnswer) {
     mCounts.wrongAnswer += aAnswer == aTry->key.Value() ? 0 : 1;
@@ -300,7 +309,8 @@
         [this, aTry] { Call(aTry->key, aTry->number + 1); });
 }
 
-void World::Message(FakeProcess& aTo, std::function<void()> aCallback)
+void
+World::Message(FakeProcess& aTo, std::function<void()> aCallback)
 {
   if (mRandom.Chance(mLoss)) {
     return;
@@ -312,12 +322,14 @@
         [&aTo, callback = std::move(aCallback)] { aTo.Post(callback); });
 }
 
-void World::After(Duration aDelay, std::function<void()> aCallback)
+void
+World::After(Duration aDelay, std::function<void()> aCallback)
 {
   mTimers.push_back(mExecutor.RunAfter(aDelay, std::move(aCallback)));
 }
 
-Counts World::Run()
+Counts
+World::Run()
 {
   for (int n = 0; n < kKeys; ++n) {
     StartCaller(n);
@@ -344,7 +356,8 @@
   return mCounts;
 }
 
-void World::Judge()
+void
+World::Judge()
 {
   BookingState truth({}, mExecutor);
   for (std::uint32_t n = 0; n < kPartitions; ++n) {
--- a/tests/coord/fault_injector.cpp
+++ b/tests/coord/fault_injector.cpp
@@ -13,7 +13,8 @@
 
 using namespace std::chrono_literals;
 
-std::map<std::string, StateChart> LoadCharts()
+std::map<std::string, StateChart>
+LoadCharts()
 {
   std::map<std::string, StateChart> charts;
   for (const auto* name : { "authority", "backend", "booking", "request" }) {
@@ -32,7 +33,8 @@
 
 } // namespace
 
-const StateChart& TestChart(const std::string& aName)
+const StateChart&
+TestChart(const std::string& aName)
 {
   return kCharts.at(aName);
 }
@@ -48,7 +50,8 @@
 {
 }
 
-void FaultInjector::Run(Duration aSpan)
+void
+FaultInjector::Run(Duration aSpan)
 {
   const auto end = mExecutor.Now() + aSpan;
   Next(end);
@@ -63,7 +66,8 @@
   }
 }
 
-void FaultInjector::Next(Instant aEnd)
+void
+FaultInjector::Next(Instant aEnd)
 {
   After(Between(kLeastGap, kMostGap), [this, aEnd] {
     if (mExecutor.Now() < aEnd) {
@@ -73,7 +77,8 @@
   });
 }
 
-void FaultInjector::Inject()
+void
+FaultInjector::Inject()
 {
   const auto target = mRandom.Below(mTargets.size());
   const auto span = Between(100ms, 12s);
@@ -104,26 +109,30 @@
   }
 }
 
-void FaultInjector::PauseSome(Duration aSpan)
+void
+FaultInjector::PauseSome(Duration aSpan)
 {
   const auto target = mRandom.Below(mTargets.size());
   mTargets[target].pause();
   After(aSpan, [this, target] { mTargets[target].resume(); });
 }
 
-void FaultInjector::After(Duration aDelay, std::function<void()> aCallback)
+void
+FaultInjector::After(Duration aDelay, std::function<void()> aCallback)
 {
   mTimers.push_back(mExecutor.RunAfter(aDelay, std::move(aCallback)));
 }
 
-Duration FaultInjector::Between(Duration aLeast, Duration aMost)
+Duration
+FaultInjector::Between(Duration aLeast, Duration aMost)
 {
   return aLeast + FromSeconds(ToSeconds(aMost - aLeast) * mRandom.Uniform());
 }
 
-int CountSchedules(const char* aName,
-                   int aSchedules,
-                   const std::function<bool(std::uint64_t)>& aFails)
+int
+CountSchedules(const char* aName,
+               int aSchedules,
+               const std::function<bool(std::uint64_t)>& aFails)
 {
   const char* wanted = std::getenv("FIREFLY_SCHEDULES");
   const int schedules = wanted == nullptr ? aSchedules : std::atoi(wanted);
--- a/tests/coord/fault_injector.h
+++ b/tests/coord/fault_injector.h
@@ -15,7 +15,8 @@
 namespace firefly::coord {
 
 // The chart of that name from charts/.
-const StateChart& TestChart(const std::string& aName);
+const StateChart&
+TestChart(const std::string& aName);
 
 // A process that a schedule may hurt.
 struct FaultTarget
@@ -56,8 +57,9 @@
 // Runs the callback for each seed and returns how many times it said true. The
 // number of seeds is FIREFLY_SCHEDULES in the environment, else aSchedules;
 // the first one that says true is printed with aName.
-int CountSchedules(const char* aName,
-                   int aSchedules,
-                   const std::function<bool(std::uint64_t)>& aFails);
+int
+CountSchedules(const char* aName,
+               int aSchedules,
+               const std::function<bool(std::uint64_t)>& aFails);
 
 } // namespace firefly::coord
--- a/tests/helpers/run_until.h
+++ b/tests/helpers/run_until.h
@@ -10,9 +10,10 @@
 namespace firefly::testing {
 
 // True once the condition holds; false when the generous limit is over.
-inline bool RunUntil(AsioExecutor& aExecutor,
-                     const std::function<bool()>& aCondition,
-                     std::chrono::seconds aLimit = std::chrono::seconds(30))
+inline bool
+RunUntil(AsioExecutor& aExecutor,
+         const std::function<bool()>& aCondition,
+         std::chrono::seconds aLimit = std::chrono::seconds(30))
 {
   const auto end = std::chrono::steady_clock::now() + aLimit;
   while (!aCondition()) {
--- a/tests/process/process_harness.h
+++ b/tests/process/process_harness.h
@@ -21,14 +21,17 @@
 inline constexpr std::chrono::seconds kWaitLimit{ 60 };
 
 // A TCP and UDP port of loopback that was free just now; each is given once.
-std::uint16_t FreePort();
+std::uint16_t
+FreePort();
 
 // "http://127.0.0.1:PORT".
-std::string LoopbackUrl(std::uint16_t aPort);
+std::string
+LoopbackUrl(std::uint16_t aPort);
 
 // Checks the condition again and again; false when the limit is over.
-bool WaitFor(const std::function<bool()>& aCondition,
-             std::chrono::seconds aLimit = kWaitLimit);
+bool
+WaitFor(const std::function<bool()>& aCondition,
+        std::chrono::seconds aLimit = kWaitLimit);
 
 // A directory that is removed with its files at the end.
 class TemporaryDirectory
--- a/tests/servers/settings/command_line_test.cpp
+++ b/tests/servers/settings/command_line_test.cpp
@@ -18,7 +18,8 @@
                              .purpose = "Tests the command line.",
                              .version = "1.2.3" };
 
-tl::expected<Settings, ExitCode> Start(std::vector<const char*> aWords)
+tl::expected<Settings, ExitCode>
+Start(std::vector<const char*> aWords)
 {
   aWords.insert(aWords.begin(), "firefly-test");
   return StartDaemon(kDaemon, static_cast<int>(aWords.size()), aWords.data());
@@ -26,7 +27,8 @@
 
 const bool kDocoptPrepared = PrepareDocopt();
 
-void CheckExit(ExitCode aCode, const tl::expected<Settings, ExitCode>& aStart)
+void
+CheckExit(ExitCode aCode, const tl::expected<Settings, ExitCode>& aStart)
 {
   CHECK_FALSE(aStart.has_value());
   LONGS_EQUAL(static_cast<int>(aCode), static_cast<int>(aStart.error()));
--- a/tests/servers/settings/prepare_docopt.h
+++ b/tests/servers/settings/prepare_docopt.h
@@ -6,6 +6,7 @@
 
 // Has docopt compile its patterns; called before the first test, so that none
 // of them counts the patterns as its leak. True unless parsing fails.
-bool PrepareDocopt();
+bool
+PrepareDocopt();
 
 } // namespace firefly
--- a/tests/stand_ins/platform/platform_faults.cpp
+++ b/tests/stand_ins/platform/platform_faults.cpp
@@ -8,7 +8,8 @@
 
 using nlohmann::json;
 
-Duration Millis(const json& aSwitches, const char* aKey, Duration aPresent)
+Duration
+Millis(const json& aSwitches, const char* aKey, Duration aPresent)
 {
   if (!aSwitches.contains(aKey)) {
     return aPresent;
@@ -18,7 +19,8 @@
 
 } // namespace
 
-bool PlatformFaults::Apply(const std::string& aBody)
+bool
+PlatformFaults::Apply(const std::string& aBody)
 {
   try {
     const json switches = json::parse(aBody);
@@ -42,7 +44,8 @@
   }
 }
 
-bool PlatformFaults::Refuse()
+bool
+PlatformFaults::Refuse()
 {
   if (mOutage) {
     return true;
@@ -54,7 +57,8 @@
   return true;
 }
 
-bool PlatformFaults::Lose(const std::string& aStream)
+bool
+PlatformFaults::Lose(const std::string& aStream)
 {
   if (!aStream.starts_with(mLoseStream)) {
     return false;
--- a/tests/stand_ins/platform/platform_log.cpp
+++ b/tests/stand_ins/platform/platform_log.cpp
@@ -2,9 +2,10 @@
 
 namespace firefly::stand_ins {
 
-std::uint64_t PlatformLog::Append(const std::string& aStream,
-                                  const std::vector<std::string>& aPayloads,
-                                  Instant aNow)
+std::uint64_t
+PlatformLog::Append(const std::string& aStream,
+                    const std::vector<std::string>& aPayloads,
+                    Instant aNow)
 {
   Stream& stream = mStreams[aStream];
   const std::uint64_t first = stream.end;
@@ -16,10 +17,11 @@
   return first;
 }
 
-StoredBatch PlatformLog::Read(const std::string& aStream,
-                              std::uint64_t aFrom,
-                              std::size_t aLimit,
-                              Instant aNow)
+StoredBatch
+PlatformLog::Read(const std::string& aStream,
+                  std::uint64_t aFrom,
+                  std::size_t aLimit,
+                  Instant aNow)
 {
   Stream& stream = mStreams[aStream];
   Trim(stream, aNow);
@@ -38,7 +40,8 @@
   return batch;
 }
 
-void PlatformLog::Trim(Stream& aStream, Instant aNow) const
+void
+PlatformLog::Trim(Stream& aStream, Instant aNow) const
 {
   const auto old = [&](const StoredRecord& aRecord) {
     const bool late = mRetention.maxAge > Duration::zero() &&
