--- a/tests/servers/table/table_admin_test.cpp
+++ b/tests/servers/table/table_admin_test.cpp
@@ -80,7 +80,7 @@
   TableAdmin admin{ settings, executor, store, members };
 
   // Asks, and checks the answer's status; gives its body.
-  nlohmann::json Ask(int aStatus, HttpRequest aRequest)
+  nlohmann::json Ask(int aStatus, const HttpRequest& aRequest)
   {
     nlohmann::json body;
     admin.Handle(aRequest, [&](const HttpResponse& aResponse) {
