Price engine seconds at admission, give prefixes homes

Cause of the collapse past load 0.6: nine entries queued what could not be in time, each saw room that the others took too, and prefixes were spread over all engines. Now a price on the engine second rises while requests can't be in time and refuses the least worthy at arrival; a seen prefix has two homes named by a weighted rendezvous hash; demand counts only prompt tokens that no cache holds; short work is told by its uncached prompt.

--- a/policy/admission.cpp
+++ b/policy/admission.cpp
@@ -1,17 +1,22 @@
 #include "policy/admission.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace firefly::policy {
 
 namespace {
 
-// The bar of worth falls to a third in this time without shedding.
-constexpr double kBarMemorySeconds = 0.5;
-// The part of the gap between the bar and a shed request's worth that one
-// shedding closes.
-constexpr double kBarStep = 0.05;
+// What one refused request raises the price by, and the part of requests that
+// may be refused for lateness without raising it.
+constexpr double kPriceStep = 0.03;
+constexpr double kLatePart = 0.05;
+// The price's bounds, as parts of the usual worth of an engine second.
+constexpr double kLeastPrice = 0.1;
+constexpr double kMostPrice = 4.0;
+// The weight of a new request in the usual worth.
+constexpr double kUsualWeight = 0.02;
+// What a predicted wait is multiplied with to be sure of a deadline.
+constexpr double kWaitMargin = 1.2;
 constexpr Duration kShortestRetryAfter = std::chrono::seconds(1);
 
 AdmissionDecision Refuse(RefusalReason aReason, Duration aRetryAfter)
@@ -63,15 +68,19 @@
                                          const LoadSummary& aLoad,
                                          Instant aNow)
 {
-  if (aNow + aLoad.expectedWait > aRequest.FirstTokenDeadline()) {
-    return Refuse(RefusalReason::kDeadline, aLoad.expectedWait);
-  }
   constexpr double kLeastSeconds = 1e-6;
   const double density = aRequest.worth.Value() * aRequest.weight /
                          std::max(kLeastSeconds, aLoad.engineSeconds);
-  if (!aLoad.hasRoom && density < Bar(aNow)) {
+  mUsual += (mUsual > 0 ? kUsualWeight : 1.0) * (density - mUsual);
+  if (density < mPrice) {
+    Lower();
     return Refuse(RefusalReason::kOverload, aLoad.expectedWait);
   }
+  if (!CanBeInTime(aRequest, aLoad.expectedWait, aNow)) {
+    Raise();
+    return Refuse(RefusalReason::kDeadline, aLoad.expectedWait);
+  }
+  Lower();
   // A full queue sheds its least worthy request, so it is not refused here.
   if (aLoad.hasRoom && aLoad.queued == 0) {
     return { .action = AdmissionAction::kAdmit };
@@ -79,16 +88,31 @@
   return { .action = AdmissionAction::kQueue };
 }
 
-void WorthAdmission::OnShed(double aWorthPerSecond, Instant aNow)
+bool WorthAdmission::CanBeInTime(const RequestInfo& aRequest,
+                                 Duration aExpectedWait,
+                                 Instant aNow) const
+{
+  const double wait = ToSeconds(aExpectedWait) * kWaitMargin;
+  return aNow + FromSeconds(wait) <= aRequest.FirstTokenDeadline();
+}
+
+void WorthAdmission::OnShed(double /*aWorthPerSecond*/)
 {
-  const double bar = Bar(aNow);
-  mBar = bar + kBarStep * std::max(0.0, aWorthPerSecond - bar);
-  mBarAt = aNow;
+  Raise();
 }
 
-double WorthAdmission::Bar(Instant aNow) const
+void WorthAdmission::Raise()
 {
-  return mBar * std::exp(-ToSeconds(aNow - mBarAt) / kBarMemorySeconds);
+  mPrice = std::max(mPrice, mUsual * kLeastPrice) * (1 + kPriceStep);
+  mPrice = std::min(mPrice, mUsual * kMostPrice);
+}
+
+void WorthAdmission::Lower()
+{
+  mPrice *= 1 - kPriceStep * kLatePart;
+  if (mPrice < mUsual * kLeastPrice) {
+    mPrice = 0;
+  }
 }
 
 AdmissionDecision PlainAdmission::Decide(const RequestInfo& /*aRequest*/,
@@ -98,6 +122,13 @@
   return AdmitOrQueue(aLoad);
 }
 
-void PlainAdmission::OnShed(double /*aWorthPerSecond*/, Instant /*aNow*/) {}
+bool PlainAdmission::CanBeInTime(const RequestInfo& /*aRequest*/,
+                                 Duration /*aExpectedWait*/,
+                                 Instant /*aNow*/) const
+{
+  return true;
+}
+
+void PlainAdmission::OnShed(double /*aWorthPerSecond*/) {}
 
 } // namespace firefly::policy
--- a/policy/admission.h
+++ b/policy/admission.h
@@ -74,27 +74,41 @@
                                    const LoadSummary& aLoad,
                                    Instant aNow) = 0;
 
-  // A request was shed for lack of room that would have been worth that much
-  // for each engine second; raises the bar for those worth less.
-  virtual void OnShed(double aWorthPerSecond, Instant aNow) = 0;
+  // Whether an answer whose first token is expected after the wait is likely
+  // to be in time.
+  [[nodiscard]] virtual bool CanBeInTime(const RequestInfo& aRequest,
+                                         Duration aExpectedWait,
+                                         Instant aNow) const = 0;
+
+  // A request that was admitted had to be refused after all: it would have
+  // been late, or the queue was full of others worth more.
+  virtual void OnShed(double aWorthPerSecond) = 0;
 };
 
-// Refuses what can't be in time and what is worth less than what is being
-// shed, queues while there is no room.
+// Sets a price on an engine second that rises while requests can't be in time
+// and falls while all can, and refuses what is worth less; so that what the
+// fleet can't carry is refused at once, the least worthy first.
 class WorthAdmission : public Admission
 {
 public:
   AdmissionDecision Decide(const RequestInfo& aRequest,
                            const LoadSummary& aLoad,
                            Instant aNow) override;
-  void OnShed(double aWorthPerSecond, Instant aNow) override;
+  [[nodiscard]] bool CanBeInTime(const RequestInfo& aRequest,
+                                 Duration aExpectedWait,
+                                 Instant aNow) const override;
+  void OnShed(double aWorthPerSecond) override;
 
-  // The worth an engine second must bring at the moment.
-  [[nodiscard]] double Bar(Instant aNow) const;
+  // The worth that an engine second must bring at the moment.
+  [[nodiscard]] double Price() const { return mPrice; }
 
 private:
-  double mBar = 0;
-  Instant mBarAt{};
+  void Raise();
+  void Lower();
+
+  double mPrice = 0;
+  // The usual worth of an engine second, which bounds the price.
+  double mUsual = 0;
 };
 
 // Admits all; queues while there is no room and refuses when the queue is full.
@@ -104,7 +118,10 @@
   AdmissionDecision Decide(const RequestInfo& aRequest,
                            const LoadSummary& aLoad,
                            Instant aNow) override;
-  void OnShed(double aWorthPerSecond, Instant aNow) override;
+  [[nodiscard]] bool CanBeInTime(const RequestInfo& aRequest,
+                                 Duration aExpectedWait,
+                                 Instant aNow) const override;
+  void OnShed(double aWorthPerSecond) override;
 };
 
 } // namespace firefly::policy
--- a/policy/backend_selector.cpp
+++ b/policy/backend_selector.cpp
@@ -15,13 +15,8 @@
 // What one good sample gives back.
 constexpr double kGoodStep = 0.08;
 constexpr double kLeastSpeed = 0.05;
-// Below this speed a backend server only gets probes and what others can't
-// take.
-constexpr double kProbeSpeed = 0.7;
 // First tokens sooner than this beyond what was expected say nothing.
 constexpr double kWaitNoiseSeconds = 0.1;
-// How sure it is that a prefix is where the hash puts it.
-constexpr double kAffinityTrust = 0.5;
 // The gap between tokens with one request running, as a part of the full one.
 constexpr double kIdleGap = 0.5;
 // Checks for silent peers are this far apart.
@@ -42,11 +37,8 @@
     return 1.0 / std::max(1U, aCapacity.slots);
   }
   const auto prompt = aRequest.promptTokens.Value();
-  const auto shared = static_cast<std::uint32_t>(
-    aRequest.prefixHashes.size() * aRequest.prefixBlockTokens.Value());
-  const auto cached = std::min(prompt, aCached > 0 ? aCached : shared);
-  return (prompt - cached + 1) / aCapacity.prefillTokensPerSecond +
-         aQuery.size.usual.Value() / aCapacity.decodeTokensPerSecond;
+  const auto cached = std::min(prompt, aCached);
+  return aCapacity.SecondsOf(Tokens(prompt - cached + 1), aQuery.size.usual);
 }
 
 bool Contains(const std::vector<BackendSlot>& aSlots, BackendSlot aSlot)
@@ -85,7 +77,7 @@
   Instant aNow)
 {
   ForgetSilentPeers(aNow);
-  FindCandidates(aRequest, aQuery, aFleet, aNow);
+  FindCandidates(aRequest, aQuery, aFleet);
   if (mCandidates.empty()) {
     return tl::make_unexpected(SelectError{ SelectFailure::kNoBackend, {} });
   }
@@ -109,6 +101,15 @@
   return best.choice;
 }
 
+Tokens LearningSelector::ExpectedCached(const RequestInfo& aRequest) const
+{
+  if (!mOptions.useAffinity || aRequest.prefixHashes.empty()) {
+    return Tokens(0);
+  }
+  return Tokens(
+    std::min(aRequest.promptTokens.Value(), FindPrefix(aRequest).tokens));
+}
+
 AttemptInfo LearningSelector::OnDispatch(const RequestInfo& aRequest,
                                          const Choice& aChoice,
                                          Lane aLane,
@@ -121,9 +122,7 @@
   load.stragglers += aLane == Lane::kStraggler ? 1 : 0;
   load.prefillTokens += prompt - cached;
   load.lastDispatch = aNow;
-  if (aChoice.slot.Value() < mSlotHashes.size()) {
-    RememberPrefix(aRequest, mSlotHashes[aChoice.slot.Value()]);
-  }
+  RememberPrefix(aRequest);
   return { .slot = aChoice.slot,
            .prefillTokens = Tokens(prompt - cached),
            .expectedWait = aChoice.expectedWait,
@@ -284,11 +283,12 @@
 
 void LearningSelector::FindCandidates(const RequestInfo& aRequest,
                                       const SelectQuery& aQuery,
-                                      const FleetView& aFleet,
-                                      Instant aNow)
+                                      const FleetView& aFleet)
 {
   mOpen.clear();
   mCandidates.clear();
+  mHomes.clear();
+  mPrefix = {};
   const auto& all = aFleet.All();
   for (std::uint32_t i = 0; i < all.size(); ++i) {
     const BackendSlot slot(i);
@@ -306,29 +306,35 @@
   for (std::uint32_t i = 0; i < mOptions.randomCandidates; ++i) {
     AddCandidate(mOpen[mRandom.Below(mOpen.size())]);
   }
-  if (!mOptions.useAffinity || aRequest.prefixHashes.empty()) {
-    return;
+  if (mOptions.useAffinity && !aRequest.prefixHashes.empty()) {
+    AddHomes(aRequest, aQuery, aFleet);
   }
-  // Rendezvous hashing with weights: the same in all entries, and backend
-  // servers that suit the request better hold more of its kind.
+}
+
+void LearningSelector::AddHomes(const RequestInfo& aRequest,
+                                const SelectQuery& aQuery,
+                                const FleetView& aFleet)
+{
+  mPrefix = FindPrefix(aRequest);
+  // Rendezvous hashing with weights: backend servers that suit the request
+  // better hold more of its kind.
   mRanked.clear();
   for (const auto slot : mOpen) {
-    const auto hash =
-      MixHash(aRequest.prefixHashes.front(), mSlotHashes[slot.Value()]);
+    const auto hash = MixHash(mPrefix.hash, mSlotHashes[slot.Value()]);
     const double draw = (static_cast<double>(hash >> 11) + 1) * kHashUnit;
-    const double cost = CostAt(aRequest, aQuery, aFleet.At(slot).capacity, 0);
+    const double cost =
+      CostAt(aRequest, aQuery, aFleet.At(slot).capacity, mPrefix.length);
     mRanked.emplace_back(1 / (cost * cost * -std::log(draw)), slot);
   }
-  const auto n =
-    std::min<std::size_t>(mOptions.affinityCandidates, mRanked.size());
+  const auto n = std::min<std::size_t>(mOptions.homes, mRanked.size());
   std::partial_sort(mRanked.begin(),
                     mRanked.begin() + static_cast<std::ptrdiff_t>(n),
                     mRanked.end(),
                     std::greater<>());
   for (std::size_t i = 0; i < n; ++i) {
     AddCandidate(mRanked[i].second);
+    mHomes.push_back(mRanked[i].second);
   }
-  (void)aNow;
 }
 
 void LearningSelector::AddCandidate(BackendSlot aSlot)
@@ -350,7 +356,7 @@
   const double speed = load.speed;
   const auto prompt = aRequest.promptTokens.Value();
   const auto cached =
-    std::min(prompt, CachedTokens(aRequest, mSlotHashes[aSlot.Value()]));
+    Contains(mHomes, aSlot) ? std::min(prompt, mPrefix.tokens) : 0;
   const double backlog =
     static_cast<double>(load.prefillTokens) + load.peers.prefillTokens;
   const double requests =
@@ -361,7 +367,11 @@
   const double gap = capacity.tokenGapSeconds *
                      (kIdleGap + (1 - kIdleGap) * std::min(1.0, fullness)) /
                      speed;
-  const double queueing = backlog / rate;
+  // Beyond the slots each request waits until one of them is free.
+  const double beyond = std::max(0.0, requests + 1 - capacity.slots);
+  const double slotWait = beyond * aQuery.size.usual.Value() * gap /
+                          std::max<std::uint32_t>(1, capacity.slots);
+  const double queueing = backlog / rate + slotWait;
   const double own = (prompt - cached) / rate + gap;
   const double wait = queueing + own;
   Prediction prediction;
@@ -384,37 +394,39 @@
   return prediction;
 }
 
-std::uint32_t LearningSelector::CachedTokens(const RequestInfo& aRequest,
-                                             std::uint64_t aBackend) const
+LearningSelector::KnownPrefix LearningSelector::FindPrefix(
+  const RequestInfo& aRequest) const
 {
-  if (!mOptions.useAffinity) {
-    return 0;
-  }
-  std::uint32_t cached = 0;
+  // Until a part of it was seen, all of it may be what others share.
   const auto block = aRequest.prefixBlockTokens.Value();
+  const auto whole =
+    static_cast<std::uint32_t>(aRequest.prefixHashes.size() * block);
+  KnownPrefix known{ .hash = aRequest.prefixHashes.back(),
+                     .length = whole,
+                     .tokens = 0 };
   ForRememberedDepths(aRequest.prefixHashes.size(), [&](std::size_t aDepth) {
-    const auto key = MixHash(aRequest.prefixHashes[aDepth - 1], aBackend);
-    if (mPrefixPlaces.contains(key)) {
-      cached = static_cast<std::uint32_t>(aDepth * block);
+    const auto hash = aRequest.prefixHashes[aDepth - 1];
+    if (mPrefixPlaces.contains(hash)) {
+      const auto tokens = static_cast<std::uint32_t>(aDepth * block);
+      known = { hash, tokens, tokens };
     }
   });
-  return cached;
+  return known;
 }
 
-void LearningSelector::RememberPrefix(const RequestInfo& aRequest,
-                                      std::uint64_t aBackend)
+void LearningSelector::RememberPrefix(const RequestInfo& aRequest)
 {
   ForRememberedDepths(aRequest.prefixHashes.size(), [&](std::size_t aDepth) {
-    const auto key = MixHash(aRequest.prefixHashes[aDepth - 1], aBackend);
-    const auto it = mPrefixPlaces.find(key);
+    const auto hash = aRequest.prefixHashes[aDepth - 1];
+    const auto it = mPrefixPlaces.find(hash);
     if (it != mPrefixPlaces.end()) {
       mPrefixes.splice(mPrefixes.begin(), mPrefixes, it->second);
       return;
     }
-    mPrefixes.push_front({ key, static_cast<std::uint32_t>(aDepth) });
-    mPrefixPlaces[key] = mPrefixes.begin();
+    mPrefixes.push_front(hash);
+    mPrefixPlaces[hash] = mPrefixes.begin();
     if (mPrefixes.size() > mOptions.prefixMemory) {
-      mPrefixPlaces.erase(mPrefixes.back().key);
+      mPrefixPlaces.erase(mPrefixes.back());
       mPrefixes.pop_back();
     }
   });
@@ -464,6 +476,11 @@
                  .cachedTokens = {} };
 }
 
+Tokens RoundRobinSelector::ExpectedCached(const RequestInfo& /*aRequest*/) const
+{
+  return Tokens(0);
+}
+
 AttemptInfo RoundRobinSelector::OnDispatch(const RequestInfo& aRequest,
                                            const Choice& aChoice,
                                            Lane aLane,
--- a/policy/backend_selector.h
+++ b/policy/backend_selector.h
@@ -91,6 +91,10 @@
                                                    const FleetView& aFleet,
                                                    Instant aNow) = 0;
 
+  // Prompt tokens of the request that some prefix cache is likely to hold.
+  [[nodiscard]] virtual Tokens ExpectedCached(
+    const RequestInfo& aRequest) const = 0;
+
   // The chosen backend server gets the request now. The result goes to the
   // calls below.
   virtual AttemptInfo OnDispatch(const RequestInfo& aRequest,
@@ -137,7 +141,8 @@
 
 // Predicts each candidate's time from own and peers' outstanding work, the
 // speed it has shown and the prefix it is likely to hold, and takes the best of
-// a few candidates.
+// a few candidates. A prefix that was seen before has its homes: the backend
+// servers that a hash names, the same ones in all entries.
 class LearningSelector : public BackendSelector
 {
 public:
@@ -146,10 +151,10 @@
     std::uint64_t seed = 1;
     // Random candidates for each choice.
     std::uint32_t randomCandidates = 3;
-    // Candidates that the prefix hash names, the same in all entries.
-    std::uint32_t affinityCandidates = 2;
+    // Backend servers that hold a prefix.
+    std::uint32_t homes = 2;
     // A backend server with this much predicted wait has no room.
-    Duration fullAt = std::chrono::milliseconds(400);
+    Duration fullAt = std::chrono::milliseconds(1000);
     // The part of the slots that stragglers may take ...
     double stragglerSlots = 0.5;
     // ... and the part that only short work may take.
@@ -174,6 +179,8 @@
                                            const SelectQuery& aQuery,
                                            const FleetView& aFleet,
                                            Instant aNow) override;
+  [[nodiscard]] Tokens ExpectedCached(
+    const RequestInfo& aRequest) const override;
   AttemptInfo OnDispatch(const RequestInfo& aRequest,
                          const Choice& aChoice,
                          Lane aLane,
@@ -225,9 +232,12 @@
     Instant heard{};
     std::vector<std::pair<BackendSlot, PeerWork>> work;
   };
-  struct PrefixRecord
+  // The part of a prompt's prefix that was seen before.
+  struct KnownPrefix
   {
-    std::uint64_t key = 0;
+    std::uint64_t hash = 0;
+    // Its tokens, and those of them that a cache is likely to hold.
+    std::uint32_t length = 0;
     std::uint32_t tokens = 0;
   };
   struct Prediction
@@ -243,16 +253,17 @@
   void ForgetSilentPeers(Instant aNow);
   void FindCandidates(const RequestInfo& aRequest,
                       const SelectQuery& aQuery,
-                      const FleetView& aFleet,
-                      Instant aNow);
+                      const FleetView& aFleet);
   void AddCandidate(BackendSlot aSlot);
   Prediction Predict(const RequestInfo& aRequest,
                      const SelectQuery& aQuery,
                      const FleetView& aFleet,
                      BackendSlot aSlot);
-  [[nodiscard]] std::uint32_t CachedTokens(const RequestInfo& aRequest,
-                                           std::uint64_t aBackend) const;
-  void RememberPrefix(const RequestInfo& aRequest, std::uint64_t aBackend);
+  [[nodiscard]] KnownPrefix FindPrefix(const RequestInfo& aRequest) const;
+  void RememberPrefix(const RequestInfo& aRequest);
+  void AddHomes(const RequestInfo& aRequest,
+                const SelectQuery& aQuery,
+                const FleetView& aFleet);
 
   Options mOptions;
   Random mRandom{ mOptions.seed };
@@ -263,9 +274,12 @@
   std::vector<BackendSlot> mOpen;
   std::vector<BackendSlot> mCandidates;
   std::vector<std::pair<double, BackendSlot>> mRanked;
-  // Prefix blocks sent to backend servers, the newest first.
-  std::list<PrefixRecord> mPrefixes;
-  std::unordered_map<std::uint64_t, std::list<PrefixRecord>::iterator>
+  // The backend servers that hold the request's prefix.
+  std::vector<BackendSlot> mHomes;
+  KnownPrefix mPrefix;
+  // Prefix blocks seen, the newest first.
+  std::list<std::uint64_t> mPrefixes;
+  std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator>
     mPrefixPlaces;
   // Hashes of the slots' ids, learned from the fleet view.
   std::vector<std::uint64_t> mSlotHashes;
@@ -279,6 +293,8 @@
                                            const SelectQuery& aQuery,
                                            const FleetView& aFleet,
                                            Instant aNow) override;
+  [[nodiscard]] Tokens ExpectedCached(
+    const RequestInfo& aRequest) const override;
   AttemptInfo OnDispatch(const RequestInfo& aRequest,
                          const Choice& aChoice,
                          Lane aLane,
--- a/policy/fleet_view.h
+++ b/policy/fleet_view.h
@@ -53,6 +53,13 @@
   std::uint32_t slots = 32;
   // Between a running request's tokens when all slots are taken.
   double tokenGapSeconds = 0.028;
+
+  // What a prompt and an output take of it, as seconds of all of it.
+  [[nodiscard]] double SecondsOf(Tokens aPrompt, Tokens aOutput) const
+  {
+    return aPrompt.Value() / prefillTokensPerSecond +
+           aOutput.Value() / decodeTokensPerSecond;
+  }
 };
 
 // What an engine can carry in each role.
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -1,6 +1,7 @@
 #include "policy/request_router.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <optional>
 #include <utility>
@@ -17,6 +18,7 @@
 constexpr Duration kOverdueStep = std::chrono::milliseconds(250);
 // A queued request is given up when less than this is left for its answer.
 constexpr Duration kLeastServiceTime = std::chrono::milliseconds(40);
+constexpr std::size_t kRoles = 3;
 
 } // namespace
 
@@ -58,7 +60,9 @@
   }
   if (info.NeedsEngine()) {
     request.size = mPolicies.estimator->Estimate(info);
-    request.lane = LaneOf(info, request.size);
+    const auto cached = mPolicies.selector->ExpectedCached(info);
+    const Tokens rest(info.promptTokens.Value() - cached.Value());
+    request.lane = LaneOf(rest, request.size);
   }
   auto permit = mPolicies.limits->TryStart(info, aNow);
   if (!permit) {
@@ -85,19 +89,18 @@
     Refuse(id, RefusalReason::kNoBackend, {});
     return;
   }
-  aRequest.engineSeconds =
-    EngineSeconds(aRequest, choice ? choice->cachedTokens : Tokens(0));
-  CountDemand(aRequest, aNow);
+  const auto cached = mPolicies.selector->ExpectedCached(aRequest.info);
+  aRequest.engineSeconds = EngineSeconds(aRequest, cached);
+  CountDemand(aRequest, cached, aNow);
   const auto decision = mPolicies.admission->Decide(
     aRequest.info, Summarize(aRequest, choice), aNow);
   if (decision.action == AdmissionAction::kRefuse) {
-    mPolicies.admission->OnShed(Density(aRequest), aNow);
     Refuse(id, decision.reason, decision.retryAfter);
     return;
   }
   mCounters.admitted++;
   if (decision.action == AdmissionAction::kQueue) {
-    Enqueue(aRequest, aNow);
+    Enqueue(aRequest);
     Pump(aNow);
     return;
   }
@@ -411,20 +414,24 @@
                                     Tokens aCached) const
 {
   const auto& info = aRequest.info;
+  const Tokens prompt(info.promptTokens.Value() - aCached.Value());
+  std::optional<double> least;
+  // One engine of each role is enough, as those of a role are alike.
+  std::array<bool, kRoles> seen{};
   for (const auto& backend : mFleet.All()) {
-    if (!backend.Serves(info)) {
+    const auto role = static_cast<std::size_t>(backend.role);
+    if (seen.at(role) || backend.state != BackendState::kOpen ||
+        !backend.Serves(info)) {
       continue;
     }
+    seen.at(role) = true;
     const auto& capacity = backend.capacity;
-    if (!info.NeedsEngine()) {
-      return 1.0 / std::max<std::uint32_t>(1, capacity.slots);
-    }
-    const auto prompt = info.promptTokens.Value();
-    const auto cached = std::min(prompt, aCached.Value());
-    return (prompt - cached) / capacity.prefillTokensPerSecond +
-           aRequest.size.usual.Value() / capacity.decodeTokensPerSecond;
+    const double seconds = info.NeedsEngine()
+                             ? capacity.SecondsOf(prompt, aRequest.size.usual)
+                             : 1.0 / std::max<std::uint32_t>(1, capacity.slots);
+    least = std::min(seconds, least.value_or(seconds));
   }
-  return 1;
+  return least.value_or(1);
 }
 
 double RequestRouter::Density(const Request& aRequest) const
@@ -434,7 +441,7 @@
          std::max(kLeastSeconds, aRequest.engineSeconds);
 }
 
-void RequestRouter::Enqueue(Request& aRequest, Instant aNow)
+void RequestRouter::Enqueue(Request& aRequest)
 {
   mCounters.queued++;
   const auto evicted = mPolicies.queue->Push(
@@ -443,7 +450,7 @@
       .worthPerSecond = Density(aRequest),
       .firstTokenDeadline = aRequest.info.FirstTokenDeadline() });
   if (evicted) {
-    mPolicies.admission->OnShed(evicted->worthPerSecond, aNow);
+    mPolicies.admission->OnShed(evicted->worthPerSecond);
     Refuse(evicted->requestId, RefusalReason::kOverload, {});
   }
 }
@@ -655,8 +662,9 @@
   };
   while (const auto next = mPolicies.queue->Pop(canRun)) {
     // Work that would be late anyway takes no engine's time.
-    if (aNow + chosen->expectedWait > next->firstTokenDeadline) {
-      mPolicies.admission->OnShed(next->worthPerSecond, aNow);
+    const auto& info = mRequests.at(next->requestId).info;
+    if (!mPolicies.admission->CanBeInTime(info, chosen->expectedWait, aNow)) {
+      mPolicies.admission->OnShed(next->worthPerSecond);
       Refuse(next->requestId, RefusalReason::kDeadline, {});
       continue;
     }
@@ -668,7 +676,7 @@
 void RequestRouter::ExpireQueue(Instant aNow)
 {
   for (const auto& late : mPolicies.queue->Expire(aNow + kLeastServiceTime)) {
-    mPolicies.admission->OnShed(late.worthPerSecond, aNow);
+    mPolicies.admission->OnShed(late.worthPerSecond);
     Refuse(late.requestId, RefusalReason::kDeadline, {});
   }
 }
@@ -702,14 +710,16 @@
   mRequests.erase(it);
 }
 
-void RequestRouter::CountDemand(const Request& aRequest, Instant aNow)
+void RequestRouter::CountDemand(const Request& aRequest,
+                                Tokens aCached,
+                                Instant aNow)
 {
   if (!aRequest.info.NeedsEngine()) {
     return;
   }
   FadeDemand(aNow);
   auto& sum = mDemand[StableHash(aRequest.info.model.Value())];
-  sum.promptTokens += aRequest.info.promptTokens.Value();
+  sum.promptTokens += aRequest.info.promptTokens.Value() - aCached.Value();
   sum.outputTokens += aRequest.size.usual.Value();
 }
 
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -210,7 +210,7 @@
   [[nodiscard]] double EngineSeconds(const Request& aRequest,
                                      Tokens aCached) const;
   [[nodiscard]] double Density(const Request& aRequest) const;
-  void Enqueue(Request& aRequest, Instant aNow);
+  void Enqueue(Request& aRequest);
   void Start(Request& aRequest,
              const Choice& aChoice,
              bool aIsHedge,
@@ -237,7 +237,7 @@
               Duration aRetryAfter);
   void Fail(const RequestId& aId, FailureReason aReason);
   void Drop(const RequestId& aId);
-  void CountDemand(const Request& aRequest, Instant aNow);
+  void CountDemand(const Request& aRequest, Tokens aCached, Instant aNow);
   void FadeDemand(Instant aNow);
 
   Options mOptions;
--- a/policy/size_estimator.cpp
+++ b/policy/size_estimator.cpp
@@ -99,13 +99,13 @@
   return aRequest.service.Value() + '\n' + aRequest.requestType.Value();
 }
 
-Lane LaneOf(const RequestInfo& aRequest, const SizeEstimate& aEstimate)
+Lane LaneOf(Tokens aUncachedPrompt, const SizeEstimate& aEstimate)
 {
   if (aEstimate.usual.Value() >= kStragglerTokens) {
     return Lane::kStraggler;
   }
   if (aEstimate.usual.Value() <= kShortOutputTokens &&
-      aRequest.promptTokens.Value() <= kShortPromptTokens) {
+      aUncachedPrompt.Value() <= kShortPromptTokens) {
     return Lane::kShort;
   }
   return Lane::kNormal;
--- a/policy/size_estimator.h
+++ b/policy/size_estimator.h
@@ -71,7 +71,8 @@
   std::unordered_map<std::string, Histogram> mTypes;
 };
 
-// The lane that the estimate puts the request into.
-Lane LaneOf(const RequestInfo& aRequest, const SizeEstimate& aEstimate);
+// The lane that the estimate puts a request into whose prompt has so many
+// tokens that no cache holds.
+Lane LaneOf(Tokens aUncachedPrompt, const SizeEstimate& aEstimate);
 
 } // namespace firefly::policy
