--- a/bench/html_report.cpp
+++ b/bench/html_report.cpp
@@ -19,7 +19,8 @@
                                            "#edae49",
                                            "#66a182" };
 
-std::vector<std::string> PoliciesOf(const Comparison& aComparison)
+std::vector<std::string>
+PoliciesOf(const Comparison& aComparison)
 {
   std::vector<std::string> names;
   for (const auto& cell : aComparison.cells) {
@@ -30,7 +31,8 @@
   return names;
 }
 
-std::string ColourOf(const Comparison& aComparison, const std::string& aPolicy)
+std::string
+ColourOf(const Comparison& aComparison, const std::string& aPolicy)
 {
   const auto names = PoliciesOf(aComparison);
   const auto it = std::find(names.begin(), names.end(), aPolicy);
@@ -38,7 +40,8 @@
                      kColours.size());
 }
 
-std::string Svg(double aHeight, const std::string& aBody)
+std::string
+Svg(double aHeight, const std::string& aBody)
 {
   return fmt::format("<svg width='{0}' height='{1}' viewBox='0 0 {0} {1}' "
                      "role='img'>{2}</svg>\n",
@@ -47,13 +50,15 @@
                      aBody);
 }
 
-std::string Label(double aX, double aY, const std::string& aText)
+std::string
+Label(double aX, double aY, const std::string& aText)
 {
   return fmt::format("<text x='{:.1f}' y='{:.1f}'>{}</text>", aX, aY, aText);
 }
 
 // A bar for each policy and scenario: the median, with a line for the range.
-std::string Bars(const Comparison& aComparison, const std::string& aDeployment)
+std::string
+Bars(const Comparison& aComparison, const std::string& aDeployment)
 {
   std::string body;
   double y = 4;
@@ -82,7 +87,8 @@
 }
 
 // Worth a second over offered load, one line for each policy.
-std::string Curve(const Comparison& aComparison, const std::string& aDeployment)
+std::string
+Curve(const Comparison& aComparison, const std::string& aDeployment)
 {
   double mostLoad = 0.1;
   double mostWorth = 0.1;
@@ -120,8 +126,8 @@
 }
 
 // Worth by the second of arrival through the shifts, the first seed.
-std::string Course(const Comparison& aComparison,
-                   const std::string& aDeployment)
+std::string
+Course(const Comparison& aComparison, const std::string& aDeployment)
 {
   constexpr std::size_t kStep = 4;
   std::string body;
@@ -163,7 +169,8 @@
   return Svg(kHeight, body);
 }
 
-std::string Legend(const Comparison& aComparison)
+std::string
+Legend(const Comparison& aComparison)
 {
   std::string html = "<p>";
   for (const auto& policy : PoliciesOf(aComparison)) {
@@ -174,8 +181,8 @@
   return html + "</p>\n";
 }
 
-std::string Targets(const Comparison& aComparison,
-                    const std::string& aDeployment)
+std::string
+Targets(const Comparison& aComparison, const std::string& aDeployment)
 {
   std::string html = "<table><tr><th>target</th><th>bound</th><th>median"
                      "</th><th>range</th><th></th></tr>\n";
@@ -198,7 +205,8 @@
 
 } // namespace
 
-std::string ToHtml(const Comparison& aComparison)
+std::string
+ToHtml(const Comparison& aComparison)
 {
   std::string html =
     "<!DOCTYPE html>\n<html lang='en'><head><meta charset='utf-8'>"
--- a/bench/run_result.cpp
+++ b/bench/run_result.cpp
@@ -15,18 +15,21 @@
 constexpr double kGapUnit = 1e-4;
 
 // Rounded, so that output stays short.
-double Rounded(double aValue)
+double
+Rounded(double aValue)
 {
   constexpr double kDigits = 1e5;
   return std::round(aValue * kDigits) / kDigits;
 }
 
-Json Optional(const std::optional<double>& aValue)
+Json
+Optional(const std::optional<double>& aValue)
 {
   return aValue ? Json(Rounded(*aValue)) : Json(nullptr);
 }
 
-Json ToObject(const RunResult& aRun)
+Json
+ToObject(const RunResult& aRun)
 {
   Json json;
   json["scenario"] = aRun.scenario;
@@ -64,7 +67,8 @@
 
 } // namespace
 
-std::optional<double> Samples::Quantile(double aPart) const
+std::optional<double>
+Samples::Quantile(double aPart) const
 {
   if (mValues.empty()) {
     return std::nullopt;
@@ -75,14 +79,16 @@
   return sorted[static_cast<std::size_t>(std::max(0.0, rank))];
 }
 
-void GapHistogram::Add(double aSeconds, std::uint32_t aCount)
+void
+GapHistogram::Add(double aSeconds, std::uint32_t aCount)
 {
   mCounts[static_cast<std::uint32_t>(std::lround(aSeconds / kGapUnit))] +=
     aCount;
   mTotal += aCount;
 }
 
-std::optional<double> GapHistogram::Quantile(double aPart) const
+std::optional<double>
+GapHistogram::Quantile(double aPart) const
 {
   if (mTotal == 0) {
     return std::nullopt;
@@ -98,12 +104,14 @@
   return mCounts.rbegin()->first * kGapUnit;
 }
 
-std::string RunResult::ToJson() const
+std::string
+RunResult::ToJson() const
 {
   return ToObject(*this).dump(2) + "\n";
 }
 
-std::string RunResult::ToText() const
+std::string
+RunResult::ToText() const
 {
   std::string text;
   const auto object = ToObject(*this);
--- a/coord/booking_ledger.h
+++ b/coord/booking_ledger.h
@@ -22,11 +22,12 @@
 using PartitionId = StrongType<struct PartitionIdTag, std::uint32_t>;
 
 // The partition of a key, the same in every process.
-[[nodiscard]] PartitionId PartitionOf(const BookingKey& aKey,
-                                      std::uint32_t aPartitions);
+[[nodiscard]] PartitionId
+PartitionOf(const BookingKey& aKey, std::uint32_t aPartitions);
 
 // The digest of a request's bytes.
-[[nodiscard]] RequestDigest DigestOf(std::string_view aRequest);
+[[nodiscard]] RequestDigest
+DigestOf(std::string_view aRequest);
 
 // An entry's wish to run a booking.
 struct PermitRequest
--- a/coord/codec.cpp
+++ b/coord/codec.cpp
@@ -21,25 +21,29 @@
 
 FieldWriter::~FieldWriter() = default;
 
-FieldWriter& FieldWriter::Number(std::uint64_t aValue)
+FieldWriter&
+FieldWriter::Number(std::uint64_t aValue)
 {
   mImpl->packer.pack_uint64(aValue);
   return *this;
 }
 
-FieldWriter& FieldWriter::Signed(std::int64_t aValue)
+FieldWriter&
+FieldWriter::Signed(std::int64_t aValue)
 {
   mImpl->packer.pack_int64(aValue);
   return *this;
 }
 
-FieldWriter& FieldWriter::Flag(bool aValue)
+FieldWriter&
+FieldWriter::Flag(bool aValue)
 {
   mImpl->packer.pack(aValue);
   return *this;
 }
 
-FieldWriter& FieldWriter::Text(std::string_view aValue)
+FieldWriter&
+FieldWriter::Text(std::string_view aValue)
 {
   const auto size = static_cast<std::uint32_t>(aValue.size());
   mImpl->packer.pack_bin(size);
@@ -47,7 +51,8 @@
   return *this;
 }
 
-std::string FieldWriter::Take()
+std::string
+FieldWriter::Take()
 {
   std::string bytes(mImpl->buf.data(), mImpl->buf.size());
   mImpl->buf.clear();
@@ -60,7 +65,8 @@
 }
 
 template<typename T>
-T FieldReader::Next()
+T
+FieldReader::Next()
 {
   if (!mOk) {
     return T{};
@@ -74,22 +80,26 @@
   }
 }
 
-std::uint64_t FieldReader::Number()
+std::uint64_t
+FieldReader::Number()
 {
   return Next<std::uint64_t>();
 }
 
-std::int64_t FieldReader::Signed()
+std::int64_t
+FieldReader::Signed()
 {
   return Next<std::int64_t>();
 }
 
-bool FieldReader::Flag()
+bool
+FieldReader::Flag()
 {
   return Next<bool>();
 }
 
-std::string FieldReader::Text()
+std::string
+FieldReader::Text()
 {
   return Next<std::string>();
 }
--- a/coord/confirmed_writer.cpp
+++ b/coord/confirmed_writer.cpp
@@ -22,10 +22,11 @@
   mFold.RemoveObserver(*this);
 }
 
-RecordId ConfirmedWriter::Append(RecordKind aKind,
-                                 std::string aBody,
-                                 Instant aDeadline,
-                                 Callback aCallback)
+RecordId
+ConfirmedWriter::Append(RecordKind aKind,
+                        std::string aBody,
+                        Instant aDeadline,
+                        Callback aCallback)
 {
   // The writer answers later than this call returns, so the sequence is known.
   auto sequence = std::make_shared<std::uint64_t>(0);
@@ -50,9 +51,9 @@
   return id;
 }
 
-void ConfirmedWriter::OnWritten(
-  std::uint64_t aSequence,
-  const tl::expected<LogOffset, WriteError>& aResult)
+void
+ConfirmedWriter::OnWritten(std::uint64_t aSequence,
+                           const tl::expected<LogOffset, WriteError>& aResult)
 {
   if (aResult) {
     mFold.Poke();
@@ -61,9 +62,10 @@
   Finish(aSequence, tl::unexpected(aResult.error()));
 }
 
-void ConfirmedWriter::OnApplied(const RecordId& aId,
-                                LogOffset aOffset,
-                                bool aAccepted)
+void
+ConfirmedWriter::OnApplied(const RecordId& aId,
+                           LogOffset aOffset,
+                           bool aAccepted)
 {
   if (aId.writer != mWriterId) {
     return;
@@ -72,8 +74,9 @@
          Confirmation{ .offset = aOffset, .accepted = aAccepted });
 }
 
-void ConfirmedWriter::Finish(std::uint64_t aSequence,
-                             tl::expected<Confirmation, WriteError> aResult)
+void
+ConfirmedWriter::Finish(std::uint64_t aSequence,
+                        tl::expected<Confirmation, WriteError> aResult)
 {
   auto found = mPending.extract(aSequence);
   if (found.empty()) {
--- a/coord/stream_reader.cpp
+++ b/coord/stream_reader.cpp
@@ -23,12 +23,14 @@
 {
 }
 
-void StreamReader::Start()
+void
+StreamReader::Start()
 {
   Read();
 }
 
-void StreamReader::Poke()
+void
+StreamReader::Poke()
 {
   if (mBusy) {
     mPoked = true;
@@ -37,7 +39,8 @@
   Read();
 }
 
-void StreamReader::Read()
+void
+StreamReader::Read()
 {
   mTimer.Cancel();
   mBusy = true;
@@ -58,9 +61,10 @@
             }));
 }
 
-void StreamReader::OnAnswer(std::uint64_t aRead,
-                            Instant aSent,
-                            const tl::expected<LogBatch, LogError>& aAnswer)
+void
+StreamReader::OnAnswer(std::uint64_t aRead,
+                       Instant aSent,
+                       const tl::expected<LogBatch, LogError>& aAnswer)
 {
   if (aRead != mReads || !mBusy) {
     return; // the answer to a read that was given up
@@ -75,7 +79,8 @@
   OnBatch(aSent, *aAnswer);
 }
 
-void StreamReader::OnBatch(Instant aSent, const LogBatch& aBatch)
+void
+StreamReader::OnBatch(Instant aSent, const LogBatch& aBatch)
 {
   if (!mStarted || Lost(aBatch)) {
     Restart(aBatch.first);
@@ -94,14 +99,16 @@
   ReadAfter(Jittered(mOptions.pollInterval));
 }
 
-bool StreamReader::Lost(const LogBatch& aBatch) const
+bool
+StreamReader::Lost(const LogBatch& aBatch) const
 {
   const bool missed = aBatch.first > mNext || aBatch.end < mNext;
   const bool allGone = aBatch.first >= mNext && mNext > mRunStart;
   return missed || allGone;
 }
 
-void StreamReader::Deliver(const LogBatch& aBatch)
+void
+StreamReader::Deliver(const LogBatch& aBatch)
 {
   for (const auto& it : aBatch.records) {
     if (it.offset != mNext) {
@@ -112,7 +119,8 @@
   }
 }
 
-void StreamReader::Restart(LogOffset aFirst)
+void
+StreamReader::Restart(LogOffset aFirst)
 {
   mStarted = true;
   ++mRestarts;
@@ -122,7 +130,8 @@
   mListener.OnRestart(aFirst);
 }
 
-void StreamReader::OnFailure(const LogError& aError)
+void
+StreamReader::OnFailure(const LogError& aError)
 {
   ++mFailures;
   if (aError.kind == LogErrorKind::kTrimmed) {
@@ -135,12 +144,14 @@
   ReadAfter(Jittered(mBackoff));
 }
 
-void StreamReader::ReadAfter(Duration aDelay)
+void
+StreamReader::ReadAfter(Duration aDelay)
 {
   mTimer = mExecutor.RunAfter(aDelay, [this] { Read(); });
 }
 
-Duration StreamReader::Jittered(Duration aDelay)
+Duration
+StreamReader::Jittered(Duration aDelay)
 {
   constexpr double kJitter = 0.25;
   const double factor = 1.0 + kJitter * (2.0 * mRandom.Uniform() - 1.0);
--- a/policy/admission.cpp
+++ b/policy/admission.cpp
@@ -19,14 +19,16 @@
 constexpr double kWaitMargin = 1.2;
 constexpr Duration kShortestRetryAfter = std::chrono::seconds(1);
 
-AdmissionDecision Refuse(RefusalReason aReason, Duration aRetryAfter)
+AdmissionDecision
+Refuse(RefusalReason aReason, Duration aRetryAfter)
 {
   return { .action = AdmissionAction::kRefuse,
            .reason = aReason,
            .retryAfter = std::max(aRetryAfter, kShortestRetryAfter) };
 }
 
-AdmissionDecision AdmitOrQueue(const LoadSummary& aLoad)
+AdmissionDecision
+AdmitOrQueue(const LoadSummary& aLoad)
 {
   if (aLoad.hasRoom && aLoad.queued == 0) {
     return { .action = AdmissionAction::kAdmit };
@@ -39,7 +41,8 @@
 
 } // namespace
 
-std::string_view ToString(RefusalReason aReason)
+std::string_view
+ToString(RefusalReason aReason)
 {
   switch (aReason) {
     case RefusalReason::kNone:
@@ -64,9 +67,10 @@
   return "unknown";
 }
 
-AdmissionDecision WorthAdmission::Decide(const RequestInfo& aRequest,
-                                         const LoadSummary& aLoad,
-                                         Instant aNow)
+AdmissionDecision
+WorthAdmission::Decide(const RequestInfo& aRequest,
+                       const LoadSummary& aLoad,
+                       Instant aNow)
 {
   constexpr double kLeastSeconds = 1e-6;
   const double density = aRequest.worth.Value() * aRequest.weight /
@@ -88,26 +92,30 @@
   return { .action = AdmissionAction::kQueue };
 }
 
-bool WorthAdmission::CanBeInTime(const RequestInfo& aRequest,
-                                 Duration aExpectedWait,
-                                 Instant aNow) const
+bool
+WorthAdmission::CanBeInTime(const RequestInfo& aRequest,
+                            Duration aExpectedWait,
+                            Instant aNow) const
 {
   const double wait = ToSeconds(aExpectedWait) * kWaitMargin;
   return aNow + FromSeconds(wait) <= aRequest.FirstTokenDeadline();
 }
 
-void WorthAdmission::OnShed(double /*aWorthPerSecond*/)
+void
+WorthAdmission::OnShed(double /*aWorthPerSecond*/)
 {
   Raise();
 }
 
-void WorthAdmission::Raise()
+void
+WorthAdmission::Raise()
 {
   mPrice = std::max(mPrice, mUsual * kLeastPrice) * (1 + kPriceStep);
   mPrice = std::min(mPrice, mUsual * kMostPrice);
 }
 
-void WorthAdmission::Lower()
+void
+WorthAdmission::Lower()
 {
   mPrice *= 1 - kPriceStep * kLatePart;
   if (mPrice < mUsual * kLeastPrice) {
@@ -115,20 +123,25 @@
   }
 }
 
-AdmissionDecision PlainAdmission::Decide(const RequestInfo& /*aRequest*/,
-                                         const LoadSummary& aLoad,
-                                         Instant /*aNow*/)
+AdmissionDecision
+PlainAdmission::Decide(const RequestInfo& /*aRequest*/,
+                       const LoadSummary& aLoad,
+                       Instant /*aNow*/)
 {
   return AdmitOrQueue(aLoad);
 }
 
-bool PlainAdmission::CanBeInTime(const RequestInfo& /*aRequest*/,
-                                 Duration /*aExpectedWait*/,
-                                 Instant /*aNow*/) const
+bool
+PlainAdmission::CanBeInTime(const RequestInfo& /*aRequest*/,
+                            Duration /*aExpectedWait*/,
+                            Instant /*aNow*/) const
 {
   return true;
 }
 
-void PlainAdmission::OnShed(double /*aWorthPerSecond*/) {}
+void
+PlainAdmission::OnShed(double /*aWorthPerSecond*/)
+{
+}
 
 } // namespace firefly::policy
--- a/policy/backend_selector.cpp
+++ b/policy/backend_selector.cpp
@@ -28,10 +28,11 @@
 constexpr double kHashUnit = 1.0 / 9007199254740994.0; // 2^53 + 2
 
 // What a request takes of a backend server, as seconds of all of it.
-double CostAt(const RequestInfo& aRequest,
-              const SelectQuery& aQuery,
-              const BackendCapacity& aCapacity,
-              std::uint32_t aCached)
+double
+CostAt(const RequestInfo& aRequest,
+       const SelectQuery& aQuery,
+       const BackendCapacity& aCapacity,
+       std::uint32_t aCached)
 {
   if (!aRequest.NeedsEngine()) {
     return 1.0 / std::max(1U, aCapacity.slots);
@@ -41,19 +42,22 @@
   return aCapacity.SecondsOf(Tokens(prompt - cached + 1), aQuery.size.usual);
 }
 
-bool Contains(const std::vector<BackendSlot>& aSlots, BackendSlot aSlot)
+bool
+Contains(const std::vector<BackendSlot>& aSlots, BackendSlot aSlot)
 {
   return std::find(aSlots.begin(), aSlots.end(), aSlot) != aSlots.end();
 }
 
-bool IsOpenFor(const RequestInfo& aRequest, const Backend& aBackend)
+bool
+IsOpenFor(const RequestInfo& aRequest, const Backend& aBackend)
 {
   return aBackend.state == BackendState::kOpen && aBackend.Serves(aRequest);
 }
 
 // Depths at which prefixes are remembered: powers of two, and the whole.
 template<typename Visit>
-void ForRememberedDepths(std::size_t aBlocks, Visit aVisit)
+void
+ForRememberedDepths(std::size_t aBlocks, Visit aVisit)
 {
   for (std::size_t depth = 1; depth < aBlocks; depth *= 2) {
     aVisit(depth);
@@ -70,11 +74,11 @@
 {
 }
 
-tl::expected<Choice, SelectError> LearningSelector::Select(
-  const RequestInfo& aRequest,
-  const SelectQuery& aQuery,
-  const FleetView& aFleet,
-  Instant aNow)
+tl::expected<Choice, SelectError>
+LearningSelector::Select(const RequestInfo& aRequest,
+                         const SelectQuery& aQuery,
+                         const FleetView& aFleet,
+                         Instant aNow)
 {
   ForgetSilentPeers(aNow);
   FindCandidates(aRequest, aQuery, aFleet);
@@ -101,7 +105,8 @@
   return best.choice;
 }
 
-Tokens LearningSelector::ExpectedCached(const RequestInfo& aRequest) const
+Tokens
+LearningSelector::ExpectedCached(const RequestInfo& aRequest) const
 {
   if (!mOptions.useAffinity || aRequest.prefixHashes.empty()) {
     return Tokens(0);
@@ -110,10 +115,11 @@
     std::min(aRequest.promptTokens.Value(), FindPrefix(aRequest).tokens));
 }
 
-AttemptInfo LearningSelector::OnDispatch(const RequestInfo& aRequest,
-                                         const Choice& aChoice,
-                                         Lane aLane,
-                                         Instant aNow)
+AttemptInfo
+LearningSelector::OnDispatch(const RequestInfo& aRequest,
+                             const Choice& aChoice,
+                             Lane aLane,
+                             Instant aNow)
 {
   auto& load = LoadAt(aChoice.slot);
   const auto prompt = aRequest.promptTokens.Value();
@@ -131,9 +137,10 @@
            .hadFirstToken = false };
 }
 
-void LearningSelector::OnFirstToken(AttemptInfo& aAttempt,
-                                    Duration aWait,
-                                    Instant /*aNow*/)
+void
+LearningSelector::OnFirstToken(AttemptInfo& aAttempt,
+                               Duration aWait,
+                               Instant /*aNow*/)
 {
   if (aAttempt.hadFirstToken) {
     return;
@@ -146,9 +153,10 @@
              SpeedOf(aAttempt.slot) * expected / std::max(wait, expected));
 }
 
-void LearningSelector::OnTokens(const AttemptInfo& aAttempt,
-                                Duration aMeanGap,
-                                Instant /*aNow*/)
+void
+LearningSelector::OnTokens(const AttemptInfo& aAttempt,
+                           Duration aMeanGap,
+                           Instant /*aNow*/)
 {
   const double full = ToSeconds(aAttempt.expectedGap);
   const double gap = ToSeconds(aMeanGap);
@@ -157,7 +165,8 @@
   }
 }
 
-void LearningSelector::OnFinish(const AttemptInfo& aAttempt, Instant /*aNow*/)
+void
+LearningSelector::OnFinish(const AttemptInfo& aAttempt, Instant /*aNow*/)
 {
   auto& load = LoadAt(aAttempt.slot);
   load.requests--;
@@ -167,31 +176,35 @@
   }
 }
 
-void LearningSelector::OnError(const AttemptInfo& aAttempt, Instant aNow)
+void
+LearningSelector::OnError(const AttemptInfo& aAttempt, Instant aNow)
 {
   OnFinish(aAttempt, aNow);
   TakeSample(aAttempt.slot, kLeastSpeed);
 }
 
-void LearningSelector::OnOverdue(const AttemptInfo& aAttempt,
-                                 Duration aWaited,
-                                 Instant /*aNow*/)
+void
+LearningSelector::OnOverdue(const AttemptInfo& aAttempt,
+                            Duration aWaited,
+                            Instant /*aNow*/)
 {
   const double expected = ToSeconds(aAttempt.expectedWait) + kWaitNoiseSeconds;
   const double waited = std::max(ToSeconds(aWaited), expected);
   TakeSample(aAttempt.slot, expected / waited);
 }
 
-void LearningSelector::OnReport(const LoadReport& /*aReport*/,
-                                const FleetView& /*aFleet*/,
-                                Instant /*aNow*/)
+void
+LearningSelector::OnReport(const LoadReport& /*aReport*/,
+                           const FleetView& /*aFleet*/,
+                           Instant /*aNow*/)
 {
   // Own work and the peers' digests are both newer than any report.
 }
 
-void LearningSelector::OnPeerDigest(const Digest& aDigest,
-                                    const FleetView& aFleet,
-                                    Instant aNow)
+void
+LearningSelector::OnPeerDigest(const Digest& aDigest,
+                               const FleetView& aFleet,
+                               Instant aNow)
 {
   if (!mOptions.usePeers) {
     return;
@@ -213,9 +226,10 @@
   }
 }
 
-void LearningSelector::FillDigest(Digest& aDigest,
-                                  const FleetView& aFleet,
-                                  Instant /*aNow*/) const
+void
+LearningSelector::FillDigest(Digest& aDigest,
+                             const FleetView& aFleet,
+                             Instant /*aNow*/) const
 {
   for (std::size_t i = 0; i < mLoads.size(); ++i) {
     const auto& load = mLoads[i];
@@ -231,12 +245,14 @@
   }
 }
 
-double LearningSelector::SpeedOf(BackendSlot aSlot) const
+double
+LearningSelector::SpeedOf(BackendSlot aSlot) const
 {
   return aSlot.Value() < mLoads.size() ? mLoads[aSlot.Value()].speed : 1.0;
 }
 
-LearningSelector::Load& LearningSelector::LoadAt(BackendSlot aSlot)
+LearningSelector::Load&
+LearningSelector::LoadAt(BackendSlot aSlot)
 {
   if (mLoads.size() <= aSlot.Value()) {
     mLoads.resize(aSlot.Value() + 1);
@@ -244,7 +260,8 @@
   return mLoads[aSlot.Value()];
 }
 
-void LearningSelector::TakeSample(BackendSlot aSlot, double aSpeed)
+void
+LearningSelector::TakeSample(BackendSlot aSlot, double aSpeed)
 {
   if (!mOptions.useSpeed) {
     return;
@@ -258,7 +275,8 @@
   speed = std::clamp(speed, kLeastSpeed, 1.0);
 }
 
-void LearningSelector::Forget(Peer& aPeer)
+void
+LearningSelector::Forget(Peer& aPeer)
 {
   for (const auto& [slot, work] : aPeer.work) {
     auto& load = LoadAt(slot);
@@ -268,7 +286,8 @@
   aPeer.work.clear();
 }
 
-void LearningSelector::ForgetSilentPeers(Instant aNow)
+void
+LearningSelector::ForgetSilentPeers(Instant aNow)
 {
   if (aNow - mPeersChecked < kPeerCheck) {
     return;
@@ -281,9 +300,10 @@
   }
 }
 
-void LearningSelector::FindCandidates(const RequestInfo& aRequest,
-                                      const SelectQuery& aQuery,
-                                      const FleetView& aFleet)
+void
+LearningSelector::FindCandidates(const RequestInfo& aRequest,
+                                 const SelectQuery& aQuery,
+                                 const FleetView& aFleet)
 {
   mOpen.clear();
   mCandidates.clear();
@@ -311,9 +331,10 @@
   }
 }
 
-void LearningSelector::AddHomes(const RequestInfo& aRequest,
-                                const SelectQuery& aQuery,
-                                const FleetView& aFleet)
+void
+LearningSelector::AddHomes(const RequestInfo& aRequest,
+                           const SelectQuery& aQuery,
+                           const FleetView& aFleet)
 {
   mPrefix = FindPrefix(aRequest);
   // Rendezvous hashing with weights: backend servers that suit the request
@@ -337,18 +358,19 @@
   }
 }
 
-void LearningSelector::AddCandidate(BackendSlot aSlot)
+void
+LearningSelector::AddCandidate(BackendSlot aSlot)
 {
   if (!Contains(mCandidates, aSlot)) {
     mCandidates.push_back(aSlot);
   }
 }
 
-LearningSelector::Prediction LearningSelector::Predict(
-  const RequestInfo& aRequest,
-  const SelectQuery& aQuery,
-  const FleetView& aFleet,
-  BackendSlot aSlot)
+LearningSelector::Prediction
+LearningSelector::Predict(const RequestInfo& aRequest,
+                          const SelectQuery& aQuery,
+                          const FleetView& aFleet,
+                          BackendSlot aSlot)
 {
   const auto& backend = aFleet.At(aSlot);
   const auto& capacity = backend.capacity;
@@ -394,8 +416,8 @@
   return prediction;
 }
 
-LearningSelector::KnownPrefix LearningSelector::FindPrefix(
-  const RequestInfo& aRequest) const
+LearningSelector::KnownPrefix
+LearningSelector::FindPrefix(const RequestInfo& aRequest) const
 {
   // Until a part of it was seen, all of it may be what others share.
   const auto block = aRequest.prefixBlockTokens.Value();
@@ -414,7 +436,8 @@
   return known;
 }
 
-void LearningSelector::RememberPrefix(const RequestInfo& aRequest)
+void
+LearningSelector::RememberPrefix(const RequestInfo& aRequest)
 {
   ForRememberedDepths(aRequest.prefixHashes.size(), [&](std::size_t aDepth) {
     const auto hash = aRequest.prefixHashes[aDepth - 1];
@@ -432,10 +455,10 @@
   });
 }
 
-std::vector<BackendSlot> RoundRobinSelector::Eligible(
-  const RequestInfo& aRequest,
-  const SelectQuery& aQuery,
-  const FleetView& aFleet)
+std::vector<BackendSlot>
+RoundRobinSelector::Eligible(const RequestInfo& aRequest,
+                             const SelectQuery& aQuery,
+                             const FleetView& aFleet)
 {
   // Prompts longer than so many times the expected output are prefill work.
   constexpr double kPrefillRatio = 10;
@@ -458,11 +481,11 @@
   return suited.empty() ? open : suited;
 }
 
-tl::expected<Choice, SelectError> RoundRobinSelector::Select(
-  const RequestInfo& aRequest,
-  const SelectQuery& aQuery,
-  const FleetView& aFleet,
-  Instant /*aNow*/)
+tl::expected<Choice, SelectError>
+RoundRobinSelector::Select(const RequestInfo& aRequest,
+                           const SelectQuery& aQuery,
+                           const FleetView& aFleet,
+                           Instant /*aNow*/)
 {
   const auto slots = Eligible(aRequest, aQuery, aFleet);
   if (slots.empty()) {
@@ -476,15 +499,17 @@
                  .cachedTokens = {} };
 }
 
-Tokens RoundRobinSelector::ExpectedCached(const RequestInfo& /*aRequest*/) const
+Tokens
+RoundRobinSelector::ExpectedCached(const RequestInfo& /*aRequest*/) const
 {
   return Tokens(0);
 }
 
-AttemptInfo RoundRobinSelector::OnDispatch(const RequestInfo& aRequest,
-                                           const Choice& aChoice,
-                                           Lane aLane,
-                                           Instant /*aNow*/)
+AttemptInfo
+RoundRobinSelector::OnDispatch(const RequestInfo& aRequest,
+                               const Choice& aChoice,
+                               Lane aLane,
+                               Instant /*aNow*/)
 {
   return { .slot = aChoice.slot,
            .prefillTokens = aRequest.promptTokens,
@@ -494,58 +519,64 @@
            .hadFirstToken = false };
 }
 
-void RoundRobinSelector::OnFirstToken(AttemptInfo& aAttempt,
-                                      Duration /*aWait*/,
-                                      Instant /*aNow*/)
+void
+RoundRobinSelector::OnFirstToken(AttemptInfo& aAttempt,
+                                 Duration /*aWait*/,
+                                 Instant /*aNow*/)
 {
   aAttempt.hadFirstToken = true;
 }
 
-void RoundRobinSelector::OnTokens(const AttemptInfo& /*aAttempt*/,
-                                  Duration /*aMeanGap*/,
-                                  Instant /*aNow*/)
+void
+RoundRobinSelector::OnTokens(const AttemptInfo& /*aAttempt*/,
+                             Duration /*aMeanGap*/,
+                             Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::OnFinish(const AttemptInfo& /*aAttempt*/,
-                                  Instant /*aNow*/)
+void
+RoundRobinSelector::OnFinish(const AttemptInfo& /*aAttempt*/, Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::OnError(const AttemptInfo& /*aAttempt*/,
-                                 Instant /*aNow*/)
+void
+RoundRobinSelector::OnError(const AttemptInfo& /*aAttempt*/, Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::OnOverdue(const AttemptInfo& /*aAttempt*/,
-                                   Duration /*aWaited*/,
-                                   Instant /*aNow*/)
+void
+RoundRobinSelector::OnOverdue(const AttemptInfo& /*aAttempt*/,
+                              Duration /*aWaited*/,
+                              Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::OnReport(const LoadReport& /*aReport*/,
-                                  const FleetView& /*aFleet*/,
-                                  Instant /*aNow*/)
+void
+RoundRobinSelector::OnReport(const LoadReport& /*aReport*/,
+                             const FleetView& /*aFleet*/,
+                             Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::OnPeerDigest(const Digest& /*aDigest*/,
-                                      const FleetView& /*aFleet*/,
-                                      Instant /*aNow*/)
+void
+RoundRobinSelector::OnPeerDigest(const Digest& /*aDigest*/,
+                                 const FleetView& /*aFleet*/,
+                                 Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::FillDigest(Digest& /*aDigest*/,
-                                    const FleetView& /*aFleet*/,
-                                    Instant /*aNow*/) const
+void
+RoundRobinSelector::FillDigest(Digest& /*aDigest*/,
+                               const FleetView& /*aFleet*/,
+                               Instant /*aNow*/) const
 {
 }
 
-tl::expected<Choice, SelectError> LeastReportedLoadSelector::Select(
-  const RequestInfo& aRequest,
-  const SelectQuery& aQuery,
-  const FleetView& aFleet,
-  Instant /*aNow*/)
+tl::expected<Choice, SelectError>
+LeastReportedLoadSelector::Select(const RequestInfo& aRequest,
+                                  const SelectQuery& aQuery,
+                                  const FleetView& aFleet,
+                                  Instant /*aNow*/)
 {
   const auto slots = Eligible(aRequest, aQuery, aFleet);
   if (slots.empty()) {
@@ -568,9 +599,10 @@
                  .cachedTokens = {} };
 }
 
-void LeastReportedLoadSelector::OnReport(const LoadReport& aReport,
-                                         const FleetView& aFleet,
-                                         Instant /*aNow*/)
+void
+LeastReportedLoadSelector::OnReport(const LoadReport& aReport,
+                                    const FleetView& aFleet,
+                                    Instant /*aNow*/)
 {
   if (!aFleet.Find(aReport.backend)) {
     return;
--- a/policy/fleet_view.cpp
+++ b/policy/fleet_view.cpp
@@ -5,7 +5,8 @@
 
 namespace firefly::policy {
 
-const BackendCapacity& RoleCapacities::Of(EngineRole aRole) const
+const BackendCapacity&
+RoleCapacities::Of(EngineRole aRole) const
 {
   switch (aRole) {
     case EngineRole::kPrefill:
@@ -18,7 +19,8 @@
   return mixed;
 }
 
-std::string_view ToString(EngineRole aRole)
+std::string_view
+ToString(EngineRole aRole)
 {
   switch (aRole) {
     case EngineRole::kPrefill:
@@ -31,7 +33,8 @@
   return "mixed";
 }
 
-bool Backend::Serves(const RequestInfo& aRequest) const
+bool
+Backend::Serves(const RequestInfo& aRequest) const
 {
   if (aRequest.NeedsEngine()) {
     return kind == BackendKind::kEngine &&
@@ -43,7 +46,8 @@
            services.end();
 }
 
-BackendSlot FleetView::Upsert(Backend aBackend)
+BackendSlot
+FleetView::Upsert(Backend aBackend)
 {
   const auto it = mSlots.find(aBackend.id);
   if (it != mSlots.end()) {
@@ -58,7 +62,8 @@
   return slot;
 }
 
-bool FleetView::SetState(const BackendId& aId, BackendState aState)
+bool
+FleetView::SetState(const BackendId& aId, BackendState aState)
 {
   auto* const backend = FindMutable(aId);
   if (!backend) {
@@ -68,9 +73,10 @@
   return true;
 }
 
-bool FleetView::SetRole(const BackendId& aId,
-                        EngineRole aRole,
-                        const BackendCapacity& aCapacity)
+bool
+FleetView::SetRole(const BackendId& aId,
+                   EngineRole aRole,
+                   const BackendCapacity& aCapacity)
 {
   auto* const backend = FindMutable(aId);
   if (!backend) {
@@ -81,23 +87,27 @@
   return true;
 }
 
-bool FleetView::Remove(const BackendId& aId)
+bool
+FleetView::Remove(const BackendId& aId)
 {
   return SetState(aId, BackendState::kClosed);
 }
 
-const Backend* FleetView::Find(const BackendId& aId) const
+const Backend*
+FleetView::Find(const BackendId& aId) const
 {
   const auto it = mSlots.find(aId);
   return it == mSlots.end() ? nullptr : &mBackends[it->second.Value()];
 }
 
-BackendSlot FleetView::SlotOf(const BackendId& aId) const
+BackendSlot
+FleetView::SlotOf(const BackendId& aId) const
 {
   return mSlots.at(aId);
 }
 
-std::optional<BackendSlot> FleetView::SlotOfHash(std::uint64_t aHash) const
+std::optional<BackendSlot>
+FleetView::SlotOfHash(std::uint64_t aHash) const
 {
   const auto it = mSlotsByHash.find(aHash);
   if (it == mSlotsByHash.end()) {
@@ -106,13 +116,15 @@
   return it->second;
 }
 
-Backend* FleetView::FindMutable(const BackendId& aId)
+Backend*
+FleetView::FindMutable(const BackendId& aId)
 {
   const auto it = mSlots.find(aId);
   return it == mSlots.end() ? nullptr : &mBackends[it->second.Value()];
 }
 
-std::uint64_t StableHash(const std::string& aText)
+std::uint64_t
+StableHash(const std::string& aText)
 {
   constexpr std::uint64_t kOffset = 0xCBF29CE484222325ULL;
   constexpr std::uint64_t kPrime = 0x100000001B3ULL;
@@ -123,7 +135,8 @@
   return MixHash(hash, 0);
 }
 
-std::uint64_t MixHash(std::uint64_t aLeft, std::uint64_t aRight)
+std::uint64_t
+MixHash(std::uint64_t aLeft, std::uint64_t aRight)
 {
   std::uint64_t n = aLeft ^ (aRight * 0x9E3779B97F4A7C15ULL);
   n = (n ^ (n >> 30)) * 0xBF58476D1CE4E5B9ULL;
--- a/policy/fleet_view.h
+++ b/policy/fleet_view.h
@@ -74,7 +74,8 @@
 };
 
 // The role as a word, such as "prefill".
-std::string_view ToString(EngineRole aRole);
+std::string_view
+ToString(EngineRole aRole);
 
 struct Backend
 {
@@ -147,9 +148,11 @@
 
 // A hash that is the same in all processes and on all platforms (FNV-1a, then
 // mixed).
-std::uint64_t StableHash(const std::string& aText);
+std::uint64_t
+StableHash(const std::string& aText);
 
 // Mixes two hashes into one.
-std::uint64_t MixHash(std::uint64_t aLeft, std::uint64_t aRight);
+std::uint64_t
+MixHash(std::uint64_t aLeft, std::uint64_t aRight);
 
 } // namespace firefly::policy
--- a/policy/request_info.cpp
+++ b/policy/request_info.cpp
@@ -2,7 +2,8 @@
 
 namespace firefly::policy {
 
-int EnginePriority(Lane aLane)
+int
+EnginePriority(Lane aLane)
 {
   return static_cast<int>(aLane);
 }
--- a/policy/request_info.h
+++ b/policy/request_info.h
@@ -32,7 +32,8 @@
 };
 
 // The engine's priority for a lane: smaller runs first.
-int EnginePriority(Lane aLane);
+int
+EnginePriority(Lane aLane);
 
 // One request, as the entry parsed it. The model is empty for plain services.
 struct RequestInfo
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -22,7 +22,8 @@
 
 } // namespace
 
-std::string_view ToString(FailureReason aReason)
+std::string_view
+ToString(FailureReason aReason)
 {
   switch (aReason) {
     case FailureReason::kOutcomeUnknown:
@@ -47,7 +48,8 @@
 {
 }
 
-void RequestRouter::OnArrival(RequestInfo aRequest, Instant aNow)
+void
+RequestRouter::OnArrival(RequestInfo aRequest, Instant aNow)
 {
   const auto id = aRequest.requestId;
   auto& request = mRequests[id];
@@ -80,7 +82,8 @@
   Admit(request, aNow);
 }
 
-void RequestRouter::Admit(Request& aRequest, Instant aNow)
+void
+RequestRouter::Admit(Request& aRequest, Instant aNow)
 {
   const auto id = aRequest.info.requestId;
   const auto choice =
@@ -108,9 +111,10 @@
   Start(aRequest, *choice, false, aNow);
 }
 
-bool RequestRouter::OnFirstToken(const RequestId& aId,
-                                 AttemptNumber aAttempt,
-                                 Instant aNow)
+bool
+RequestRouter::OnFirstToken(const RequestId& aId,
+                            AttemptNumber aAttempt,
+                            Instant aNow)
 {
   const auto it = mRequests.find(aId);
   if (it == mRequests.end()) {
@@ -138,10 +142,11 @@
   return true;
 }
 
-void RequestRouter::OnTokens(const RequestId& aId,
-                             AttemptNumber aAttempt,
-                             Tokens aCount,
-                             Instant aNow)
+void
+RequestRouter::OnTokens(const RequestId& aId,
+                        AttemptNumber aAttempt,
+                        Tokens aCount,
+                        Instant aNow)
 {
   const auto it = mRequests.find(aId);
   if (it == mRequests.end() || it->second.answering != aAttempt) {
@@ -165,9 +170,10 @@
   }
 }
 
-void RequestRouter::OnFinish(const RequestId& aId,
-                             AttemptNumber aAttempt,
-                             Instant aNow)
+void
+RequestRouter::OnFinish(const RequestId& aId,
+                        AttemptNumber aAttempt,
+                        Instant aNow)
 {
   const auto it = mRequests.find(aId);
   if (it == mRequests.end()) {
@@ -190,10 +196,11 @@
   Pump(aNow);
 }
 
-void RequestRouter::OnError(const RequestId& aId,
-                            AttemptNumber aAttempt,
-                            AttemptError aError,
-                            Instant aNow)
+void
+RequestRouter::OnError(const RequestId& aId,
+                       AttemptNumber aAttempt,
+                       AttemptError aError,
+                       Instant aNow)
 {
   const auto it = mRequests.find(aId);
   if (it == mRequests.end() || !it->second.attempts.contains(aAttempt)) {
@@ -207,10 +214,11 @@
   Pump(aNow);
 }
 
-void RequestRouter::EndAttempt(Request& aRequest,
-                               AttemptNumber aAttempt,
-                               AttemptError aError,
-                               Instant aNow)
+void
+RequestRouter::EndAttempt(Request& aRequest,
+                          AttemptNumber aAttempt,
+                          AttemptError aError,
+                          Instant aNow)
 {
   const auto attempt = aRequest.attempts.at(aAttempt);
   aRequest.attempts.erase(aAttempt);
@@ -227,9 +235,8 @@
     aRequest.info.fingerprint, aRequest.delivered, attempt.dispatched, aNow);
 }
 
-void RequestRouter::Retry(const RequestId& aId,
-                          AttemptError aError,
-                          Instant aNow)
+void
+RequestRouter::Retry(const RequestId& aId, AttemptError aError, Instant aNow)
 {
   auto& request = mRequests.at(aId);
   const bool broken = aError == AttemptError::kBroken;
@@ -277,7 +284,8 @@
   }
 }
 
-void RequestRouter::OnCallerGone(const RequestId& aId, Instant aNow)
+void
+RequestRouter::OnCallerGone(const RequestId& aId, Instant aNow)
 {
   const auto it = mRequests.find(aId);
   if (it == mRequests.end()) {
@@ -289,7 +297,8 @@
   Pump(aNow);
 }
 
-void RequestRouter::Tick(Instant aNow)
+void
+RequestRouter::Tick(Instant aNow)
 {
   ExpireQueue(aNow);
   std::vector<RequestId> running;
@@ -310,24 +319,28 @@
   Pump(aNow);
 }
 
-void RequestRouter::Configure(const std::vector<LimitRow>& aRows)
+void
+RequestRouter::Configure(const std::vector<LimitRow>& aRows)
 {
   mPolicies.limits->Configure(aRows);
 }
 
-void RequestRouter::SetEntries(const std::vector<HostId>& aEntries)
+void
+RequestRouter::SetEntries(const std::vector<HostId>& aEntries)
 {
   mEntries = aEntries;
   std::sort(mEntries.begin(), mEntries.end());
   mPolicies.limits->SetEntries(aEntries);
 }
 
-void RequestRouter::OnReport(const LoadReport& aReport, Instant aNow)
+void
+RequestRouter::OnReport(const LoadReport& aReport, Instant aNow)
 {
   mPolicies.selector->OnReport(aReport, mFleet, aNow);
 }
 
-void RequestRouter::OnPeerDigest(const Digest& aDigest, Instant aNow)
+void
+RequestRouter::OnPeerDigest(const Digest& aDigest, Instant aNow)
 {
   auto& peer = mPeers[aDigest.host];
   const bool older = aDigest.incarnation < peer.incarnation ||
@@ -349,7 +362,8 @@
   mPolicies.poison->OnPeer(aDigest.quarantined, aDigest.suspects, aNow);
 }
 
-Digest RequestRouter::MakeDigest(Instant aNow)
+Digest
+RequestRouter::MakeDigest(Instant aNow)
 {
   FadeDemand(aNow);
   Digest digest;
@@ -371,7 +385,8 @@
   return digest;
 }
 
-FleetDemand RequestRouter::Demand(Instant aNow) const
+FleetDemand
+RequestRouter::Demand(Instant aNow) const
 {
   FleetDemand demand;
   const double fade =
@@ -390,9 +405,9 @@
   return demand;
 }
 
-LoadSummary RequestRouter::Summarize(
-  const Request& aRequest,
-  const tl::expected<Choice, SelectError>& aChoice) const
+LoadSummary
+RequestRouter::Summarize(const Request& aRequest,
+                         const tl::expected<Choice, SelectError>& aChoice) const
 {
   return { .expectedWait =
              aChoice ? aChoice->expectedWait : aChoice.error().expectedWait,
@@ -402,7 +417,8 @@
            .engineSeconds = aRequest.engineSeconds };
 }
 
-SelectQuery RequestRouter::QueryFor(const Request& aRequest) const
+SelectQuery
+RequestRouter::QueryFor(const Request& aRequest) const
 {
   return { .size = aRequest.size,
            .lane = aRequest.lane,
@@ -410,8 +426,8 @@
            .ignoreRoom = false };
 }
 
-double RequestRouter::EngineSeconds(const Request& aRequest,
-                                    Tokens aCached) const
+double
+RequestRouter::EngineSeconds(const Request& aRequest, Tokens aCached) const
 {
   const auto& info = aRequest.info;
   const Tokens prompt(info.promptTokens.Value() - aCached.Value());
@@ -434,14 +450,16 @@
   return least.value_or(1);
 }
 
-double RequestRouter::Density(const Request& aRequest) const
+double
+RequestRouter::Density(const Request& aRequest) const
 {
   constexpr double kLeastSeconds = 1e-6;
   return aRequest.info.worth.Value() * aRequest.info.weight /
          std::max(kLeastSeconds, aRequest.engineSeconds);
 }
 
-void RequestRouter::Enqueue(Request& aRequest)
+void
+RequestRouter::Enqueue(Request& aRequest)
 {
   mCounters.queued++;
   const auto evicted = mPolicies.queue->Push(
@@ -455,10 +473,11 @@
   }
 }
 
-void RequestRouter::Start(Request& aRequest,
-                          const Choice& aChoice,
-                          bool aIsHedge,
-                          Instant aNow)
+void
+RequestRouter::Start(Request& aRequest,
+                     const Choice& aChoice,
+                     bool aIsHedge,
+                     Instant aNow)
 {
   const AttemptNumber number(++aRequest.attemptsMade);
   auto& attempt = aRequest.attempts[number];
@@ -478,7 +497,8 @@
                    .isHedge = aIsHedge });
 }
 
-void RequestRouter::AddSuspect(const RequestId& aId, Instant aNow)
+void
+RequestRouter::AddSuspect(const RequestId& aId, Instant aNow)
 {
   if (mSuspects.empty()) {
     mSuspectsSince = aNow;
@@ -487,7 +507,8 @@
   PumpSuspects(aNow);
 }
 
-void RequestRouter::ReleaseSuspect(const RequestId& aId, Instant aNow)
+void
+RequestRouter::ReleaseSuspect(const RequestId& aId, Instant aNow)
 {
   if (mSuspectRunning == aId) {
     mSuspectRunning = {};
@@ -495,8 +516,8 @@
   }
 }
 
-std::vector<BackendSlot> RequestRouter::SuspectPlaces(
-  const Request& aRequest) const
+std::vector<BackendSlot>
+RequestRouter::SuspectPlaces(const Request& aRequest) const
 {
   std::vector<BackendSlot> places;
   const auto& failed = aRequest.failedAt;
@@ -515,7 +536,8 @@
   return places;
 }
 
-void RequestRouter::PumpSuspects(Instant aNow)
+void
+RequestRouter::PumpSuspects(Instant aNow)
 {
   if (mSuspects.empty() || !mSuspectRunning.Value().empty()) {
     return;
@@ -556,7 +578,8 @@
         aNow);
 }
 
-void RequestRouter::Hedge(Request& aRequest, Instant aNow)
+void
+RequestRouter::Hedge(Request& aRequest, Instant aNow)
 {
   auto query = QueryFor(aRequest);
   for (const auto& [number, attempt] : aRequest.attempts) {
@@ -572,9 +595,8 @@
   Start(aRequest, *choice, true, aNow);
 }
 
-void RequestRouter::Resume(Request& aRequest,
-                           AttemptNumber aAttempt,
-                           Instant aNow)
+void
+RequestRouter::Resume(Request& aRequest, AttemptNumber aAttempt, Instant aNow)
 {
   auto query = QueryFor(aRequest);
   query.excluded.push_back(aRequest.attempts.at(aAttempt).info.slot);
@@ -589,7 +611,8 @@
   Start(aRequest, *choice, false, aNow);
 }
 
-void RequestRouter::Watch(Request& aRequest, Instant aNow)
+void
+RequestRouter::Watch(Request& aRequest, Instant aNow)
 {
   if (mSuspectRunning == aRequest.info.requestId) {
     return;
@@ -620,9 +643,10 @@
   }
 }
 
-void RequestRouter::CancelAttempt(Request& aRequest,
-                                  AttemptNumber aAttempt,
-                                  Instant aNow)
+void
+RequestRouter::CancelAttempt(Request& aRequest,
+                             AttemptNumber aAttempt,
+                             Instant aNow)
 {
   const auto it = aRequest.attempts.find(aAttempt);
   if (it == aRequest.attempts.end()) {
@@ -633,9 +657,10 @@
   mSink.Cancel(aRequest.info.requestId, aAttempt);
 }
 
-void RequestRouter::CancelOthers(Request& aRequest,
-                                 AttemptNumber aKept,
-                                 Instant aNow)
+void
+RequestRouter::CancelOthers(Request& aRequest,
+                            AttemptNumber aKept,
+                            Instant aNow)
 {
   std::vector<AttemptNumber> others;
   for (const auto& [number, attempt] : aRequest.attempts) {
@@ -648,7 +673,8 @@
   }
 }
 
-void RequestRouter::Pump(Instant aNow)
+void
+RequestRouter::Pump(Instant aNow)
 {
   std::optional<Choice> chosen;
   const auto canRun = [&](const QueuedRequest& aQueued) {
@@ -673,7 +699,8 @@
   }
 }
 
-void RequestRouter::ExpireQueue(Instant aNow)
+void
+RequestRouter::ExpireQueue(Instant aNow)
 {
   for (const auto& late : mPolicies.queue->Expire(aNow + kLeastServiceTime)) {
     mPolicies.admission->OnShed(late.worthPerSecond);
@@ -681,9 +708,10 @@
   }
 }
 
-void RequestRouter::Refuse(const RequestId& aId,
-                           RefusalReason aReason,
-                           Duration aRetryAfter)
+void
+RequestRouter::Refuse(const RequestId& aId,
+                      RefusalReason aReason,
+                      Duration aRetryAfter)
 {
   constexpr Duration kShortest = std::chrono::seconds(1);
   mCounters.refused++;
@@ -692,14 +720,16 @@
   Drop(aId);
 }
 
-void RequestRouter::Fail(const RequestId& aId, FailureReason aReason)
+void
+RequestRouter::Fail(const RequestId& aId, FailureReason aReason)
 {
   mCounters.failed++;
   mSink.Fail(aId, aReason);
   Drop(aId);
 }
 
-void RequestRouter::Drop(const RequestId& aId)
+void
+RequestRouter::Drop(const RequestId& aId)
 {
   const auto it = mRequests.find(aId);
   if (it == mRequests.end()) {
@@ -710,9 +740,10 @@
   mRequests.erase(it);
 }
 
-void RequestRouter::CountDemand(const Request& aRequest,
-                                Tokens aCached,
-                                Instant aNow)
+void
+RequestRouter::CountDemand(const Request& aRequest,
+                           Tokens aCached,
+                           Instant aNow)
 {
   if (!aRequest.info.NeedsEngine()) {
     return;
@@ -723,7 +754,8 @@
   sum.outputTokens += aRequest.size.usual.Value();
 }
 
-void RequestRouter::FadeDemand(Instant aNow)
+void
+RequestRouter::FadeDemand(Instant aNow)
 {
   const double fade =
     std::exp(-ToSeconds(aNow - mDemandAt) / kDemandMemorySeconds);
--- a/policy/retry_budget.cpp
+++ b/policy/retry_budget.cpp
@@ -9,12 +9,14 @@
 {
 }
 
-void ShareRetryBudget::OnFirstAttempt()
+void
+ShareRetryBudget::OnFirstAttempt()
 {
   mCredit = std::min(mOptions.most, mCredit + mOptions.share);
 }
 
-bool ShareRetryBudget::TrySpend()
+bool
+ShareRetryBudget::TrySpend()
 {
   if (mCredit < 1) {
     return false;
@@ -23,9 +25,13 @@
   return true;
 }
 
-void UnboundedRetryBudget::OnFirstAttempt() {}
+void
+UnboundedRetryBudget::OnFirstAttempt()
+{
+}
 
-bool UnboundedRetryBudget::TrySpend()
+bool
+UnboundedRetryBudget::TrySpend()
 {
   return true;
 }
--- a/policy/size_estimator.h
+++ b/policy/size_estimator.h
@@ -73,6 +73,7 @@
 
 // The lane that the estimate puts a request into whose prompt has so many
 // tokens that no cache holds.
-Lane LaneOf(Tokens aUncachedPrompt, const SizeEstimate& aEstimate);
+Lane
+LaneOf(Tokens aUncachedPrompt, const SizeEstimate& aEstimate);
 
 } // namespace firefly::policy
--- a/servers/control/control.cpp
+++ b/servers/control/control.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-std::string UrlOf(const std::string& aAddress, std::uint16_t aPort)
+std::string
+UrlOf(const std::string& aAddress, std::uint16_t aPort)
 {
   const bool six = aAddress.find(':') != std::string::npos;
   const std::string host = six ? '[' + aAddress + ']' : aAddress;
@@ -16,7 +17,8 @@
 
 } // namespace
 
-ControlTargets TargetsOf(const Settings& aSettings)
+ControlTargets
+TargetsOf(const Settings& aSettings)
 {
   ControlTargets targets;
   for (const auto& it : aSettings.peers) {
@@ -26,9 +28,10 @@
   return targets;
 }
 
-Answers AskAll(Fetcher& aFetcher,
-               const std::vector<std::string>& aUrls,
-               const std::string& aPath)
+Answers
+AskAll(Fetcher& aFetcher,
+       const std::vector<std::string>& aUrls,
+       const std::string& aPath)
 {
   std::vector<HttpCall> calls;
   for (const auto& it : aUrls) {
@@ -49,14 +52,16 @@
   return answers;
 }
 
-void PrintAway(std::ostream& aErr, const std::vector<AwayProcess>& aAway)
+void
+PrintAway(std::ostream& aErr, const std::vector<AwayProcess>& aAway)
 {
   for (const auto& it : aAway) {
     aErr << "away: " << it.url << ": " << it.error << '\n';
   }
 }
 
-std::string Describe(const HttpError& aError)
+std::string
+Describe(const HttpError& aError)
 {
   const std::string detail =
     aError.message.empty() ? "" : " (" + aError.message + ')';
@@ -75,7 +80,8 @@
   return "cancelled" + detail;
 }
 
-std::string PercentEncode(const std::string& aText)
+std::string
+PercentEncode(const std::string& aText)
 {
   constexpr std::string_view kDigits = "0123456789ABCDEF";
   constexpr std::string_view kUnreserved = "-._~";
--- a/servers/control/control_program.h
+++ b/servers/control/control_program.h
@@ -9,11 +9,12 @@
 namespace firefly {
 
 // Runs one command and returns the code to exit with.
-ExitCode RunControl(Fetcher& aFetcher,
-                    std::ostream& aOut,
-                    std::ostream& aErr,
-                    const std::string& aVersion,
-                    int aCount,
-                    const char* const* aWords);
+ExitCode
+RunControl(Fetcher& aFetcher,
+           std::ostream& aOut,
+           std::ostream& aErr,
+           const std::string& aVersion,
+           int aCount,
+           const char* const* aWords);
 
 } // namespace firefly
--- a/servers/control/text_table.cpp
+++ b/servers/control/text_table.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 // Characters of a UTF-8 text, which a terminal gives a column each.
-std::size_t WidthOf(const std::string& aText)
+std::size_t
+WidthOf(const std::string& aText)
 {
   return static_cast<std::size_t>(std::ranges::count_if(aText, [](char aChar) {
     return (static_cast<unsigned char>(aChar) & 0xc0U) != 0x80U;
@@ -16,7 +17,8 @@
 }
 
 // Control characters in a foreign text would steer the terminal.
-std::string Printable(std::string aText)
+std::string
+Printable(std::string aText)
 {
   std::ranges::replace_if(
     aText,
@@ -35,7 +37,8 @@
   mRows.push_back(std::move(aHeader));
 }
 
-void TextTable::Add(std::vector<std::string> aCells)
+void
+TextTable::Add(std::vector<std::string> aCells)
 {
   assert(aCells.size() == mRows.front().size());
   for (auto& it : aCells) {
@@ -44,7 +47,8 @@
   mRows.push_back(std::move(aCells));
 }
 
-std::string TextTable::Text() const
+std::string
+TextTable::Text() const
 {
   if (mRows.size() == 1) {
     return "";
--- a/servers/link/link_server.cpp
+++ b/servers/link/link_server.cpp
@@ -102,7 +102,8 @@
   std::shared_ptr<Http2Connection> mConnection;
 };
 
-tl::expected<void, LinkServerError> LinkServer::Impl::Start()
+tl::expected<void, LinkServerError>
+LinkServer::Impl::Start()
 {
   std::error_code ec;
   const auto address = asio::ip::make_address(mOptions.address, ec);
@@ -128,14 +129,16 @@
   return {};
 }
 
-void LinkServer::Impl::Stop()
+void
+LinkServer::Impl::Stop()
 {
   std::error_code ec;
   mAcceptor.close(ec);
   mPeers.clear();
 }
 
-void LinkServer::Impl::Accept()
+void
+LinkServer::Impl::Accept()
 {
   mAcceptor.async_accept(
     [this, alive = std::weak_ptr<bool>(mAlive)](const std::error_code& aError,
@@ -150,13 +153,15 @@
     });
 }
 
-void LinkServer::Impl::AddPeer(asio::ip::tcp::socket aSocket)
+void
+LinkServer::Impl::AddPeer(asio::ip::tcp::socket aSocket)
 {
   const PeerNumber number = mNextPeer++;
   mPeers[number] = std::make_unique<Peer>(*this, number, std::move(aSocket));
 }
 
-void LinkServer::Impl::RemovePeer(PeerNumber aNumber)
+void
+LinkServer::Impl::RemovePeer(PeerNumber aNumber)
 {
   mExecutor.Post([this, alive = std::weak_ptr<bool>(mAlive), aNumber] {
     if (!alive.expired()) {
@@ -176,17 +181,20 @@
 
 LinkServer::~LinkServer() = default;
 
-tl::expected<void, LinkServerError> LinkServer::Start()
+tl::expected<void, LinkServerError>
+LinkServer::Start()
 {
   return mImpl->Start();
 }
 
-std::uint16_t LinkServer::Port() const
+std::uint16_t
+LinkServer::Port() const
 {
   return mImpl->Port();
 }
 
-void LinkServer::Stop()
+void
+LinkServer::Stop()
 {
   mImpl->Stop();
 }
--- a/servers/log/log.h
+++ b/servers/log/log.h
@@ -21,7 +21,8 @@
 
 // Sets up the process's log: lines on stdout as plain text or as JSON objects.
 // Until then, nothing is logged.
-void StartLog(const LogSettings& aSettings);
+void
+StartLog(const LogSettings& aSettings);
 
 // Writes the lines of one module.
 class Log
--- a/servers/metrics/metrics_text.h
+++ b/servers/metrics/metrics_text.h
@@ -13,7 +13,8 @@
 namespace firefly {
 
 // Whether the name may stand in the text format without colons.
-bool IsMetricName(std::string_view aName);
+bool
+IsMetricName(std::string_view aName);
 
 // Builds the text, family by family.
 class MetricsWriter
@@ -44,7 +45,7 @@
 
 // Reads all samples of a text; comments and time stamps are skipped. Strict:
 // one wrong line refuses the text, so that no report rests on half of it.
-tl::expected<std::vector<MetricSample>, MetricsTextError> ParseMetrics(
-  std::string_view aText);
+tl::expected<std::vector<MetricSample>, MetricsTextError>
+ParseMetrics(std::string_view aText);
 
 } // namespace firefly
--- a/servers/platform/host_list_client.cpp
+++ b/servers/platform/host_list_client.cpp
@@ -12,7 +12,8 @@
 
 constexpr int kOk = 200;
 
-ListedHost DecodeHost(const json& aHost)
+ListedHost
+DecodeHost(const json& aHost)
 {
   return { .id = HostId(aHost.at("id").get<std::string>()),
            .address = aHost.value("address", ""),
@@ -20,8 +21,8 @@
            .leaving = aHost.value("leaving", false) };
 }
 
-tl::expected<std::vector<ListedHost>, PlatformError> Parse(
-  const tl::expected<HttpResult, HttpError>& aResult)
+tl::expected<std::vector<ListedHost>, PlatformError>
+Parse(const tl::expected<HttpResult, HttpError>& aResult)
 {
   if (!aResult) {
     return tl::make_unexpected(
@@ -54,7 +55,8 @@
 {
 }
 
-void HostListClient::Fetch(Callback aCallback)
+void
+HostListClient::Fetch(Callback aCallback)
 {
   HttpCall call;
   call.url = mOptions.url;
--- a/servers/settings/command_line.cpp
+++ b/servers/settings/command_line.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-ParsedArguments::Argument Convert(const std::string& aName,
-                                  const docopt::value& aValue)
+ParsedArguments::Argument
+Convert(const std::string& aName, const docopt::value& aValue)
 {
   ParsedArguments::Argument argument{ .name = aName, .values = {} };
   if (aValue.isString()) {
@@ -25,7 +25,8 @@
   return argument;
 }
 
-std::string DaemonUsage(const DaemonOptions& aOptions)
+std::string
+DaemonUsage(const DaemonOptions& aOptions)
 {
   const std::string& program = aOptions.program;
   return program + ": " + aOptions.purpose + "\n\nUsage:\n  " + program +
@@ -49,7 +50,8 @@
 )";
 }
 
-DaemonArguments ReadDaemonArguments(const ParsedArguments& aParsed)
+DaemonArguments
+ReadDaemonArguments(const ParsedArguments& aParsed)
 {
   DaemonArguments arguments{
     .settingsFile = aParsed.Text("--settings"),
@@ -64,28 +66,31 @@
 
 } // namespace
 
-bool ParsedArguments::Has(const std::string& aName) const
+bool
+ParsedArguments::Has(const std::string& aName) const
 {
   return !Texts(aName).empty();
 }
 
-std::string ParsedArguments::Text(const std::string& aName) const
+std::string
+ParsedArguments::Text(const std::string& aName) const
 {
   const auto texts = Texts(aName);
   return texts.empty() ? "" : texts.front();
 }
 
-std::vector<std::string> ParsedArguments::Texts(const std::string& aName) const
+std::vector<std::string>
+ParsedArguments::Texts(const std::string& aName) const
 {
   const auto found = std::ranges::find(mArguments, aName, &Argument::name);
   return found == mArguments.end() ? std::vector<std::string>{} : found->values;
 }
 
-tl::expected<ParsedArguments, ExitCode> ParseArguments(
-  const std::string& aUsage,
-  const std::string& aVersion,
-  int aCount,
-  const char* const* aWords)
+tl::expected<ParsedArguments, ExitCode>
+ParseArguments(const std::string& aUsage,
+               const std::string& aVersion,
+               int aCount,
+               const char* const* aWords)
 {
   const std::vector<std::string> words(aWords + 1, aWords + aCount);
   try {
@@ -107,9 +112,10 @@
   }
 }
 
-tl::expected<Settings, ExitCode> StartDaemon(const DaemonOptions& aOptions,
-                                             int aCount,
-                                             const char* const* aWords)
+tl::expected<Settings, ExitCode>
+StartDaemon(const DaemonOptions& aOptions,
+            int aCount,
+            const char* const* aWords)
 {
   const auto parsed = ParseArguments(DaemonUsage(aOptions),
                                      aOptions.program + ' ' + aOptions.version,
--- a/servers/settings/command_line.h
+++ b/servers/settings/command_line.h
@@ -69,16 +69,17 @@
 
 // Parses by a docopt usage text. Help and version are printed to stdout and
 // give kOk; a wrong line prints the usage to stderr and gives kUsage.
-tl::expected<ParsedArguments, ExitCode> ParseArguments(
-  const std::string& aUsage,
-  const std::string& aVersion,
-  int aCount,
-  const char* const* aWords);
+tl::expected<ParsedArguments, ExitCode>
+ParseArguments(const std::string& aUsage,
+               const std::string& aVersion,
+               int aCount,
+               const char* const* aWords);
 
 // Parses a daemon's command line and loads its settings, printing faults to
 // stderr. The error is the code to exit with, kOk after --check-settings.
-tl::expected<Settings, ExitCode> StartDaemon(const DaemonOptions& aOptions,
-                                             int aCount,
-                                             const char* const* aWords);
+tl::expected<Settings, ExitCode>
+StartDaemon(const DaemonOptions& aOptions,
+            int aCount,
+            const char* const* aWords);
 
 } // namespace firefly
--- a/servers/settings/settings_checks.cpp
+++ b/servers/settings/settings_checks.cpp
@@ -8,12 +8,14 @@
 
 namespace {
 
-std::string Quoted(const std::string& aText)
+std::string
+Quoted(const std::string& aText)
 {
   return '"' + aText + '"';
 }
 
-void CheckTimes(const Settings& aSettings, SettingProblems& aProblems)
+void
+CheckTimes(const Settings& aSettings, SettingProblems& aProblems)
 {
   const auto& steward = aSettings.steward;
   if (steward.renew * 2 > steward.lease) {
@@ -44,9 +46,10 @@
   }
 }
 
-void CheckPorts(const HostSettings& aHost,
-                const std::string& aName,
-                SettingProblems& aProblems)
+void
+CheckPorts(const HostSettings& aHost,
+           const std::string& aName,
+           SettingProblems& aProblems)
 {
   const std::vector<std::pair<std::string, std::uint16_t>> ports{
     { "entry_port", aHost.entryPort },
@@ -69,7 +72,8 @@
   }
 }
 
-void CheckPeers(const Settings& aSettings, SettingProblems& aProblems)
+void
+CheckPeers(const Settings& aSettings, SettingProblems& aProblems)
 {
   std::set<HostId> ids;
   std::map<std::pair<std::string, std::uint16_t>, HostId> addresses;
@@ -91,9 +95,10 @@
   }
 }
 
-void CheckBackend(const Settings& aSettings,
-                  const BackendSettings& aBackend,
-                  SettingProblems& aProblems)
+void
+CheckBackend(const Settings& aSettings,
+             const BackendSettings& aBackend,
+             SettingProblems& aProblems)
 {
   const std::string name = "[[backends]] " + Quoted(aBackend.id.Value());
   if (aBackend.kind == BackendKind::kEngine) {
@@ -111,7 +116,8 @@
   }
 }
 
-void CheckBackends(const Settings& aSettings, SettingProblems& aProblems)
+void
+CheckBackends(const Settings& aSettings, SettingProblems& aProblems)
 {
   std::set<BackendId> ids;
   std::map<std::string, BackendId> urls;
@@ -130,7 +136,8 @@
   }
 }
 
-bool IsServed(const Settings& aSettings, const ServiceSettings& aService)
+bool
+IsServed(const Settings& aSettings, const ServiceSettings& aService)
 {
   return std::ranges::any_of(aSettings.backends, [&](const auto& aBackend) {
     if (aService.kind == ServiceKind::kPlain) {
@@ -140,8 +147,8 @@
   });
 }
 
-void CheckRequestTypes(const ServiceSettings& aService,
-                       SettingProblems& aProblems)
+void
+CheckRequestTypes(const ServiceSettings& aService, SettingProblems& aProblems)
 {
   const std::string name = "[[services]] " + Quoted(aService.id.Value());
   if (aService.requestTypes.empty()) {
@@ -166,7 +173,8 @@
   }
 }
 
-void CheckServices(const Settings& aSettings, SettingProblems& aProblems)
+void
+CheckServices(const Settings& aSettings, SettingProblems& aProblems)
 {
   std::set<ServiceId> ids;
   for (const auto& it : aSettings.services) {
@@ -185,7 +193,8 @@
 
 } // namespace
 
-void CheckClashes(const Settings& aSettings, SettingProblems& aProblems)
+void
+CheckClashes(const Settings& aSettings, SettingProblems& aProblems)
 {
   CheckTimes(aSettings, aProblems);
   if (aSettings.host.entryPort != 0) {
--- a/servers/settings/settings_checks.h
+++ b/servers/settings/settings_checks.h
@@ -8,6 +8,7 @@
 namespace firefly {
 
 // Adds a line for each clash.
-void CheckClashes(const Settings& aSettings, SettingProblems& aProblems);
+void
+CheckClashes(const Settings& aSettings, SettingProblems& aProblems);
 
 } // namespace firefly
--- a/servers/status/status_server.h
+++ b/servers/status/status_server.h
@@ -15,9 +15,8 @@
 namespace firefly {
 
 // A problem+json answer (RFC 9457).
-HttpResponse MakeProblem(int aStatus,
-                         const std::string& aTitle,
-                         const std::string& aDetail);
+HttpResponse
+MakeProblem(int aStatus, const std::string& aTitle, const std::string& aDetail);
 
 class StatusServer
 {
--- a/servers/table/operators_table.h
+++ b/servers/table/operators_table.h
@@ -80,18 +80,20 @@
 // Reads a table and reports all that is wrong with it. With settings, each row
 // must speak of one of their services and request types; without them, such
 // rows pass, since an accepted table goes before a host's older settings.
-tl::expected<OperatorsTable, TableProblems> ParseTable(
-  std::string_view aCsv,
-  const Settings* aSettings);
+tl::expected<OperatorsTable, TableProblems>
+ParseTable(std::string_view aCsv, const Settings* aSettings);
 
 // The table as CSV: a header line and a line for each row.
-std::string FormatTable(const OperatorsTable& aTable);
+std::string
+FormatTable(const OperatorsTable& aTable);
 
 // A table with one row for each request type of the settings, as a start.
-OperatorsTable MakeDefaultTable(const Settings& aSettings);
+OperatorsTable
+MakeDefaultTable(const Settings& aSettings);
 
 // A hash of the table's content, the same on all hosts.
-std::uint64_t DigestOf(const OperatorsTable& aTable);
+std::uint64_t
+DigestOf(const OperatorsTable& aTable);
 
 enum class RowChangeKind
 {
@@ -119,10 +121,11 @@
 };
 
 // What must change in the first table to give the second.
-std::vector<RowChange> DiffTables(const OperatorsTable& aBefore,
-                                  const OperatorsTable& aAfter);
+std::vector<RowChange>
+DiffTables(const OperatorsTable& aBefore, const OperatorsTable& aAfter);
 
 // One line for each change.
-std::string FormatDiff(const std::vector<RowChange>& aChanges);
+std::string
+FormatDiff(const std::vector<RowChange>& aChanges);
 
 } // namespace firefly
--- a/servers/table/table_admin.cpp
+++ b/servers/table/table_admin.cpp
@@ -25,7 +25,8 @@
   kTimeout = 504,
 };
 
-HttpResponse JsonResponse(int aStatus, const Json& aBody)
+HttpResponse
+JsonResponse(int aStatus, const Json& aBody)
 {
   return { .status = aStatus,
            .contentType =
@@ -36,9 +37,8 @@
 }
 
 // A problem as in RFC 9457; "execution" tells whether the edit was made.
-HttpResponse Problem(int aStatus,
-                     const std::string& aTitle,
-                     const std::string& aExecution)
+HttpResponse
+Problem(int aStatus, const std::string& aTitle, const std::string& aExecution)
 {
   return JsonResponse(aStatus,
                       { { "title", aTitle },
@@ -46,7 +46,8 @@
                         { "execution", aExecution } });
 }
 
-std::optional<std::uint64_t> ParseVersion(const std::string& aText)
+std::optional<std::uint64_t>
+ParseVersion(const std::string& aText)
 {
   std::uint64_t version = 0;
   const char* end = aText.data() + aText.size();
@@ -57,7 +58,8 @@
   return version;
 }
 
-HttpResponse ProblemsResponse(const TableProblems& aProblems)
+HttpResponse
+ProblemsResponse(const TableProblems& aProblems)
 {
   Json list = Json::array();
   for (const auto& it : aProblems) {
@@ -72,7 +74,8 @@
                         { "problems", list } });
 }
 
-HttpResponse ErrorResponse(const coord::TableError& aError)
+HttpResponse
+ErrorResponse(const coord::TableError& aError)
 {
   switch (aError.kind) {
     case coord::TableErrorKind::kConflict:
@@ -92,7 +95,8 @@
 }
 
 // The table of a payload that was accepted; an empty one before any edit.
-OperatorsTable TableOf(const std::string& aPayload)
+OperatorsTable
+TableOf(const std::string& aPayload)
 {
   return ParseTable(aPayload, nullptr).value_or(OperatorsTable{});
 }
@@ -110,7 +114,8 @@
 {
 }
 
-void TableAdmin::Handle(const HttpRequest& aRequest, const Answer& aAnswer)
+void
+TableAdmin::Handle(const HttpRequest& aRequest, const Answer& aAnswer)
 {
   const std::string path = kPath;
   if (aRequest.path == path && aRequest.method == "POST") {
@@ -132,7 +137,8 @@
   }
 }
 
-void TableAdmin::Remember(const coord::Snapshot& aSnapshot)
+void
+TableAdmin::Remember(const coord::Snapshot& aSnapshot)
 {
   mHistory.push_back({ .version = aSnapshot.version,
                        .seen = mExecutor.WallNow(),
@@ -142,7 +148,8 @@
   }
 }
 
-HttpResponse TableAdmin::GetTable() const
+HttpResponse
+TableAdmin::GetTable() const
 {
   const auto current = mStore.Current();
   if (!current) {
@@ -156,7 +163,8 @@
     kOk, { { "version", current->version.Value() }, { "csv", csv } });
 }
 
-HttpResponse TableAdmin::GetHistory() const
+HttpResponse
+TableAdmin::GetHistory() const
 {
   Json list = Json::array();
   OperatorsTable before;
@@ -171,7 +179,8 @@
   return JsonResponse(kOk, { { "versions", list } });
 }
 
-HttpResponse TableAdmin::GetConfirmed(const HttpRequest& aRequest) const
+HttpResponse
+TableAdmin::GetConfirmed(const HttpRequest& aRequest) const
 {
   const auto version = ParseVersion(aRequest.QueryValue("version"));
   if (!version) {
@@ -192,7 +201,8 @@
                         { "pending", pending } });
 }
 
-void TableAdmin::Edit(const HttpRequest& aRequest, const Answer& aAnswer)
+void
+TableAdmin::Edit(const HttpRequest& aRequest, const Answer& aAnswer)
 {
   const auto base = ParseVersion(aRequest.QueryValue("base"));
   if (!base) {
--- a/servers/table/table_columns.h
+++ b/servers/table/table_columns.h
@@ -24,9 +24,11 @@
 constexpr std::size_t kTableKeyColumns = 3;
 
 // All columns in their order.
-const std::array<TableColumn, 8>& TableColumns();
+const std::array<TableColumn, 8>&
+TableColumns();
 
 // The row's cells in the order of the columns.
-std::vector<std::string> CellsOf(const TableRow& aRow);
+std::vector<std::string>
+CellsOf(const TableRow& aRow);
 
 } // namespace firefly
--- a/servers/table/table_diff.cpp
+++ b/servers/table/table_diff.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 // The cells behind the key of a row that one of the tables may lack.
-std::vector<std::string> ValuesOf(const TableRow* aRow)
+std::vector<std::string>
+ValuesOf(const TableRow* aRow)
 {
   const std::size_t count = TableColumns().size() - kTableKeyColumns;
   if (aRow == nullptr) {
@@ -17,9 +18,10 @@
   return { cells.begin() + kTableKeyColumns, cells.end() };
 }
 
-RowChange MakeChange(const OperatorsTable::Key& aKey,
-                     const TableRow* aBefore,
-                     const TableRow* aAfter)
+RowChange
+MakeChange(const OperatorsTable::Key& aKey,
+           const TableRow* aBefore,
+           const TableRow* aAfter)
 {
   RowChange change{ .kind = RowChangeKind::kChanged, .key = aKey, .cells = {} };
   if (aBefore == nullptr) {
@@ -38,14 +40,15 @@
   return change;
 }
 
-const TableRow* FindRow(const OperatorsTable& aTable,
-                        const OperatorsTable::Key& aKey)
+const TableRow*
+FindRow(const OperatorsTable& aTable, const OperatorsTable::Key& aKey)
 {
   const auto& [service, type, customer] = aKey;
   return aTable.Find(service, type, customer);
 }
 
-std::string FormatCell(const CellChange& aCell, RowChangeKind aKind)
+std::string
+FormatCell(const CellChange& aCell, RowChangeKind aKind)
 {
   const auto shown = [](const std::string& aText) {
     return aText.empty() ? std::string("(none)") : aText;
@@ -60,7 +63,8 @@
          shown(aCell.after);
 }
 
-char MarkOf(RowChangeKind aKind)
+char
+MarkOf(RowChangeKind aKind)
 {
   switch (aKind) {
     case RowChangeKind::kAdded:
@@ -75,8 +79,8 @@
 
 } // namespace
 
-std::vector<RowChange> DiffTables(const OperatorsTable& aBefore,
-                                  const OperatorsTable& aAfter)
+std::vector<RowChange>
+DiffTables(const OperatorsTable& aBefore, const OperatorsTable& aAfter)
 {
   std::vector<RowChange> changes;
   for (const auto& [key, row] : aBefore.Rows()) {
@@ -93,7 +97,8 @@
   return changes;
 }
 
-std::string FormatDiff(const std::vector<RowChange>& aChanges)
+std::string
+FormatDiff(const std::vector<RowChange>& aChanges)
 {
   std::string text;
   for (const auto& it : aChanges) {
