Let a client drop undelivered bytes

An order in the kernel's send buffer could reach its engine after the sender lost its authority. CurlClient takes TCP_USER_TIMEOUT and a reset on close as options; both default to off.

--- a/servers/http/curl_client.cpp
+++ b/servers/http/curl_client.cpp
@@ -8,6 +8,9 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/posix/stream_descriptor.hpp>
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace firefly {
 
@@ -83,6 +86,7 @@
   void Shutdown();
 
   AsioExecutor& mExecutor;
+  const Options mOptions;
 
 private:
   static int OnSocket(CURL* aEasy,
@@ -133,6 +137,9 @@
   void Finish(CURLcode aCode);
 
 private:
+  static int OnSocketMade(void* aSelf,
+                          curl_socket_t aSocket,
+                          curlsocktype aPurpose);
   static size_t OnHeader(char* aData, size_t aSize, size_t aCount, void* aSelf);
   static size_t OnBody(char* aData, size_t aSize, size_t aCount, void* aSelf);
 
@@ -253,12 +260,35 @@
   }
   mHeaderList = curl_slist_append(mHeaderList, "Expect:");
   curl_easy_setopt(mEasy, CURLOPT_HTTPHEADER, mHeaderList);
+  curl_easy_setopt(mEasy, CURLOPT_SOCKOPTFUNCTION, &Transfer::OnSocketMade);
+  curl_easy_setopt(mEasy, CURLOPT_SOCKOPTDATA, this);
   curl_easy_setopt(mEasy, CURLOPT_HEADERFUNCTION, &Transfer::OnHeader);
   curl_easy_setopt(mEasy, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(mEasy, CURLOPT_WRITEFUNCTION, &Transfer::OnBody);
   curl_easy_setopt(mEasy, CURLOPT_WRITEDATA, this);
 }
 
+int
+CurlClient::Impl::Transfer::OnSocketMade(void* aSelf,
+                                         curl_socket_t aSocket,
+                                         curlsocktype /*aPurpose*/)
+{
+  const Options& options = static_cast<Transfer*>(aSelf)->mOwner->mOptions;
+  bool set = true;
+  if (options.userTimeout > Duration::zero()) {
+    const auto limit = static_cast<unsigned>(ToMillis(options.userTimeout));
+    set = setsockopt(
+            aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit)) == 0;
+  }
+  if (options.resetOnClose) {
+    const linger reset{ .l_onoff = 1, .l_linger = 0 };
+    set =
+      setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)) == 0 &&
+      set;
+  }
+  return set ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+}
+
 void
 CurlClient::Impl::Transfer::WatchStall()
 {
@@ -416,6 +446,7 @@
 
 CurlClient::Impl::Impl(AsioExecutor& aExecutor, Options aOptions)
   : mExecutor(aExecutor)
+  , mOptions(aOptions)
   , mMulti(curl_multi_init())
 {
   curl_multi_setopt(mMulti, CURLMOPT_SOCKETFUNCTION, &Impl::OnSocket);
--- a/servers/http/http_client.h
+++ b/servers/http/http_client.h
@@ -102,6 +102,11 @@
   struct Options
   {
     long maxPooledConnections = 256;
+    // Bytes that the peer has not acknowledged are dropped, with their
+    // connection, after so long; zero leaves it to the kernel.
+    Duration userTimeout = Duration::zero();
+    // Closing a connection drops what has not been delivered yet.
+    bool resetOnClose = false;
   };
 
   CurlClient(AsioExecutor& aExecutor, Options aOptions);
