Give the fleet's orders under a guarded lease

firefly-steward is a candidate for the authority. Its holder carries planned changes through: close, wait for the acknowledgement of each entry that can reach the backend server, wait for its running work, order, verify, reopen. Each step stands in the log first, so a next holder goes on from there; open intents are settled by reading the engine's state back.

A kernel timer at an absolute time of the executor's clock, with the default action of its signal, ends the process just after its lease. An interval timer was ruled out: a stop between reading the clock and setting it would arm it late, and it does not count a suspended host's time. The timer stands a quarter second after the lease's own end, so that a lease that lapses in a running process is stepped down from in order.

Appends to the log go over fresh connections: on a pooled one that the server had closed, libcurl sent the append a second time unseen (the test of a lost answer found two records where one was sent).

--- /dev/null
+++ b/main/firefly_steward.cpp
@@ -0,0 +1,260 @@
+// firefly-steward: a candidate for the fleet's one authority.
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+#include <list>
+
+#include <asio/signal_set.hpp>
+#include <unistd.h>
+
+#include "core/state_chart_loader.h"
+#include "servers/http/http_client.h"
+#include "servers/log/log.h"
+#include "servers/platform/platform_options.h"
+#include "servers/settings/command_line.h"
+#include "servers/status/status_server.h"
+#include "servers/steward/steward_api.h"
+#include "servers/steward/steward_service.h"
+
+namespace {
+
+using firefly::ExitCode;
+
+// Waiting for the log to take the release must not hold the shutdown up.
+constexpr firefly::Duration kResignLimit = std::chrono::seconds(3);
+
+int
+Fail(const std::string& aMessage)
+{
+  std::cerr << "firefly-steward: " << aMessage << '\n';
+  return static_cast<int>(ExitCode::kFailed);
+}
+
+struct Charts
+{
+  firefly::StateChart authority;
+  firefly::StateChart backend;
+};
+
+tl::expected<Charts, firefly::ChartError>
+LoadCharts(const std::filesystem::path& aDirectory)
+{
+  auto authority = firefly::LoadStateChart(aDirectory / "authority.toml");
+  if (!authority) {
+    return tl::make_unexpected(authority.error());
+  }
+  auto backend = firefly::LoadStateChart(aDirectory / "backend.toml");
+  if (!backend) {
+    return tl::make_unexpected(backend.error());
+  }
+  return Charts{ .authority = std::move(*authority),
+                 .backend = std::move(*backend) };
+}
+
+bool
+IsUnchecking(const firefly::BackendSettings& aBackend)
+{
+  return aBackend.kind == firefly::BackendKind::kEngine &&
+         !aBackend.checksFencing;
+}
+
+// Unsent bytes of an order are dropped by the kernel so long after they were
+// written; a challenger waits longer.
+firefly::Duration
+OrderBytesLifetime(const firefly::Settings& aSettings)
+{
+  return aSettings.steward.grace / 2;
+}
+
+firefly::StewardService::Options
+MakeOptions(const firefly::Settings& aSettings,
+            const Charts& aCharts,
+            firefly::WallTime aStarted)
+{
+  const auto started =
+    static_cast<std::uint64_t>(aStarted.time_since_epoch().count());
+  const firefly::StewardSettings& steward = aSettings.steward;
+  firefly::StewardService::Options options;
+  options.stream.writer = firefly::coord::WriterId(
+    "steward/" + aSettings.host.id.Value() + "/" + std::to_string(started) +
+    "/" + std::to_string(getpid()));
+  options.stream.backendChart = &aCharts.backend;
+  options.stream.pollInterval = aSettings.platform.pollInterval;
+  options.stream.checkpointInterval = aSettings.platform.retention / 4;
+  options.stream.seed = started;
+  options.lease.host = aSettings.host.id;
+  options.lease.incarnation = firefly::Incarnation(started);
+  options.lease.chart = &aCharts.authority;
+  options.lease.duration = steward.lease;
+  options.lease.grace = steward.grace;
+  options.lease.renewInterval = steward.renew;
+  options.lease.stagger = steward.renew;
+  options.lease.seed = started + static_cast<std::uint64_t>(getpid());
+  options.changes.drainTimeout = steward.drainTimeout;
+  options.changes.orderLifetime =
+    steward.orderTimeout + OrderBytesLifetime(aSettings);
+  options.link.address = aSettings.host.address;
+  options.link.port = aSettings.host.stewardLinkPort;
+  options.planInterval = steward.planInterval;
+  options.guarded = std::ranges::any_of(aSettings.backends, IsUnchecking);
+  for (const firefly::HostSettings& peer : aSettings.peers) {
+    options.hosts.insert(peer.id);
+  }
+  return options;
+}
+
+std::string
+UrlOf(const firefly::HostSettings& aHost)
+{
+  return "http://" + aHost.address + ":" +
+         std::to_string(aHost.stewardAdminPort);
+}
+
+firefly::StewardApi::Options
+MakeApiOptions(const firefly::Settings& aSettings)
+{
+  firefly::StewardApi::Options options;
+  options.urls[aSettings.host.id] = UrlOf(aSettings.host);
+  for (const firefly::HostSettings& peer : aSettings.peers) {
+    options.urls[peer.id] = UrlOf(peer);
+  }
+  return options;
+}
+
+firefly::coord::WantedState
+InitialState(const firefly::BackendSettings& aBackend)
+{
+  firefly::coord::WantedState state;
+  state.role =
+    firefly::coord::ParseBackendRole(std::string(NameOf(aBackend.role)))
+      .value_or(firefly::coord::BackendRole::kMixed);
+  if (!aBackend.models.empty()) {
+    state.model = aBackend.models.front();
+  }
+  return state;
+}
+
+// The links to all engines, over one client whose connections are reset when
+// they close and drop bytes that can't be delivered.
+class Engines
+{
+public:
+  Engines(firefly::AsioExecutor& aExecutor, const firefly::Settings& aSettings)
+    : mHttp(
+        aExecutor,
+        { .userTimeout = OrderBytesLifetime(aSettings), .resetOnClose = true })
+  {
+    for (const firefly::BackendSettings& backend : aSettings.backends) {
+      Add(backend, aSettings.steward.orderTimeout);
+    }
+  }
+
+  void AddTo(firefly::StewardService& aService) const
+  {
+    for (const firefly::FleetChanges::Target& target : mTargets) {
+      aService.Add(target);
+    }
+  }
+
+private:
+  void Add(const firefly::BackendSettings& aBackend,
+           firefly::Duration aOrderTimeout)
+  {
+    firefly::FleetChanges::Target target;
+    target.id = aBackend.id;
+    target.domain = aBackend.domain;
+    if (aBackend.kind == firefly::BackendKind::kEngine) {
+      target.initial = InitialState(aBackend);
+      target.link = &mLinks.emplace_back(
+        mHttp,
+        firefly::HttpEngineLink::Options{ .url = aBackend.url,
+                                          .requestTimeout = aOrderTimeout });
+    } else {
+      target.initial.role = firefly::coord::BackendRole::kPlain;
+    }
+    mTargets.push_back(std::move(target));
+  }
+
+  firefly::CurlClient mHttp;
+  std::list<firefly::HttpEngineLink> mLinks;
+  std::vector<firefly::FleetChanges::Target> mTargets;
+};
+
+std::string
+ReadyReason(const firefly::StewardService& aService)
+{
+  return aService.Stream().Folding().Ready() ? "" : "the log has not been read";
+}
+
+int
+Run(const firefly::Settings& aSettings)
+{
+  const auto charts = LoadCharts(aSettings.chartsDirectory);
+  if (!charts) {
+    return Fail(charts.error().message);
+  }
+  firefly::LeaseWatchdog watchdog;
+  if (const auto prepared = watchdog.Prepare(); !prepared) {
+    return Fail(prepared.error().message);
+  }
+  firefly::AsioExecutor executor;
+  firefly::CurlClient http(executor, {});
+  firefly::HttpLogClient log(http, LogOptionsOf(aSettings.platform));
+  firefly::HostListClient hosts(http, HostListOptionsOf(aSettings.platform));
+  firefly::WeightStoreClient store(http,
+                                   WeightStoreOptionsOf(aSettings.platform));
+  const Engines engines(executor, aSettings);
+  firefly::MetricRegistry metrics;
+  firefly::AddProcessMetrics(metrics);
+  firefly::StewardService service(
+    executor,
+    MakeOptions(aSettings, *charts, executor.WallNow()),
+    { .log = log, .hostList = hosts, .store = store, .watchdog = watchdog });
+  engines.AddTo(service);
+  service.AddMetrics(metrics);
+  firefly::StewardApi api(service, MakeApiOptions(aSettings));
+  firefly::StatusServer status(
+    executor,
+    { .address = aSettings.host.address,
+      .port = aSettings.host.stewardAdminPort,
+      .ready = [&] { return ReadyReason(service); },
+      .handler =
+        [&](const firefly::HttpRequest& aRequest,
+            const firefly::HttpResponderPtr& aResponder) {
+          api.Handle(aRequest, aResponder);
+        } },
+    metrics);
+  if (const auto started = status.Start(); !started) {
+    return Fail(started.error().message);
+  }
+  if (const auto started = service.Start(); !started) {
+    return Fail(started.error().message);
+  }
+  asio::signal_set signals(executor.Context(), SIGTERM, SIGINT);
+  firefly::Timer limit;
+  signals.async_wait([&](const auto&, int) {
+    limit = executor.RunAfter(kResignLimit, [&] { executor.Stop(); });
+    service.Resign([&] { executor.Stop(); });
+  });
+  executor.Run();
+  return static_cast<int>(ExitCode::kOk);
+}
+
+} // namespace
+
+int
+main(int aCount, char** aWords)
+{
+  const auto settings = firefly::StartDaemon(
+    { .program = "firefly-steward",
+      .purpose = "Gives the fleet's orders while it holds the authority.",
+      .version = FIREFLY_VERSION },
+    aCount,
+    aWords);
+  if (!settings) {
+    return static_cast<int>(settings.error());
+  }
+  firefly::StartLog(settings->log);
+  return Run(*settings);
+}
--- a/servers/platform/http_log_client.cpp
+++ b/servers/platform/http_log_client.cpp
@@ -125,6 +125,9 @@
   call.method = "POST";
   call.headers.push_back({ "Content-Type", "application/json" });
   call.body = payloads.dump();
+  // On a pooled connection that turns out dead the library would append a
+  // second time unseen, and a silent one would cost the whole timeout.
+  call.freshConnection = true;
   mClient.Fetch(
     std::move(call),
     [alive = std::weak_ptr<bool>(mAlive), callback = std::move(aCallback)](
--- a/servers/platform/http_log_client.h
+++ b/servers/platform/http_log_client.h
@@ -18,8 +18,8 @@
 public:
   struct Options
   {
-    std::string url;          // such as "http://10.0.0.1:9000/log"
-    std::string streamPrefix; // put before the name of each stream
+    std::string url;               // such as "http://10.0.0.1:9000/log"
+    std::string streamPrefix = {}; // put before the name of each stream
     Duration connectTimeout = std::chrono::seconds(1);
     Duration requestTimeout = std::chrono::seconds(5);
     // How long the log may hold a read at the end of a stream until a record
--- a/servers/platform/weight_store_client.h
+++ b/servers/platform/weight_store_client.h
@@ -15,11 +15,23 @@
 
 namespace firefly {
 
-class WeightStoreClient
+// The store, as an interface for tests.
+class WeightStore
 {
 public:
   using Callback = std::function<void(tl::expected<void, PlatformError>)>;
 
+  virtual ~WeightStore() = default;
+
+  // Reserves one load of the model; kLimited tells when to ask again. The
+  // callback never runs inside the call.
+  virtual void Reserve(const ModelId& aModel, Callback aCallback) = 0;
+};
+
+// The store over HTTP.
+class WeightStoreClient : public WeightStore
+{
+public:
   struct Options
   {
     std::string url; // such as "http://10.0.0.1:9000/weights"
@@ -29,8 +41,7 @@
   // The client must outlive this one.
   WeightStoreClient(HttpClient& aClient, Options aOptions);
 
-  // Reserves one load of the model; kLimited tells when to ask again.
-  void Reserve(const ModelId& aModel, Callback aCallback);
+  void Reserve(const ModelId& aModel, Callback aCallback) override;
 
 private:
   HttpClient& mClient;
--- /dev/null
+++ b/servers/steward/engine_link.cpp
@@ -0,0 +1,189 @@
+#include "servers/steward/engine_link.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace firefly {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kFirstError = 300;
+constexpr int kFirstServerError = 500;
+constexpr std::size_t kMaxStateBytes = 65536;
+
+EngineError
+FromTransport(const HttpError& aError)
+{
+  const bool notSent = aError.kind == HttpErrorKind::kNotSent;
+  return { .kind =
+             notSent ? EngineErrorKind::kNotSent : EngineErrorKind::kUnknown,
+           .message = aError.message };
+}
+
+EngineError
+FromStatus(int aStatus)
+{
+  const bool refused = aStatus < kFirstServerError;
+  return { .kind =
+             refused ? EngineErrorKind::kRefused : EngineErrorKind::kUnknown,
+           .message = "status " + std::to_string(aStatus) };
+}
+
+json
+EncodeOrder(const coord::Order& aOrder)
+{
+  return { { "order_id", aOrder.id.Value() },
+           { "fence", aOrder.fence.Value() },
+           { "wanted",
+             { { "role", coord::ToString(aOrder.wanted.role) },
+               { "model", aOrder.wanted.model.Value() },
+               { "adapter", aOrder.wanted.adapter },
+               { "version", aOrder.wanted.modelVersion } } } };
+}
+
+std::optional<std::string>
+OptionalText(const json& aState, const char* aKey)
+{
+  if (!aState.contains(aKey) || !aState[aKey].is_string()) {
+    return std::nullopt;
+  }
+  return aState[aKey].get<std::string>();
+}
+
+// A number, or zero where the engine has none to tell.
+std::uint64_t
+NumberOf(const json& aState, const char* aKey)
+{
+  if (!aState.contains(aKey) || aState[aKey].is_null()) {
+    return 0;
+  }
+  return aState[aKey].get<std::uint64_t>();
+}
+
+EngineState
+DecodeState(const json& aState)
+{
+  EngineState state;
+  const auto role =
+    coord::ParseBackendRole(aState.at("role").get<std::string>());
+  state.role = role.value();
+  state.model = ModelId(OptionalText(aState, "model").value_or(""));
+  state.modelVersion = OptionalText(aState, "version");
+  state.adapter = OptionalText(aState, "adapter");
+  state.running = aState.at("running").get<std::uint64_t>();
+  state.lastOrder = coord::OrderId(NumberOf(aState, "last_order"));
+  state.fence = FencingNumber(NumberOf(aState, "fence"));
+  state.changing = aState.at("changing").get<bool>();
+  return state;
+}
+
+tl::expected<EngineState, EngineError>
+ParseState(const HttpResult& aResult)
+{
+  if (aResult.status >= kFirstError) {
+    return tl::make_unexpected(FromStatus(aResult.status));
+  }
+  try {
+    return DecodeState(json::parse(aResult.body));
+  } catch (const std::exception& error) {
+    return tl::make_unexpected(EngineError{ .kind = EngineErrorKind::kUnknown,
+                                            .message = error.what() });
+  }
+}
+
+} // namespace
+
+bool
+EngineState::Serves(const coord::WantedState& aWanted) const
+{
+  return role == aWanted.role && model == aWanted.model &&
+         modelVersion.value_or(aWanted.modelVersion) == aWanted.modelVersion &&
+         adapter.value_or(aWanted.adapter) == aWanted.adapter;
+}
+
+HttpEngineLink::HttpEngineLink(HttpClient& aClient, Options aOptions)
+  : mClient(aClient)
+  , mOptions(std::move(aOptions))
+{
+}
+
+void
+HttpEngineLink::SendOrder(const coord::Order& aOrder, OrderCallback aCallback)
+{
+  HttpCall call;
+  call.method = "POST";
+  call.url = mOptions.url + "/orders";
+  call.headers.push_back({ "Content-Type", "application/json" });
+  call.body = EncodeOrder(aOrder).dump();
+  // A pooled connection that turns out dead would make the library send the
+  // order a second time.
+  call.freshConnection = true;
+  Start(std::move(call),
+        [callback = std::move(aCallback)](
+          const tl::expected<HttpResult, HttpError>& aResult) {
+          if (!aResult) {
+            callback(tl::make_unexpected(FromTransport(aResult.error())));
+            return;
+          }
+          if (aResult->status >= kFirstError) {
+            callback(tl::make_unexpected(FromStatus(aResult->status)));
+            return;
+          }
+          callback({});
+        });
+}
+
+void
+HttpEngineLink::ReadState(StateCallback aCallback)
+{
+  HttpCall call;
+  call.url = mOptions.url + "/state";
+  Start(std::move(call),
+        [callback = std::move(aCallback)](
+          const tl::expected<HttpResult, HttpError>& aResult) {
+          if (!aResult) {
+            callback(tl::make_unexpected(FromTransport(aResult.error())));
+            return;
+          }
+          callback(ParseState(*aResult));
+        });
+}
+
+void
+HttpEngineLink::Start(HttpCall aCall, Callback aCallback)
+{
+  aCall.connectTimeout = mOptions.connectTimeout;
+  aCall.totalTimeout = mOptions.requestTimeout;
+  aCall.maxBodyBytes = kMaxStateBytes;
+  const auto it = mCalls.insert(mCalls.end(), Call{});
+  it->callback = std::move(aCallback);
+  it->transfer = mClient.Stream(
+    std::move(aCall),
+    { .onHead =
+        [it](int aStatus, const HttpHeaders& /*aHeaders*/) {
+          it->result.status = aStatus;
+        },
+      .onBody = [it](std::string_view aBytes) { it->result.body += aBytes; },
+      .onDone =
+        [this, it](const tl::expected<void, HttpError>& aDone) {
+          Finish(it, aDone);
+        } });
+}
+
+void
+HttpEngineLink::Finish(std::list<Call>::iterator aCall,
+                       const tl::expected<void, HttpError>& aDone)
+{
+  std::list<Call> done;
+  done.splice(done.begin(), mCalls, aCall);
+  if (!aDone) {
+    aCall->callback(tl::make_unexpected(aDone.error()));
+    return;
+  }
+  aCall->callback(std::move(aCall->result));
+}
+
+} // namespace firefly
--- a/tests/process/process_harness.h
+++ b/tests/process/process_harness.h
@@ -59,8 +59,9 @@
   struct Options
   {
     std::filesystem::path program; // relative to the build directory
-    std::vector<std::string> arguments;
-    std::filesystem::path output; // gets stdout and stderr; empty drops them
+    std::vector<std::string> arguments = {};
+    std::filesystem::path
+      output = {}; // gets stdout and stderr; empty drops them
   };
 
   // Starts the process; Running() tells whether that worked.
