--- a/tests/servers/steward/fleet_changes_test.cpp
+++ b/tests/servers/steward/fleet_changes_test.cpp
@@ -16,7 +16,6 @@
 using firefly::EntryReport;
 using firefly::EntryReports;
 using firefly::FencingNumber;
-using firefly::FleetChange;
 using firefly::FleetChanges;
 using firefly::HostId;
 using firefly::Incarnation;
