--- a/bench/clairvoyant.cpp
+++ b/bench/clairvoyant.cpp
@@ -56,16 +56,18 @@
   std::vector<double> mUsed;
 };
 
-std::size_t StepOf(Duration aTime)
+std::size_t
+StepOf(Duration aTime)
 {
   return static_cast<std::size_t>(ToSeconds(aTime) / kStepSeconds);
 }
 
 } // namespace
 
-void FillClairvoyant(RunResult& aResult,
-                     const Deployment& aDeployment,
-                     const std::vector<Arrival>& aArrivals)
+void
+FillClairvoyant(RunResult& aResult,
+                const Deployment& aDeployment,
+                const std::vector<Arrival>& aArrivals)
 {
   Duration end{};
   for (const auto& arrival : aArrivals) {
--- a/bench/compare.cpp
+++ b/bench/compare.cpp
@@ -40,7 +40,8 @@
 
 using Measure = std::function<double(const RunResult&)>;
 
-Spread Measured(const std::vector<RunResult>& aRuns, const Measure& aMeasure)
+Spread
+Measured(const std::vector<RunResult>& aRuns, const Measure& aMeasure)
 {
   std::vector<double> values;
   values.reserve(aRuns.size());
@@ -51,9 +52,10 @@
 }
 
 // The spread of the quotients of two rows of runs, seed by seed.
-Spread Quotients(const std::vector<RunResult>& aOver,
-                 const std::vector<RunResult>& aUnder,
-                 const Measure& aMeasure)
+Spread
+Quotients(const std::vector<RunResult>& aOver,
+          const std::vector<RunResult>& aUnder,
+          const Measure& aMeasure)
 {
   std::vector<double> values;
   for (std::size_t i = 0; i < aOver.size() && i < aUnder.size(); ++i) {
@@ -63,27 +65,32 @@
   return SpreadOf(std::move(values));
 }
 
-double Goodput(const RunResult& aRun)
+double
+Goodput(const RunResult& aRun)
 {
   return aRun.goodputWorth;
 }
 
-double FirstP95(const RunResult& aRun)
+double
+FirstP95(const RunResult& aRun)
 {
   return aRun.firstTokenP95.value_or(0);
 }
 
-double FirstP99(const RunResult& aRun)
+double
+FirstP99(const RunResult& aRun)
 {
   return aRun.firstTokenP99.value_or(0);
 }
 
-double ShortTail(const RunResult& aRun)
+double
+ShortTail(const RunResult& aRun)
 {
   return aRun.shortP99.value_or(0);
 }
 
-std::string Shown(const Spread& aSpread, const char* aFormat = "{:.3f}")
+std::string
+Shown(const Spread& aSpread, const char* aFormat = "{:.3f}")
 {
   const auto one = [&](double aValue) {
     return fmt::format(fmt::runtime(aFormat), aValue);
@@ -92,7 +99,8 @@
     "{} ({}-{})", one(aSpread.median), one(aSpread.least), one(aSpread.most));
 }
 
-Json ToObject(const Spread& aSpread)
+Json
+ToObject(const Spread& aSpread)
 {
   Json json;
   json["median"] = aSpread.median;
@@ -344,7 +352,8 @@
   std::string mError;
 };
 
-std::string TargetLines(const Comparison& aComparison)
+std::string
+TargetLines(const Comparison& aComparison)
 {
   std::string text;
   for (const auto& it : aComparison.targets) {
@@ -360,7 +369,8 @@
 }
 
 // The one line that a deployment's owners weigh most.
-std::string SummaryLines(const Comparison& aComparison)
+std::string
+SummaryLines(const Comparison& aComparison)
 {
   std::string text;
   for (const auto& cell : aComparison.cells) {
@@ -391,7 +401,8 @@
 
 } // namespace
 
-Spread SpreadOf(std::vector<double> aValues)
+Spread
+SpreadOf(std::vector<double> aValues)
 {
   if (aValues.empty()) {
     return {};
@@ -402,36 +413,42 @@
   return { median, aValues.front(), aValues.back() };
 }
 
-bool TargetResult::Hit() const
+bool
+TargetResult::Hit() const
 {
   return atMost ? measured.median <= bound : measured.median >= bound;
 }
 
-Spread Cell::GoodputPart() const
+Spread
+Cell::GoodputPart() const
 {
   return Measured(runs, [](const auto& aRun) {
     return aRun.goodputWorth / std::max(1e-9, aRun.offeredWorth);
   });
 }
 
-Spread Cell::FirstTokenP99() const
+Spread
+Cell::FirstTokenP99() const
 {
   return Measured(runs, FirstP99);
 }
 
-Spread Cell::ShortP99() const
+Spread
+Cell::ShortP99() const
 {
   return Measured(runs, ShortTail);
 }
 
-Spread Cell::RoleChanges() const
+Spread
+Cell::RoleChanges() const
 {
   return Measured(runs, [](const auto& aRun) {
     return static_cast<double>(aRun.roleChanges);
   });
 }
 
-std::string Comparison::ToText() const
+std::string
+Comparison::ToText() const
 {
   auto text = fmt::format("medians (least-most) over {} seeds, {} entries\n\n"
                           "{:<10} {:<8} {:<32} {:<22} {:<22} {:<22} {}\n",
@@ -473,7 +490,8 @@
   return text;
 }
 
-std::string Comparison::ToJson() const
+std::string
+Comparison::ToJson() const
 {
   Json json;
   json["seeds"] = options.seeds;
@@ -514,7 +532,8 @@
   return json.dump(2) + "\n";
 }
 
-tl::expected<Comparison, std::string> Compare(const CompareOptions& aOptions)
+tl::expected<Comparison, std::string>
+Compare(const CompareOptions& aOptions)
 {
   return Comparer(aOptions).Run();
 }
--- a/bench/compare.h
+++ b/bench/compare.h
@@ -81,9 +81,11 @@
 };
 
 // Runs them all, one after the other.
-tl::expected<Comparison, std::string> Compare(const CompareOptions& aOptions);
+tl::expected<Comparison, std::string>
+Compare(const CompareOptions& aOptions);
 
 // The median and the range of numbers.
-Spread SpreadOf(std::vector<double> aValues);
+Spread
+SpreadOf(std::vector<double> aValues);
 
 } // namespace firefly::bench
--- a/bench/html_report.h
+++ b/bench/html_report.h
@@ -9,6 +9,7 @@
 namespace firefly::bench {
 
 // The page, with its plots as inline SVG.
-std::string ToHtml(const Comparison& aComparison);
+std::string
+ToHtml(const Comparison& aComparison);
 
 } // namespace firefly::bench
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -26,8 +26,10 @@
 };
 
 // "macaskill" or "hooghly"; null if the name is another.
-const Deployment* FindDeployment(const std::string& aName);
-std::vector<std::string> DeploymentNames();
+const Deployment*
+FindDeployment(const std::string& aName);
+std::vector<std::string>
+DeploymentNames();
 
 // The shape of a type of request.
 struct TypeShape
@@ -73,14 +75,16 @@
 };
 
 // All types of request.
-const std::vector<TypeShape>& RequestTypes();
+const std::vector<TypeShape>&
+RequestTypes();
 
 // The scenario of that name; steady scenarios run at aLoad.
-tl::expected<Scenario, std::string> FindScenario(const std::string& aName,
-                                                 double aLoad);
+tl::expected<Scenario, std::string>
+FindScenario(const std::string& aName, double aLoad);
 
 // The five scenarios that policies are compared on.
-std::vector<std::string> ScenarioNames();
+std::vector<std::string>
+ScenarioNames();
 
 // One request of the run.
 struct Arrival
@@ -93,15 +97,17 @@
 };
 
 // Engine seconds that a request takes at the least.
-double LeastEngineSeconds(std::uint32_t aPromptTokens,
-                          std::uint32_t aOutputTokens);
+double
+LeastEngineSeconds(std::uint32_t aPromptTokens, std::uint32_t aOutputTokens);
 
 // All requests of the run in order of arrival; the same seed gives the same.
-std::vector<Arrival> MakeArrivals(const Deployment& aDeployment,
-                                  const Scenario& aScenario,
-                                  std::uint64_t aSeed);
+std::vector<Arrival>
+MakeArrivals(const Deployment& aDeployment,
+             const Scenario& aScenario,
+             std::uint64_t aSeed);
 
 // When the whole answer is due, counted from the arrival.
-Duration AnswerDue(const Arrival& aArrival);
+Duration
+AnswerDue(const Arrival& aArrival);
 
 } // namespace firefly::bench
--- a/coord/lease.cpp
+++ b/coord/lease.cpp
@@ -35,13 +35,15 @@
   mStream.Folding().RemoveObserver(*this);
 }
 
-void Lease::Start()
+void
+Lease::Start()
 {
   DrawDelay();
   Tick();
 }
 
-std::optional<FencingNumber> Lease::Held() const
+std::optional<FencingNumber>
+Lease::Held() const
 {
   if (!mMachine.Is(kHolding) || mExecutor.Now() >= mValidUntil) {
     return std::nullopt;
@@ -49,7 +51,8 @@
   return mFence;
 }
 
-std::optional<LeaseHolder> Lease::CurrentHolder() const
+std::optional<LeaseHolder>
+Lease::CurrentHolder() const
 {
   const auto& lease = mStream.State().Lease();
   if (!lease) {
@@ -60,7 +63,8 @@
                       .fence = lease->fence };
 }
 
-void Lease::Tick()
+void
+Lease::Tick()
 {
   mTimer = mExecutor.RunAfter(kTick, [this] { Tick(); });
   if (mMachine.Is(kFollower)) {
@@ -72,7 +76,8 @@
 
 // A follower claims once the newest lease is over by its own reading, its
 // place in the stagger has come, and a read sent after that found nothing new.
-void Lease::TickFollower()
+void
+Lease::TickFollower()
 {
   if (mResigned) {
     return;
@@ -94,7 +99,8 @@
   SendClaim();
 }
 
-Instant Lease::LeaseOver() const
+Instant
+Lease::LeaseOver() const
 {
   const auto& lease = mStream.State().Lease();
   const auto read = mStream.LeaseReadAt();
@@ -104,7 +110,8 @@
   return read + mOptions.duration + mOptions.grace;
 }
 
-void Lease::SendClaim()
+void
+Lease::SendClaim()
 {
   ++mClaims;
   mMachine.Fire("claim");
@@ -120,8 +127,9 @@
       }));
 }
 
-void Lease::OnClaim(Instant aSent,
-                    const tl::expected<Confirmation, WriteError>& aResult)
+void
+Lease::OnClaim(Instant aSent,
+               const tl::expected<Confirmation, WriteError>& aResult)
 {
   if (!aResult || !aResult->accepted || mResigned) {
     mMachine.Fire("lost");
@@ -138,7 +146,8 @@
   }
 }
 
-void Lease::TickHolder()
+void
+Lease::TickHolder()
 {
   const bool holder = mMachine.Is(kHolding) || mMachine.Is(kLapsed);
   if (!holder) {
@@ -153,7 +162,8 @@
   }
 }
 
-void Lease::SendRenewal()
+void
+Lease::SendRenewal()
 {
   const auto sent = mExecutor.Now();
   const auto fence = *mFence;
@@ -168,9 +178,10 @@
     }));
 }
 
-void Lease::OnRenewal(FencingNumber aFence,
-                      Instant aSent,
-                      const tl::expected<Confirmation, WriteError>& aResult)
+void
+Lease::OnRenewal(FencingNumber aFence,
+                 Instant aSent,
+                 const tl::expected<Confirmation, WriteError>& aResult)
 {
   if (!aResult || !aResult->accepted || mFence != aFence) {
     return;
@@ -187,7 +198,8 @@
 }
 
 // The lease counts from before its record was sent.
-void Lease::Extend(Instant aSent)
+void
+Lease::Extend(Instant aSent)
 {
   mValidUntil =
     std::max(mValidUntil, aSent + mOptions.duration - mOptions.margin);
@@ -195,19 +207,22 @@
   mLapseTimer = mExecutor.RunAfter(left, [this] { Lapse(); });
 }
 
-void Lease::Lapse()
+void
+Lease::Lapse()
 {
   if (mMachine.Is(kHolding) && mMachine.Fire("lapse")) {
     mObserver.OnLost();
   }
 }
 
-void Lease::OnApplied(const RecordId&, LogOffset, bool)
+void
+Lease::OnApplied(const RecordId&, LogOffset, bool)
 {
   NoticeHolder();
 }
 
-void Lease::OnCaughtUp()
+void
+Lease::OnCaughtUp()
 {
   NoticeHolder();
   if (mMachine.Is(kFollower) && mTimer.Pending()) {
@@ -215,7 +230,8 @@
   }
 }
 
-void Lease::NoticeHolder()
+void
+Lease::NoticeHolder()
 {
   const auto holder = CurrentHolder();
   if (!holder || holder->fence == mSeen) {
@@ -229,7 +245,8 @@
   mObserver.OnHolderChanged(*holder);
 }
 
-void Lease::Supersede()
+void
+Lease::Supersede()
 {
   const bool held = mMachine.Is(kHolding);
   mFence.reset();
@@ -241,7 +258,8 @@
   }
 }
 
-void Lease::Resign(std::function<void(bool)> aCallback)
+void
+Lease::Resign(std::function<void(bool)> aCallback)
 {
   mResigned = true;
   if (!mFence) {
@@ -268,7 +286,8 @@
   }
 }
 
-void Lease::DrawDelay()
+void
+Lease::DrawDelay()
 {
   mDelay = FromSeconds(ToSeconds(mOptions.stagger) * mRandom.Uniform());
 }
--- a/coord/order_journal.cpp
+++ b/coord/order_journal.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-JournalError Translate(const WriteError& aError)
+JournalError
+Translate(const WriteError& aError)
 {
   const bool unknown = aError.kind == WriteErrorKind::kUnknown;
   return { .kind = unknown ? JournalErrorKind::kUnknown
@@ -25,20 +26,22 @@
 {
 }
 
-void OrderJournal::Advance(FencingNumber aFence,
-                           const BackendId& aBackend,
-                           const std::string& aEvent,
-                           DoneCallback aCallback)
+void
+OrderJournal::Advance(FencingNumber aFence,
+                      const BackendId& aBackend,
+                      const std::string& aEvent,
+                      DoneCallback aCallback)
 {
   Write(RecordKind::kPlanEvent,
         AuthorityState::PlanEventBody(aFence, aBackend, aEvent),
         std::move(aCallback));
 }
 
-void OrderJournal::Begin(FencingNumber aFence,
-                         const BackendId& aBackend,
-                         const WantedState& aWanted,
-                         IntentCallback aCallback)
+void
+OrderJournal::Begin(FencingNumber aFence,
+                    const BackendId& aBackend,
+                    const WantedState& aWanted,
+                    IntentCallback aCallback)
 {
   if (mOrderFence != aFence) {
     mOrderFence = aFence;
@@ -61,19 +64,19 @@
         });
 }
 
-void OrderJournal::Finish(FencingNumber aFence,
-                          const Order& aOrder,
-                          OrderResult aResult,
-                          DoneCallback aCallback)
+void
+OrderJournal::Finish(FencingNumber aFence,
+                     const Order& aOrder,
+                     OrderResult aResult,
+                     DoneCallback aCallback)
 {
   Write(RecordKind::kOrderOutcome,
         AuthorityState::OutcomeBody(aFence, aOrder, aResult),
         std::move(aCallback));
 }
 
-void OrderJournal::Write(RecordKind aKind,
-                         std::string aBody,
-                         DoneCallback aCallback)
+void
+OrderJournal::Write(RecordKind aKind, std::string aBody, DoneCallback aCallback)
 {
   mStream.Writer().Append(
     aKind,
--- a/coord/stream_fold.cpp
+++ b/coord/stream_fold.cpp
@@ -16,7 +16,8 @@
   std::string state;
 };
 
-std::string EncodeCheckpoint(const Checkpoint& aCheckpoint)
+std::string
+EncodeCheckpoint(const Checkpoint& aCheckpoint)
 {
   return FieldWriter()
     .Number(aCheckpoint.next.Value())
@@ -24,7 +25,8 @@
     .Take();
 }
 
-std::optional<Checkpoint> DecodeCheckpoint(std::string_view aBody)
+std::optional<Checkpoint>
+DecodeCheckpoint(std::string_view aBody)
 {
   FieldReader reader(aBody);
   Checkpoint checkpoint;
@@ -48,17 +50,20 @@
 {
 }
 
-void StreamFold::AddObserver(FoldObserver& aObserver)
+void
+StreamFold::AddObserver(FoldObserver& aObserver)
 {
   mObservers.push_back(&aObserver);
 }
 
-void StreamFold::RemoveObserver(FoldObserver& aObserver)
+void
+StreamFold::RemoveObserver(FoldObserver& aObserver)
 {
   std::erase(mObservers, &aObserver);
 }
 
-StreamFold::Status StreamFold::State() const
+StreamFold::Status
+StreamFold::State() const
 {
   if (!mReader.CaughtUp()) {
     return Status::kReading;
@@ -66,13 +71,15 @@
   return mBased ? Status::kReady : Status::kLost;
 }
 
-std::string StreamFold::MakeCheckpoint() const
+std::string
+StreamFold::MakeCheckpoint() const
 {
   return EncodeCheckpoint(
     { .next = mReader.Position(), .state = mFold.Save() });
 }
 
-void StreamFold::OnRestart(LogOffset aFirst)
+void
+StreamFold::OnRestart(LogOffset aFirst)
 {
   mFirst = aFirst;
   mBased = aFirst == LogOffset(0) || !mFold.NeedsHistory();
@@ -81,7 +88,8 @@
   mFold.Reset();
 }
 
-void StreamFold::OnRecord(const LogRecord& aRecord)
+void
+StreamFold::OnRecord(const LogRecord& aRecord)
 {
   auto record = DecodeEnvelope(aRecord.payload);
   if (!record) {
@@ -97,7 +105,8 @@
   mHeld.push_back({ .offset = aRecord.offset, .record = std::move(*record) });
 }
 
-void StreamFold::OnCheckpoint(const Envelope& aRecord)
+void
+StreamFold::OnCheckpoint(const Envelope& aRecord)
 {
   mLastCheckpoint = mExecutor.Now();
   if (mBased) {
@@ -120,7 +129,8 @@
   }
 }
 
-void StreamFold::ApplyOne(LogOffset aOffset, const Envelope& aRecord)
+void
+StreamFold::ApplyOne(LogOffset aOffset, const Envelope& aRecord)
 {
   const bool accepted =
     aRecord.kind == RecordKind::kCheckpoint || mFold.Apply(aOffset, aRecord);
@@ -130,7 +140,8 @@
   }
 }
 
-void StreamFold::OnCaughtUp(LogOffset)
+void
+StreamFold::OnCaughtUp(LogOffset)
 {
   const auto observers = mObservers;
   for (auto* it : observers) {
--- a/coord/versioned_table.cpp
+++ b/coord/versioned_table.cpp
@@ -15,7 +15,8 @@
 
 } // namespace
 
-std::uint64_t SnapshotDigest(const Snapshot& aSnapshot)
+std::uint64_t
+SnapshotDigest(const Snapshot& aSnapshot)
 {
   const auto bytes = FieldWriter()
                        .Number(aSnapshot.version.Value())
@@ -25,7 +26,8 @@
   return XXH3_64bits(bytes.data(), bytes.size());
 }
 
-std::string EncodeSnapshot(const Snapshot& aSnapshot)
+std::string
+EncodeSnapshot(const Snapshot& aSnapshot)
 {
   return FieldWriter()
     .Number(aSnapshot.version.Value())
@@ -35,7 +37,8 @@
     .Take();
 }
 
-std::optional<Snapshot> DecodeSnapshot(std::string_view aBytes)
+std::optional<Snapshot>
+DecodeSnapshot(std::string_view aBytes)
 {
   FieldReader reader(aBytes);
   Snapshot snapshot;
@@ -49,13 +52,15 @@
   return snapshot;
 }
 
-void TableState::Reset()
+void
+TableState::Reset()
 {
   mNewest = Snapshot{};
   mNewest.digest = SnapshotDigest(mNewest);
 }
 
-bool TableState::Apply(LogOffset aOffset, const Envelope& aRecord)
+bool
+TableState::Apply(LogOffset aOffset, const Envelope& aRecord)
 {
   if (aRecord.kind != RecordKind::kTableEdit) {
     return false;
@@ -74,12 +79,14 @@
   return true;
 }
 
-std::string TableState::Save() const
+std::string
+TableState::Save() const
 {
   return EncodeSnapshot(mNewest);
 }
 
-bool TableState::Load(std::string_view aState)
+bool
+TableState::Load(std::string_view aState)
 {
   const auto snapshot = DecodeSnapshot(aState);
   if (!snapshot || snapshot->digest != SnapshotDigest(*snapshot)) {
@@ -118,21 +125,24 @@
   mFold.RemoveObserver(*this);
 }
 
-void VersionedTable::Start()
+void
+VersionedTable::Start()
 {
   mFold.Start();
   DrawCheckpointAge();
   MaintainCheckpoint();
 }
 
-void VersionedTable::OnApplied(const RecordId&, LogOffset, bool aAccepted)
+void
+VersionedTable::OnApplied(const RecordId&, LogOffset, bool aAccepted)
 {
   if (aAccepted) {
     Adopt(mState.Newest());
   }
 }
 
-void VersionedTable::OnCaughtUp()
+void
+VersionedTable::OnCaughtUp()
 {
   if (mFold.Ready()) {
     Adopt(mState.Newest());
@@ -144,7 +154,8 @@
   }
 }
 
-bool VersionedTable::Offer(const Snapshot& aSnapshot)
+bool
+VersionedTable::Offer(const Snapshot& aSnapshot)
 {
   if (aSnapshot.digest != SnapshotDigest(aSnapshot)) {
     ++mRefusedOffers;
@@ -154,7 +165,8 @@
 }
 
 // The version never falls, whatever comes.
-bool VersionedTable::Adopt(const Snapshot& aSnapshot)
+bool
+VersionedTable::Adopt(const Snapshot& aSnapshot)
 {
   if (mCurrent && aSnapshot.version <= mCurrent->version) {
     return false;
@@ -166,9 +178,10 @@
   return true;
 }
 
-void VersionedTable::Apply(TableVersion aBase,
-                           const std::string& aPayload,
-                           ApplyCallback aCallback)
+void
+VersionedTable::Apply(TableVersion aBase,
+                      const std::string& aPayload,
+                      ApplyCallback aCallback)
 {
   const auto fail = [&](TableErrorKind aKind, const char* aWhy) {
     mExecutor.Post(mGuard.Wrap(
@@ -198,9 +211,9 @@
     }));
 }
 
-void VersionedTable::OnEdit(
-  const tl::expected<Confirmation, WriteError>& aResult,
-  const ApplyCallback& aCallback)
+void
+VersionedTable::OnEdit(const tl::expected<Confirmation, WriteError>& aResult,
+                       const ApplyCallback& aCallback)
 {
   if (!aResult) {
     const bool unknown = aResult.error().kind == WriteErrorKind::kUnknown;
@@ -218,15 +231,16 @@
   aCallback(mState.Newest().version);
 }
 
-TableError VersionedTable::Failure(TableErrorKind aKind,
-                                   std::string aMessage) const
+TableError
+VersionedTable::Failure(TableErrorKind aKind, std::string aMessage) const
 {
   return { .kind = aKind,
            .message = std::move(aMessage),
            .current = mCurrent ? mCurrent->version : TableVersion(0) };
 }
 
-void VersionedTable::MaintainCheckpoint()
+void
+VersionedTable::MaintainCheckpoint()
 {
   mTimer =
     mExecutor.RunAfter(kMaintenanceInterval, [this] { MaintainCheckpoint(); });
@@ -250,7 +264,8 @@
 }
 
 // Between the interval and half more, so that one process of many is first.
-void VersionedTable::DrawCheckpointAge()
+void
+VersionedTable::DrawCheckpointAge()
 {
   const auto interval = ToSeconds(mOptions.checkpointInterval);
   mCheckpointAge = FromSeconds(interval * (1.0 + 0.5 * mRandom.Uniform()));
--- a/coord/writer.cpp
+++ b/coord/writer.cpp
@@ -12,10 +12,11 @@
 {
 }
 
-RecordId LogWriter::Append(RecordKind aKind,
-                           std::string aBody,
-                           Instant aDeadline,
-                           Callback aCallback)
+RecordId
+LogWriter::Append(RecordKind aKind,
+                  std::string aBody,
+                  Instant aDeadline,
+                  Callback aCallback)
 {
   RecordId id{ .writer = mOptions.writer, .sequence = ++mSequence };
   if (mQueue.size() >= mOptions.maxQueue) {
@@ -33,7 +34,8 @@
   return id;
 }
 
-void LogWriter::Arm()
+void
+LogWriter::Arm()
 {
   if (mBusy || mTimer.Pending()) {
     return;
@@ -41,7 +43,8 @@
   mTimer = mExecutor.RunAfter(mOptions.linger, [this] { Send(); });
 }
 
-void LogWriter::Send()
+void
+LogWriter::Send()
 {
   GiveUpLate();
   FillBatch();
@@ -67,7 +70,8 @@
               }));
 }
 
-void LogWriter::GiveUpLate()
+void
+LogWriter::GiveUpLate()
 {
   std::vector<Item> late;
   if (!mBusy) {
@@ -81,8 +85,8 @@
   }
 }
 
-void LogWriter::TakeLate(std::deque<Item>& aQueue,
-                         std::vector<Item>& aLate) const
+void
+LogWriter::TakeLate(std::deque<Item>& aQueue, std::vector<Item>& aLate) const
 {
   std::deque<Item> kept;
   for (auto& it : aQueue) {
@@ -97,7 +101,8 @@
 
 // A batch that is tried again takes no more records: they come into the log in
 // the order of their sequences, but for late copies.
-void LogWriter::FillBatch()
+void
+LogWriter::FillBatch()
 {
   if (!mBatch.empty()) {
     return;
@@ -111,8 +116,9 @@
   }
 }
 
-void LogWriter::OnAnswer(std::uint64_t aTry,
-                         const tl::expected<LogOffset, LogError>& aAnswer)
+void
+LogWriter::OnAnswer(std::uint64_t aTry,
+                    const tl::expected<LogOffset, LogError>& aAnswer)
 {
   if (aTry != mAppends || !mBusy) {
     return; // the answer to a try that was given up
@@ -126,7 +132,8 @@
   OnAppended(*aAnswer);
 }
 
-void LogWriter::OnAppended(LogOffset aFirst)
+void
+LogWriter::OnAppended(LogOffset aFirst)
 {
   mRecords += mBatch.size();
   auto done = std::exchange(mBatch, {});
@@ -139,7 +146,8 @@
   }
 }
 
-void LogWriter::OnFailed(const LogError& aError)
+void
+LogWriter::OnFailed(const LogError& aError)
 {
   if (aError.kind != LogErrorKind::kUnavailable) {
     for (auto& it : mBatch) {
--- a/policy/backend_selector.cpp
+++ b/policy/backend_selector.cpp
@@ -15,13 +15,8 @@
 // What one good sample gives back.
 constexpr double kGoodStep = 0.08;
 constexpr double kLeastSpeed = 0.05;
-// Below this speed a backend server only gets probes and what others can't
-// take.
-constexpr double kProbeSpeed = 0.7;
 // First tokens sooner than this beyond what was expected say nothing.
 constexpr double kWaitNoiseSeconds = 0.1;
-// How sure it is that a prefix is where the hash puts it.
-constexpr double kAffinityTrust = 0.5;
 // The gap between tokens with one request running, as a part of the full one.
 constexpr double kIdleGap = 0.5;
 // Checks for silent peers are this far apart.
@@ -33,35 +28,36 @@
 constexpr double kHashUnit = 1.0 / 9007199254740994.0; // 2^53 + 2
 
 // What a request takes of a backend server, as seconds of all of it.
-double CostAt(const RequestInfo& aRequest,
-              const SelectQuery& aQuery,
-              const BackendCapacity& aCapacity,
-              std::uint32_t aCached)
+double
+CostAt(const RequestInfo& aRequest,
+       const SelectQuery& aQuery,
+       const BackendCapacity& aCapacity,
+       std::uint32_t aCached)
 {
   if (!aRequest.NeedsEngine()) {
     return 1.0 / std::max(1U, aCapacity.slots);
   }
   const auto prompt = aRequest.promptTokens.Value();
-  const auto shared = static_cast<std::uint32_t>(
-    aRequest.prefixHashes.size() * aRequest.prefixBlockTokens.Value());
-  const auto cached = std::min(prompt, aCached > 0 ? aCached : shared);
-  return (prompt - cached + 1) / aCapacity.prefillTokensPerSecond +
-         aQuery.size.usual.Value() / aCapacity.decodeTokensPerSecond;
+  const auto cached = std::min(prompt, aCached);
+  return aCapacity.SecondsOf(Tokens(prompt - cached + 1), aQuery.size.usual);
 }
 
-bool Contains(const std::vector<BackendSlot>& aSlots, BackendSlot aSlot)
+bool
+Contains(const std::vector<BackendSlot>& aSlots, BackendSlot aSlot)
 {
   return std::find(aSlots.begin(), aSlots.end(), aSlot) != aSlots.end();
 }
 
-bool IsOpenFor(const RequestInfo& aRequest, const Backend& aBackend)
+bool
+IsOpenFor(const RequestInfo& aRequest, const Backend& aBackend)
 {
   return aBackend.state == BackendState::kOpen && aBackend.Serves(aRequest);
 }
 
 // Depths at which prefixes are remembered: powers of two, and the whole.
 template<typename Visit>
-void ForRememberedDepths(std::size_t aBlocks, Visit aVisit)
+void
+ForRememberedDepths(std::size_t aBlocks, Visit aVisit)
 {
   for (std::size_t depth = 1; depth < aBlocks; depth *= 2) {
     aVisit(depth);
@@ -78,14 +74,14 @@
 {
 }
 
-tl::expected<Choice, SelectError> LearningSelector::Select(
-  const RequestInfo& aRequest,
-  const SelectQuery& aQuery,
-  const FleetView& aFleet,
-  Instant aNow)
+tl::expected<Choice, SelectError>
+LearningSelector::Select(const RequestInfo& aRequest,
+                         const SelectQuery& aQuery,
+                         const FleetView& aFleet,
+                         Instant aNow)
 {
   ForgetSilentPeers(aNow);
-  FindCandidates(aRequest, aQuery, aFleet, aNow);
+  FindCandidates(aRequest, aQuery, aFleet);
   if (mCandidates.empty()) {
     return tl::make_unexpected(SelectError{ SelectFailure::kNoBackend, {} });
   }
@@ -109,10 +105,21 @@
   return best.choice;
 }
 
-AttemptInfo LearningSelector::OnDispatch(const RequestInfo& aRequest,
-                                         const Choice& aChoice,
-                                         Lane aLane,
-                                         Instant aNow)
+Tokens
+LearningSelector::ExpectedCached(const RequestInfo& aRequest) const
+{
+  if (!mOptions.useAffinity || aRequest.prefixHashes.empty()) {
+    return Tokens(0);
+  }
+  return Tokens(
+    std::min(aRequest.promptTokens.Value(), FindPrefix(aRequest).tokens));
+}
+
+AttemptInfo
+LearningSelector::OnDispatch(const RequestInfo& aRequest,
+                             const Choice& aChoice,
+                             Lane aLane,
+                             Instant aNow)
 {
   auto& load = LoadAt(aChoice.slot);
   const auto prompt = aRequest.promptTokens.Value();
@@ -121,9 +128,7 @@
   load.stragglers += aLane == Lane::kStraggler ? 1 : 0;
   load.prefillTokens += prompt - cached;
   load.lastDispatch = aNow;
-  if (aChoice.slot.Value() < mSlotHashes.size()) {
-    RememberPrefix(aRequest, mSlotHashes[aChoice.slot.Value()]);
-  }
+  RememberPrefix(aRequest);
   return { .slot = aChoice.slot,
            .prefillTokens = Tokens(prompt - cached),
            .expectedWait = aChoice.expectedWait,
@@ -132,9 +137,10 @@
            .hadFirstToken = false };
 }
 
-void LearningSelector::OnFirstToken(AttemptInfo& aAttempt,
-                                    Duration aWait,
-                                    Instant /*aNow*/)
+void
+LearningSelector::OnFirstToken(AttemptInfo& aAttempt,
+                               Duration aWait,
+                               Instant /*aNow*/)
 {
   if (aAttempt.hadFirstToken) {
     return;
@@ -147,9 +153,10 @@
              SpeedOf(aAttempt.slot) * expected / std::max(wait, expected));
 }
 
-void LearningSelector::OnTokens(const AttemptInfo& aAttempt,
-                                Duration aMeanGap,
-                                Instant /*aNow*/)
+void
+LearningSelector::OnTokens(const AttemptInfo& aAttempt,
+                           Duration aMeanGap,
+                           Instant /*aNow*/)
 {
   const double full = ToSeconds(aAttempt.expectedGap);
   const double gap = ToSeconds(aMeanGap);
@@ -158,7 +165,8 @@
   }
 }
 
-void LearningSelector::OnFinish(const AttemptInfo& aAttempt, Instant /*aNow*/)
+void
+LearningSelector::OnFinish(const AttemptInfo& aAttempt, Instant /*aNow*/)
 {
   auto& load = LoadAt(aAttempt.slot);
   load.requests--;
@@ -168,31 +176,35 @@
   }
 }
 
-void LearningSelector::OnError(const AttemptInfo& aAttempt, Instant aNow)
+void
+LearningSelector::OnError(const AttemptInfo& aAttempt, Instant aNow)
 {
   OnFinish(aAttempt, aNow);
   TakeSample(aAttempt.slot, kLeastSpeed);
 }
 
-void LearningSelector::OnOverdue(const AttemptInfo& aAttempt,
-                                 Duration aWaited,
-                                 Instant /*aNow*/)
+void
+LearningSelector::OnOverdue(const AttemptInfo& aAttempt,
+                            Duration aWaited,
+                            Instant /*aNow*/)
 {
   const double expected = ToSeconds(aAttempt.expectedWait) + kWaitNoiseSeconds;
   const double waited = std::max(ToSeconds(aWaited), expected);
   TakeSample(aAttempt.slot, expected / waited);
 }
 
-void LearningSelector::OnReport(const LoadReport& /*aReport*/,
-                                const FleetView& /*aFleet*/,
-                                Instant /*aNow*/)
+void
+LearningSelector::OnReport(const LoadReport& /*aReport*/,
+                           const FleetView& /*aFleet*/,
+                           Instant /*aNow*/)
 {
   // Own work and the peers' digests are both newer than any report.
 }
 
-void LearningSelector::OnPeerDigest(const Digest& aDigest,
-                                    const FleetView& aFleet,
-                                    Instant aNow)
+void
+LearningSelector::OnPeerDigest(const Digest& aDigest,
+                               const FleetView& aFleet,
+                               Instant aNow)
 {
   if (!mOptions.usePeers) {
     return;
@@ -214,9 +226,10 @@
   }
 }
 
-void LearningSelector::FillDigest(Digest& aDigest,
-                                  const FleetView& aFleet,
-                                  Instant /*aNow*/) const
+void
+LearningSelector::FillDigest(Digest& aDigest,
+                             const FleetView& aFleet,
+                             Instant /*aNow*/) const
 {
   for (std::size_t i = 0; i < mLoads.size(); ++i) {
     const auto& load = mLoads[i];
@@ -232,12 +245,14 @@
   }
 }
 
-double LearningSelector::SpeedOf(BackendSlot aSlot) const
+double
+LearningSelector::SpeedOf(BackendSlot aSlot) const
 {
   return aSlot.Value() < mLoads.size() ? mLoads[aSlot.Value()].speed : 1.0;
 }
 
-LearningSelector::Load& LearningSelector::LoadAt(BackendSlot aSlot)
+LearningSelector::Load&
+LearningSelector::LoadAt(BackendSlot aSlot)
 {
   if (mLoads.size() <= aSlot.Value()) {
     mLoads.resize(aSlot.Value() + 1);
@@ -245,7 +260,8 @@
   return mLoads[aSlot.Value()];
 }
 
-void LearningSelector::TakeSample(BackendSlot aSlot, double aSpeed)
+void
+LearningSelector::TakeSample(BackendSlot aSlot, double aSpeed)
 {
   if (!mOptions.useSpeed) {
     return;
@@ -259,7 +275,8 @@
   speed = std::clamp(speed, kLeastSpeed, 1.0);
 }
 
-void LearningSelector::Forget(Peer& aPeer)
+void
+LearningSelector::Forget(Peer& aPeer)
 {
   for (const auto& [slot, work] : aPeer.work) {
     auto& load = LoadAt(slot);
@@ -269,7 +286,8 @@
   aPeer.work.clear();
 }
 
-void LearningSelector::ForgetSilentPeers(Instant aNow)
+void
+LearningSelector::ForgetSilentPeers(Instant aNow)
 {
   if (aNow - mPeersChecked < kPeerCheck) {
     return;
@@ -282,13 +300,15 @@
   }
 }
 
-void LearningSelector::FindCandidates(const RequestInfo& aRequest,
-                                      const SelectQuery& aQuery,
-                                      const FleetView& aFleet,
-                                      Instant aNow)
+void
+LearningSelector::FindCandidates(const RequestInfo& aRequest,
+                                 const SelectQuery& aQuery,
+                                 const FleetView& aFleet)
 {
   mOpen.clear();
   mCandidates.clear();
+  mHomes.clear();
+  mPrefix = {};
   const auto& all = aFleet.All();
   for (std::uint32_t i = 0; i < all.size(); ++i) {
     const BackendSlot slot(i);
@@ -306,43 +326,51 @@
   for (std::uint32_t i = 0; i < mOptions.randomCandidates; ++i) {
     AddCandidate(mOpen[mRandom.Below(mOpen.size())]);
   }
-  if (!mOptions.useAffinity || aRequest.prefixHashes.empty()) {
-    return;
+  if (mOptions.useAffinity && !aRequest.prefixHashes.empty()) {
+    AddHomes(aRequest, aQuery, aFleet);
   }
-  // Rendezvous hashing with weights: the same in all entries, and backend
-  // servers that suit the request better hold more of its kind.
+}
+
+void
+LearningSelector::AddHomes(const RequestInfo& aRequest,
+                           const SelectQuery& aQuery,
+                           const FleetView& aFleet)
+{
+  mPrefix = FindPrefix(aRequest);
+  // Rendezvous hashing with weights: backend servers that suit the request
+  // better hold more of its kind.
   mRanked.clear();
   for (const auto slot : mOpen) {
-    const auto hash =
-      MixHash(aRequest.prefixHashes.front(), mSlotHashes[slot.Value()]);
+    const auto hash = MixHash(mPrefix.hash, mSlotHashes[slot.Value()]);
     const double draw = (static_cast<double>(hash >> 11) + 1) * kHashUnit;
-    const double cost = CostAt(aRequest, aQuery, aFleet.At(slot).capacity, 0);
+    const double cost =
+      CostAt(aRequest, aQuery, aFleet.At(slot).capacity, mPrefix.length);
     mRanked.emplace_back(1 / (cost * cost * -std::log(draw)), slot);
   }
-  const auto n =
-    std::min<std::size_t>(mOptions.affinityCandidates, mRanked.size());
+  const auto n = std::min<std::size_t>(mOptions.homes, mRanked.size());
   std::partial_sort(mRanked.begin(),
                     mRanked.begin() + static_cast<std::ptrdiff_t>(n),
                     mRanked.end(),
                     std::greater<>());
   for (std::size_t i = 0; i < n; ++i) {
     AddCandidate(mRanked[i].second);
+    mHomes.push_back(mRanked[i].second);
   }
-  (void)aNow;
 }
 
-void LearningSelector::AddCandidate(BackendSlot aSlot)
+void
+LearningSelector::AddCandidate(BackendSlot aSlot)
 {
   if (!Contains(mCandidates, aSlot)) {
     mCandidates.push_back(aSlot);
   }
 }
 
-LearningSelector::Prediction LearningSelector::Predict(
-  const RequestInfo& aRequest,
-  const SelectQuery& aQuery,
-  const FleetView& aFleet,
-  BackendSlot aSlot)
+LearningSelector::Prediction
+LearningSelector::Predict(const RequestInfo& aRequest,
+                          const SelectQuery& aQuery,
+                          const FleetView& aFleet,
+                          BackendSlot aSlot)
 {
   const auto& backend = aFleet.At(aSlot);
   const auto& capacity = backend.capacity;
@@ -350,7 +378,7 @@
   const double speed = load.speed;
   const auto prompt = aRequest.promptTokens.Value();
   const auto cached =
-    std::min(prompt, CachedTokens(aRequest, mSlotHashes[aSlot.Value()]));
+    Contains(mHomes, aSlot) ? std::min(prompt, mPrefix.tokens) : 0;
   const double backlog =
     static_cast<double>(load.prefillTokens) + load.peers.prefillTokens;
   const double requests =
@@ -361,7 +389,11 @@
   const double gap = capacity.tokenGapSeconds *
                      (kIdleGap + (1 - kIdleGap) * std::min(1.0, fullness)) /
                      speed;
-  const double queueing = backlog / rate;
+  // Beyond the slots each request waits until one of them is free.
+  const double beyond = std::max(0.0, requests + 1 - capacity.slots);
+  const double slotWait = beyond * aQuery.size.usual.Value() * gap /
+                          std::max<std::uint32_t>(1, capacity.slots);
+  const double queueing = backlog / rate + slotWait;
   const double own = (prompt - cached) / rate + gap;
   const double wait = queueing + own;
   Prediction prediction;
@@ -384,46 +416,49 @@
   return prediction;
 }
 
-std::uint32_t LearningSelector::CachedTokens(const RequestInfo& aRequest,
-                                             std::uint64_t aBackend) const
+LearningSelector::KnownPrefix
+LearningSelector::FindPrefix(const RequestInfo& aRequest) const
 {
-  if (!mOptions.useAffinity) {
-    return 0;
-  }
-  std::uint32_t cached = 0;
+  // Until a part of it was seen, all of it may be what others share.
   const auto block = aRequest.prefixBlockTokens.Value();
+  const auto whole =
+    static_cast<std::uint32_t>(aRequest.prefixHashes.size() * block);
+  KnownPrefix known{ .hash = aRequest.prefixHashes.back(),
+                     .length = whole,
+                     .tokens = 0 };
   ForRememberedDepths(aRequest.prefixHashes.size(), [&](std::size_t aDepth) {
-    const auto key = MixHash(aRequest.prefixHashes[aDepth - 1], aBackend);
-    if (mPrefixPlaces.contains(key)) {
-      cached = static_cast<std::uint32_t>(aDepth * block);
+    const auto hash = aRequest.prefixHashes[aDepth - 1];
+    if (mPrefixPlaces.contains(hash)) {
+      const auto tokens = static_cast<std::uint32_t>(aDepth * block);
+      known = { hash, tokens, tokens };
     }
   });
-  return cached;
+  return known;
 }
 
-void LearningSelector::RememberPrefix(const RequestInfo& aRequest,
-                                      std::uint64_t aBackend)
+void
+LearningSelector::RememberPrefix(const RequestInfo& aRequest)
 {
   ForRememberedDepths(aRequest.prefixHashes.size(), [&](std::size_t aDepth) {
-    const auto key = MixHash(aRequest.prefixHashes[aDepth - 1], aBackend);
-    const auto it = mPrefixPlaces.find(key);
+    const auto hash = aRequest.prefixHashes[aDepth - 1];
+    const auto it = mPrefixPlaces.find(hash);
     if (it != mPrefixPlaces.end()) {
       mPrefixes.splice(mPrefixes.begin(), mPrefixes, it->second);
       return;
     }
-    mPrefixes.push_front({ key, static_cast<std::uint32_t>(aDepth) });
-    mPrefixPlaces[key] = mPrefixes.begin();
+    mPrefixes.push_front(hash);
+    mPrefixPlaces[hash] = mPrefixes.begin();
     if (mPrefixes.size() > mOptions.prefixMemory) {
-      mPrefixPlaces.erase(mPrefixes.back().key);
+      mPrefixPlaces.erase(mPrefixes.back());
       mPrefixes.pop_back();
     }
   });
 }
 
-std::vector<BackendSlot> RoundRobinSelector::Eligible(
-  const RequestInfo& aRequest,
-  const SelectQuery& aQuery,
-  const FleetView& aFleet)
+std::vector<BackendSlot>
+RoundRobinSelector::Eligible(const RequestInfo& aRequest,
+                             const SelectQuery& aQuery,
+                             const FleetView& aFleet)
 {
   // Prompts longer than so many times the expected output are prefill work.
   constexpr double kPrefillRatio = 10;
@@ -446,11 +481,11 @@
   return suited.empty() ? open : suited;
 }
 
-tl::expected<Choice, SelectError> RoundRobinSelector::Select(
-  const RequestInfo& aRequest,
-  const SelectQuery& aQuery,
-  const FleetView& aFleet,
-  Instant /*aNow*/)
+tl::expected<Choice, SelectError>
+RoundRobinSelector::Select(const RequestInfo& aRequest,
+                           const SelectQuery& aQuery,
+                           const FleetView& aFleet,
+                           Instant /*aNow*/)
 {
   const auto slots = Eligible(aRequest, aQuery, aFleet);
   if (slots.empty()) {
@@ -464,10 +499,17 @@
                  .cachedTokens = {} };
 }
 
-AttemptInfo RoundRobinSelector::OnDispatch(const RequestInfo& aRequest,
-                                           const Choice& aChoice,
-                                           Lane aLane,
-                                           Instant /*aNow*/)
+Tokens
+RoundRobinSelector::ExpectedCached(const RequestInfo& /*aRequest*/) const
+{
+  return Tokens(0);
+}
+
+AttemptInfo
+RoundRobinSelector::OnDispatch(const RequestInfo& aRequest,
+                               const Choice& aChoice,
+                               Lane aLane,
+                               Instant /*aNow*/)
 {
   return { .slot = aChoice.slot,
            .prefillTokens = aRequest.promptTokens,
@@ -477,58 +519,64 @@
            .hadFirstToken = false };
 }
 
-void RoundRobinSelector::OnFirstToken(AttemptInfo& aAttempt,
-                                      Duration /*aWait*/,
-                                      Instant /*aNow*/)
+void
+RoundRobinSelector::OnFirstToken(AttemptInfo& aAttempt,
+                                 Duration /*aWait*/,
+                                 Instant /*aNow*/)
 {
   aAttempt.hadFirstToken = true;
 }
 
-void RoundRobinSelector::OnTokens(const AttemptInfo& /*aAttempt*/,
-                                  Duration /*aMeanGap*/,
-                                  Instant /*aNow*/)
+void
+RoundRobinSelector::OnTokens(const AttemptInfo& /*aAttempt*/,
+                             Duration /*aMeanGap*/,
+                             Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::OnFinish(const AttemptInfo& /*aAttempt*/,
-                                  Instant /*aNow*/)
+void
+RoundRobinSelector::OnFinish(const AttemptInfo& /*aAttempt*/, Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::OnError(const AttemptInfo& /*aAttempt*/,
-                                 Instant /*aNow*/)
+void
+RoundRobinSelector::OnError(const AttemptInfo& /*aAttempt*/, Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::OnOverdue(const AttemptInfo& /*aAttempt*/,
-                                   Duration /*aWaited*/,
-                                   Instant /*aNow*/)
+void
+RoundRobinSelector::OnOverdue(const AttemptInfo& /*aAttempt*/,
+                              Duration /*aWaited*/,
+                              Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::OnReport(const LoadReport& /*aReport*/,
-                                  const FleetView& /*aFleet*/,
-                                  Instant /*aNow*/)
+void
+RoundRobinSelector::OnReport(const LoadReport& /*aReport*/,
+                             const FleetView& /*aFleet*/,
+                             Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::OnPeerDigest(const Digest& /*aDigest*/,
-                                      const FleetView& /*aFleet*/,
-                                      Instant /*aNow*/)
+void
+RoundRobinSelector::OnPeerDigest(const Digest& /*aDigest*/,
+                                 const FleetView& /*aFleet*/,
+                                 Instant /*aNow*/)
 {
 }
 
-void RoundRobinSelector::FillDigest(Digest& /*aDigest*/,
-                                    const FleetView& /*aFleet*/,
-                                    Instant /*aNow*/) const
+void
+RoundRobinSelector::FillDigest(Digest& /*aDigest*/,
+                               const FleetView& /*aFleet*/,
+                               Instant /*aNow*/) const
 {
 }
 
-tl::expected<Choice, SelectError> LeastReportedLoadSelector::Select(
-  const RequestInfo& aRequest,
-  const SelectQuery& aQuery,
-  const FleetView& aFleet,
-  Instant /*aNow*/)
+tl::expected<Choice, SelectError>
+LeastReportedLoadSelector::Select(const RequestInfo& aRequest,
+                                  const SelectQuery& aQuery,
+                                  const FleetView& aFleet,
+                                  Instant /*aNow*/)
 {
   const auto slots = Eligible(aRequest, aQuery, aFleet);
   if (slots.empty()) {
@@ -551,9 +599,10 @@
                  .cachedTokens = {} };
 }
 
-void LeastReportedLoadSelector::OnReport(const LoadReport& aReport,
-                                         const FleetView& aFleet,
-                                         Instant /*aNow*/)
+void
+LeastReportedLoadSelector::OnReport(const LoadReport& aReport,
+                                    const FleetView& aFleet,
+                                    Instant /*aNow*/)
 {
   if (!aFleet.Find(aReport.backend)) {
     return;
--- a/policy/digest.cpp
+++ b/policy/digest.cpp
@@ -22,7 +22,8 @@
                                std::vector<std::uint64_t>,
                                std::vector<std::uint64_t>>;
 
-DigestTuple ToTuple(const Digest& aDigest)
+DigestTuple
+ToTuple(const Digest& aDigest)
 {
   std::vector<WorkTuple> work;
   for (const auto& it : aDigest.work) {
@@ -44,7 +45,8 @@
            aDigest.quarantined,  aDigest.suspects };
 }
 
-Digest FromTuple(const DigestTuple& aTuple)
+Digest
+FromTuple(const DigestTuple& aTuple)
 {
   const auto& [host,
                incarnation,
@@ -76,14 +78,16 @@
 
 } // namespace
 
-std::string Digest::Encode() const
+std::string
+Digest::Encode() const
 {
   msgpack::sbuffer buf;
   msgpack::pack(buf, ToTuple(*this));
   return { buf.data(), buf.size() };
 }
 
-tl::expected<Digest, DigestError> Digest::Decode(const std::string& aBytes)
+tl::expected<Digest, DigestError>
+Digest::Decode(const std::string& aBytes)
 {
   try {
     const auto handle = msgpack::unpack(aBytes.data(), aBytes.size());
--- a/policy/fleet_view.h
+++ b/policy/fleet_view.h
@@ -53,6 +53,13 @@
   std::uint32_t slots = 32;
   // Between a running request's tokens when all slots are taken.
   double tokenGapSeconds = 0.028;
+
+  // What a prompt and an output take of it, as seconds of all of it.
+  [[nodiscard]] double SecondsOf(Tokens aPrompt, Tokens aOutput) const
+  {
+    return aPrompt.Value() / prefillTokensPerSecond +
+           aOutput.Value() / decodeTokensPerSecond;
+  }
 };
 
 // What an engine can carry in each role.
@@ -67,7 +74,8 @@
 };
 
 // The role as a word, such as "prefill".
-std::string_view ToString(EngineRole aRole);
+std::string_view
+ToString(EngineRole aRole);
 
 struct Backend
 {
@@ -140,9 +148,11 @@
 
 // A hash that is the same in all processes and on all platforms (FNV-1a, then
 // mixed).
-std::uint64_t StableHash(const std::string& aText);
+std::uint64_t
+StableHash(const std::string& aText);
 
 // Mixes two hashes into one.
-std::uint64_t MixHash(std::uint64_t aLeft, std::uint64_t aRight);
+std::uint64_t
+MixHash(std::uint64_t aLeft, std::uint64_t aRight);
 
 } // namespace firefly::policy
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -49,7 +49,8 @@
 };
 
 // The reason as a word, such as "outcome-unknown".
-std::string_view ToString(FailureReason aReason);
+std::string_view
+ToString(FailureReason aReason);
 
 // Carries out the router's decisions. Calls come from inside the router's
 // own calls; an implementation must not call back into the router from them.
@@ -210,7 +211,7 @@
   [[nodiscard]] double EngineSeconds(const Request& aRequest,
                                      Tokens aCached) const;
   [[nodiscard]] double Density(const Request& aRequest) const;
-  void Enqueue(Request& aRequest, Instant aNow);
+  void Enqueue(Request& aRequest);
   void Start(Request& aRequest,
              const Choice& aChoice,
              bool aIsHedge,
@@ -237,7 +238,7 @@
               Duration aRetryAfter);
   void Fail(const RequestId& aId, FailureReason aReason);
   void Drop(const RequestId& aId);
-  void CountDemand(const Request& aRequest, Instant aNow);
+  void CountDemand(const Request& aRequest, Tokens aCached, Instant aNow);
   void FadeDemand(Instant aNow);
 
   Options mOptions;
--- a/servers/control/control.h
+++ b/servers/control/control.h
@@ -27,7 +27,8 @@
 };
 
 // The admin ports of all hosts that the settings name.
-ControlTargets TargetsOf(const Settings& aSettings);
+ControlTargets
+TargetsOf(const Settings& aSettings);
 
 // How a command works and where its output goes.
 struct ControlOptions
@@ -61,17 +62,21 @@
 };
 
 // Asks all processes for the same path at once.
-Answers AskAll(Fetcher& aFetcher,
-               const std::vector<std::string>& aUrls,
-               const std::string& aPath);
+Answers
+AskAll(Fetcher& aFetcher,
+       const std::vector<std::string>& aUrls,
+       const std::string& aPath);
 
 // Names the processes that are away, a line each.
-void PrintAway(std::ostream& aErr, const std::vector<AwayProcess>& aAway);
+void
+PrintAway(std::ostream& aErr, const std::vector<AwayProcess>& aAway);
 
 // What a call's error means, as an operator would say it.
-std::string Describe(const HttpError& aError);
+std::string
+Describe(const HttpError& aError);
 
 // The text as one segment of a URL's path.
-std::string PercentEncode(const std::string& aText);
+std::string
+PercentEncode(const std::string& aText);
 
 } // namespace firefly
--- a/servers/control/fleet_commands.cpp
+++ b/servers/control/fleet_commands.cpp
@@ -12,7 +12,8 @@
 
 // The leading steward's answer, or null. A process that lost its authority may
 // still believe in it: the greatest fencing number is right.
-const Json* FindLeader(const std::vector<Json>& aFleets)
+const Json*
+FindLeader(const std::vector<Json>& aFleets)
 {
   const Json* leader = nullptr;
   for (const auto& it : aFleets) {
@@ -25,7 +26,8 @@
   return leader;
 }
 
-void PrintEntries(std::ostream& aOut, const std::vector<Json>& aEntries)
+void
+PrintEntries(std::ostream& aOut, const std::vector<Json>& aEntries)
 {
   TextTable table({ "ENTRY", "DOMAIN", "READY", "TABLE", "PLAN", "ALIVE" });
   for (const auto& it : aEntries) {
@@ -46,7 +48,8 @@
 }
 
 // Members that some entry does not hold for alive.
-void PrintMembers(std::ostream& aOut, const std::vector<Json>& aEntries)
+void
+PrintMembers(std::ostream& aOut, const std::vector<Json>& aEntries)
 {
   TextTable table({ "MEMBER", "DOMAIN", "STATE", "SEEN BY" });
   for (const auto& entry : aEntries) {
@@ -67,7 +70,8 @@
 
 // One line for each backend server: the work of all entries, and each state
 // that an entry sees.
-void PrintBackends(std::ostream& aOut, const std::vector<Json>& aEntries)
+void
+PrintBackends(std::ostream& aOut, const std::vector<Json>& aEntries)
 {
   struct Joined
   {
@@ -112,7 +116,8 @@
 }
 
 // Waiting and running requests of all entries together.
-void PrintQueues(std::ostream& aOut, const std::vector<Json>& aEntries)
+void
+PrintQueues(std::ostream& aOut, const std::vector<Json>& aEntries)
 {
   std::map<std::pair<std::string, std::string>, std::pair<double, double>> sums;
   for (const auto& entry : aEntries) {
@@ -132,7 +137,8 @@
   aOut << '\n' << table.Text();
 }
 
-void PrintLimits(std::ostream& aOut, const std::vector<Json>& aEntries)
+void
+PrintLimits(std::ostream& aOut, const std::vector<Json>& aEntries)
 {
   TextTable table({ "SERVICE",
                     "REQUEST TYPE",
@@ -158,7 +164,8 @@
   }
 }
 
-void PrintBookings(std::ostream& aOut, const std::vector<Json>& aEntries)
+void
+PrintBookings(std::ostream& aOut, const std::vector<Json>& aEntries)
 {
   TextTable table({ "BOOKING OF UNKNOWN OUTCOME", "SERVICE", "REQUEST TYPE" });
   std::map<std::string, Json> bookings;
@@ -174,7 +181,8 @@
   aOut << '\n' << (text.empty() ? "no bookings of unknown outcome\n" : text);
 }
 
-void PrintFleet(std::ostream& aOut, const Json& aLeader)
+void
+PrintFleet(std::ostream& aOut, const Json& aLeader)
 {
   aOut << "leader " << TextOf(aLeader, "host") << ", fencing number "
        << TextOf(aLeader, "fencing") << ", plan "
@@ -201,7 +209,8 @@
   aOut << table.Text();
 }
 
-void PrintSteps(std::ostream& aOut, const Json& aRequest)
+void
+PrintSteps(std::ostream& aOut, const Json& aRequest)
 {
   aOut << "request " << TextOf(aRequest, "request_id") << " of "
        << TextOf(aRequest, "service") << ", "
@@ -218,7 +227,8 @@
   aOut << table.Text();
 }
 
-void PrintBooking(std::ostream& aOut, const Json& aBooking)
+void
+PrintBooking(std::ostream& aOut, const Json& aBooking)
 {
   aOut << "booking " << TextOf(aBooking, "key") << " of "
        << TextOf(aBooking, "service") << ", "
@@ -229,7 +239,8 @@
 
 } // namespace
 
-ExitCode FleetCommands::Status()
+ExitCode
+FleetCommands::Status()
 {
   const auto entries =
     ObjectsOf(AskAll(mFetcher, mOptions.targets.entries, "/admin/status"));
@@ -267,7 +278,8 @@
   return ExitCode::kOk;
 }
 
-ExitCode FleetCommands::Fleet()
+ExitCode
+FleetCommands::Fleet()
 {
   const auto fleets =
     ObjectsOf(AskAll(mFetcher, mOptions.targets.stewards, "/fleet"));
@@ -290,30 +302,34 @@
   return ExitCode::kOk;
 }
 
-ExitCode FleetCommands::Drain(const BackendId& aBackend)
+ExitCode
+FleetCommands::Drain(const BackendId& aBackend)
 {
   return Order("drain", aBackend);
 }
 
-ExitCode FleetCommands::Undrain(const BackendId& aBackend)
+ExitCode
+FleetCommands::Undrain(const BackendId& aBackend)
 {
   return Order("undrain", aBackend);
 }
 
-ExitCode FleetCommands::Why(const RequestId& aRequest)
+ExitCode
+FleetCommands::Why(const RequestId& aRequest)
 {
   return ShowKnown("/admin/why/" + PercentEncode(aRequest.Value()),
                    "request " + aRequest.Value());
 }
 
-ExitCode FleetCommands::Booking(const BookingKey& aKey)
+ExitCode
+FleetCommands::Booking(const BookingKey& aKey)
 {
   return ShowKnown("/admin/bookings/" + PercentEncode(aKey.Value()),
                    "booking " + aKey.Value());
 }
 
-ExitCode FleetCommands::Order(const std::string& aVerb,
-                              const BackendId& aBackend)
+ExitCode
+FleetCommands::Order(const std::string& aVerb, const BackendId& aBackend)
 {
   const auto fleets =
     ObjectsOf(AskAll(mFetcher, mOptions.targets.stewards, "/fleet"));
@@ -350,8 +366,8 @@
   return ExitCode::kOk;
 }
 
-ExitCode FleetCommands::ShowKnown(const std::string& aPath,
-                                  const std::string& aWhat)
+ExitCode
+FleetCommands::ShowKnown(const std::string& aPath, const std::string& aWhat)
 {
   const auto answers = AskAll(mFetcher, mOptions.targets.entries, aPath);
   Answers others{ .answers = {}, .away = answers.away };
--- a/servers/control/table_commands.cpp
+++ b/servers/control/table_commands.cpp
@@ -14,7 +14,8 @@
 constexpr Duration kEditTimeout = std::chrono::seconds(15);
 constexpr const char* kTablePath = "/admin/table";
 
-bool SameTable(const std::string& aLeft, const std::string& aRight)
+bool
+SameTable(const std::string& aLeft, const std::string& aRight)
 {
   const auto left = ParseTable(aLeft, nullptr);
   const auto right = ParseTable(aRight, nullptr);
@@ -22,7 +23,8 @@
 }
 
 // When a version was seen, in UTC.
-std::string FormatTime(double aMillis)
+std::string
+FormatTime(double aMillis)
 {
   const auto seconds = static_cast<std::time_t>(aMillis / 1000);
   std::tm utc{};
@@ -34,7 +36,8 @@
 
 } // namespace
 
-ExitCode TableCommands::Export()
+ExitCode
+TableCommands::Export()
 {
   const auto newest = ReadNewest();
   if (!newest) {
@@ -50,8 +53,9 @@
   return ExitCode::kOk;
 }
 
-ExitCode TableCommands::Apply(const std::string& aCsv,
-                              std::optional<std::uint64_t> aBase)
+ExitCode
+TableCommands::Apply(const std::string& aCsv,
+                     std::optional<std::uint64_t> aBase)
 {
   if (!CheckRows(aCsv)) {
     return ExitCode::kUsage;
@@ -67,7 +71,8 @@
   return version ? Wait(*version) : version.error();
 }
 
-ExitCode TableCommands::Diff(const std::string& aCsv)
+ExitCode
+TableCommands::Diff(const std::string& aCsv)
 {
   if (!CheckRows(aCsv)) {
     return ExitCode::kUsage;
@@ -89,7 +94,8 @@
   return ExitCode::kOk;
 }
 
-ExitCode TableCommands::History()
+ExitCode
+TableCommands::History()
 {
   const auto found = ObjectsOf(AskAll(
     mFetcher, mOptions.targets.entries, std::string(kTablePath) + "/history"));
@@ -115,7 +121,8 @@
   return ExitCode::kOk;
 }
 
-ExitCode TableCommands::Wait(std::uint64_t aVersion)
+ExitCode
+TableCommands::Wait(std::uint64_t aVersion)
 {
   const Instant end = mFetcher.Now() + mOptions.timeout;
   while (true) {
@@ -134,7 +141,8 @@
   }
 }
 
-std::optional<TableCommands::Newest> TableCommands::ReadNewest()
+std::optional<TableCommands::Newest>
+TableCommands::ReadNewest()
 {
   const auto found =
     ObjectsOf(AskAll(mFetcher, mOptions.targets.entries, kTablePath));
@@ -153,7 +161,8 @@
 }
 
 // The entry checks the names as well; a wrong cell needs no entry to be told.
-bool TableCommands::CheckRows(const std::string& aCsv)
+bool
+TableCommands::CheckRows(const std::string& aCsv)
 {
   const auto table = ParseTable(aCsv, nullptr);
   if (table) {
@@ -165,9 +174,8 @@
   return false;
 }
 
-tl::expected<std::uint64_t, ExitCode> TableCommands::Post(
-  const std::string& aCsv,
-  std::uint64_t aBase)
+tl::expected<std::uint64_t, ExitCode>
+TableCommands::Post(const std::string& aCsv, std::uint64_t aBase)
 {
   for (const auto& it : mOptions.targets.entries) {
     HttpCall call;
@@ -195,8 +203,8 @@
   return tl::unexpected(ExitCode::kAway);
 }
 
-tl::expected<std::uint64_t, ExitCode> TableCommands::ReadReply(
-  const HttpResult& aReply)
+tl::expected<std::uint64_t, ExitCode>
+TableCommands::ReadReply(const HttpResult& aReply)
 {
   const auto body = ParseObject(aReply.body).value_or(Json::object());
   if (aReply.status == 200) {
@@ -224,9 +232,8 @@
 }
 
 // Learns from the entries what became of an edit whose answer was lost.
-tl::expected<std::uint64_t, ExitCode> TableCommands::Settle(
-  const std::string& aCsv,
-  std::uint64_t aBase)
+tl::expected<std::uint64_t, ExitCode>
+TableCommands::Settle(const std::string& aCsv, std::uint64_t aBase)
 {
   mOptions.err << "the edit's answer was lost; reading it back\n";
   const Instant end = mFetcher.Now() + mOptions.timeout;
@@ -249,8 +256,8 @@
 
 // Joins the views of all entries. A host that one of them knows to have the
 // version has it, since an entry's version never falls.
-TableCommands::Confirmations TableCommands::ReadConfirmations(
-  std::uint64_t aVersion)
+TableCommands::Confirmations
+TableCommands::ReadConfirmations(std::uint64_t aVersion)
 {
   const auto path =
     std::string(kTablePath) + "/confirmed?version=" + std::to_string(aVersion);
@@ -274,8 +281,9 @@
   return confirmations;
 }
 
-void TableCommands::PrintConfirmations(std::uint64_t aVersion,
-                                       const Confirmations& aConfirmations)
+void
+TableCommands::PrintConfirmations(std::uint64_t aVersion,
+                                  const Confirmations& aConfirmations)
 {
   if (mOptions.format == OutputFormat::kJson) {
     mOptions.out << DumpLine({ { "version", aVersion },
--- a/servers/http/http_client.h
+++ b/servers/http/http_client.h
@@ -35,9 +35,9 @@
 struct HttpCall
 {
   std::string method = "GET";
-  std::string url;
-  HttpHeaders headers;
-  std::string body;
+  std::string url{};
+  HttpHeaders headers{};
+  std::string body{};
   Duration connectTimeout = std::chrono::seconds(1);
   Duration totalTimeout = std::chrono::seconds(30);
   // Ends the call when nothing arrives for so long; zero switches it off.
@@ -52,8 +52,8 @@
 struct HttpResult
 {
   int status = 0;
-  HttpHeaders headers;
-  std::string body;
+  HttpHeaders headers{};
+  std::string body{};
 };
 
 // A running call; dropping it cancels the call without a callback.
@@ -102,6 +102,11 @@
   struct Options
   {
     long maxPooledConnections = 256;
+    // Bytes that the peer has not acknowledged are dropped, with their
+    // connection, after so long; zero leaves it to the kernel.
+    Duration userTimeout = Duration::zero();
+    // Closing a connection drops what has not been delivered yet.
+    bool resetOnClose = false;
   };
 
   CurlClient(AsioExecutor& aExecutor, Options aOptions);
--- a/servers/ledger/ledger_client.cpp
+++ b/servers/ledger/ledger_client.cpp
@@ -13,7 +13,8 @@
 // Tries of one permit beyond one for each ledger.
 constexpr std::size_t kExtraTries = 2;
 
-LedgerCallError Unavailable(std::string aMessage)
+LedgerCallError
+Unavailable(std::string aMessage)
 {
   return { .kind = LedgerCallErrorKind::kUnavailable,
            .message = std::move(aMessage) };
@@ -21,8 +22,8 @@
 
 // A ledger's rank for a partition: the highest one serves it (rendezvous
 // hashing), so that a change of the ledgers moves few partitions.
-std::uint64_t RankOf(const LedgerAddress& aLedger,
-                     coord::PartitionId aPartition)
+std::uint64_t
+RankOf(const LedgerAddress& aLedger, coord::PartitionId aPartition)
 {
   const std::string text =
     aLedger.host.Value() + "/" + std::to_string(aPartition.Value());
@@ -99,7 +100,8 @@
   coord::CallbackGuard mGuard;
 };
 
-void LedgerClient::Impl::SetLedgers(std::vector<LedgerAddress> aLedgers)
+void
+LedgerClient::Impl::SetLedgers(std::vector<LedgerAddress> aLedgers)
 {
   std::vector<Peer> peers;
   for (LedgerAddress& ledger : aLedgers) {
@@ -116,8 +118,8 @@
   mPeers = std::move(peers);
 }
 
-std::shared_ptr<LinkClient> LedgerClient::Impl::Choose(const BookingKey& aKey,
-                                                       std::size_t aTry) const
+std::shared_ptr<LinkClient>
+LedgerClient::Impl::Choose(const BookingKey& aKey, std::size_t aTry) const
 {
   if (mPeers.empty()) {
     return nullptr;
@@ -134,9 +136,10 @@
   return ranked[aTry % ranked.size()]->link;
 }
 
-void LedgerClient::Impl::RequestPermit(const Booking& aBooking,
-                                       Duration aTimeout,
-                                       PermitCallback aCallback)
+void
+LedgerClient::Impl::RequestPermit(const Booking& aBooking,
+                                  Duration aTimeout,
+                                  PermitCallback aCallback)
 {
   auto wish = std::make_shared<Wish>();
   wish->booking = aBooking;
@@ -145,7 +148,8 @@
   mExecutor.Post(mGuard.Wrap([this, wish] { TryPermit(wish); }));
 }
 
-void LedgerClient::Impl::TryPermit(const WishPtr& aWish)
+void
+LedgerClient::Impl::TryPermit(const WishPtr& aWish)
 {
   const auto link = Choose(aWish->booking.key, aWish->tries);
   const Duration left = aWish->deadline - mExecutor.Now();
@@ -173,7 +177,8 @@
       }));
 }
 
-void LedgerClient::Impl::OnPermitAnswer(
+void
+LedgerClient::Impl::OnPermitAnswer(
   const WishPtr& aWish,
   const tl::expected<std::string, LinkError>& aResult)
 {
@@ -199,8 +204,8 @@
 
 // An attempt whose answer did not come is abandoned before the next try, so
 // that it can't stand in the way of that one.
-void LedgerClient::Impl::OnPermitLost(const WishPtr& aWish,
-                                      const LinkError& aError)
+void
+LedgerClient::Impl::OnPermitLost(const WishPtr& aWish, const LinkError& aError)
 {
   if (aError.kind != LinkErrorKind::kUnknown) {
     TryPermit(aWish);
@@ -209,8 +214,9 @@
   AbandonAndTryAgain(aWish, aWish->attempts.back());
 }
 
-void LedgerClient::Impl::AbandonAndTryAgain(const WishPtr& aWish,
-                                            const AttemptId& aAttempt)
+void
+LedgerClient::Impl::AbandonAndTryAgain(const WishPtr& aWish,
+                                       const AttemptId& aAttempt)
 {
   const AbandonMessage message{ .key = aWish->booking.key,
                                 .attempt = aAttempt };
@@ -241,10 +247,11 @@
     });
 }
 
-void LedgerClient::Impl::Record(const BookingKey& aKey,
-                                std::string aPath,
-                                std::string aBody,
-                                RecordCallback aCallback)
+void
+LedgerClient::Impl::Record(const BookingKey& aKey,
+                           std::string aPath,
+                           std::string aBody,
+                           RecordCallback aCallback)
 {
   auto errand = std::make_shared<Errand>();
   errand->key = aKey;
@@ -264,9 +271,10 @@
   mExecutor.Post(mGuard.Wrap([this, errand] { TryErrand(errand); }));
 }
 
-void LedgerClient::Impl::Show(const BookingKey& aKey,
-                              Duration aTimeout,
-                              ShowCallback aCallback)
+void
+LedgerClient::Impl::Show(const BookingKey& aKey,
+                         Duration aTimeout,
+                         ShowCallback aCallback)
 {
   auto errand = std::make_shared<Errand>();
   errand->key = aKey;
@@ -289,7 +297,8 @@
   mExecutor.Post(mGuard.Wrap([this, errand] { TryErrand(errand); }));
 }
 
-void LedgerClient::Impl::TryErrand(const ErrandPtr& aErrand)
+void
+LedgerClient::Impl::TryErrand(const ErrandPtr& aErrand)
 {
   const auto link = Choose(aErrand->key, aErrand->tries++);
   const Duration left = aErrand->deadline - mExecutor.Now();
@@ -311,8 +320,9 @@
              }));
 }
 
-void LedgerClient::Impl::OnErrandFailed(const ErrandPtr& aErrand,
-                                        const LinkError& aError)
+void
+LedgerClient::Impl::OnErrandFailed(const ErrandPtr& aErrand,
+                                   const LinkError& aError)
 {
   constexpr int kBadRequest = 400;
   if (aError.status == kBadRequest) {
@@ -330,22 +340,25 @@
 
 LedgerClient::~LedgerClient() = default;
 
-void LedgerClient::SetLedgers(std::vector<LedgerAddress> aLedgers)
+void
+LedgerClient::SetLedgers(std::vector<LedgerAddress> aLedgers)
 {
   mImpl->SetLedgers(std::move(aLedgers));
 }
 
-void LedgerClient::RequestPermit(const Booking& aBooking,
-                                 Duration aTimeout,
-                                 PermitCallback aCallback)
+void
+LedgerClient::RequestPermit(const Booking& aBooking,
+                            Duration aTimeout,
+                            PermitCallback aCallback)
 {
   mImpl->RequestPermit(aBooking, aTimeout, std::move(aCallback));
 }
 
-void LedgerClient::RecordOutcome(const BookingKey& aKey,
-                                 const AttemptId& aAttempt,
-                                 const coord::BookingOutcome& aOutcome,
-                                 RecordCallback aCallback)
+void
+LedgerClient::RecordOutcome(const BookingKey& aKey,
+                            const AttemptId& aAttempt,
+                            const coord::BookingOutcome& aOutcome,
+                            RecordCallback aCallback)
 {
   const OutcomeMessage message{ .key = aKey,
                                 .attempt = aAttempt,
@@ -353,17 +366,19 @@
   mImpl->Record(aKey, kOutcomePath, Encode(message), std::move(aCallback));
 }
 
-void LedgerClient::Abandon(const BookingKey& aKey,
-                           const AttemptId& aAttempt,
-                           RecordCallback aCallback)
+void
+LedgerClient::Abandon(const BookingKey& aKey,
+                      const AttemptId& aAttempt,
+                      RecordCallback aCallback)
 {
   const AbandonMessage message{ .key = aKey, .attempt = aAttempt };
   mImpl->Record(aKey, kAbandonPath, Encode(message), std::move(aCallback));
 }
 
-void LedgerClient::Show(const BookingKey& aKey,
-                        Duration aTimeout,
-                        ShowCallback aCallback)
+void
+LedgerClient::Show(const BookingKey& aKey,
+                   Duration aTimeout,
+                   ShowCallback aCallback)
 {
   mImpl->Show(aKey, aTimeout, std::move(aCallback));
 }
--- a/servers/ledger/ledger_messages.cpp
+++ b/servers/ledger/ledger_messages.cpp
@@ -11,14 +11,16 @@
 using coord::FieldReader;
 using coord::FieldWriter;
 
-void WriteOutcome(FieldWriter& aWriter, const coord::BookingOutcome& aOutcome)
+void
+WriteOutcome(FieldWriter& aWriter, const coord::BookingOutcome& aOutcome)
 {
   aWriter.Number(aOutcome.status)
     .Text(aOutcome.answer)
     .Flag(aOutcome.truncated);
 }
 
-coord::BookingOutcome ReadOutcome(FieldReader& aReader)
+coord::BookingOutcome
+ReadOutcome(FieldReader& aReader)
 {
   coord::BookingOutcome outcome;
   outcome.status = static_cast<std::uint32_t>(aReader.Number());
@@ -27,8 +29,9 @@
   return outcome;
 }
 
-void WriteOptional(FieldWriter& aWriter,
-                   const std::optional<coord::BookingOutcome>& aOutcome)
+void
+WriteOptional(FieldWriter& aWriter,
+              const std::optional<coord::BookingOutcome>& aOutcome)
 {
   aWriter.Flag(aOutcome.has_value());
   if (aOutcome) {
@@ -36,7 +39,8 @@
   }
 }
 
-std::optional<coord::BookingOutcome> ReadOptional(FieldReader& aReader)
+std::optional<coord::BookingOutcome>
+ReadOptional(FieldReader& aReader)
 {
   if (!aReader.Flag()) {
     return std::nullopt;
@@ -46,7 +50,8 @@
 
 // The value if the reader found all fields and nothing after them.
 template<typename T>
-tl::expected<T, MessageError> Whole(const FieldReader& aReader, T aValue)
+tl::expected<T, MessageError>
+Whole(const FieldReader& aReader, T aValue)
 {
   if (!aReader.Ok() || !aReader.AtEnd()) {
     return tl::make_unexpected(MessageError{ .message = "malformed body" });
@@ -56,7 +61,8 @@
 
 } // namespace
 
-std::string Encode(const PermitMessage& aMessage)
+std::string
+Encode(const PermitMessage& aMessage)
 {
   FieldWriter writer;
   writer.Text(aMessage.key.Value())
@@ -70,7 +76,8 @@
   return writer.Take();
 }
 
-std::string Encode(const OutcomeMessage& aMessage)
+std::string
+Encode(const OutcomeMessage& aMessage)
 {
   FieldWriter writer;
   writer.Text(aMessage.key.Value()).Text(aMessage.attempt.Value());
@@ -78,21 +85,24 @@
   return writer.Take();
 }
 
-std::string Encode(const AbandonMessage& aMessage)
+std::string
+Encode(const AbandonMessage& aMessage)
 {
   FieldWriter writer;
   writer.Text(aMessage.key.Value()).Text(aMessage.attempt.Value());
   return writer.Take();
 }
 
-std::string Encode(const ShowMessage& aMessage)
+std::string
+Encode(const ShowMessage& aMessage)
 {
   FieldWriter writer;
   writer.Text(aMessage.key.Value());
   return writer.Take();
 }
 
-std::string Encode(const coord::Permit& aPermit)
+std::string
+Encode(const coord::Permit& aPermit)
 {
   FieldWriter writer;
   writer.Number(static_cast<std::uint64_t>(aPermit.verdict))
@@ -102,7 +112,8 @@
   return writer.Take();
 }
 
-std::string Encode(const std::optional<coord::BookingView>& aView)
+std::string
+Encode(const std::optional<coord::BookingView>& aView)
 {
   FieldWriter writer;
   writer.Flag(aView.has_value());
@@ -115,8 +126,8 @@
   return writer.Take();
 }
 
-tl::expected<PermitMessage, MessageError> DecodePermitMessage(
-  std::string_view aBody)
+tl::expected<PermitMessage, MessageError>
+DecodePermitMessage(std::string_view aBody)
 {
   FieldReader reader(aBody);
   PermitMessage message;
@@ -130,8 +141,8 @@
   return Whole(reader, std::move(message));
 }
 
-tl::expected<OutcomeMessage, MessageError> DecodeOutcomeMessage(
-  std::string_view aBody)
+tl::expected<OutcomeMessage, MessageError>
+DecodeOutcomeMessage(std::string_view aBody)
 {
   FieldReader reader(aBody);
   OutcomeMessage message;
@@ -141,8 +152,8 @@
   return Whole(reader, std::move(message));
 }
 
-tl::expected<AbandonMessage, MessageError> DecodeAbandonMessage(
-  std::string_view aBody)
+tl::expected<AbandonMessage, MessageError>
+DecodeAbandonMessage(std::string_view aBody)
 {
   FieldReader reader(aBody);
   AbandonMessage message;
@@ -151,8 +162,8 @@
   return Whole(reader, std::move(message));
 }
 
-tl::expected<ShowMessage, MessageError> DecodeShowMessage(
-  std::string_view aBody)
+tl::expected<ShowMessage, MessageError>
+DecodeShowMessage(std::string_view aBody)
 {
   FieldReader reader(aBody);
   ShowMessage message;
@@ -160,7 +171,8 @@
   return Whole(reader, std::move(message));
 }
 
-tl::expected<coord::Permit, MessageError> DecodePermit(std::string_view aBody)
+tl::expected<coord::Permit, MessageError>
+DecodePermit(std::string_view aBody)
 {
   FieldReader reader(aBody);
   coord::Permit permit;
@@ -175,8 +187,8 @@
   return Whole(reader, std::move(permit));
 }
 
-tl::expected<std::optional<coord::BookingView>, MessageError> DecodeView(
-  std::string_view aBody)
+tl::expected<std::optional<coord::BookingView>, MessageError>
+DecodeView(std::string_view aBody)
 {
   FieldReader reader(aBody);
   std::optional<coord::BookingView> view;
--- a/servers/link/link_client.cpp
+++ b/servers/link/link_client.cpp
@@ -16,14 +16,16 @@
 
 constexpr int kSuccess = 200;
 
-LinkError NotSent(std::string aMessage)
+LinkError
+NotSent(std::string aMessage)
 {
   return { .kind = LinkErrorKind::kNotSent,
            .status = 0,
            .message = std::move(aMessage) };
 }
 
-LinkError Lost(Http2Delivery aDelivery, std::string aMessage)
+LinkError
+Lost(Http2Delivery aDelivery, std::string aMessage)
 {
   const auto kind = aDelivery == Http2Delivery::kNotSent
                       ? LinkErrorKind::kNotSent
@@ -92,10 +94,11 @@
   std::map<StreamNumber, CallNumber> mStreams;
 };
 
-void LinkClient::Impl::Call(std::string aPath,
-                            std::string aBody,
-                            Duration aTimeout,
-                            LinkCallback aCallback)
+void
+LinkClient::Impl::Call(std::string aPath,
+                       std::string aBody,
+                       Duration aTimeout,
+                       LinkCallback aCallback)
 {
   if (mCalls.size() >= mOptions.maxCalls) {
     FinishLater(std::move(aCallback), NotSent("too many outstanding calls"));
@@ -121,7 +124,8 @@
   }
 }
 
-void LinkClient::Impl::Stop()
+void
+LinkClient::Impl::Stop()
 {
   mStopped = true;
   mCalls.clear();
@@ -133,7 +137,8 @@
   }
 }
 
-void LinkClient::Impl::Connect()
+void
+LinkClient::Impl::Connect()
 {
   std::error_code ec;
   const auto address = asio::ip::make_address(mOptions.address, ec);
@@ -151,7 +156,8 @@
     });
 }
 
-void LinkClient::Impl::OnConnected(const std::error_code& aError)
+void
+LinkClient::Impl::OnConnected(const std::error_code& aError)
 {
   if (mStopped || !mConnecting) {
     return;
@@ -184,7 +190,8 @@
   }
 }
 
-void LinkClient::Impl::Submit(CallNumber aNumber)
+void
+LinkClient::Impl::Submit(CallNumber aNumber)
 {
   PendingCall& call = mCalls.at(aNumber);
   const StreamNumber stream =
@@ -200,7 +207,8 @@
   mStreams[stream] = aNumber;
 }
 
-void LinkClient::Impl::Expire(CallNumber aNumber)
+void
+LinkClient::Impl::Expire(CallNumber aNumber)
 {
   const std::optional<StreamNumber> stream = mCalls.at(aNumber).stream;
   if (!stream) {
@@ -212,8 +220,9 @@
   Finish(aNumber, tl::make_unexpected(Lost(delivery, "timeout")));
 }
 
-void LinkClient::Impl::Finish(CallNumber aNumber,
-                              tl::expected<std::string, LinkError> aResult)
+void
+LinkClient::Impl::Finish(CallNumber aNumber,
+                         tl::expected<std::string, LinkError> aResult)
 {
   const auto it = mCalls.find(aNumber);
   if (it == mCalls.end()) {
@@ -227,7 +236,8 @@
   call.callback(std::move(aResult));
 }
 
-void LinkClient::Impl::FinishLater(LinkCallback aCallback, LinkError aError)
+void
+LinkClient::Impl::FinishLater(LinkCallback aCallback, LinkError aError)
 {
   mExecutor.Post([self = weak_from_this(),
                   callback = std::move(aCallback),
@@ -239,8 +249,8 @@
   });
 }
 
-std::optional<LinkClient::Impl::CallNumber> LinkClient::Impl::FindStream(
-  StreamNumber aStream) const
+std::optional<LinkClient::Impl::CallNumber>
+LinkClient::Impl::FindStream(StreamNumber aStream) const
 {
   const auto it = mStreams.find(aStream);
   if (it == mStreams.end()) {
@@ -249,7 +259,8 @@
   return it->second;
 }
 
-void LinkClient::Impl::OnMessage(StreamNumber aStream, Http2Message aMessage)
+void
+LinkClient::Impl::OnMessage(StreamNumber aStream, Http2Message aMessage)
 {
   const auto number = FindStream(aStream);
   if (!number) {
@@ -265,15 +276,16 @@
                                         .message = aMessage.body }));
 }
 
-void LinkClient::Impl::OnStreamLost(StreamNumber aStream,
-                                    Http2Delivery aDelivery)
+void
+LinkClient::Impl::OnStreamLost(StreamNumber aStream, Http2Delivery aDelivery)
 {
   if (const auto number = FindStream(aStream)) {
     Finish(*number, tl::make_unexpected(Lost(aDelivery, "stream lost")));
   }
 }
 
-void LinkClient::Impl::OnClosed(const std::string& aReason)
+void
+LinkClient::Impl::OnClosed(const std::string& aReason)
 {
   const auto self = shared_from_this(); // a callback may drop the client
   const auto connection = std::exchange(mConnection, nullptr);
@@ -301,16 +313,18 @@
   mImpl->Stop();
 }
 
-void LinkClient::Call(std::string aPath,
-                      std::string aBody,
-                      Duration aTimeout,
-                      LinkCallback aCallback)
+void
+LinkClient::Call(std::string aPath,
+                 std::string aBody,
+                 Duration aTimeout,
+                 LinkCallback aCallback)
 {
   mImpl->Call(
     std::move(aPath), std::move(aBody), aTimeout, std::move(aCallback));
 }
 
-std::size_t LinkClient::Outstanding() const
+std::size_t
+LinkClient::Outstanding() const
 {
   return mImpl->Outstanding();
 }
--- a/servers/metrics/metrics.cpp
+++ b/servers/metrics/metrics.cpp
@@ -28,13 +28,15 @@
 
 // The estimator has two markers a quantile and three more; before each has
 // its first observation it knows nothing.
-std::size_t FewestObservations()
+std::size_t
+FewestObservations()
 {
   return Summary::kQuantiles.size() * 2 + 3;
 }
 
 template<typename T>
-std::unique_ptr<T> MakeSeries(const MetricOptions& aOptions)
+std::unique_ptr<T>
+MakeSeries(const MetricOptions& aOptions)
 {
   if constexpr (std::is_same_v<T, Histogram>) {
     return std::make_unique<T>(aOptions.bounds);
@@ -44,8 +46,9 @@
 }
 
 template<typename T>
-MetricFamily<T>& FamilyOf(std::map<std::string, MetricFamily<T>>& aFamilies,
-                          const MetricOptions& aOptions)
+MetricFamily<T>&
+FamilyOf(std::map<std::string, MetricFamily<T>>& aFamilies,
+         const MetricOptions& aOptions)
 {
   assert(IsMetricName(aOptions.name));
   return aFamilies.try_emplace(aOptions.name, aOptions).first->second;
@@ -53,7 +56,8 @@
 
 } // namespace
 
-void Counter::Add(double aAmount)
+void
+Counter::Add(double aAmount)
 {
   mValue += std::max(aAmount, 0.0);
 }
@@ -65,7 +69,8 @@
   assert(std::ranges::is_sorted(mBounds));
 }
 
-void Histogram::Observe(double aValue)
+void
+Histogram::Observe(double aValue)
 {
   const auto bucket = std::ranges::lower_bound(mBounds, aValue);
   ++mCounts[static_cast<std::size_t>(bucket - mBounds.begin())];
@@ -73,7 +78,8 @@
   mSum += aValue;
 }
 
-std::uint64_t Histogram::CountUpTo(std::size_t aIndex) const
+std::uint64_t
+Histogram::CountUpTo(std::size_t aIndex) const
 {
   std::uint64_t count = 0;
   for (std::size_t n = 0; n <= aIndex && n < mCounts.size(); ++n) {
@@ -96,27 +102,32 @@
 
 Summary::~Summary() = default;
 
-void Summary::Observe(double aValue)
+void
+Summary::Observe(double aValue)
 {
   mImpl->accumulator(aValue);
 }
 
-std::uint64_t Summary::Count() const
+std::uint64_t
+Summary::Count() const
 {
   return accumulators::count(mImpl->accumulator);
 }
 
-double Summary::Sum() const
+double
+Summary::Sum() const
 {
   return accumulators::sum(mImpl->accumulator);
 }
 
-double Summary::Mean() const
+double
+Summary::Mean() const
 {
   return Count() == 0 ? 0 : accumulators::mean(mImpl->accumulator);
 }
 
-std::optional<double> Summary::Quantile(double aQuantile) const
+std::optional<double>
+Summary::Quantile(double aQuantile) const
 {
   const auto found = std::ranges::find(kQuantiles, aQuantile);
   if (found == kQuantiles.end() || Count() < FewestObservations()) {
@@ -127,7 +138,8 @@
 }
 
 template<typename T>
-T& MetricFamily<T>::With(const std::vector<std::string>& aValues)
+T&
+MetricFamily<T>::With(const std::vector<std::string>& aValues)
 {
   assert(aValues.size() == mOptions.labelNames.size());
   const auto found = mSeries.find(aValues);
@@ -148,33 +160,38 @@
 template class MetricFamily<Histogram>;
 template class MetricFamily<Summary>;
 
-MetricFamily<Counter>& MetricRegistry::Counters(const MetricOptions& aOptions)
+MetricFamily<Counter>&
+MetricRegistry::Counters(const MetricOptions& aOptions)
 {
   return FamilyOf(mCounters, aOptions);
 }
 
-MetricFamily<Gauge>& MetricRegistry::Gauges(const MetricOptions& aOptions)
+MetricFamily<Gauge>&
+MetricRegistry::Gauges(const MetricOptions& aOptions)
 {
   return FamilyOf(mGauges, aOptions);
 }
 
-MetricFamily<Histogram>& MetricRegistry::Histograms(
-  const MetricOptions& aOptions)
+MetricFamily<Histogram>&
+MetricRegistry::Histograms(const MetricOptions& aOptions)
 {
   return FamilyOf(mHistograms, aOptions);
 }
 
-MetricFamily<Summary>& MetricRegistry::Summaries(const MetricOptions& aOptions)
+MetricFamily<Summary>&
+MetricRegistry::Summaries(const MetricOptions& aOptions)
 {
   return FamilyOf(mSummaries, aOptions);
 }
 
-void MetricRegistry::OnExpose(std::function<void()> aCallback)
+void
+MetricRegistry::OnExpose(std::function<void()> aCallback)
 {
   mCallbacks.push_back(std::move(aCallback));
 }
 
-std::string MetricRegistry::Expose() const
+std::string
+MetricRegistry::Expose() const
 {
   for (const auto& it : mCallbacks) {
     it();
@@ -195,12 +212,14 @@
   return writer.Text();
 }
 
-std::vector<double> FirstTokenBounds()
+std::vector<double>
+FirstTokenBounds()
 {
   return { 0.05, 0.1, 0.2, 0.35, 0.5, 0.73, 1, 1.5, 2.5, 5, 10, 30 };
 }
 
-std::vector<double> TokenGapBounds()
+std::vector<double>
+TokenGapBounds()
 {
   return { 0.005, 0.01, 0.015, 0.02, 0.028, 0.04, 0.06, 0.1, 0.2, 0.5, 1, 5 };
 }
--- a/servers/metrics/metrics.h
+++ b/servers/metrics/metrics.h
@@ -175,12 +175,15 @@
 };
 
 // Upper bounds in seconds for the time until the first token.
-std::vector<double> FirstTokenBounds();
+std::vector<double>
+FirstTokenBounds();
 
 // Upper bounds in seconds for the time between two tokens.
-std::vector<double> TokenGapBounds();
+std::vector<double>
+TokenGapBounds();
 
 // Keeps the gauges of the process's own processor time and memory.
-void AddProcessMetrics(MetricRegistry& aRegistry);
+void
+AddProcessMetrics(MetricRegistry& aRegistry);
 
 } // namespace firefly
--- a/servers/metrics/process_metrics.cpp
+++ b/servers/metrics/process_metrics.cpp
@@ -10,14 +10,16 @@
 
 constexpr double kMicrosPerSecond = 1e6;
 
-double SecondsOf(const timeval& aTime)
+double
+SecondsOf(const timeval& aTime)
 {
   return static_cast<double>(aTime.tv_sec) +
          static_cast<double>(aTime.tv_usec) / kMicrosPerSecond;
 }
 
 // Processor time in user and kernel mode, in seconds.
-double ProcessorSeconds()
+double
+ProcessorSeconds()
 {
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
@@ -25,7 +27,8 @@
 }
 
 // Memory in RAM, in bytes.
-double ResidentBytes()
+double
+ResidentBytes()
 {
   std::ifstream in("/proc/self/statm");
   double total = 0;
@@ -36,7 +39,8 @@
 
 } // namespace
 
-void AddProcessMetrics(MetricRegistry& aRegistry)
+void
+AddProcessMetrics(MetricRegistry& aRegistry)
 {
   auto& processor =
     aRegistry
--- a/servers/platform/base64.h
+++ b/servers/platform/base64.h
@@ -9,9 +9,11 @@
 namespace firefly {
 
 // The bytes in base64, with padding.
-std::string EncodeBase64(std::string_view aBytes);
+std::string
+EncodeBase64(std::string_view aBytes);
 
 // The bytes of a base64 text, or nothing if it is malformed.
-std::optional<std::string> DecodeBase64(std::string_view aText);
+std::optional<std::string>
+DecodeBase64(std::string_view aText);
 
 } // namespace firefly
--- a/servers/settings/section_reader.h
+++ b/servers/settings/section_reader.h
@@ -128,9 +128,10 @@
 };
 
 template<typename E, std::size_t N>
-E SectionReader::Choice(const std::string& aKey,
-                        const std::array<SettingChoice<E>, N>& aChoices,
-                        std::optional<E> aDefault)
+E
+SectionReader::Choice(const std::string& aKey,
+                      const std::array<SettingChoice<E>, N>& aChoices,
+                      std::optional<E> aDefault)
 {
   std::string allowed = "one of";
   for (const auto& it : aChoices) {
--- a/servers/status/status_server.cpp
+++ b/servers/status/status_server.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-HttpResponse MakeText(int aStatus, std::string aText)
+HttpResponse
+MakeText(int aStatus, std::string aText)
 {
   return { .status = aStatus,
            .contentType = "text/plain; charset=utf-8",
@@ -18,9 +19,8 @@
 
 } // namespace
 
-HttpResponse MakeProblem(int aStatus,
-                         const std::string& aTitle,
-                         const std::string& aDetail)
+HttpResponse
+MakeProblem(int aStatus, const std::string& aTitle, const std::string& aDetail)
 {
   const nlohmann::json body = {
     { "type", "about:blank" },
@@ -47,7 +47,8 @@
 {
 }
 
-void StatusServer::Handle(HttpRequest aRequest, HttpResponderPtr aResponder)
+void
+StatusServer::Handle(HttpRequest aRequest, HttpResponderPtr aResponder)
 {
   if (aRequest.path == "/livez") {
     aResponder->Send(MakeText(200, "ok\n"));
--- a/servers/table/table_columns.cpp
+++ b/servers/table/table_columns.cpp
@@ -28,7 +28,8 @@
   "must be empty or a whole number from 1 to 3600000";
 
 // A spreadsheet would run a cell that starts with =, +, - or @ as a formula.
-bool IsName(const std::string& aText)
+bool
+IsName(const std::string& aText)
 {
   if (aText.empty() || aText.size() > kLongestName) {
     return false;
@@ -43,7 +44,8 @@
 }
 
 template<typename T>
-std::optional<T> ParseNumber(const std::string& aText, T aLeast, T aMost)
+std::optional<T>
+ParseNumber(const std::string& aText, T aLeast, T aMost)
 {
   T number{};
   const char* end = aText.data() + aText.size();
@@ -56,7 +58,8 @@
   return number;
 }
 
-std::string FormatNumber(double aNumber)
+std::string
+FormatNumber(double aNumber)
 {
   std::array<char, 64> buf{};
   const auto end =
@@ -64,27 +67,32 @@
   return { buf.data(), end };
 }
 
-std::string WriteWeight(const TableRow& aRow)
+std::string
+WriteWeight(const TableRow& aRow)
 {
   return FormatNumber(aRow.weight);
 }
 
-std::string WriteConcurrent(const TableRow& aRow)
+std::string
+WriteConcurrent(const TableRow& aRow)
 {
   return aRow.maxConcurrent ? std::to_string(*aRow.maxConcurrent) : "";
 }
 
-std::string WriteRate(const TableRow& aRow)
+std::string
+WriteRate(const TableRow& aRow)
 {
   return aRow.ratePerSecond ? FormatNumber(*aRow.ratePerSecond) : "";
 }
 
-std::string WriteWorth(const TableRow& aRow)
+std::string
+WriteWorth(const TableRow& aRow)
 {
   return aRow.worth ? FormatNumber(*aRow.worth) : "";
 }
 
-std::string WriteLateAfter(const TableRow& aRow)
+std::string
+WriteLateAfter(const TableRow& aRow)
 {
   if (!aRow.lateAfter) {
     return "";
@@ -95,7 +103,8 @@
 }
 
 template<typename Id>
-std::string_view ReadName(const std::string& aText, Id& aId)
+std::string_view
+ReadName(const std::string& aText, Id& aId)
 {
   aId = Id(aText);
   return IsName(aText) ? "" : kNameAllowed;
@@ -103,10 +112,11 @@
 
 // Reads a cell that may be empty.
 template<typename T>
-std::string_view ReadOptional(const std::string& aText,
-                              std::optional<T>& aValue,
-                              T aMost,
-                              std::string_view aAllowed)
+std::string_view
+ReadOptional(const std::string& aText,
+             std::optional<T>& aValue,
+             T aMost,
+             std::string_view aAllowed)
 {
   if (aText.empty()) {
     aValue.reset();
@@ -116,14 +126,16 @@
   return aValue ? "" : aAllowed;
 }
 
-std::string_view ReadWeight(const std::string& aText, TableRow& aRow)
+std::string_view
+ReadWeight(const std::string& aText, TableRow& aRow)
 {
   const auto weight = ParseNumber(aText, 0.0, kMostWeight);
   aRow.weight = weight.value_or(0);
   return weight ? "" : kWeightAllowed;
 }
 
-std::string_view ReadLateAfter(const std::string& aText, TableRow& aRow)
+std::string_view
+ReadLateAfter(const std::string& aText, TableRow& aRow)
 {
   std::optional<std::uint32_t> millis;
   const auto allowed = ReadOptional(aText, millis, kMostMillis, kMillisAllowed);
@@ -136,7 +148,8 @@
 
 } // namespace
 
-const std::array<TableColumn, 8>& TableColumns()
+const std::array<TableColumn, 8>&
+TableColumns()
 {
   static const std::array<TableColumn, 8> kColumns{ {
     { .name = "service",
@@ -179,7 +192,8 @@
   return kColumns;
 }
 
-std::vector<std::string> CellsOf(const TableRow& aRow)
+std::vector<std::string>
+CellsOf(const TableRow& aRow)
 {
   std::vector<std::string> cells;
   for (const auto& it : TableColumns()) {
--- a/servers/table/table_csv.cpp
+++ b/servers/table/table_csv.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-std::vector<std::string> HeaderCells()
+std::vector<std::string>
+HeaderCells()
 {
   std::vector<std::string> cells;
   for (const auto& it : TableColumns()) {
@@ -16,7 +17,8 @@
   return cells;
 }
 
-std::string HeaderText()
+std::string
+HeaderText()
 {
   std::string text;
   for (const auto& it : TableColumns()) {
@@ -25,7 +27,8 @@
   return text;
 }
 
-std::string Refusal(const std::string& aText, std::string_view aAllowed)
+std::string
+Refusal(const std::string& aText, std::string_view aAllowed)
 {
   std::string message = '"' + aText + "\" is not allowed; ";
   return message.append(aAllowed);
@@ -55,7 +58,8 @@
   TableProblems mProblems;
 };
 
-void TableReader::ReadHeader(const CsvRecord& aRecord)
+void
+TableReader::ReadHeader(const CsvRecord& aRecord)
 {
   if (aRecord.fields != HeaderCells()) {
     mProblems.push_back(
@@ -63,7 +67,8 @@
   }
 }
 
-void TableReader::ReadRow(const CsvRecord& aRecord)
+void
+TableReader::ReadRow(const CsvRecord& aRecord)
 {
   const std::size_t expected = TableColumns().size();
   if (aRecord.fields.size() != expected) {
@@ -85,7 +90,8 @@
   }
 }
 
-bool TableReader::ReadCells(const CsvRecord& aRecord, TableRow& aRow)
+bool
+TableReader::ReadCells(const CsvRecord& aRecord, TableRow& aRow)
 {
   const std::size_t before = mProblems.size();
   for (std::size_t n = 0; n < TableColumns().size(); ++n) {
@@ -100,7 +106,8 @@
   return mProblems.size() == before;
 }
 
-bool TableReader::CheckNames(const CsvRecord& aRecord, const TableRow& aRow)
+bool
+TableReader::CheckNames(const CsvRecord& aRecord, const TableRow& aRow)
 {
   if (mSettings == nullptr) {
     return true;
@@ -130,7 +137,8 @@
 
 } // namespace
 
-std::string TableProblem::Text() const
+std::string
+TableProblem::Text() const
 {
   std::string text = "line " + std::to_string(line);
   if (!column.empty()) {
@@ -139,9 +147,8 @@
   return text + ": " + message;
 }
 
-tl::expected<OperatorsTable, TableProblems> ParseTable(
-  std::string_view aCsv,
-  const Settings* aSettings)
+tl::expected<OperatorsTable, TableProblems>
+ParseTable(std::string_view aCsv, const Settings* aSettings)
 {
   const auto records = ParseCsv(aCsv);
   if (!records) {
@@ -162,7 +169,8 @@
   return reader.Table();
 }
 
-std::string FormatTable(const OperatorsTable& aTable)
+std::string
+FormatTable(const OperatorsTable& aTable)
 {
   std::string text = FormatCsvRecord(HeaderCells());
   for (const auto& [key, row] : aTable.Rows()) {
--- a/tests/coord/authority_faults_test.cpp
+++ b/tests/coord/authority_faults_test.cpp
@@ -174,8 +174,8 @@
   std::vector<Timer> timers;
 };
 
-AuthorityStream::Options StreamOptions(const std::string& aWriter,
-                                       std::uint64_t aSeed)
+AuthorityStream::Options
+StreamOptions(const std::string& aWriter, std::uint64_t aSeed)
 {
   return { .stream = kStream,
            .writer = WriterId(aWriter),
@@ -183,7 +183,8 @@
            .seed = aSeed };
 }
 
-std::string StewardName(int aIndex)
+std::string
+StewardName(int aIndex)
 {
   return "steward-" + std::to_string(aIndex);
 }
@@ -210,7 +211,8 @@
   Work();
 }
 
-void Steward::OnAcquired(FencingNumber aFence)
+void
+Steward::OnAcquired(FencingNumber aFence)
 {
   mWork = aFence;
   mWorld.newestHolder = std::max(mWorld.newestHolder, aFence);
@@ -218,7 +220,8 @@
 
 // Each step starts from the plan, so that a new holder goes on where the old
 // one stopped.
-void Steward::Work()
+void
+Steward::Work()
 {
   mTimer = mProcess.RunAfter(100ms, [this] { Work(); });
   if (!mWork || mLease.Held() != mWork || mBusy) {
@@ -228,7 +231,8 @@
   Drive(backend, mStream.State().Find(backend));
 }
 
-void Steward::Drive(const BackendId& aBackend, const PlanEntry* aEntry)
+void
+Steward::Drive(const BackendId& aBackend, const PlanEntry* aEntry)
 {
   const auto done = [this](const auto&) { mBusy = false; };
   const auto advance = [&](const char* aEvent) {
@@ -268,7 +272,8 @@
 
 // The order goes out from a process that may stop at any instant between the
 // check and the send. The sender's kernel timer ends it at its lease's end.
-void Steward::Send(const Order& aOrder)
+void
+Steward::Send(const Order& aOrder)
 {
   mSent.emplace(aOrder.fence.Value(), aOrder.id.Value());
   const auto until = mLease.ValidUntil();
@@ -283,7 +288,8 @@
 }
 
 // An order whose outcome is open: the engine is read, under the own fence.
-void Steward::Settle(const Order& aOrder)
+void
+Steward::Settle(const Order& aOrder)
 {
   mBusy = true;
   const auto fence = *mWork;
@@ -321,14 +327,16 @@
   Work();
 }
 
-bool Entry::Closed(int aBackend, LogOffset aVersion) const
+bool
+Entry::Closed(int aBackend, LogOffset aVersion) const
 {
   const auto* entry = mStream.State().Find(BackendId(std::to_string(aBackend)));
   return mProcess.Running() && entry != nullptr && entry->version >= aVersion &&
          entry->state != "open" && mOutstanding.at(aBackend) == 0;
 }
 
-void Entry::Work()
+void
+Entry::Work()
 {
   mTimer = mProcess.RunAfter(200ms, [this] { Work(); });
   const auto index = mRandom.Below(kBackends);
@@ -367,7 +375,8 @@
   }
 }
 
-void World::Restart(int aSteward)
+void
+World::Restart(int aSteward)
 {
   auto& steward = stewards[aSteward];
   steward->Process().Kill();
@@ -375,12 +384,14 @@
   steward = std::make_unique<Steward>(*this, aSteward, ++lives);
 }
 
-Engine& World::EngineOf(const BackendId& aBackend)
+Engine&
+World::EngineOf(const BackendId& aBackend)
 {
   return engines[std::stoi(aBackend.Value())];
 }
 
-bool World::Deliver(const Order& aOrder)
+bool
+World::Deliver(const Order& aOrder)
 {
   auto& engine = EngineOf(aOrder.backend);
   if (engine.checks && aOrder.fence < engine.fence) {
@@ -401,7 +412,8 @@
   return true;
 }
 
-void World::PauseHere(FakeProcess& aProcess, double aChance)
+void
+World::PauseHere(FakeProcess& aProcess, double aChance)
 {
   if (healed || !random.Chance(aChance)) {
     return;
@@ -411,7 +423,8 @@
                                      [&aProcess] { aProcess.Resume(); }));
 }
 
-void World::CheckAll()
+void
+World::CheckAll()
 {
   int holders = 0;
   for (const auto& it : stewards) {
@@ -429,7 +442,8 @@
   timers.push_back(executor.RunAfter(50ms, [this] { CheckAll(); }));
 }
 
-Counts World::Run()
+Counts
+World::Run()
 {
   std::vector<FaultTarget> targets;
   targets.reserve(kStewards + kEntries);
@@ -456,7 +470,8 @@
   return counts;
 }
 
-bool Fails(std::uint64_t aSeed, Counts& aSum)
+bool
+Fails(std::uint64_t aSeed, Counts& aSum)
 {
   World world(aSeed);
   const auto counts = world.Run();
--- a/tests/coord/booking_test.cpp
+++ b/tests/coord/booking_test.cpp
@@ -274,7 +274,8 @@
 namespace {
 
 // Books at the target's rate and checks the appends against "several hundred".
-void MeasureRate(std::uint32_t aPartitions, Duration aLinger)
+void
+MeasureRate(std::uint32_t aPartitions, Duration aLinger)
 {
   const WithoutLeakCheck fast;
   constexpr double kBookingsPerSecond = 3800;
--- a/tests/coord/fault_injector.cpp
+++ b/tests/coord/fault_injector.cpp
@@ -17,7 +17,8 @@
 
 using namespace std::chrono_literals;
 
-std::map<std::string, StateChart> LoadCharts()
+std::map<std::string, StateChart>
+LoadCharts()
 {
   std::map<std::string, StateChart> charts;
   for (const auto* name : { "authority", "backend", "booking", "request" }) {
@@ -36,7 +37,8 @@
 
 } // namespace
 
-const StateChart& TestChart(const std::string& aName)
+const StateChart&
+TestChart(const std::string& aName)
 {
   return kCharts.at(aName);
 }
@@ -52,7 +54,8 @@
 {
 }
 
-void FaultInjector::Run(Duration aSpan)
+void
+FaultInjector::Run(Duration aSpan)
 {
   const auto end = mExecutor.Now() + aSpan;
   Next(end);
@@ -67,7 +70,8 @@
   }
 }
 
-void FaultInjector::Next(Instant aEnd)
+void
+FaultInjector::Next(Instant aEnd)
 {
   After(Between(kLeastGap, kMostGap), [this, aEnd] {
     if (mExecutor.Now() < aEnd) {
@@ -77,7 +81,8 @@
   });
 }
 
-void FaultInjector::Inject()
+void
+FaultInjector::Inject()
 {
   const auto target = mRandom.Below(mTargets.size());
   const auto span = Between(100ms, 12s);
@@ -108,19 +113,22 @@
   }
 }
 
-void FaultInjector::PauseSome(Duration aSpan)
+void
+FaultInjector::PauseSome(Duration aSpan)
 {
   const auto target = mRandom.Below(mTargets.size());
   mTargets[target].pause();
   After(aSpan, [this, target] { mTargets[target].resume(); });
 }
 
-void FaultInjector::After(Duration aDelay, std::function<void()> aCallback)
+void
+FaultInjector::After(Duration aDelay, std::function<void()> aCallback)
 {
   mTimers.push_back(mExecutor.RunAfter(aDelay, std::move(aCallback)));
 }
 
-Duration FaultInjector::Between(Duration aLeast, Duration aMost)
+Duration
+FaultInjector::Between(Duration aLeast, Duration aMost)
 {
   return aLeast + FromSeconds(ToSeconds(aMost - aLeast) * mRandom.Uniform());
 }
@@ -135,9 +143,10 @@
   MemoryLeakWarningPlugin::turnOnDefaultNotThreadSafeNewDeleteOverloads();
 }
 
-int CountSchedules(const char* aName,
-                   int aSchedules,
-                   const std::function<bool(std::uint64_t)>& aFails)
+int
+CountSchedules(const char* aName,
+               int aSchedules,
+               const std::function<bool(std::uint64_t)>& aFails)
 {
   const char* wanted = std::getenv("FIREFLY_SCHEDULES");
   const int schedules = wanted == nullptr ? aSchedules : std::atoi(wanted);
--- a/tests/process/process_harness.cpp
+++ b/tests/process/process_harness.cpp
@@ -26,7 +26,8 @@
 constexpr std::uint16_t kPortsOfProcess = 37;
 constexpr auto kPollInterval = std::chrono::milliseconds(10);
 
-bool CanBind(std::uint16_t aPort, int aType)
+bool
+CanBind(std::uint16_t aPort, int aType)
 {
   const int fd = socket(AF_INET, aType | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
@@ -41,7 +42,8 @@
 
 } // namespace
 
-std::uint16_t FreePort()
+std::uint16_t
+FreePort()
 {
   static std::uint32_t next =
     static_cast<std::uint32_t>(getpid()) * kPortsOfProcess;
@@ -53,13 +55,14 @@
   }
 }
 
-std::string LoopbackUrl(std::uint16_t aPort)
+std::string
+LoopbackUrl(std::uint16_t aPort)
 {
   return "http://127.0.0.1:" + std::to_string(aPort);
 }
 
-bool WaitFor(const std::function<bool()>& aCondition,
-             std::chrono::seconds aLimit)
+bool
+WaitFor(const std::function<bool()>& aCondition, std::chrono::seconds aLimit)
 {
   const auto end = std::chrono::steady_clock::now() + aLimit;
   while (!aCondition()) {
@@ -85,8 +88,9 @@
   std::filesystem::remove_all(mPath, ec);
 }
 
-std::filesystem::path TemporaryDirectory::Write(const std::string& aName,
-                                                const std::string& aText) const
+std::filesystem::path
+TemporaryDirectory::Write(const std::string& aName,
+                          const std::string& aText) const
 {
   std::filesystem::path file = mPath / aName;
   std::ofstream(file) << aText;
@@ -132,14 +136,16 @@
   Kill();
 }
 
-void ChildProcess::Signal(int aSignal)
+void
+ChildProcess::Signal(int aSignal)
 {
   if (Running()) {
     kill(mId, aSignal);
   }
 }
 
-void ChildProcess::Kill()
+void
+ChildProcess::Kill()
 {
   if (!Running()) {
     return;
@@ -150,27 +156,32 @@
   mStatus = status;
 }
 
-void ChildProcess::Freeze()
+void
+ChildProcess::Freeze()
 {
   Signal(SIGSTOP);
 }
 
-void ChildProcess::Resume()
+void
+ChildProcess::Resume()
 {
   Signal(SIGCONT);
 }
 
-void ChildProcess::Terminate()
+void
+ChildProcess::Terminate()
 {
   Signal(SIGTERM);
 }
 
-bool ChildProcess::Running()
+bool
+ChildProcess::Running()
 {
   return mId > 0 && !Status().has_value();
 }
 
-std::optional<int> ChildProcess::Status()
+std::optional<int>
+ChildProcess::Status()
 {
   int status = 0;
   if (mId > 0 && !mStatus && waitpid(mId, &status, WNOHANG) == mId) {
@@ -179,16 +190,18 @@
   return mStatus;
 }
 
-bool ChildProcess::EndedBySignal(int aSignal)
+bool
+ChildProcess::EndedBySignal(int aSignal)
 {
   const std::optional<int> status = Status();
   return status && WIFSIGNALED(*status) && WTERMSIG(*status) == aSignal;
 }
 
-HttpResult BlockingHttp::Ask(const std::string& aMethod,
-                             const std::string& aUrl,
-                             const std::string& aBody,
-                             HttpHeaders aHeaders)
+HttpResult
+BlockingHttp::Ask(const std::string& aMethod,
+                  const std::string& aUrl,
+                  const std::string& aBody,
+                  HttpHeaders aHeaders)
 {
   HttpCall call;
   call.method = aMethod;
@@ -206,7 +219,8 @@
   return answer.value_or(HttpResult{});
 }
 
-bool BlockingHttp::Succeeds(const std::string& aUrl)
+bool
+BlockingHttp::Succeeds(const std::string& aUrl)
 {
   constexpr int kOk = 200;
   return Ask("GET", aUrl).status == kOk;
--- a/tests/servers/control/table_commands_test.cpp
+++ b/tests/servers/control/table_commands_test.cpp
@@ -23,7 +23,8 @@
 const std::string kNew = kHeader + "desk,book,*,2,,,,\r\n";
 
 // The answer to GET /admin/table.
-std::string TableBody(int aVersion, const std::string& aCsv)
+std::string
+TableBody(int aVersion, const std::string& aCsv)
 {
   std::string escaped;
   for (const char it : aCsv) {
--- a/tests/stand_ins/platform/main.cpp
+++ b/tests/stand_ins/platform/main.cpp
@@ -13,10 +13,11 @@
   "usage: firefly-standin-platform --port=N [--address=IP]\n";
 
 // The value of "--name=value", or the default.
-std::string OptionOf(int aCount,
-                     const char* const* aWords,
-                     const std::string& aName,
-                     const std::string& aDefault)
+std::string
+OptionOf(int aCount,
+         const char* const* aWords,
+         const std::string& aName,
+         const std::string& aDefault)
 {
   const std::string prefix = "--" + aName + "=";
   for (int i = 1; i < aCount; ++i) {
@@ -30,7 +31,8 @@
 
 } // namespace
 
-int main(int aCount, char** aWords)
+int
+main(int aCount, char** aWords)
 {
   const std::string text = OptionOf(aCount, aWords, "port", "");
   std::uint16_t port = 0;
--- a/tests/stand_ins/platform/platform_service.cpp
+++ b/tests/stand_ins/platform/platform_service.cpp
@@ -18,9 +18,10 @@
 constexpr std::size_t kDefaultLimit = 1000;
 constexpr std::size_t kMaxListStates = 1000;
 
-std::uint64_t NumberOf(const HttpRequest& aRequest,
-                       std::string_view aName,
-                       std::uint64_t aDefault)
+std::uint64_t
+NumberOf(const HttpRequest& aRequest,
+         std::string_view aName,
+         std::uint64_t aDefault)
 {
   const std::string text = aRequest.QueryValue(aName);
   std::uint64_t number = aDefault;
@@ -28,7 +29,8 @@
   return number;
 }
 
-void Answer(const HttpResponderPtr& aResponder, int aStatus, const json& aBody)
+void
+Answer(const HttpResponderPtr& aResponder, int aStatus, const json& aBody)
 {
   HttpResponse response;
   response.status = aStatus;
@@ -36,7 +38,8 @@
   aResponder->Send(std::move(response));
 }
 
-std::optional<std::vector<std::string>> DecodePayloads(const std::string& aBody)
+std::optional<std::vector<std::string>>
+DecodePayloads(const std::string& aBody)
 {
   const json payloads = json::parse(aBody, nullptr, false);
   if (!payloads.is_array()) {
@@ -56,7 +59,8 @@
   return decoded;
 }
 
-json EncodeBatch(const StoredBatch& aBatch)
+json
+EncodeBatch(const StoredBatch& aBatch)
 {
   json records = json::array();
   for (const StoredRecord& record : aBatch.records) {
@@ -76,7 +80,8 @@
   mHosts.emplace_back();
 }
 
-void PlatformService::Handle(HttpRequest aRequest, HttpResponderPtr aResponder)
+void
+PlatformService::Handle(HttpRequest aRequest, HttpResponderPtr aResponder)
 {
   const bool ofLog = aRequest.path.starts_with("/log/");
   if (!ofLog || mFaults.Delay() == Duration::zero()) {
@@ -91,8 +96,9 @@
     }));
 }
 
-void PlatformService::Serve(const HttpRequest& aRequest,
-                            const HttpResponderPtr& aResponder)
+void
+PlatformService::Serve(const HttpRequest& aRequest,
+                       const HttpResponderPtr& aResponder)
 {
   const std::vector<std::string> path = SplitPath(aRequest.path);
   const std::string service = path.empty() ? "" : path.front();
@@ -115,9 +121,10 @@
   }
 }
 
-void PlatformService::Append(const std::string& aStream,
-                             const HttpRequest& aRequest,
-                             const HttpResponderPtr& aResponder)
+void
+PlatformService::Append(const std::string& aStream,
+                        const HttpRequest& aRequest,
+                        const HttpResponderPtr& aResponder)
 {
   const auto payloads = DecodePayloads(aRequest.body);
   if (!payloads) {
@@ -136,9 +143,10 @@
   Answer(aResponder, 200, { { "first", first } });
 }
 
-void PlatformService::Read(const std::string& aStream,
-                           const HttpRequest& aRequest,
-                           const HttpResponderPtr& aResponder)
+void
+PlatformService::Read(const std::string& aStream,
+                      const HttpRequest& aRequest,
+                      const HttpResponderPtr& aResponder)
 {
   ++mCounters.reads;
   Waiter waiter;
@@ -155,7 +163,8 @@
   AnswerRead(waiter);
 }
 
-void PlatformService::Wait(Waiter aWaiter, Duration aLimit)
+void
+PlatformService::Wait(Waiter aWaiter, Duration aLimit)
 {
   const auto it = mWaiters.insert(mWaiters.end(), std::move(aWaiter));
   it->timer = mExecutor.RunAfter(aLimit, [this, it] {
@@ -165,7 +174,8 @@
   });
 }
 
-void PlatformService::AnswerRead(const Waiter& aWaiter)
+void
+PlatformService::AnswerRead(const Waiter& aWaiter)
 {
   const StoredBatch batch =
     mLog.Read(aWaiter.stream, aWaiter.from, aWaiter.limit, mExecutor.Now());
@@ -173,7 +183,8 @@
   Answer(aWaiter.responder, status, EncodeBatch(batch));
 }
 
-void PlatformService::WakeReaders(const std::string& aStream)
+void
+PlatformService::WakeReaders(const std::string& aStream)
 {
   for (auto it = mWaiters.begin(); it != mWaiters.end();) {
     if (it->stream != aStream) {
@@ -185,9 +196,10 @@
   }
 }
 
-void PlatformService::ServeHosts(const HttpRequest& aRequest,
-                                 const std::string& aHost,
-                                 const HttpResponderPtr& aResponder)
+void
+PlatformService::ServeHosts(const HttpRequest& aRequest,
+                            const std::string& aHost,
+                            const HttpResponderPtr& aResponder)
 {
   if (aRequest.method == "GET") {
     ListHosts(aResponder);
@@ -210,7 +222,8 @@
   Answer(aResponder, 200, json::object());
 }
 
-void PlatformService::ListHosts(const HttpResponderPtr& aResponder)
+void
+PlatformService::ListHosts(const HttpResponderPtr& aResponder)
 {
   const Instant asOf = mExecutor.Now() - mFaults.HostsLag();
   const HostList* shown = &mHosts.front();
@@ -228,7 +241,8 @@
   Answer(aResponder, 200, { { "hosts", std::move(hosts) } });
 }
 
-void PlatformService::ServeWeights(const HttpResponderPtr& aResponder)
+void
+PlatformService::ServeWeights(const HttpResponderPtr& aResponder)
 {
   const double rate = mFaults.LoadsPerSecond();
   const Instant now = mExecutor.Now();
@@ -252,8 +266,9 @@
   Answer(aResponder, 200, json::object());
 }
 
-void PlatformService::ServeControl(const HttpRequest& aRequest,
-                                   const HttpResponderPtr& aResponder)
+void
+PlatformService::ServeControl(const HttpRequest& aRequest,
+                              const HttpResponderPtr& aResponder)
 {
   if (aRequest.method == "POST" && !mFaults.Apply(aRequest.body)) {
     Answer(aResponder, 400, json::object());
