tests/coord: save and restore the leak check instead of switching it

Cause: switching CppUTest's overloads on again left them on where they had been off, and the programs ended with a segmentation fault after a clean verdict.

--- a/tests/coord/fault_injector.cpp
+++ b/tests/coord/fault_injector.cpp
@@ -135,12 +135,12 @@
 
 WithoutLeakCheck::WithoutLeakCheck()
 {
-  MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+  MemoryLeakWarningPlugin::saveAndDisableNewDeleteOverloads();
 }
 
 WithoutLeakCheck::~WithoutLeakCheck()
 {
-  MemoryLeakWarningPlugin::turnOnDefaultNotThreadSafeNewDeleteOverloads();
+  MemoryLeakWarningPlugin::restoreNewDeleteOverloads();
 }
 
 int
