Speak the steward's language in fireflyctl

The steward's /fleet names the authority's holder with its fencing number and each backend server's change; fleet shows these, and role and load order them. Empty cells of text tables read as a dash.

--- a/servers/control/control_program.cpp
+++ b/servers/control/control_program.cpp
@@ -1,5 +1,7 @@
 #include "servers/control/control_program.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 #include <fstream>
 #include <iostream>
@@ -26,6 +28,8 @@
   fireflyctl fleet [--steward URL]... [--settings FILE] [--format FORMAT]
   fireflyctl drain BACKEND [--steward URL]... [--settings FILE] [--format FORMAT]
   fireflyctl undrain BACKEND [--steward URL]... [--settings FILE] [--format FORMAT]
+  fireflyctl role BACKEND ROLE [--steward URL]... [--settings FILE] [--format FORMAT]
+  fireflyctl load BACKEND MODEL [--model-version V] [--adapter A] [--steward URL]... [--settings FILE] [--format FORMAT]
   fireflyctl why REQUEST [--entry URL]... [--settings FILE] [--format FORMAT]
   fireflyctl booking show KEY [--entry URL]... [--settings FILE] [--format FORMAT]
   fireflyctl --help
@@ -37,6 +41,8 @@
   --settings FILE   Ask all hosts that this settings file names.
   --format FORMAT   text or json [default: text].
   --base N          Edit just this version; else the newest one.
+  --model-version V  The model's version; else the newest.
+  --adapter A       The adapter to load with the model; else none.
   --timeout S       Seconds to wait for confirmations [default: 10].
   --help            Show this text.
   --version         Show the version.
@@ -50,6 +56,8 @@
   status            Show entries, members, backend servers, queues and limits.
   fleet             Show the leader's view of each backend server.
   drain, undrain    Take a backend server out of service, or back in.
+  role              Give an engine the role mixed, prefill or decode.
+  load              Have an engine load a model.
   why               Show what became of a request.
   booking show      Show the state of a booking.
 
@@ -131,6 +139,16 @@
   if (mArguments.Has("undrain")) {
     return commands.Undrain(BackendId(mArguments.Text("BACKEND")));
   }
+  if (mArguments.Has("role")) {
+    return commands.ChangeRole(BackendId(mArguments.Text("BACKEND")),
+                               mArguments.Text("ROLE"));
+  }
+  if (mArguments.Has("load")) {
+    return commands.Load(BackendId(mArguments.Text("BACKEND")),
+                         { .model = ModelId(mArguments.Text("MODEL")),
+                           .version = mArguments.Text("--model-version"),
+                           .adapter = mArguments.Text("--adapter") });
+  }
   if (mArguments.Has("why")) {
     return commands.Why(RequestId(mArguments.Text("REQUEST")));
   }
@@ -176,8 +194,11 @@
   for (auto& it : mArguments.Texts("--steward")) {
     mOptions.targets.stewards.push_back(std::move(it));
   }
-  const bool asksSteward = mArguments.Has("fleet") || mArguments.Has("drain") ||
-                           mArguments.Has("undrain");
+  constexpr std::array<const char*, 5> kStewardCommands{
+    "fleet", "drain", "undrain", "role", "load"
+  };
+  const bool asksSteward = std::ranges::any_of(
+    kStewardCommands, [&](const char* aName) { return mArguments.Has(aName); });
   if (asksSteward && mOptions.targets.stewards.empty()) {
     Refuse("whom to ask: give --steward URL or --settings FILE");
     return false;
--- a/servers/control/fleet_commands.cpp
+++ b/servers/control/fleet_commands.cpp
@@ -10,6 +10,21 @@
 
 namespace {
 
+// The authority's holder as a steward's answer names it.
+Json
+HolderOf(const Json& aFleet)
+{
+  const auto found = aFleet.find("holder");
+  const bool known = found != aFleet.end() && found->is_object();
+  return known ? *found : Json::object();
+}
+
+double
+FenceOf(const Json& aFleet)
+{
+  return NumberOf(HolderOf(aFleet), "fence");
+}
+
 // The leading steward's answer, or null. A process that lost its authority may
 // still believe in it: the greatest fencing number is right.
 const Json*
@@ -18,8 +33,7 @@
   const Json* leader = nullptr;
   for (const auto& it : aFleets) {
     const bool leads = TextOf(it, "leading") == "yes";
-    if (leads && (leader == nullptr ||
-                  NumberOf(it, "fencing") > NumberOf(*leader, "fencing"))) {
+    if (leads && (leader == nullptr || FenceOf(it) > FenceOf(*leader))) {
       leader = &it;
     }
   }
@@ -184,27 +198,29 @@
 void
 PrintFleet(std::ostream& aOut, const Json& aLeader)
 {
-  aOut << "leader " << TextOf(aLeader, "host") << ", fencing number "
-       << TextOf(aLeader, "fencing") << ", plan "
+  const Json holder = HolderOf(aLeader);
+  aOut << "leader " << TextOf(holder, "host") << ", fencing number "
+       << TextOf(holder, "fence") << ", plan "
        << TextOf(aLeader, "plan_version") << "\n\n";
   TextTable table({ "BACKEND",
                     "STATE",
                     "ROLE",
                     "MODEL",
-                    "LAST ORDER",
-                    "OUTCOME",
-                    "WAITING FOR" });
+                    "VERSION",
+                    "ADAPTER",
+                    "CHANGE",
+                    "RUNNING",
+                    "WAITS FOR" });
   for (const auto& it : ArrayOf(aLeader, "backends")) {
-    const auto order = it.contains("last_order") && it["last_order"].is_object()
-                         ? it["last_order"]
-                         : Json::object();
     table.Add({ TextOf(it, "id"),
                 TextOf(it, "state"),
                 TextOf(it, "role"),
                 TextOf(it, "model"),
-                TextOf(order, "kind"),
-                TextOf(order, "outcome"),
-                JoinArray(ArrayOf(it, "waiting_for")) });
+                TextOf(it, "version"),
+                TextOf(it, "adapter"),
+                TextOf(it, "change"),
+                TextOf(it, "in_flight"),
+                JoinArray(ArrayOf(it, "waits_for")) });
   }
   aOut << table.Text();
 }
@@ -266,7 +282,8 @@
   }
   if (!mOptions.targets.stewards.empty()) {
     mOptions.out << "leader "
-                 << (leader == nullptr ? "none" : TextOf(*leader, "host"))
+                 << (leader == nullptr ? "none"
+                                       : TextOf(HolderOf(*leader), "host"))
                  << "\n\n";
   }
   PrintEntries(mOptions.out, entries.objects);
@@ -305,13 +322,29 @@
 ExitCode
 FleetCommands::Drain(const BackendId& aBackend)
 {
-  return Order("drain", aBackend);
+  return Order("drain", aBackend, "");
 }
 
 ExitCode
 FleetCommands::Undrain(const BackendId& aBackend)
 {
-  return Order("undrain", aBackend);
+  return Order("undrain", aBackend, "");
+}
+
+ExitCode
+FleetCommands::ChangeRole(const BackendId& aBackend, const std::string& aRole)
+{
+  return Order("role", aBackend, DumpLine({ { "role", aRole } }));
+}
+
+ExitCode
+FleetCommands::Load(const BackendId& aBackend, const LoadedModel& aModel)
+{
+  return Order("load",
+               aBackend,
+               DumpLine({ { "model", aModel.model.Value() },
+                          { "version", aModel.version },
+                          { "adapter", aModel.adapter } }));
 }
 
 ExitCode
@@ -329,7 +362,9 @@
 }
 
 ExitCode
-FleetCommands::Order(const std::string& aVerb, const BackendId& aBackend)
+FleetCommands::Order(const std::string& aVerb,
+                     const BackendId& aBackend,
+                     const std::string& aBody)
 {
   const auto fleets =
     ObjectsOf(AskAll(mFetcher, mOptions.targets.stewards, "/fleet"));
@@ -343,11 +378,12 @@
   call.method = "POST";
   call.url = TextOf(*leader, "url") + '/' + aVerb + '/' +
              PercentEncode(aBackend.Value());
+  call.body = aBody;
   call.freshConnection = true;
   const auto reply = mFetcher.Fetch(std::move(call));
   if (!reply) {
     const bool sent = reply.error().kind != HttpErrorKind::kNotSent;
-    mOptions.err << TextOf(*leader, "host") << ": " << Describe(reply.error())
+    mOptions.err << TextOf(*leader, "url") << ": " << Describe(reply.error())
                  << (sent ? "; see fleet for what became of it\n"
                           : "; nothing changed\n");
     return sent ? ExitCode::kFailed : ExitCode::kAway;
@@ -356,12 +392,12 @@
     mOptions.err << "not accepted: " << ProblemTitle(*reply) << '\n';
     return ExitCode::kFailed;
   }
-  const auto body = ParseObject(reply->body).value_or(Json::object());
   if (mOptions.format == OutputFormat::kJson) {
-    mOptions.out << DumpLine(body);
+    mOptions.out << DumpLine(
+      { { "accepted", aVerb }, { "backend", aBackend.Value() } });
   } else {
-    mOptions.out << aVerb << ' ' << aBackend << " accepted, plan "
-                 << TextOf(body, "plan_version") << '\n';
+    mOptions.out << aVerb << ' ' << aBackend
+                 << " accepted; fleet shows its course\n";
   }
   return ExitCode::kOk;
 }
--- a/servers/control/fleet_commands.h
+++ b/servers/control/fleet_commands.h
@@ -9,6 +9,14 @@
 
 namespace firefly {
 
+// What an engine is told to load.
+struct LoadedModel
+{
+  ModelId model;
+  std::string version; // empty for the newest
+  std::string adapter; // empty for none
+};
+
 // Asks entries and stewards what they know.
 class FleetCommands
 {
@@ -30,6 +38,10 @@
   ExitCode Drain(const BackendId& aBackend);
   ExitCode Undrain(const BackendId& aBackend);
 
+  // Gives an engine another role, or has it load a model.
+  ExitCode ChangeRole(const BackendId& aBackend, const std::string& aRole);
+  ExitCode Load(const BackendId& aBackend, const LoadedModel& aModel);
+
   // What became of a request.
   ExitCode Why(const RequestId& aRequest);
 
@@ -37,7 +49,9 @@
   ExitCode Booking(const BookingKey& aKey);
 
 private:
-  ExitCode Order(const std::string& aVerb, const BackendId& aBackend);
+  ExitCode Order(const std::string& aVerb,
+                 const BackendId& aBackend,
+                 const std::string& aBody);
 
   // Prints the answers of those entries that know the thing.
   ExitCode ShowKnown(const std::string& aPath, const std::string& aWhat);
--- a/servers/control/text_table.cpp
+++ b/servers/control/text_table.cpp
@@ -42,7 +42,7 @@
 {
   assert(aCells.size() == mRows.front().size());
   for (auto& it : aCells) {
-    it = Printable(std::move(it));
+    it = it.empty() ? "-" : Printable(std::move(it));
   }
   mRows.push_back(std::move(aCells));
 }
--- a/tests/servers/control/control_test.cpp
+++ b/tests/servers/control/control_test.cpp
@@ -32,12 +32,13 @@
 "request_type":"book"}]})";
 
 // A steward that lost its authority and still believes in it, and the leader.
-constexpr const char* kOldFleet =
-  R"({"host":"h2","leading":true,"fencing":9,"backends":[]})";
-constexpr const char* kFleet = R"({"host":"h1","leading":true,"fencing":12,
-"plan_version":40,"backends":[{"id":"e1","state":"draining","role":"mixed",
-"model":"m","last_order":{"kind":"set-role","outcome":"done"},
-"waiting_for":["h3"]}]})";
+constexpr const char* kOldFleet = R"({"leading":true,
+"holder":{"host":"h2","fence":9},"backends":[]})";
+constexpr const char* kFleet = R"({"leading":true,"known":true,
+"holder":{"host":"h1","fence":12},"plan_version":40,
+"backends":[{"id":"e1","state":"draining","role":"mixed","model":"m",
+"version":"2","adapter":"","change":"order","in_flight":3,
+"waits_for":["h3"]}]})";
 
 } // namespace
 
@@ -115,9 +116,10 @@
   Run(ExitCode::kOk, { "fleet", "--steward=http://s", "--steward=http://t" });
   STRCMP_EQUAL("leader h1, fencing number 12, plan 40\n"
                "\n"
-               "BACKEND  STATE     ROLE   MODEL  LAST ORDER  OUTCOME  "
-               "WAITING FOR\n"
-               "e1       draining  mixed  m      set-role    done     h3\n",
+               "BACKEND  STATE     ROLE   MODEL  VERSION  ADAPTER  CHANGE  "
+               "RUNNING  WAITS FOR\n"
+               "e1       draining  mixed  m      2        -        order   "
+               "3        h3\n",
                out.str().c_str());
 }
 
@@ -125,21 +127,28 @@
 {
   fetcher.Answer("GET http://s/fleet", 200, kOldFleet);
   fetcher.Answer("GET http://t/fleet", 200, kFleet);
-  fetcher.Answer("POST http://t/drain/e%201", 202, R"({"plan_version":41})");
+  fetcher.Answer("POST http://t/drain/e%201", 202, "{}");
   Run(ExitCode::kOk,
       { "drain", "e 1", "--steward=http://s", "--steward=http://t" });
-  STRCMP_EQUAL("drain e 1 accepted, plan 41\n", out.str().c_str());
+  STRCMP_EQUAL("drain e 1 accepted; fleet shows its course\n",
+               out.str().c_str());
+  fetcher.Answer("POST http://t/role/e1", 422, R"({"title":"No such change"})");
+  Run(ExitCode::kFailed, { "role", "e1", "x", "--steward=http://t" });
+  STRCMP_EQUAL("not accepted: No such change (status 422)\n",
+               err.str().c_str());
+  fetcher.Answer("POST http://t/load/e1", 202, "{}");
+  Run(ExitCode::kOk, { "load", "e1", "m", "--steward=http://t" });
   fetcher.Fail("POST http://t/undrain/e1", HttpErrorKind::kTimeout);
   Run(ExitCode::kFailed,
       { "undrain", "e1", "--steward=http://s", "--steward=http://t" });
-  STRCMP_EQUAL("h1: no answer in time; see fleet for what became of it\n",
+  STRCMP_EQUAL("http://t: no answer in time; see fleet for what became of it\n",
                err.str().c_str());
   LONGS_EQUAL(1, std::ranges::count(fetcher.calls, "POST http://t/undrain/e1"));
 }
 
 TEST(ControlTest, NoLeaderIsSaid)
 {
-  fetcher.Answer("GET http://s/fleet", 200, R"({"host":"h","leading":false})");
+  fetcher.Answer("GET http://s/fleet", 200, R"({"leading":false})");
   Run(ExitCode::kFailed, { "drain", "e1", "--steward=http://s" });
   STRCMP_EQUAL("no steward that answered leads; nothing changed\n",
                err.str().c_str());
