--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -162,6 +162,20 @@
   }
 }
 
+void RequestRouter::OnHeld(const RequestId& aId,
+                           AttemptNumber aAttempt,
+                           Instant aNow)
+{
+  const auto it = mRequests.find(aId);
+  if (it == mRequests.end()) {
+    return;
+  }
+  const auto attempt = it->second.attempts.find(aAttempt);
+  if (attempt != it->second.attempts.end()) {
+    attempt->second.lastTokens = aNow;
+  }
+}
+
 void RequestRouter::OnFinish(const RequestId& aId,
                              AttemptNumber aAttempt,
                              Instant aNow)
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -115,6 +115,10 @@
                 Tokens aCount,
                 Instant aNow);
 
+  // The entry holds the answering attempt back, because its caller is slow: the
+  // silence is not the backend server's.
+  void OnHeld(const RequestId& aId, AttemptNumber aAttempt, Instant aNow);
+
   // The attempt that answers is complete.
   void OnFinish(const RequestId& aId, AttemptNumber aAttempt, Instant aNow);
 
--- /dev/null
+++ b/servers/entry/caller_handler.h
@@ -0,0 +1,47 @@
+#pragma once
+
+// Takes callers' HTTP requests and starts the task that answers each.
+
+#include <cstdint>
+#include <string>
+
+#include "servers/entry/caller_request.h"
+#include "servers/entry/request_task.h"
+#include "servers/http/http_server.h"
+
+namespace firefly {
+
+class CallerHandler
+{
+public:
+  // The settings and the context's parts must outlive the handler.
+  CallerHandler(const Settings& aSettings,
+                const TaskContext& aContext,
+                Incarnation aIncarnation);
+
+  // Answers one request.
+  void Handle(const HttpRequest& aRequest, const HttpResponderPtr& aResponder);
+
+  // Whether requests are taken; else they are refused as not run.
+  void SetOpen(bool aOpen) { mOpen = aOpen; }
+
+private:
+  void HandleModel(const HttpRequest& aRequest,
+                   const HttpResponderPtr& aResponder,
+                   CallerHead aHead);
+  void HandlePlain(const HttpRequest& aRequest,
+                   const HttpResponderPtr& aResponder,
+                   CallerHead aHead);
+  void Reject(const Problem& aProblem,
+              const CallerHead& aHead,
+              HttpResponder& aResponder);
+  RequestId NextId();
+
+  TaskContext mContext;
+  CallerRequestReader mReader;
+  std::string mIdPrefix;
+  std::uint64_t mCount = 0;
+  bool mOpen = false;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/servers/entry/fleet_keeper.cpp
@@ -0,0 +1,89 @@
+#include "servers/entry/fleet_keeper.h"
+
+namespace firefly {
+
+namespace {
+
+policy::EngineRole ToEngineRole(BackendRole aRole)
+{
+  switch (aRole) {
+    case BackendRole::kPrefill:
+      return policy::EngineRole::kPrefill;
+    case BackendRole::kDecode:
+      return policy::EngineRole::kDecode;
+    default:
+      return policy::EngineRole::kMixed;
+  }
+}
+
+policy::EngineRole ToEngineRole(coord::BackendRole aRole)
+{
+  switch (aRole) {
+    case coord::BackendRole::kPrefill:
+      return policy::EngineRole::kPrefill;
+    case coord::BackendRole::kDecode:
+      return policy::EngineRole::kDecode;
+    default:
+      return policy::EngineRole::kMixed;
+  }
+}
+
+policy::BackendState ToBackendState(const std::string& aPlanState)
+{
+  if (aPlanState == "open") {
+    return policy::BackendState::kOpen;
+  }
+  return aPlanState == "out" ? policy::BackendState::kClosed
+                             : policy::BackendState::kDraining;
+}
+
+policy::Backend ToBackend(const BackendSettings& aSettings)
+{
+  policy::Backend backend;
+  backend.id = aSettings.id;
+  backend.domain = aSettings.domain;
+  backend.role = ToEngineRole(aSettings.role);
+  backend.capacity.slots = static_cast<std::uint32_t>(aSettings.slots);
+  if (aSettings.kind == BackendKind::kPlain) {
+    backend.kind = policy::BackendKind::kPlain;
+    backend.services = { aSettings.service };
+  } else if (!aSettings.models.empty()) {
+    backend.models = { aSettings.models.front() };
+  }
+  return backend;
+}
+
+} // namespace
+
+FleetKeeper::FleetKeeper(const Settings& aSettings)
+  : mSettings(aSettings)
+{
+  for (const auto& it : mSettings.backends) {
+    mView.Upsert(ToBackend(it));
+  }
+}
+
+void FleetKeeper::Apply(const coord::AuthorityState& aPlan)
+{
+  for (const auto& [id, entry] : aPlan.Plan()) {
+    ApplyEntry(id, entry);
+  }
+}
+
+void FleetKeeper::ApplyEntry(const BackendId& aId,
+                             const coord::PlanEntry& aEntry)
+{
+  const auto* settings = mSettings.FindBackend(aId);
+  if (settings == nullptr) {
+    return;
+  }
+  auto backend = ToBackend(*settings);
+  backend.state = ToBackendState(aEntry.state);
+  if (aEntry.serving && settings->kind == BackendKind::kEngine) {
+    backend.role = ToEngineRole(aEntry.serving->role);
+    backend.models = { aEntry.serving->model };
+  }
+  mView.Upsert(std::move(backend));
+}
+
+} // namespace firefly
--- /dev/null
+++ b/servers/entry/lookup_task.h
@@ -0,0 +1,52 @@
+#pragma once
+
+// One caller's idempotent request for a plain service; it may be tried again.
+
+#include <map>
+#include <memory>
+
+#include "servers/entry/plain_call_runner.h"
+#include "servers/entry/request_task.h"
+#include "servers/http/http_server.h"
+
+namespace firefly {
+
+class LookupTask : public RequestTask,
+                   public std::enable_shared_from_this<LookupTask>
+{
+public:
+  LookupTask(const TaskContext& aContext,
+             PlainCall aCall,
+             RequestId aId,
+             HttpResponderPtr aResponder);
+
+  // Hands the request to the dispatcher.
+  void Start();
+
+  void Dispatch(const policy::DispatchOrder& aOrder) override;
+  void Cancel(policy::AttemptNumber aAttempt) override;
+  void Refuse(const policy::Refusal& aRefusal) override;
+  void Fail(policy::FailureReason aReason) override;
+  void OnQueued() override;
+  void Sweep(Instant aNow) override;
+
+private:
+  using Number = policy::AttemptNumber;
+  using Result = tl::expected<HttpResult, HttpError>;
+
+  void OnResult(Number aNumber, Result aResult);
+  void Retry(Number aNumber, policy::AttemptError aError);
+  void Finish(bool aAnswered, const std::string& aReason);
+  [[nodiscard]] Execution ExecutionSoFar() const;
+
+  TaskContext mContext;
+  PlainCall mCall;
+  RequestId mId;
+  HttpResponderPtr mResponder;
+  RequestLife mLife;
+  Duration mLateAfter{};
+  std::map<Number, std::unique_ptr<PlainCallRunner>> mAttempts;
+  bool mMayHaveRun = false;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/servers/entry/model_request_task.h
@@ -0,0 +1,96 @@
+#pragma once
+
+// One caller's request for a model's answer: streams it from engine to caller,
+// resumed elsewhere where it breaks, held back where the caller is slow.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "servers/entry/answer_checker.h"
+#include "servers/entry/request_task.h"
+#include "servers/entry/sse_reader.h"
+#include "servers/http/http_server.h"
+
+namespace firefly {
+
+class ModelRequestTask : public RequestTask,
+                         public std::enable_shared_from_this<ModelRequestTask>
+{
+public:
+  ModelRequestTask(const TaskContext& aContext,
+                   ModelCall aCall,
+                   RequestId aId,
+                   HttpResponderPtr aResponder);
+
+  // Hands the request to the dispatcher.
+  void Start();
+
+  void Dispatch(const policy::DispatchOrder& aOrder) override;
+  void Cancel(policy::AttemptNumber aAttempt) override;
+  void Refuse(const policy::Refusal& aRefusal) override;
+  void Fail(policy::FailureReason aReason) override;
+  void OnQueued() override;
+  void Sweep(Instant aNow) override;
+
+private:
+  struct Attempt
+  {
+    BackendId backend;
+    std::string id; // at the engine
+    HttpTransferPtr transfer;
+    SseReader reader;
+    AnswerChecker checker;
+    int status = 0;
+    std::string refusalBody; // of an answer that is no stream
+    bool accepted = false;   // its first piece was the one to take
+    Instant lastPiece{};
+  };
+  using Number = policy::AttemptNumber;
+
+  [[nodiscard]] policy::RequestRouter& Router() const;
+  Attempt* Find(Number aNumber);
+  HttpStreamHandlers HandlersFor(Number aNumber);
+
+  void OnBody(Number aNumber, std::string_view aBytes);
+  void TakeEvent(Number aNumber, const std::string& aData);
+  void TakePiece(Number aNumber, const TokenPiece& aPiece);
+  bool AcceptFirst(Number aNumber);
+  void TakeToken(Number aNumber, const TokenPiece& aPiece);
+  void OnDone(Number aNumber, const tl::expected<void, HttpError>& aResult);
+  void OnRefusedByEngine(Number aNumber);
+  void EndAttempt(Number aNumber, policy::AttemptError aError);
+  void CancelAtEngine(const Attempt& aAttempt) const;
+
+  void Complete(Number aNumber);
+  void SendWhole();
+  void Tell(const Problem& aProblem);
+  void Flush();
+  void OnWritten(bool aTaken);
+  void Hold(Number aNumber);
+  void Release();
+  void OnCallerGone();
+  void Finish(bool aAnswered, const std::string& aReason);
+  [[nodiscard]] Execution ExecutionSoFar() const;
+
+  TaskContext mContext;
+  ModelCall mCall;
+  RequestId mId;
+  HttpResponderPtr mResponder;
+  RequestLife mLife;
+  AnswerHead mHead;
+  Duration mLateAfter{};
+  std::map<Number, Attempt> mAttempts;
+  std::uint32_t mDelivered = 0; // tokens
+  std::string mOut;             // events to be written next
+  std::string mText;            // of an answer that is given whole
+  std::string mFinishReason;
+  Instant mFirstTokenAt{};
+  Number mHeld;            // the attempt whose transfer is paused
+  bool mBegun = false;     // the answer's head was sent
+  bool mMayHaveRun = false;
+  bool mEnded = false;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/servers/entry/request_life.cpp
@@ -0,0 +1,100 @@
+#include "servers/entry/request_life.h"
+
+#include <memory>
+#include <utility>
+
+namespace firefly {
+
+RequestLife::RequestLife(const Options& aOptions, const CallerHead& aHead)
+  : mOptions(aOptions)
+  , mService(aHead.service)
+  , mType(aHead.type)
+  , mMachine(*aOptions.chart)
+  , mTrace(std::make_shared<RequestTrace>())
+{
+  mTrace->requestId = aHead.requestId;
+  mTrace->service = mService->id.Value();
+  mTrace->requestType = mType->name.Value();
+  mTrace->arrival = mOptions.executor->Now();
+  mOptions.traces->Add(mTrace);
+}
+
+void RequestLife::Fire(const std::string& aEvent,
+                       const std::string& aBackend,
+                       const std::string& aDetail)
+{
+  if (!mMachine.Fire(aEvent)) {
+    mOptions.metrics->wrongTransitions.With({ "request" }).Add();
+  }
+  Note(aEvent, aBackend, aDetail);
+}
+
+void RequestLife::OnDispatch(const policy::DispatchOrder& aOrder)
+{
+  const auto& backend = aOrder.backend.Value();
+  if (aOrder.isHedge) {
+    mOptions.metrics->hedges.With({ mTrace->service }).Add();
+    Note("hedge", backend);
+    return;
+  }
+  if (Is("resuming")) {
+    mOptions.metrics->resumes.With({ mTrace->service }).Add();
+    Note("resume", backend);
+    return;
+  }
+  if (Is("received")) {
+    Fire("admit");
+  }
+  if (Is("dispatched")) {
+    mOptions.metrics->retries.With({ mTrace->service }).Add();
+    Fire("retry");
+  }
+  Fire("dispatch", backend);
+}
+
+void RequestLife::Note(const std::string& aStep,
+                       const std::string& aBackend,
+                       const std::string& aDetail)
+{
+  mTrace->Add({ .at = mOptions.executor->Now() - mTrace->arrival,
+                .step = aStep,
+                .backend = aBackend,
+                .detail = aDetail });
+}
+
+void RequestLife::OnFirstOutput(Duration aLateAfter)
+{
+  const auto wait = mOptions.executor->Now() - mTrace->arrival;
+  mLate = wait > aLateAfter;
+  mOptions.metrics->firstToken.With({ mTrace->service, mTrace->requestType })
+    .Observe(ToSeconds(wait));
+}
+
+std::string RequestLife::OutcomeOf(bool aAnswered) const
+{
+  if (aAnswered) {
+    return mLate ? "late" : "in_time";
+  }
+  return mMachine.Is("refused") ? "refused" : "failed";
+}
+
+void RequestLife::End(bool aAnswered, const std::string& aReason)
+{
+  auto& metrics = *mOptions.metrics;
+  const auto& service = mTrace->service;
+  const auto& type = mTrace->requestType;
+  const auto outcome = OutcomeOf(aAnswered);
+  mTrace->outcome = outcome;
+  metrics.requests.With({ service, type, outcome }).Add();
+  metrics.worth.With({ service, type, outcome }).Add(mType->worth);
+  metrics.requestSeconds.With({ service, type })
+    .Observe(ToSeconds(mOptions.executor->Now() - mTrace->arrival));
+  if (outcome == "late") {
+    metrics.refunds.With({ service, type }).Add(mType->refund);
+  }
+  if (outcome == "refused") {
+    metrics.refusals.With({ service, type, aReason }).Add();
+  }
+}
+
+} // namespace firefly
--- /dev/null
+++ b/servers/entry/sse_reader.cpp
@@ -0,0 +1,52 @@
+#include "servers/entry/sse_reader.h"
+
+#include <utility>
+
+namespace firefly {
+
+std::vector<std::string>
+SseReader::Feed(std::string_view aBytes)
+{
+  std::vector<std::string> events;
+  while (!aBytes.empty() && !mOverflowed) {
+    const auto end = aBytes.find('\n');
+    mPartial += aBytes.substr(0, end);
+    mOverflowed = mPartial.size() + mData.size() > kMaxEventBytes;
+    if (end == std::string_view::npos || mOverflowed) {
+      break;
+    }
+    aBytes.remove_prefix(end + 1);
+    TakeLine(mPartial, events);
+    mPartial.clear();
+  }
+  return events;
+}
+
+void
+SseReader::TakeLine(std::string_view aLine, std::vector<std::string>& aEvents)
+{
+  constexpr std::string_view kData = "data:";
+  if (aLine.ends_with('\r')) {
+    aLine.remove_suffix(1);
+  }
+  if (aLine.empty()) {
+    if (std::exchange(mHasData, false)) {
+      aEvents.push_back(std::exchange(mData, {}));
+    }
+    return;
+  }
+  if (!aLine.starts_with(kData)) {
+    return; // a comment or a field that engines don't use
+  }
+  aLine.remove_prefix(kData.size());
+  if (aLine.starts_with(' ')) {
+    aLine.remove_prefix(1);
+  }
+  if (mHasData) {
+    mData += '\n';
+  }
+  mData += aLine;
+  mHasData = true;
+}
+
+} // namespace firefly
