--- /dev/null
+++ b/servers/entry/booking_task.cpp
@@ -0,0 +1,301 @@
+#include "servers/entry/booking_task.h"
+
+#include <utility>
+
+#include "servers/entry/dispatcher.h"
+#include "servers/entry/request_profile.h"
+
+namespace firefly {
+
+namespace {
+
+using coord::PermitVerdict;
+using policy::AttemptError;
+
+// Between two looks at a key that another attempt holds.
+constexpr Duration kOpenPoll = std::chrono::milliseconds(100);
+constexpr int kConflict = 409;
+constexpr int kUnprocessable = 422;
+constexpr int kFirstServerError = 500;
+constexpr int kUnavailable = 503;
+
+coord::RequestDigest DigestOfCall(const PlainCall& aCall)
+{
+  return coord::DigestOf(aCall.head.type->name.Value() + '?' + aCall.query +
+                         '\n' + aCall.body);
+}
+
+Problem NoPermit(const std::string& aWhy)
+{
+  return { .status = kUnavailable,
+           .type = "no-permit",
+           .title = "No permit could be had, so that nothing was run",
+           .detail = aWhy,
+           .retryAfter = std::chrono::seconds(1) };
+}
+
+Problem StillOpen()
+{
+  return { .status = kConflict,
+           .type = "outcome-unknown",
+           .title = "An earlier request with this key may have run",
+           .execution = Execution::kUnknown };
+}
+
+Problem Mismatch()
+{
+  return { .status = kUnprocessable,
+           .type = "key-mismatch",
+           .title = "The key was used for another request" };
+}
+
+Problem Expired()
+{
+  return { .status = kUnprocessable,
+           .type = "key-expired",
+           .title = "The key is older than what is remembered of keys",
+           .execution = Execution::kUnknown };
+}
+
+} // namespace
+
+BookingKey LedgerKey(const ServiceId& aService,
+                     const CustomerId& aCustomer,
+                     const std::string& aKey)
+{
+  return BookingKey(aService.Value() + '/' + aCustomer.Value() + '/' + aKey);
+}
+
+BookingTask::BookingTask(const TaskContext& aContext,
+                         const Ledger& aLedger,
+                         PlainCall aCall,
+                         RequestId aId,
+                         HttpResponderPtr aResponder)
+  : mContext(aContext)
+  , mLedger(aLedger)
+  , mCall(std::move(aCall))
+  , mId(std::move(aId))
+  , mResponder(std::move(aResponder))
+  , mLife(aContext.life, mCall.head)
+  , mKey(LedgerKey(mCall.head.service->id,
+                   mCall.head.customer,
+                   mCall.idempotencyKey))
+{
+}
+
+void BookingTask::Start()
+{
+  const auto timeout = mContext.settings->ledger.permitTimeout;
+  mPermitDeadline = mContext.executor->Now() + timeout;
+  AskForPermit();
+}
+
+void BookingTask::AskForPermit()
+{
+  // The callbacks own the task until the dispatcher does.
+  mLedger.client->RequestPermit(
+    { .key = mKey, .digest = DigestOfCall(mCall) },
+    mPermitDeadline - mContext.executor->Now(),
+    [self = shared_from_this()](const PermitResult& aResult) {
+      self->OnPermit(aResult);
+    });
+}
+
+void BookingTask::OnPermit(const PermitResult& aResult)
+{
+  if (!aResult) {
+    Tell(NoPermit(aResult.error().message), "not_run");
+    return;
+  }
+  switch (aResult->verdict) {
+    case PermitVerdict::kGranted:
+      mPermit = aResult->holder;
+      Run();
+      break;
+    case PermitVerdict::kCompleted:
+      Replay(aResult->outcome.value_or(coord::BookingOutcome{}));
+      break;
+    case PermitVerdict::kOpen:
+      OnOtherAttempt();
+      break;
+    case PermitVerdict::kMismatch:
+      Tell(Mismatch(), "not_run");
+      break;
+    case PermitVerdict::kExpired:
+      Tell(Expired(), "unknown");
+      break;
+  }
+}
+
+// The other attempt's outcome may come soon: it is waited for.
+void BookingTask::OnOtherAttempt()
+{
+  if (mContext.executor->Now() + kOpenPoll >= mPermitDeadline) {
+    Tell(StillOpen(), "unknown");
+    return;
+  }
+  mPermitTimer = mContext.executor->RunAfter(
+    kOpenPoll, [self = shared_from_this()] { self->AskForPermit(); });
+}
+
+void BookingTask::Replay(const coord::BookingOutcome& aOutcome)
+{
+  mLife.Fire("replay");
+  if (aOutcome.truncated) {
+    Tell({ .status = kConflict,
+           .type = "answer-not-kept",
+           .title = "The booking has run; its answer was too large to keep",
+           .detail = "status " + std::to_string(aOutcome.status),
+           .execution = Execution::kUnknown },
+         "done");
+    return;
+  }
+  mResponder->Send({ .status = static_cast<int>(aOutcome.status),
+                     .headers = { { "X-Request-Id", mCall.head.requestId },
+                                  { "Idempotent-Replayed", "true" } },
+                     .body = aOutcome.answer });
+  mLife.OnFirstOutput(mCall.head.type->lateAfter);
+  mLife.End(true, {});
+}
+
+void BookingTask::Run()
+{
+  const auto& limits = *mContext.dispatcher->Router().Policies().limits;
+  auto info = ProfileOf(mCall, mId, limits, mLife.Arrival());
+  mLateAfter = info.lateAfter;
+  mStarted = true;
+  if (!mContext.dispatcher->Start(shared_from_this(), std::move(info))) {
+    Refuse({ .reason = policy::RefusalReason::kQueueFull,
+             .retryAfter = std::chrono::seconds(1) });
+  }
+}
+
+void BookingTask::OnQueued()
+{
+  mLife.Fire("admit");
+  mLife.Fire("queue");
+}
+
+void BookingTask::Dispatch(const policy::DispatchOrder& aOrder)
+{
+  mLife.OnDispatch(aOrder);
+  const auto number = aOrder.attempt;
+  const auto* backend = mContext.settings->FindBackend(aOrder.backend);
+  mRunner = std::make_unique<PlainCallRunner>(
+    *mContext.client,
+    MakePlainCall(mCall, backend->url, mContext.settings->entry, true),
+    [weak = weak_from_this(), number](Result aResult) {
+      if (const auto self = weak.lock()) {
+        self->OnResult(number, std::move(aResult));
+      }
+    });
+}
+
+void BookingTask::OnResult(Number aNumber, Result aResult)
+{
+  const auto runner = std::move(mRunner);
+  const bool notSent =
+    !aResult && aResult.error().kind == HttpErrorKind::kNotSent;
+  const bool answered = aResult && aResult->status < kFirstServerError;
+  if (answered) {
+    Complete(aNumber, std::move(*aResult));
+    return;
+  }
+  // A server error does not tell whether the booking took effect.
+  mMayHaveRun = mMayHaveRun || !notSent;
+  const auto error = notSent ? AttemptError::kNotSent : AttemptError::kBroken;
+  mContext.dispatcher->Router().OnError(
+    mId, aNumber, error, mContext.executor->Now());
+}
+
+void BookingTask::Complete(Number aNumber, HttpResult aResult)
+{
+  auto& router = mContext.dispatcher->Router();
+  router.OnFirstToken(mId, aNumber, mContext.executor->Now());
+  router.OnFinish(mId, aNumber, mContext.executor->Now());
+  Record(aResult);
+  mLife.OnFirstOutput(mLateAfter);
+  mLife.Fire("answer");
+  mResponder->Send(
+    ToCallerResponse(std::move(aResult), mCall.head.requestId));
+  mLife.EndBooking("done");
+  mLife.End(true, {});
+  mContext.dispatcher->Forget(mId);
+}
+
+void BookingTask::Record(const HttpResult& aResult)
+{
+  const coord::BookingOutcome outcome{
+    .status = static_cast<std::uint32_t>(aResult.status),
+    .answer = aResult.body
+  };
+  auto* book = mLedger.book;
+  book->OnRecordStarted();
+  mLedger.client->RecordOutcome(
+    mKey, mPermit, outcome, [book](const auto&) { book->OnRecordEnded(); });
+}
+
+void BookingTask::AbandonPermit()
+{
+  if (mPermit.Value().empty()) {
+    return;
+  }
+  auto* book = mLedger.book;
+  book->OnRecordStarted();
+  mLedger.client->Abandon(
+    mKey, mPermit, [book](const auto&) { book->OnRecordEnded(); });
+  mPermit = {};
+}
+
+void BookingTask::Cancel(Number /*aAttempt*/) {}
+
+void BookingTask::Sweep(Instant /*aNow*/) {}
+
+Execution BookingTask::ExecutionSoFar() const
+{
+  return mMayHaveRun ? Execution::kUnknown : Execution::kNotRun;
+}
+
+void BookingTask::Refuse(const policy::Refusal& aRefusal)
+{
+  if (mLife.Is("dispatched")) {
+    mLife.Fire("retry");
+  }
+  mLife.Fire("refuse", {}, std::string(policy::ToString(aRefusal.reason)));
+  Tell(ToProblem(aRefusal, ExecutionSoFar()),
+       mMayHaveRun ? "unknown" : "not_run");
+}
+
+void BookingTask::Fail(policy::FailureReason aReason)
+{
+  const std::string reason(policy::ToString(aReason));
+  const char* event = mMayHaveRun ? "lose" : "fail";
+  mLife.Fire(mLife.Is("queued") ? "refuse" : event, {}, reason);
+  Tell(ToProblem(aReason, ExecutionSoFar()),
+       mMayHaveRun ? "unknown" : "not_run");
+}
+
+// Ends the request without an answer of the service.
+void BookingTask::Tell(const Problem& aProblem, const std::string& aOutcome)
+{
+  if (!mMayHaveRun) {
+    AbandonPermit();
+  }
+  if (!mLife.IsOver()) {
+    mLife.Fire("refuse", {}, aProblem.type);
+  }
+  if (mMayHaveRun) {
+    mLedger.book->AddUnknown({ .key = mKey,
+                               .service = mCall.head.service->id,
+                               .requestType = mCall.head.type->name,
+                               .since = mContext.executor->WallNow() });
+  }
+  mResponder->Send(ToResponse(aProblem, mCall.head.requestId));
+  mLife.EndBooking(aOutcome);
+  mLife.End(false, aProblem.type);
+  if (mStarted) {
+    mContext.dispatcher->Forget(mId);
+  }
+}
+
+} // namespace firefly
--- /dev/null
+++ b/servers/entry/booking_task.h
@@ -0,0 +1,83 @@
+#pragma once
+
+// One caller's request that must run at most once: a permit first, then one
+// call on a fresh connection, then its outcome on record.
+
+#include <memory>
+#include <string>
+
+#include "servers/entry/booking_book.h"
+#include "servers/entry/plain_call_runner.h"
+#include "servers/entry/request_task.h"
+#include "servers/http/http_server.h"
+#include "servers/ledger/ledger_client.h"
+
+namespace firefly {
+
+// What the ledger calls a caller's key: callers of different customers or
+// services may use the same one.
+BookingKey LedgerKey(const ServiceId& aService,
+                     const CustomerId& aCustomer,
+                     const std::string& aKey);
+
+class BookingTask : public RequestTask,
+                    public std::enable_shared_from_this<BookingTask>
+{
+public:
+  // What bookings need beside the context; both outlive the task.
+  struct Ledger
+  {
+    LedgerClient* client = nullptr;
+    BookingBook* book = nullptr;
+  };
+
+  BookingTask(const TaskContext& aContext,
+              const Ledger& aLedger,
+              PlainCall aCall,
+              RequestId aId,
+              HttpResponderPtr aResponder);
+
+  // Asks for the permit.
+  void Start();
+
+  void Dispatch(const policy::DispatchOrder& aOrder) override;
+  void Cancel(policy::AttemptNumber aAttempt) override;
+  void Refuse(const policy::Refusal& aRefusal) override;
+  void Fail(policy::FailureReason aReason) override;
+  void OnQueued() override;
+  void Sweep(Instant aNow) override;
+
+private:
+  using Number = policy::AttemptNumber;
+  using PermitResult = tl::expected<coord::Permit, LedgerCallError>;
+  using Result = tl::expected<HttpResult, HttpError>;
+
+  void AskForPermit();
+  void OnPermit(const PermitResult& aResult);
+  void OnOtherAttempt();
+  void Run();
+  void Replay(const coord::BookingOutcome& aOutcome);
+  void OnResult(Number aNumber, Result aResult);
+  void Complete(Number aNumber, HttpResult aResult);
+  void Record(const HttpResult& aResult);
+  void AbandonPermit();
+  void Tell(const Problem& aProblem, const std::string& aOutcome);
+  [[nodiscard]] Execution ExecutionSoFar() const;
+
+  TaskContext mContext;
+  Ledger mLedger;
+  PlainCall mCall;
+  RequestId mId;
+  HttpResponderPtr mResponder;
+  RequestLife mLife;
+  Duration mLateAfter{};
+  BookingKey mKey;
+  Instant mPermitDeadline{};
+  AttemptId mPermit; // empty: none is held
+  std::unique_ptr<PlainCallRunner> mRunner;
+  bool mMayHaveRun = false;
+  bool mStarted = false; // handed to the dispatcher
+  Timer mPermitTimer;
+};
+
+} // namespace firefly
--- a/servers/entry/caller_handler.cpp
+++ b/servers/entry/caller_handler.cpp
@@ -3,6 +3,7 @@
 #include <memory>
 #include <utility>
 
+#include "servers/entry/dispatcher.h"
 #include "servers/entry/lookup_task.h"
 #include "servers/entry/model_request_task.h"
 
@@ -24,6 +25,14 @@
   return aPath.starts_with("/services/");
 }
 
+Problem NoRoom()
+{
+  return { .status = kUnavailable,
+           .type = "queue-full",
+           .title = "This entry runs as many requests as it may",
+           .retryAfter = std::chrono::seconds(1) };
+}
+
 Problem NotReady()
 {
   return { .status = kUnavailable,
@@ -36,8 +45,10 @@
 
 CallerHandler::CallerHandler(const Settings& aSettings,
                              const TaskContext& aContext,
+                             const BookingTask::Ledger& aLedger,
                              Incarnation aIncarnation)
   : mContext(aContext)
+  , mLedger(aLedger)
   , mReader(aSettings)
   , mIdPrefix(aSettings.host.id.Value() + "-" +
               std::to_string(aIncarnation.Value()) + "-")
@@ -104,6 +115,16 @@
     Reject(call.error(), aHead, *aResponder);
     return;
   }
+  if (!mContext.dispatcher->HasRoom()) {
+    Reject(NoRoom(), call->head, *aResponder);
+    return;
+  }
+  if (!call->head.type->idempotent) {
+    const auto task = std::make_shared<BookingTask>(
+      mContext, mLedger, std::move(*call), NextId(), aResponder);
+    task->Start();
+    return;
+  }
   const auto task = std::make_shared<LookupTask>(
     mContext, std::move(*call), NextId(), aResponder);
   task->Start();
--- a/servers/entry/caller_handler.h
+++ b/servers/entry/caller_handler.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "servers/entry/booking_task.h"
 #include "servers/entry/caller_request.h"
 #include "servers/entry/request_task.h"
 #include "servers/http/http_server.h"
@@ -14,9 +15,11 @@
 class CallerHandler
 {
 public:
-  // The settings and the context's parts must outlive the handler.
+  // The settings, the context's and the ledger's parts must outlive the
+  // handler.
   CallerHandler(const Settings& aSettings,
                 const TaskContext& aContext,
+                const BookingTask::Ledger& aLedger,
                 Incarnation aIncarnation);
 
   // Answers one request.
@@ -38,6 +41,7 @@
   RequestId NextId();
 
   TaskContext mContext;
+  BookingTask::Ledger mLedger;
   CallerRequestReader mReader;
   std::string mIdPrefix;
   std::uint64_t mCount = 0;
--- /dev/null
+++ b/servers/entry/entry_digest.cpp
@@ -0,0 +1,72 @@
+#include "servers/entry/entry_digest.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coord/codec.h"
+
+namespace firefly {
+
+namespace {
+
+std::string Encode(const EntryDigest& aDigest)
+{
+  return coord::FieldWriter()
+    .Number(aDigest.table.Value())
+    .Flag(aDigest.ready)
+    .Text(aDigest.work.Encode())
+    .Take();
+}
+
+// Leaves out the half that matters least.
+template<typename T, typename Weight>
+void Halve(std::vector<T>& aItems, Weight aWeight)
+{
+  const auto heavier = [&](const T& aLeft, const T& aRight) {
+    return aWeight(aLeft) > aWeight(aRight);
+  };
+  std::stable_sort(aItems.begin(), aItems.end(), heavier);
+  aItems.resize(aItems.size() / 2);
+}
+
+} // namespace
+
+std::string EncodeEntryDigest(EntryDigest aDigest, std::size_t aMaxBytes)
+{
+  auto bytes = Encode(aDigest);
+  auto& work = aDigest.work;
+  while (bytes.size() > aMaxBytes &&
+         !(work.work.empty() && work.rows.empty() && work.models.empty())) {
+    Halve(work.work, [](const auto& it) { return it.requests; });
+    Halve(work.rows, [](const auto& it) { return it.permillePerSecond; });
+    Halve(work.models, [](const auto& it) { return it.outputTokensPerSecond; });
+    bytes = Encode(aDigest);
+  }
+  while (bytes.size() > aMaxBytes &&
+         !(work.suspects.empty() && work.quarantined.empty())) {
+    work.suspects.resize(work.suspects.size() / 2);
+    work.quarantined.resize(work.quarantined.size() / 2);
+    bytes = Encode(aDigest);
+  }
+  return bytes;
+}
+
+std::optional<EntryDigest> DecodeEntryDigest(const std::string& aBytes)
+{
+  coord::FieldReader reader(aBytes);
+  EntryDigest digest;
+  digest.table = TableVersion(reader.Number());
+  digest.ready = reader.Flag();
+  const auto work = reader.Text();
+  if (!reader.Ok() || !reader.AtEnd()) {
+    return std::nullopt;
+  }
+  auto decoded = policy::Digest::Decode(work);
+  if (!decoded) {
+    return std::nullopt;
+  }
+  digest.work = std::move(*decoded);
+  return digest;
+}
+
+} // namespace firefly
--- a/servers/entry/entry_server.cpp
+++ b/servers/entry/entry_server.cpp
@@ -1,17 +1,28 @@
 #include "servers/entry/entry_server.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
 #include "core/state_chart_loader.h"
 #include "policy/policy_set.h"
 #include "servers/entry/admin_handler.h"
+#include "servers/entry/booking_report.h"
 #include "servers/entry/caller_handler.h"
 #include "servers/entry/dispatcher.h"
+#include "servers/entry/entry_membership.h"
 #include "servers/entry/fleet_keeper.h"
+#include "servers/entry/host_watcher.h"
+#include "servers/entry/load_poller.h"
+#include "servers/entry/plan_keeper.h"
+#include "servers/entry/status_report.h"
+#include "servers/entry/table_keeper.h"
 #include "servers/http/http_client.h"
 #include "servers/http/http_server.h"
+#include "servers/ledger/ledger_client.h"
 #include "servers/log/log.h"
+#include "servers/platform/platform_options.h"
+#include "servers/status/status_server.h"
 
 namespace firefly {
 
@@ -23,6 +34,8 @@
 // noticed.
 constexpr Duration kUnreadyGrace = std::chrono::seconds(1);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
+constexpr Duration kReadyPoll = std::chrono::milliseconds(100);
+constexpr int kLeaveMessages = 3;
 
 Incarnation NewIncarnation(const Executor& aExecutor)
 {
@@ -39,37 +52,39 @@
     : mExecutor(aExecutor)
     , mSettings(aSettings)
     , mIncarnation(NewIncarnation(aExecutor))
+    , mSeed(mIncarnation.Value() ^
+            policy::StableHash(aSettings.host.id.Value()))
     , mMetrics(mRegistry)
     , mTraces(kTraces)
     , mClient(aExecutor, { .maxPooledConnections = kPooledConnections })
+    , mLogClient(mClient, LogOptionsOf(aSettings.platform))
+    , mHostList(mClient, HostListOptionsOf(aSettings.platform))
+    , mLedger(aExecutor, LedgerOptions(aSettings, mIncarnation))
     , mFleet(aSettings)
+    , mAdmin(mTraces)
   {
     AddProcessMetrics(mRegistry);
   }
 
   tl::expected<void, EntryError> Start()
   {
-    if (auto made = LoadCharts(); !made) {
-      return made;
-    }
-    if (auto made = MakeDispatcher(); !made) {
-      return made;
-    }
-    MakeHandlers();
-    if (auto opened = OpenPorts(); !opened) {
-      return opened;
-    }
-    SetReady(true);
-    return {};
+    return LoadCharts()
+      .and_then([this] { return MakeDispatcher(); })
+      .and_then([this] {
+        MakeKeepers();
+        MakeHandlers();
+        return OpenPorts();
+      })
+      .map([this] { StartTasks(); });
   }
 
   void Drain(std::function<void()> aDone)
   {
-    mLog.Info("leaving", { { "running", Count(mDispatcher->Running()) } });
+    mLines.Info("leaving", { { "running", Count(mCallerPort->Running()) } });
     mDraining = true;
     mDone = std::move(aDone);
-    mAdmin->SetReady(false);
     mDrainStart = mExecutor.Now();
+    CheckReady();
     PollDrain();
   }
 
@@ -79,25 +94,57 @@
     return std::to_string(aNumber);
   }
 
+  static LedgerClient::Options LedgerOptions(const Settings& aSettings,
+                                             Incarnation aIncarnation)
+  {
+    LedgerClient::Options options;
+    options.attemptPrefix = aSettings.host.id.Value() + "/" +
+                            std::to_string(aIncarnation.Value());
+    options.partitions = aSettings.ledger.partitions;
+    options.ledgers = LedgersOf(aSettings, {});
+    return options;
+  }
+
+  // The ledgers of the entry hosts that live; of all while none is known to.
+  static std::vector<LedgerAddress> LedgersOf(
+    const Settings& aSettings,
+    const std::vector<HostId>& aLive)
+  {
+    std::vector<LedgerAddress> ledgers;
+    for (const auto& it : aSettings.peers) {
+      const bool live =
+        std::find(aLive.begin(), aLive.end(), it.id) != aLive.end();
+      if (aLive.empty() || live) {
+        ledgers.push_back({ .host = it.id,
+                            .address = it.address,
+                            .port = it.ledgerLinkPort });
+      }
+    }
+    return ledgers;
+  }
+
   tl::expected<void, EntryError> LoadCharts()
   {
-    auto chart = LoadStateChart(mSettings.chartsDirectory / "request.toml");
-    if (!chart) {
-      return tl::unexpected(EntryError{ chart.error().message });
+    for (auto [name, chart] : { std::pair("request.toml", &mRequestChart),
+                                std::pair("backend.toml", &mBackendChart) }) {
+      auto loaded = LoadStateChart(mSettings.chartsDirectory / name);
+      if (!loaded) {
+        return tl::unexpected(EntryError{ loaded.error().message });
+      }
+      *chart = std::move(*loaded);
     }
-    mRequestChart = std::move(*chart);
     return {};
   }
 
   tl::expected<void, EntryError> MakeDispatcher()
   {
     const auto& host = mSettings.host;
-    auto policies = policy::MakePolicySet(
-      mSettings.policyName,
-      { .self = host.id,
-        .seed = mIncarnation.Value() ^ policy::StableHash(host.id.Value()),
-        .queueBound = mSettings.entry.queueBound,
-        .without = {} });
+    auto policies =
+      policy::MakePolicySet(mSettings.policyName,
+                            { .self = host.id,
+                              .seed = mSeed,
+                              .queueBound = mSettings.entry.queueBound,
+                              .without = {} });
     if (!policies) {
       return tl::unexpected(EntryError{ policies.error().message });
     }
@@ -111,6 +158,75 @@
     return {};
   }
 
+  void MakeKeepers()
+  {
+    const coord::WriterId writer("entry/" + mSettings.host.id.Value() + "/" +
+                                 std::to_string(mIncarnation.Value()));
+    auto& router = mDispatcher->Router();
+    mMembership.emplace(
+      EntryMembership::Options{ .settings = &mSettings,
+                                .incarnation = mIncarnation,
+                                .seed = mSeed },
+      mExecutor,
+      router,
+      EntryMembership::Handlers{
+        .onTable =
+          [this](const HostId& aPeer, TableVersion aVersion) {
+            mTable->OnPeerVersion(aPeer, aVersion);
+          },
+        .onEntries =
+          [this](const std::vector<HostId>& aEntries) {
+            mDispatcher->Router().SetEntries(aEntries);
+            mLedger.SetLedgers(LedgersOf(mSettings, aEntries));
+          } });
+    mTable.emplace(
+      TableKeeper::Options{
+        .settings = &mSettings, .writer = writer, .seed = mSeed },
+      mExecutor,
+      mLogClient,
+      mClient,
+      [this](TableVersion aVersion, const auto& aRows) {
+        mDispatcher->Router().Configure(aRows);
+        mMembership->SetTable(aVersion);
+      });
+    mPlan.emplace(
+      coord::AuthorityStream::Options{
+        .writer = writer,
+        .backendChart = &*mBackendChart,
+        .pollInterval = mSettings.platform.pollInterval,
+        .seed = mSeed },
+      mExecutor,
+      mLogClient,
+      mFleet,
+      [] {});
+    mHosts.emplace(
+      HostWatcher::Options{ .settings = &mSettings },
+      mExecutor,
+      mHostList,
+      HostWatcher::Handlers{
+        .onLeaving =
+          [this](std::set<BackendId> aLeaving) {
+            mFleet.SetLeaving(std::move(aLeaving));
+          },
+        .onHosts =
+          [this](const std::vector<std::string>& aAddresses) {
+            AskHosts(aAddresses);
+          } });
+    mLoads.emplace(LoadPoller::Options{ .settings = &mSettings },
+                   mExecutor,
+                   mClient,
+                   router);
+  }
+
+  void AskHosts(const std::vector<std::string>& aAddresses)
+  {
+    std::vector<coord::PeerAddress> seeds;
+    for (const auto& it : aAddresses) {
+      seeds.push_back(MakePeerAddress(it, mSettings.host.gossipPort));
+    }
+    mMembership->SetSeeds(seeds);
+  }
+
   void MakeHandlers()
   {
     const TaskContext context{ .executor = &mExecutor,
@@ -122,9 +238,50 @@
                                          .executor = &mExecutor,
                                          .metrics = &mMetrics,
                                          .traces = &mTraces } };
+    const BookingTask::Ledger ledger{ .client = &mLedger, .book = &mBook };
     mCallers =
-      std::make_unique<CallerHandler>(mSettings, context, mIncarnation);
-    mAdmin = std::make_unique<AdminHandler>(mRegistry, mTraces);
+      std::make_unique<CallerHandler>(mSettings, context, ledger, mIncarnation);
+    mTableAdmin.emplace(mSettings, mExecutor, mTable->Store(), *mMembership);
+    mTable->SetAdmin(&*mTableAdmin);
+    ServeAdmin();
+    mRegistry.OnExpose([this] { SetStatusGauges(Parts(), mMetrics); });
+  }
+
+  void ServeAdmin()
+  {
+    mAdmin.Serve(
+      "table", [this](const HttpRequest& aRequest, const auto& aResponder) {
+        mTableAdmin->Handle(aRequest, [aResponder](HttpResponse aResponse) {
+          aResponder->Send(std::move(aResponse));
+        });
+      });
+    mAdmin.Serve(TableKeeper::kSnapshotName,
+                 [this](const HttpRequest&, const auto& aResponder) {
+                   mTable->ServeSnapshot(*aResponder);
+                 });
+    mAdmin.Serve("status", [this](const HttpRequest&, const auto& aResponder) {
+      aResponder->Send({ .headers = {}, .body = MakeStatusReport(Parts()) });
+    });
+    mAdmin.Serve("bookings",
+                 [this](const HttpRequest& aRequest, const auto& aResponder) {
+                   ShowBooking(aRequest, aResponder, mLedger);
+                 });
+  }
+
+  StatusParts Parts()
+  {
+    return { .settings = &mSettings,
+             .incarnation = mIncarnation,
+             .ready = mReady,
+             .draining = mDraining,
+             .table = mTable->Version(),
+             .plan = mPlan->Plan().PlanVersion(),
+             .members = mMembership->Members(),
+             .tables = mMembership->TableMembers(),
+             .fleet = &mFleet.View(),
+             .router = &mDispatcher->Router(),
+             .bookings = &mBook,
+             .now = mExecutor.Now() };
   }
 
   tl::expected<void, EntryError> OpenPorts()
@@ -143,25 +300,55 @@
       });
     mAdminPort.emplace(
       mExecutor,
-      HttpServer::Options{ .address = host.address,
-                           .port = host.entryAdminPort },
-      [this](const HttpRequest& aRequest, const HttpResponderPtr& aResponder) {
-        mAdmin->Handle(aRequest, aResponder);
-      });
-    for (auto* port : { &*mCallerPort, &*mAdminPort }) {
-      if (const auto started = port->Start(); !started) {
-        return tl::unexpected(EntryError{ started.error().message });
-      }
+      StatusServer::Options{
+        .address = host.address,
+        .port = host.entryAdminPort,
+        .ready =
+          [this] { return std::string(mReady ? "" : "takes no requests"); },
+        .handler =
+          [this](const HttpRequest& aRequest,
+                 const HttpResponderPtr& aResponder) {
+            mAdmin.Handle(aRequest, aResponder);
+          } },
+      mRegistry);
+    if (const auto started = mAdminPort->Start(); !started) {
+      return tl::unexpected(EntryError{ started.error().message });
+    }
+    if (const auto started = mCallerPort->Start(); !started) {
+      return tl::unexpected(EntryError{ started.error().message });
+    }
+    if (const auto started = mMembership->Start(); !started) {
+      return tl::unexpected(EntryError{ started.error().message });
     }
     return {};
   }
 
+  void StartTasks()
+  {
+    mTable->Start();
+    mPlan->Start();
+    mHosts->Start();
+    mLoads->Start();
+    CheckReady();
+  }
+
+  void CheckReady()
+  {
+    SetReady(!mDraining && mTable->Ready());
+    mReadyTimer = mExecutor.RunAfter(kReadyPoll, [this] { CheckReady(); });
+  }
+
   void SetReady(bool aReady)
   {
-    mCallers->SetOpen(aReady);
-    mAdmin->SetReady(aReady);
-    mMetrics.ready.With({}).Set(aReady ? 1 : 0);
-    mLog.Info(aReady ? "ready" : "unready");
+    if (mReady == aReady) {
+      return;
+    }
+    mReady = aReady;
+    mMembership->SetReady(aReady);
+    mLines.Info(aReady ? "ready" : "unready");
+    if (!mDraining) {
+      mCallers->SetOpen(aReady);
+    }
   }
 
   void PollDrain()
@@ -170,36 +357,62 @@
     if (waited >= kUnreadyGrace) {
       mCallers->SetOpen(false);
     }
-    const bool idle = waited >= kUnreadyGrace && mCallerPort->Running() == 0;
+    const bool idle = waited >= kUnreadyGrace && mCallerPort->Running() == 0 &&
+                      mBook.Records() == 0;
     if (idle || waited >= mSettings.entry.drainTimeout) {
-      mLog.Info("left", { { "running", Count(mCallerPort->Running()) } });
+      Leave(kLeaveMessages);
+      return;
+    }
+    mDrainTimer = mExecutor.RunAfter(kDrainPoll, [this] { PollDrain(); });
+  }
+
+  // Says good-bye more than once, since datagrams get lost.
+  void Leave(int aTimes)
+  {
+    if (aTimes == 0) {
+      mLines.Info("left", { { "running", Count(mCallerPort->Running()) } });
       mCallerPort->Stop();
-      mAdminPort->Stop();
       mDone();
       return;
     }
-    mDrainTimer = mExecutor.RunAfter(kDrainPoll, [this] { PollDrain(); });
+    mMembership->Leave();
+    mDrainTimer =
+      mExecutor.RunAfter(kDrainPoll, [this, aTimes] { Leave(aTimes - 1); });
   }
 
   AsioExecutor& mExecutor;
   const Settings& mSettings;
   Incarnation mIncarnation;
-  Log mLog{ "entry" };
+  std::uint64_t mSeed;
+  Log mLines{ "entry" };
   MetricRegistry mRegistry;
   EntryMetrics mMetrics;
   TraceBook mTraces;
+  BookingBook mBook;
   CurlClient mClient;
+  HttpLogClient mLogClient;
+  HostListClient mHostList;
+  LedgerClient mLedger;
   FleetKeeper mFleet;
+  AdminHandler mAdmin;
   std::optional<StateChart> mRequestChart;
+  std::optional<StateChart> mBackendChart;
   std::unique_ptr<Dispatcher> mDispatcher;
+  std::optional<EntryMembership> mMembership;
+  std::optional<TableKeeper> mTable;
+  std::optional<TableAdmin> mTableAdmin;
+  std::optional<PlanKeeper> mPlan;
+  std::optional<HostWatcher> mHosts;
+  std::optional<LoadPoller> mLoads;
   std::unique_ptr<CallerHandler> mCallers;
-  std::unique_ptr<AdminHandler> mAdmin;
   std::optional<HttpServer> mCallerPort;
-  std::optional<HttpServer> mAdminPort;
+  std::optional<StatusServer> mAdminPort;
+  bool mReady = false;
   bool mDraining = false;
   Instant mDrainStart{};
   std::function<void()> mDone;
   Timer mDrainTimer;
+  Timer mReadyTimer;
 };
 
 EntryServer::EntryServer(AsioExecutor& aExecutor, const Settings& aSettings)
--- a/servers/entry/fleet_keeper.cpp
+++ b/servers/entry/fleet_keeper.cpp
@@ -1,5 +1,7 @@
 #include "servers/entry/fleet_keeper.h"
 
+#include <utility>
+
 namespace firefly {
 
 namespace {
@@ -78,12 +80,31 @@
     return;
   }
   auto backend = ToBackend(*settings);
-  backend.state = ToBackendState(aEntry.state);
   if (aEntry.serving && settings->kind == BackendKind::kEngine) {
     backend.role = ToEngineRole(aEntry.serving->role);
     backend.models = { aEntry.serving->model };
   }
   mView.Upsert(std::move(backend));
+  mPlanned[aId] = ToBackendState(aEntry.state);
+  SetState(aId);
+}
+
+void FleetKeeper::SetLeaving(std::set<BackendId> aLeaving)
+{
+  mLeaving = std::move(aLeaving);
+  for (const auto& it : mSettings.backends) {
+    SetState(it.id);
+  }
+}
+
+void FleetKeeper::SetState(const BackendId& aId)
+{
+  const auto it = mPlanned.find(aId);
+  auto state = it == mPlanned.end() ? policy::BackendState::kOpen : it->second;
+  if (state == policy::BackendState::kOpen && mLeaving.contains(aId)) {
+    state = policy::BackendState::kDraining;
+  }
+  mView.SetState(aId, state);
 }
 
 } // namespace firefly
--- /dev/null
+++ b/servers/entry/gossip_socket.h
@@ -0,0 +1,57 @@
+#pragma once
+
+// The UDP socket of the membership.
+
+#include <array>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include <asio/ip/udp.hpp>
+#include <tl/expected.hpp>
+
+#include "coord/membership.h"
+#include "servers/http/asio_executor.h"
+
+namespace firefly {
+
+// Why the socket could not be opened.
+struct GossipError
+{
+  std::string message;
+};
+
+class GossipSocket : public coord::GossipTransport
+{
+public:
+  using Handler = std::function<void(std::string_view)>;
+
+  explicit GossipSocket(AsioExecutor& aExecutor);
+  ~GossipSocket() override;
+  GossipSocket(const GossipSocket&) = delete;
+  GossipSocket& operator=(const GossipSocket&) = delete;
+
+  // Opens the port and hands each datagram to the handler.
+  tl::expected<void, GossipError> Open(const std::string& aAddress,
+                                       std::uint16_t aPort,
+                                       Handler aHandler);
+
+  // Sends at once; a datagram that the kernel doesn't take is lost.
+  void Send(const coord::PeerAddress& aPeer, std::string aBytes) override;
+
+private:
+  void Receive();
+
+  static constexpr std::size_t kMaxDatagramBytes = 65536;
+
+  asio::ip::udp::socket mSocket;
+  Handler mHandler;
+  std::array<char, kMaxDatagramBytes> mBuffer{};
+  asio::ip::udp::endpoint mFrom;
+};
+
+// "10.0.0.1:7400" of its parts.
+coord::PeerAddress MakePeerAddress(const std::string& aAddress,
+                                   std::uint16_t aPort);
+
+} // namespace firefly
--- /dev/null
+++ b/servers/entry/host_watcher.cpp
@@ -0,0 +1,74 @@
+#include "servers/entry/host_watcher.h"
+
+#include <utility>
+
+namespace firefly {
+
+namespace {
+
+// "10.0.0.1" of "http://10.0.0.1:8000".
+std::string AddressOf(const std::string& aUrl)
+{
+  const auto scheme = aUrl.find("://");
+  const auto begin = scheme == std::string::npos ? 0 : scheme + 3;
+  const auto end = aUrl.find_first_of(":/", begin);
+  return aUrl.substr(begin, end == std::string::npos ? end : end - begin);
+}
+
+} // namespace
+
+HostWatcher::HostWatcher(const Options& aOptions,
+                         Executor& aExecutor,
+                         HostListClient& aClient,
+                         Handlers aHandlers)
+  : mOptions(aOptions)
+  , mExecutor(aExecutor)
+  , mClient(aClient)
+  , mHandlers(std::move(aHandlers))
+{
+}
+
+void HostWatcher::Start()
+{
+  mClient.Fetch(
+    [this](const tl::expected<std::vector<ListedHost>, PlatformError>& aList) {
+      if (aList) {
+        TakeList(*aList);
+      }
+      mTimer = mExecutor.RunAfter(mOptions.interval, [this] { Start(); });
+    });
+}
+
+// A backend server is listed under its own id, or under its host's address.
+std::vector<BackendId> HostWatcher::BackendsOf(const ListedHost& aHost) const
+{
+  std::vector<BackendId> byAddress;
+  for (const auto& it : mOptions.settings->backends) {
+    if (it.id.Value() == aHost.id.Value()) {
+      return { it.id };
+    }
+    if (AddressOf(it.url) == aHost.address) {
+      byAddress.push_back(it.id);
+    }
+  }
+  return byAddress;
+}
+
+void HostWatcher::TakeList(const std::vector<ListedHost>& aHosts)
+{
+  std::set<BackendId> leaving;
+  std::vector<std::string> others;
+  for (const auto& host : aHosts) {
+    const auto backends = BackendsOf(host);
+    if (backends.empty() && !host.leaving) {
+      others.push_back(host.address);
+    }
+    if (host.leaving) {
+      leaving.insert(backends.begin(), backends.end());
+    }
+  }
+  mHandlers.onLeaving(std::move(leaving));
+  mHandlers.onHosts(others);
+}
+
+} // namespace firefly
--- /dev/null
+++ b/servers/entry/load_poller.h
@@ -0,0 +1,43 @@
+#pragma once
+
+// Asks the engines for their load reports, one call at a time for each.
+
+#include <set>
+
+#include "policy/request_router.h"
+#include "servers/http/http_client.h"
+#include "servers/settings/settings.h"
+
+namespace firefly {
+
+class LoadPoller
+{
+public:
+  struct Options
+  {
+    const Settings* settings = nullptr;
+    Duration interval = std::chrono::milliseconds(500);
+  };
+
+  // All must outlive the poller.
+  LoadPoller(const Options& aOptions,
+             Executor& aExecutor,
+             HttpClient& aClient,
+             policy::RequestRouter& aRouter);
+
+  // Begins to ask; call it once.
+  void Start();
+
+private:
+  void Ask(const BackendSettings& aBackend);
+  void TakeReport(const BackendId& aBackend, const std::string& aBody);
+
+  Options mOptions;
+  Executor& mExecutor;
+  HttpClient& mClient;
+  policy::RequestRouter& mRouter;
+  std::set<BackendId> mAsked; // that have not answered yet
+  Timer mTimer;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/servers/entry/plan_keeper.h
@@ -0,0 +1,48 @@
+#pragma once
+
+// Reads the authority's plan from the log into the fleet view. While the log
+// can't be read, the last plan known stays in force.
+
+#include <functional>
+
+#include "coord/authority_stream.h"
+#include "servers/entry/fleet_keeper.h"
+
+namespace firefly {
+
+class PlanKeeper : private coord::FoldObserver
+{
+public:
+  // The fleet must outlive the keeper. The handler hears of each new plan.
+  PlanKeeper(const coord::AuthorityStream::Options& aOptions,
+             Executor& aExecutor,
+             coord::LogClient& aLog,
+             FleetKeeper& aFleet,
+             std::function<void()> aOnPlan);
+  ~PlanKeeper() override;
+  PlanKeeper(const PlanKeeper&) = delete;
+  PlanKeeper& operator=(const PlanKeeper&) = delete;
+
+  // Begins to read; call it once.
+  void Start() { mStream.Start(); }
+
+  // The plan as last read; of use only once it was.
+  [[nodiscard]] const coord::AuthorityState& Plan() const
+  {
+    return mStream.State();
+  }
+
+private:
+  void OnApplied(const coord::RecordId& aId,
+                 coord::LogOffset aOffset,
+                 bool aAccepted) override;
+  void OnCaughtUp() override;
+
+  FleetKeeper& mFleet;
+  std::function<void()> mOnPlan;
+  coord::AuthorityStream mStream;
+  bool mRead = false;
+  coord::LogOffset mVersion; // of the plan that is in force here
+};
+
+} // namespace firefly
--- a/servers/entry/request_life.cpp
+++ b/servers/entry/request_life.cpp
@@ -97,4 +97,11 @@
   }
 }
 
+void RequestLife::EndBooking(const std::string& aOutcome)
+{
+  mOptions.metrics->bookings
+    .With({ mTrace->service, mTrace->requestType, aOutcome })
+    .Add();
+}
+
 } // namespace firefly
--- a/servers/entry/request_life.h
+++ b/servers/entry/request_life.h
@@ -51,6 +51,9 @@
   // Counts the end; called once, after the last event.
   void End(bool aAnswered, const std::string& aReason);
 
+  // Counts the outcome of a request that must run at most once.
+  void EndBooking(const std::string& aOutcome);
+
 private:
   void Note(const std::string& aStep,
             const std::string& aBackend,
--- /dev/null
+++ b/servers/entry/status_report.h
@@ -0,0 +1,48 @@
+#pragma once
+
+// The entry's state for operators, as docs/OPERATIONS.md shapes it.
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coord/authority_state.h"
+#include "coord/membership.h"
+#include "policy/request_router.h"
+#include "servers/entry/booking_book.h"
+#include "servers/entry/entry_metrics.h"
+#include "servers/settings/settings.h"
+#include "servers/table/table_admin.h"
+
+namespace firefly {
+
+// What the report is made of.
+struct StatusParts
+{
+  const Settings* settings = nullptr;
+  Incarnation incarnation;
+  bool ready = false;
+  bool draining = false;
+  TableVersion table;
+  coord::LogOffset plan;
+  std::vector<coord::Member> members;
+  std::vector<TableMember> tables;
+  const policy::FleetView* fleet = nullptr;
+  const policy::RequestRouter* router = nullptr;
+  const BookingBook* bookings = nullptr;
+  Instant now{};
+};
+
+// The body of GET /admin/status.
+std::string MakeStatusReport(const StatusParts& aParts);
+
+// Sets the gauges that follow from the same parts.
+void SetStatusGauges(const StatusParts& aParts, EntryMetrics& aMetrics);
+
+// This entry's own attempts at each backend server, by the hash of its id.
+std::map<std::uint64_t, std::uint32_t> OwnOutstanding(
+  const policy::RequestRouter& aRouter,
+  const policy::FleetView& aFleet,
+  Instant aNow);
+
+} // namespace firefly
