--- /dev/null
+++ b/tests/process/deployment.h
@@ -0,0 +1,132 @@
+#pragma once
+
+// A small deployment of our programs on free ports of the loopback address,
+// with stand-ins for the platform, the engines and a plain service.
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/process/process_harness.h"
+
+namespace firefly::testing {
+
+// How a caller's streamed request ended.
+struct StreamedAnswer
+{
+  int status = 0;
+  std::string text; // of all token events
+  bool done = false;  // the end mark came
+  bool error = false; // an error event came
+};
+
+class Deployment
+{
+public:
+  struct Options
+  {
+    int hosts = 1;
+    int engines = 2;
+    int services = 1;
+    bool ledgers = false;
+    // Of each engine.
+    std::string tokenMillis = "5";
+    std::string slots = "8";
+    // Replaces lines of the [entry] section.
+    std::string entrySettings = {};
+  };
+
+  // Starts all processes and waits until each entry is ready.
+  explicit Deployment(const Options& aOptions);
+
+  // Whether all came up.
+  [[nodiscard]] bool Up() const { return mUp; }
+
+  [[nodiscard]] ChildProcess& Entry(int aHost) { return *mEntries[aHost]; }
+  [[nodiscard]] ChildProcess& Engine(int aIndex) { return *mEngines[aIndex]; }
+  [[nodiscard]] ChildProcess& Platform() { return *mPlatform; }
+  [[nodiscard]] ChildProcess& Ledger(int aHost) { return *mLedgers[aHost]; }
+
+  // Base URLs.
+  [[nodiscard]] std::string EntryUrl(int aHost) const;
+  [[nodiscard]] std::string AdminUrl(int aHost) const;
+  [[nodiscard]] std::string EngineUrl(int aIndex) const;
+  [[nodiscard]] std::string ServiceUrl(int aIndex) const;
+  [[nodiscard]] std::string PlatformUrl() const;
+
+  // Starts an entry, or a ledger, again on the same ports.
+  void StartEntry(int aHost);
+  void StartLedger(int aHost);
+  bool WaitUntilReady(int aHost);
+
+  // The sum of a counter over its series at one entry.
+  double Metric(int aHost, const std::string& aName);
+
+  BlockingHttp& Http() { return mHttp; }
+
+private:
+  struct Ports
+  {
+    std::map<std::string, std::uint16_t> byName;
+  };
+
+  void PickPorts();
+  void StartStandIns();
+  [[nodiscard]] std::string SettingsText() const;
+
+  Options mOptions;
+  TemporaryDirectory mDirectory;
+  BlockingHttp mHttp;
+  std::vector<Ports> mHostPorts;
+  std::vector<std::uint16_t> mEnginePorts;
+  std::vector<std::uint16_t> mServicePorts;
+  std::uint16_t mPlatformPort = 0;
+  std::string mSettingsFile;
+  std::unique_ptr<ChildProcess> mPlatform;
+  std::vector<std::unique_ptr<ChildProcess>> mEngines;
+  std::vector<std::unique_ptr<ChildProcess>> mServices;
+  std::vector<std::unique_ptr<ChildProcess>> mLedgers;
+  std::vector<std::unique_ptr<ChildProcess>> mEntries;
+  bool mUp = false;
+};
+
+// A streamed request that runs on an executor of its own until it is waited
+// for, so that a test can break things meanwhile.
+class StreamingCaller
+{
+public:
+  // Sends the request.
+  StreamingCaller(const std::string& aEntryUrl,
+                  const std::string& aPrompt,
+                  int aTokens);
+
+  // Waits until so many tokens came; false if the answer ended before.
+  bool WaitForTokens(std::size_t aTokens);
+
+  // Waits for the end.
+  const StreamedAnswer& Wait();
+
+  // Reads nothing more until Resume.
+  void Pause() { mTransfer->Pause(); }
+  void Resume() { mTransfer->Resume(); }
+
+private:
+  void Take(std::string_view aBytes);
+  void TakeLine(const std::string& aLine);
+
+  AsioExecutor mExecutor;
+  CurlClient mClient{ mExecutor, {} };
+  HttpTransferPtr mTransfer;
+  std::string mPartial;
+  StreamedAnswer mAnswer;
+  std::size_t mTokens = 0;
+  bool mEnded = false;
+};
+
+// The body of a streamed completion.
+std::string CompletionBody(const std::string& aPrompt,
+                           int aTokens,
+                           bool aStream);
+
+} // namespace firefly::testing
--- /dev/null
+++ b/tests/stand_ins/service/service.h
@@ -0,0 +1,46 @@
+#pragma once
+
+// A plain service for tests: lookups, and bookings that it counts.
+//
+//   GET  /items?...   the query told back, the same each time
+//   POST /bookings    takes effect once for each call; counted by key
+//   GET  /counts      {"bookings": {key: n}, "lookups": n}
+//   POST /control     {"lose_next": n, "refuse_next": n, "delay_ms": n}
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <string>
+
+#include "core/executor.h"
+#include "servers/http/http_server.h"
+
+namespace firefly::testing {
+
+class Service
+{
+public:
+  explicit Service(Executor& aExecutor)
+    : mExecutor(aExecutor)
+  {
+  }
+
+  // Answers one request.
+  void Handle(const HttpRequest& aRequest, const HttpResponderPtr& aResponder);
+
+private:
+  void Serve(const HttpRequest& aRequest, const HttpResponderPtr& aResponder);
+  void Book(const HttpRequest& aRequest, const HttpResponderPtr& aResponder);
+  void TakeControl(const std::string& aBody, HttpResponder& aResponder);
+  [[nodiscard]] std::string CountsBody() const;
+
+  Executor& mExecutor;
+  std::uint32_t mLoseNext = 0;   // bookings: effect, then a closed connection
+  std::uint32_t mRefuseNext = 0; // calls: status 503, no effect
+  Duration mDelay{};
+  std::map<std::string, std::uint32_t> mBookings;
+  std::uint64_t mLookups = 0;
+  std::list<Timer> mDelays;
+};
+
+} // namespace firefly::testing
