--- a/coord/authority_state.cpp
+++ b/coord/authority_state.cpp
@@ -22,7 +22,8 @@
 constexpr const char* kAppliedEvent = "applied";
 constexpr const char* kFailedEvent = "failed";
 
-void WriteWanted(FieldWriter& aWriter, const WantedState& aWanted)
+void
+WriteWanted(FieldWriter& aWriter, const WantedState& aWanted)
 {
   aWriter.Number(static_cast<std::uint64_t>(aWanted.role))
     .Text(aWanted.model.Value())
@@ -30,7 +31,8 @@
     .Text(aWanted.adapter);
 }
 
-WantedState ReadWanted(FieldReader& aReader)
+WantedState
+ReadWanted(FieldReader& aReader)
 {
   WantedState wanted;
   wanted.role = static_cast<BackendRole>(aReader.Number());
@@ -40,7 +42,8 @@
   return wanted;
 }
 
-void WriteOrder(FieldWriter& aWriter, const Order& aOrder)
+void
+WriteOrder(FieldWriter& aWriter, const Order& aOrder)
 {
   aWriter.Text(aOrder.backend.Value())
     .Number(aOrder.fence.Value())
@@ -48,7 +51,8 @@
   WriteWanted(aWriter, aOrder.wanted);
 }
 
-Order ReadOrder(FieldReader& aReader)
+Order
+ReadOrder(FieldReader& aReader)
 {
   Order order;
   order.backend = BackendId(aReader.Text());
@@ -58,7 +62,8 @@
   return order;
 }
 
-void WriteLease(FieldWriter& aWriter, const LeaseView& aLease)
+void
+WriteLease(FieldWriter& aWriter, const LeaseView& aLease)
 {
   aWriter.Number(aLease.fence.Value())
     .Text(aLease.holder.Value())
@@ -69,7 +74,8 @@
     .Number(aLease.newest.sequence);
 }
 
-LeaseView ReadLease(FieldReader& aReader)
+LeaseView
+ReadLease(FieldReader& aReader)
 {
   LeaseView lease;
   lease.fence = FencingNumber(aReader.Number());
@@ -82,7 +88,8 @@
   return lease;
 }
 
-void WriteEntry(FieldWriter& aWriter, const PlanEntry& aEntry)
+void
+WriteEntry(FieldWriter& aWriter, const PlanEntry& aEntry)
 {
   aWriter.Text(aEntry.state).Flag(aEntry.serving.has_value());
   if (aEntry.serving) {
@@ -97,7 +104,8 @@
     .Number(aEntry.version.Value());
 }
 
-PlanEntry ReadEntry(FieldReader& aReader)
+PlanEntry
+ReadEntry(FieldReader& aReader)
 {
   PlanEntry entry;
   entry.state = aReader.Text();
@@ -115,13 +123,15 @@
 
 } // namespace
 
-std::string ToString(BackendRole aRole)
+std::string
+ToString(BackendRole aRole)
 {
   const auto n = static_cast<std::size_t>(aRole);
   return n < kRoleNames.size() ? kRoleNames.at(n) : "unknown";
 }
 
-std::optional<BackendRole> ParseBackendRole(const std::string& aName)
+std::optional<BackendRole>
+ParseBackendRole(const std::string& aName)
 {
   for (std::size_t n = 0; n < kRoleNames.size(); ++n) {
     if (aName == kRoleNames.at(n)) {
@@ -136,14 +146,16 @@
 {
 }
 
-void AuthorityState::Reset()
+void
+AuthorityState::Reset()
 {
   mLease.reset();
   mPlan.clear();
   mPlanVersion = LogOffset(0);
 }
 
-bool AuthorityState::Apply(LogOffset aOffset, const Envelope& aRecord)
+bool
+AuthorityState::Apply(LogOffset aOffset, const Envelope& aRecord)
 {
   if (aRecord.kind == RecordKind::kClaim) {
     return ApplyClaim(aOffset, aRecord);
@@ -151,7 +163,8 @@
   return ApplyUnderFence(aOffset, aRecord);
 }
 
-bool AuthorityState::ApplyClaim(LogOffset aOffset, const Envelope& aRecord)
+bool
+AuthorityState::ApplyClaim(LogOffset aOffset, const Envelope& aRecord)
 {
   FieldReader reader(aRecord.body);
   const bool expects = reader.Flag();
@@ -174,7 +187,8 @@
   return true;
 }
 
-bool AuthorityState::ApplyUnderFence(LogOffset aOffset, const Envelope& aRecord)
+bool
+AuthorityState::ApplyUnderFence(LogOffset aOffset, const Envelope& aRecord)
 {
   FieldReader reader(aRecord.body);
   const FencingNumber fence(reader.Number());
@@ -202,20 +216,23 @@
   }
 }
 
-bool AuthorityState::ApplyRenewal(LogOffset aOffset)
+bool
+AuthorityState::ApplyRenewal(LogOffset aOffset)
 {
   mLease->renewed = aOffset;
   return true;
 }
 
-bool AuthorityState::ApplyRelease(LogOffset aOffset)
+bool
+AuthorityState::ApplyRelease(LogOffset aOffset)
 {
   mLease->renewed = aOffset;
   mLease->released = true;
   return true;
 }
 
-bool AuthorityState::ApplyIntent(LogOffset aOffset, const std::string& aBody)
+bool
+AuthorityState::ApplyIntent(LogOffset aOffset, const std::string& aBody)
 {
   FieldReader reader(aBody);
   const FencingNumber fence(reader.Number());
@@ -241,7 +258,8 @@
   return true;
 }
 
-bool AuthorityState::ApplyOutcome(LogOffset aOffset, const std::string& aBody)
+bool
+AuthorityState::ApplyOutcome(LogOffset aOffset, const std::string& aBody)
 {
   FieldReader reader(aBody);
   std::ignore = reader.Number(); // the fence, checked before
@@ -266,7 +284,8 @@
   return true;
 }
 
-bool AuthorityState::ApplyPlanEvent(LogOffset aOffset, const std::string& aBody)
+bool
+AuthorityState::ApplyPlanEvent(LogOffset aOffset, const std::string& aBody)
 {
   FieldReader reader(aBody);
   std::ignore = reader.Number(); // the fence, checked before
@@ -284,15 +303,17 @@
   return true;
 }
 
-const std::string* AuthorityState::NextState(const BackendId& aBackend,
-                                             const std::string& aEvent) const
+const std::string*
+AuthorityState::NextState(const BackendId& aBackend,
+                          const std::string& aEvent) const
 {
   const auto* entry = Find(aBackend);
   return mChart->Next(entry == nullptr ? mChart->Initial() : entry->state,
                       aEvent);
 }
 
-PlanEntry& AuthorityState::Touch(const BackendId& aBackend, LogOffset aOffset)
+PlanEntry&
+AuthorityState::Touch(const BackendId& aBackend, LogOffset aOffset)
 {
   auto& entry = mPlan[aBackend];
   entry.version = aOffset;
@@ -300,13 +321,15 @@
   return entry;
 }
 
-const PlanEntry* AuthorityState::Find(const BackendId& aBackend) const
+const PlanEntry*
+AuthorityState::Find(const BackendId& aBackend) const
 {
   const auto it = mPlan.find(aBackend);
   return it == mPlan.end() ? nullptr : &it->second;
 }
 
-std::vector<Order> AuthorityState::OpenIntents() const
+std::vector<Order>
+AuthorityState::OpenIntents() const
 {
   std::vector<Order> open;
   for (const auto& [backend, entry] : mPlan) {
@@ -317,7 +340,8 @@
   return open;
 }
 
-std::string AuthorityState::Save() const
+std::string
+AuthorityState::Save() const
 {
   FieldWriter writer;
   writer.Flag(mLease.has_value());
@@ -332,7 +356,8 @@
   return writer.Take();
 }
 
-bool AuthorityState::Load(std::string_view aState)
+bool
+AuthorityState::Load(std::string_view aState)
 {
   Reset();
   FieldReader reader(aState);
@@ -348,9 +373,10 @@
   return reader.Ok();
 }
 
-std::string AuthorityState::ClaimBody(const std::optional<LeaseView>& aExpects,
-                                      const HostId& aHolder,
-                                      Incarnation aIncarnation)
+std::string
+AuthorityState::ClaimBody(const std::optional<LeaseView>& aExpects,
+                          const HostId& aHolder,
+                          Incarnation aIncarnation)
 {
   const auto expects = aExpects.value_or(LeaseView{});
   return FieldWriter()
@@ -362,17 +388,20 @@
     .Take();
 }
 
-std::string AuthorityState::RenewalBody(FencingNumber aFence)
+std::string
+AuthorityState::RenewalBody(FencingNumber aFence)
 {
   return FieldWriter().Number(aFence.Value()).Take();
 }
 
-std::string AuthorityState::ReleaseBody(FencingNumber aFence)
+std::string
+AuthorityState::ReleaseBody(FencingNumber aFence)
 {
   return FieldWriter().Number(aFence.Value()).Take();
 }
 
-std::string AuthorityState::IntentBody(const Order& aOrder)
+std::string
+AuthorityState::IntentBody(const Order& aOrder)
 {
   FieldWriter writer;
   writer.Number(aOrder.fence.Value());
@@ -380,9 +409,10 @@
   return writer.Take();
 }
 
-std::string AuthorityState::OutcomeBody(FencingNumber aFence,
-                                        const Order& aOrder,
-                                        OrderResult aResult)
+std::string
+AuthorityState::OutcomeBody(FencingNumber aFence,
+                            const Order& aOrder,
+                            OrderResult aResult)
 {
   FieldWriter writer;
   writer.Number(aFence.Value());
@@ -391,9 +421,10 @@
   return writer.Take();
 }
 
-std::string AuthorityState::PlanEventBody(FencingNumber aFence,
-                                          const BackendId& aBackend,
-                                          const std::string& aEvent)
+std::string
+AuthorityState::PlanEventBody(FencingNumber aFence,
+                              const BackendId& aBackend,
+                              const std::string& aEvent)
 {
   return FieldWriter()
     .Number(aFence.Value())
--- a/coord/authority_state.h
+++ b/coord/authority_state.h
@@ -26,9 +26,10 @@
 };
 
 // The role's name, such as "prefill", and back.
-[[nodiscard]] std::string ToString(BackendRole aRole);
-[[nodiscard]] std::optional<BackendRole> ParseBackendRole(
-  const std::string& aName);
+[[nodiscard]] std::string
+ToString(BackendRole aRole);
+[[nodiscard]] std::optional<BackendRole>
+ParseBackendRole(const std::string& aName);
 
 // An absolute order: the whole state that a backend server is to have.
 struct WantedState
--- a/coord/authority_stream.cpp
+++ b/coord/authority_stream.cpp
@@ -35,17 +35,20 @@
   mFold.RemoveObserver(*this);
 }
 
-void AuthorityStream::OnApplied(const RecordId&, LogOffset, bool)
+void
+AuthorityStream::OnApplied(const RecordId&, LogOffset, bool)
 {
   NoticeLease();
 }
 
-void AuthorityStream::OnCaughtUp()
+void
+AuthorityStream::OnCaughtUp()
 {
   NoticeLease();
 }
 
-void AuthorityStream::NoticeLease()
+void
+AuthorityStream::NoticeLease()
 {
   const auto& lease = mState.Lease();
   const auto newest = lease ? std::optional(lease->renewed) : std::nullopt;
@@ -57,7 +60,8 @@
   mLeaseReadAt = mExecutor.Now();
 }
 
-void AuthorityStream::MaintainCheckpoint()
+void
+AuthorityStream::MaintainCheckpoint()
 {
   const bool lost = mFold.State() == StreamFold::Status::kLost;
   const bool old =
--- a/coord/booking_ledger.cpp
+++ b/coord/booking_ledger.cpp
@@ -11,7 +11,8 @@
 
 constexpr Duration kExpiryInterval = std::chrono::seconds(5);
 
-LedgerError Translate(const WriteError& aError)
+LedgerError
+Translate(const WriteError& aError)
 {
   const bool unknown = aError.kind == WriteErrorKind::kUnknown;
   return { .kind = unknown ? LedgerErrorKind::kUnknown
@@ -21,14 +22,16 @@
 
 } // namespace
 
-PartitionId PartitionOf(const BookingKey& aKey, std::uint32_t aPartitions)
+PartitionId
+PartitionOf(const BookingKey& aKey, std::uint32_t aPartitions)
 {
   const auto& key = aKey.Value();
   const auto hash = XXH3_64bits(key.data(), key.size());
   return PartitionId(static_cast<std::uint32_t>(hash % aPartitions));
 }
 
-RequestDigest DigestOf(std::string_view aRequest)
+RequestDigest
+DigestOf(std::string_view aRequest)
 {
   return RequestDigest(XXH3_64bits(aRequest.data(), aRequest.size()));
 }
@@ -92,7 +95,8 @@
 
 BookingLedger::~BookingLedger() = default;
 
-void BookingLedger::Open(PartitionId aPartition)
+void
+BookingLedger::Open(PartitionId aPartition)
 {
   auto& partition = mPartitions[aPartition];
   if (partition) {
@@ -108,7 +112,8 @@
   partition->fold.Start();
 }
 
-void BookingLedger::Close(PartitionId aPartition)
+void
+BookingLedger::Close(PartitionId aPartition)
 {
   const auto it = mPartitions.find(aPartition);
   if (it == mPartitions.end()) {
@@ -120,7 +125,8 @@
 
 // Drops a closing partition once nothing is under way; not inside a call of
 // its own.
-void BookingLedger::Release(Partition& aPartition)
+void
+BookingLedger::Release(Partition& aPartition)
 {
   if (!aPartition.closing || aPartition.pending > 0) {
     return;
@@ -136,21 +142,24 @@
   }));
 }
 
-bool BookingLedger::Ready(PartitionId aPartition) const
+bool
+BookingLedger::Ready(PartitionId aPartition) const
 {
   const auto it = mPartitions.find(aPartition);
   return it != mPartitions.end() && !it->second->closing &&
          it->second->fold.Ready();
 }
 
-BookingLedger::Partition* BookingLedger::Find(const BookingKey& aKey) const
+BookingLedger::Partition*
+BookingLedger::Find(const BookingKey& aKey) const
 {
   const auto it = mPartitions.find(PartitionOf(aKey, mOptions.partitions));
   return it == mPartitions.end() ? nullptr : it->second.get();
 }
 
-void BookingLedger::RequestPermit(const PermitRequest& aRequest,
-                                  PermitCallback aCallback)
+void
+BookingLedger::RequestPermit(const PermitRequest& aRequest,
+                             PermitCallback aCallback)
 {
   const auto wish =
     std::make_shared<Wish>(Wish{ .request = aRequest,
@@ -181,9 +190,10 @@
   SendIntent(*partition, wish);
 }
 
-void BookingLedger::Refuse(const WishPtr& aWish,
-                           LedgerErrorKind aKind,
-                           const char* aWhy)
+void
+BookingLedger::Refuse(const WishPtr& aWish,
+                      LedgerErrorKind aKind,
+                      const char* aWhy)
 {
   ++mCounters.failed;
   const bool sent = aWish->machine.Is("intended");
@@ -194,7 +204,8 @@
   }));
 }
 
-void BookingLedger::Answer(const WishPtr& aWish, Permit aPermit)
+void
+BookingLedger::Answer(const WishPtr& aWish, Permit aPermit)
 {
   const bool granted = aPermit.verdict == PermitVerdict::kGranted;
   ++(granted ? mCounters.granted : mCounters.refused);
@@ -204,8 +215,9 @@
 }
 
 // The answer if another attempt has the key's permit, as far as was read.
-std::optional<Permit> BookingLedger::Taken(const Partition& aPartition,
-                                           const PermitRequest& aRequest) const
+std::optional<Permit>
+BookingLedger::Taken(const Partition& aPartition,
+                     const PermitRequest& aRequest) const
 {
   const auto view = aPartition.state.Find(aRequest.key);
   if (!view) {
@@ -225,7 +237,8 @@
   return permit;
 }
 
-void BookingLedger::SendIntent(Partition& aPartition, const WishPtr& aWish)
+void
+BookingLedger::SendIntent(Partition& aPartition, const WishPtr& aWish)
 {
   const auto& request = aWish->request;
   aWish->machine.Fire("intend");
@@ -245,10 +258,10 @@
 
 // A permit is given only for an intent that was read back as the first, and
 // before the deadline; all else never runs, and the log is told so.
-void BookingLedger::OnIntent(
-  Partition& aPartition,
-  const WishPtr& aWish,
-  const tl::expected<Confirmation, WriteError>& aResult)
+void
+BookingLedger::OnIntent(Partition& aPartition,
+                        const WishPtr& aWish,
+                        const tl::expected<Confirmation, WriteError>& aResult)
 {
   if (!aResult) {
     if (aResult.error().kind == WriteErrorKind::kUnknown) {
@@ -275,8 +288,9 @@
   Answer(aWish, *taken);
 }
 
-void BookingLedger::AbandonQuietly(Partition& aPartition,
-                                   const PermitRequest& aRequest)
+void
+BookingLedger::AbandonQuietly(Partition& aPartition,
+                              const PermitRequest& aRequest)
 {
   ++mCounters.abandoned;
   ++aPartition.pending;
@@ -290,10 +304,11 @@
     });
 }
 
-void BookingLedger::RecordOutcome(const BookingKey& aKey,
-                                  const AttemptId& aAttempt,
-                                  BookingOutcome aOutcome,
-                                  RecordCallback aCallback)
+void
+BookingLedger::RecordOutcome(const BookingKey& aKey,
+                             const AttemptId& aAttempt,
+                             BookingOutcome aOutcome,
+                             RecordCallback aCallback)
 {
   ++mCounters.outcomes;
   if (aOutcome.answer.size() > mOptions.maxAnswerBytes) {
@@ -306,9 +321,10 @@
         std::move(aCallback));
 }
 
-void BookingLedger::Abandon(const BookingKey& aKey,
-                            const AttemptId& aAttempt,
-                            RecordCallback aCallback)
+void
+BookingLedger::Abandon(const BookingKey& aKey,
+                       const AttemptId& aAttempt,
+                       RecordCallback aCallback)
 {
   ++mCounters.abandoned;
   Write(aKey,
@@ -317,10 +333,11 @@
         std::move(aCallback));
 }
 
-void BookingLedger::Write(const BookingKey& aKey,
-                          RecordKind aKind,
-                          std::string aBody,
-                          RecordCallback aCallback)
+void
+BookingLedger::Write(const BookingKey& aKey,
+                     RecordKind aKind,
+                     std::string aBody,
+                     RecordCallback aCallback)
 {
   auto* partition = Find(aKey);
   if (partition == nullptr || partition->closing) {
@@ -349,8 +366,8 @@
     });
 }
 
-tl::expected<std::optional<BookingView>, LedgerError> BookingLedger::Show(
-  const BookingKey& aKey) const
+tl::expected<std::optional<BookingView>, LedgerError>
+BookingLedger::Show(const BookingKey& aKey) const
 {
   const auto* partition = Find(aKey);
   if (partition == nullptr) {
@@ -365,7 +382,8 @@
   return partition->state.Find(aKey);
 }
 
-std::uint64_t BookingLedger::Appends() const
+std::uint64_t
+BookingLedger::Appends() const
 {
   auto appends = mClosedAppends;
   for (const auto& [id, partition] : mPartitions) {
@@ -374,7 +392,8 @@
   return appends;
 }
 
-std::size_t BookingLedger::Keys() const
+std::size_t
+BookingLedger::Keys() const
 {
   std::size_t keys = 0;
   for (const auto& [id, partition] : mPartitions) {
@@ -383,7 +402,8 @@
   return keys;
 }
 
-std::size_t BookingLedger::Bytes() const
+std::size_t
+BookingLedger::Bytes() const
 {
   std::size_t bytes = 0;
   for (const auto& [id, partition] : mPartitions) {
@@ -392,7 +412,8 @@
   return bytes;
 }
 
-void BookingLedger::ExpireSoon()
+void
+BookingLedger::ExpireSoon()
 {
   mExpiry = mExecutor.RunAfter(kExpiryInterval, [this] {
     for (const auto& [id, partition] : mPartitions) {
--- a/coord/booking_state.cpp
+++ b/coord/booking_state.cpp
@@ -24,14 +24,16 @@
 {
 }
 
-void BookingState::Reset()
+void
+BookingState::Reset()
 {
   mKeys.clear();
   mVisits.clear();
   mBytes = 0;
 }
 
-bool BookingState::Apply(LogOffset aOffset, const Envelope& aRecord)
+bool
+BookingState::Apply(LogOffset aOffset, const Envelope& aRecord)
 {
   FieldReader reader(aRecord.body);
   const auto key = reader.Text();
@@ -58,10 +60,11 @@
   return accepted;
 }
 
-bool BookingState::ApplyIntent(Entry& aEntry,
-                               LogOffset aOffset,
-                               const std::string& aAttempt,
-                               RequestDigest aDigest)
+bool
+BookingState::ApplyIntent(Entry& aEntry,
+                          LogOffset aOffset,
+                          const std::string& aAttempt,
+                          RequestDigest aDigest)
 {
   if (FindAttempt(aEntry, aAttempt) != nullptr) {
     return false; // abandoned before, or a copy
@@ -72,7 +75,8 @@
   return first;
 }
 
-bool BookingState::ApplyAbandon(Entry& aEntry, const std::string& aAttempt)
+bool
+BookingState::ApplyAbandon(Entry& aEntry, const std::string& aAttempt)
 {
   auto* attempt = FindAttempt(aEntry, aAttempt);
   if (attempt == nullptr) {
@@ -87,9 +91,10 @@
   return true;
 }
 
-bool BookingState::ApplyOutcome(Entry& aEntry,
-                                const std::string& aAttempt,
-                                BookingOutcome aOutcome)
+bool
+BookingState::ApplyOutcome(Entry& aEntry,
+                           const std::string& aAttempt,
+                           BookingOutcome aOutcome)
 {
   auto* attempt = FindAttempt(aEntry, aAttempt);
   if (attempt == nullptr) {
@@ -108,7 +113,8 @@
   return true;
 }
 
-std::optional<BookingView> BookingState::Find(const BookingKey& aKey) const
+std::optional<BookingView>
+BookingState::Find(const BookingKey& aKey) const
 {
   const auto it = mKeys.find(aKey.Value());
   if (it == mKeys.end()) {
@@ -124,7 +130,8 @@
                       .outcome = holder->outcome };
 }
 
-void BookingState::Expire()
+void
+BookingState::Expire()
 {
   const auto over = mExecutor.Now() - mOptions.window;
   while (!mVisits.empty() && mVisits.front().at <= over) {
@@ -141,7 +148,8 @@
   }
 }
 
-BookingState::Entry& BookingState::Touch(const std::string& aKey)
+BookingState::Entry&
+BookingState::Touch(const std::string& aKey)
 {
   const auto now = mExecutor.Now();
   const auto [it, added] = mKeys.try_emplace(aKey);
@@ -152,8 +160,8 @@
   return it->second;
 }
 
-BookingState::Attempt* BookingState::FindAttempt(Entry& aEntry,
-                                                 const std::string& aAttempt)
+BookingState::Attempt*
+BookingState::FindAttempt(Entry& aEntry, const std::string& aAttempt)
 {
   const auto it = std::find_if(
     aEntry.attempts.begin(), aEntry.attempts.end(), [&](const Attempt& aIt) {
@@ -163,7 +171,8 @@
 }
 
 // One that ran, or else the first that may run.
-const BookingState::Attempt* BookingState::Holder(const Entry& aEntry)
+const BookingState::Attempt*
+BookingState::Holder(const Entry& aEntry)
 {
   const Attempt* holder = nullptr;
   for (const auto& it : aEntry.attempts) {
@@ -177,7 +186,8 @@
   return holder;
 }
 
-std::size_t BookingState::Cost(const std::string& aKey, const Entry& aEntry)
+std::size_t
+BookingState::Cost(const std::string& aKey, const Entry& aEntry)
 {
   if (aEntry.attempts.empty()) {
     return 0;
@@ -191,10 +201,11 @@
   return bytes;
 }
 
-std::string BookingState::IntentBody(const BookingKey& aKey,
-                                     const AttemptId& aAttempt,
-                                     RequestDigest aDigest,
-                                     WallTime aTime)
+std::string
+BookingState::IntentBody(const BookingKey& aKey,
+                         const AttemptId& aAttempt,
+                         RequestDigest aDigest,
+                         WallTime aTime)
 {
   return FieldWriter()
     .Text(aKey.Value())
@@ -204,15 +215,16 @@
     .Take();
 }
 
-std::string BookingState::AbandonBody(const BookingKey& aKey,
-                                      const AttemptId& aAttempt)
+std::string
+BookingState::AbandonBody(const BookingKey& aKey, const AttemptId& aAttempt)
 {
   return FieldWriter().Text(aKey.Value()).Text(aAttempt.Value()).Take();
 }
 
-std::string BookingState::OutcomeBody(const BookingKey& aKey,
-                                      const AttemptId& aAttempt,
-                                      const BookingOutcome& aOutcome)
+std::string
+BookingState::OutcomeBody(const BookingKey& aKey,
+                          const AttemptId& aAttempt,
+                          const BookingOutcome& aOutcome)
 {
   return FieldWriter()
     .Text(aKey.Value())
--- a/coord/record.cpp
+++ b/coord/record.cpp
@@ -4,7 +4,8 @@
 
 namespace firefly::coord {
 
-std::string EncodeEnvelope(const Envelope& aEnvelope)
+std::string
+EncodeEnvelope(const Envelope& aEnvelope)
 {
   return FieldWriter()
     .Text(aEnvelope.id.writer.Value())
@@ -14,7 +15,8 @@
     .Take();
 }
 
-std::optional<Envelope> DecodeEnvelope(std::string_view aPayload)
+std::optional<Envelope>
+DecodeEnvelope(std::string_view aPayload)
 {
   FieldReader reader(aPayload);
   Envelope envelope;
--- a/coord/record.h
+++ b/coord/record.h
@@ -53,9 +53,11 @@
 };
 
 // The envelope as a log payload.
-[[nodiscard]] std::string EncodeEnvelope(const Envelope& aEnvelope);
+[[nodiscard]] std::string
+EncodeEnvelope(const Envelope& aEnvelope);
 
 // The envelope of a log payload; nothing if it is not one.
-[[nodiscard]] std::optional<Envelope> DecodeEnvelope(std::string_view aPayload);
+[[nodiscard]] std::optional<Envelope>
+DecodeEnvelope(std::string_view aPayload);
 
 } // namespace firefly::coord
--- a/coord/testing/fake_log.cpp
+++ b/coord/testing/fake_log.cpp
@@ -7,12 +7,14 @@
 
 namespace {
 
-LogError Unavailable()
+LogError
+Unavailable()
 {
   return { .kind = LogErrorKind::kUnavailable, .message = "down" };
 }
 
-LogError Unknown()
+LogError
+Unknown()
 {
   return { .kind = LogErrorKind::kUnknown, .message = "no answer" };
 }
@@ -49,9 +51,8 @@
 };
 
 template<typename Result, typename Callback>
-void FakeLog::Client::Answer(Duration aDelay,
-                             Result aResult,
-                             Callback aCallback)
+void
+FakeLog::Client::Answer(Duration aDelay, Result aResult, Callback aCallback)
 {
   mLog.After(aDelay,
              [&executor = mExecutor,
@@ -64,9 +65,10 @@
              });
 }
 
-void FakeLog::Client::Append(const StreamName& aStream,
-                             std::vector<std::string> aPayloads,
-                             AppendCallback aCallback)
+void
+FakeLog::Client::Append(const StreamName& aStream,
+                        std::vector<std::string> aPayloads,
+                        AppendCallback aCallback)
 {
   using Result = tl::expected<LogOffset, LogError>;
   auto& options = mLog.mOptions;
@@ -100,10 +102,11 @@
              });
 }
 
-void FakeLog::Client::Read(const StreamName& aStream,
-                           LogOffset aFrom,
-                           std::size_t aLimit,
-                           ReadCallback aCallback)
+void
+FakeLog::Client::Read(const StreamName& aStream,
+                      LogOffset aFrom,
+                      std::size_t aLimit,
+                      ReadCallback aCallback)
 {
   using Result = tl::expected<LogBatch, LogError>;
   if (mLog.mDown) {
@@ -130,27 +133,29 @@
 
 FakeLog::~FakeLog() = default;
 
-LogClient& FakeLog::MakeClient(const std::string& aName, Executor& aExecutor)
+LogClient&
+FakeLog::MakeClient(const std::string& aName, Executor& aExecutor)
 {
   mClients.push_back(std::make_unique<Client>(*this, aName, aExecutor));
   return *mClients.back();
 }
 
-void FakeLog::SetFaults(double aLostRequest,
-                        double aLostAnswer,
-                        double aLateAppend)
+void
+FakeLog::SetFaults(double aLostRequest, double aLostAnswer, double aLateAppend)
 {
   mOptions.lostRequest = aLostRequest;
   mOptions.lostAnswer = aLostAnswer;
   mOptions.lateAppend = aLateAppend;
 }
 
-void FakeLog::SetCut(const std::string& aClient, bool aCut)
+void
+FakeLog::SetCut(const std::string& aClient, bool aCut)
 {
   mCut[aClient] = aCut;
 }
 
-void FakeLog::Trim(const StreamName& aStream, LogOffset aBefore)
+void
+FakeLog::Trim(const StreamName& aStream, LogOffset aBefore)
 {
   auto& stream = mStreams[aStream];
   const auto end = stream.first + stream.payloads.size();
@@ -161,7 +166,8 @@
   stream.first = first;
 }
 
-LogOffset FakeLog::End(const StreamName& aStream) const
+LogOffset
+FakeLog::End(const StreamName& aStream) const
 {
   const auto it = mStreams.find(aStream);
   if (it == mStreams.end()) {
@@ -170,7 +176,8 @@
   return LogOffset(it->second.first + it->second.payloads.size());
 }
 
-std::vector<LogRecord> FakeLog::Records(const StreamName& aStream) const
+std::vector<LogRecord>
+FakeLog::Records(const StreamName& aStream) const
 {
   std::vector<LogRecord> records;
   const auto it = mStreams.find(aStream);
@@ -184,8 +191,9 @@
   return records;
 }
 
-LogOffset FakeLog::Store(const StreamName& aStream,
-                         const std::vector<std::string>& aPayloads)
+LogOffset
+FakeLog::Store(const StreamName& aStream,
+               const std::vector<std::string>& aPayloads)
 {
   auto& stream = mStreams[aStream];
   const LogOffset first(stream.first + stream.payloads.size());
@@ -197,9 +205,8 @@
   return first;
 }
 
-tl::expected<LogBatch, LogError> FakeLog::Fetch(const StreamName& aStream,
-                                                LogOffset aFrom,
-                                                std::size_t aLimit)
+tl::expected<LogBatch, LogError>
+FakeLog::Fetch(const StreamName& aStream, LogOffset aFrom, std::size_t aLimit)
 {
   ++mReads;
   const auto& stream = mStreams[aStream];
@@ -221,7 +228,8 @@
   return batch;
 }
 
-void FakeLog::After(Duration aDelay, std::function<void()> aCallback)
+void
+FakeLog::After(Duration aDelay, std::function<void()> aCallback)
 {
   // The timer may not cancel the call, so the call keeps it.
   auto timer = std::make_shared<Timer>();
@@ -229,12 +237,14 @@
     aDelay, [timer, callback = std::move(aCallback)] { callback(); });
 }
 
-Duration FakeLog::Latency()
+Duration
+FakeLog::Latency()
 {
   return FromSeconds(ToSeconds(mOptions.latency) * (0.5 + mRandom.Uniform()));
 }
 
-bool FakeLog::Cut(const std::string& aClient) const
+bool
+FakeLog::Cut(const std::string& aClient) const
 {
   const auto it = mCut.find(aClient);
   return it != mCut.end() && it->second;
--- a/coord/versioned_table.h
+++ b/coord/versioned_table.h
@@ -27,11 +27,14 @@
 };
 
 // The digest that a snapshot with these contents must have.
-[[nodiscard]] std::uint64_t SnapshotDigest(const Snapshot& aSnapshot);
+[[nodiscard]] std::uint64_t
+SnapshotDigest(const Snapshot& aSnapshot);
 
 // The snapshot for a peer, and back; nothing if it can't be decoded.
-[[nodiscard]] std::string EncodeSnapshot(const Snapshot& aSnapshot);
-[[nodiscard]] std::optional<Snapshot> DecodeSnapshot(std::string_view aBytes);
+[[nodiscard]] std::string
+EncodeSnapshot(const Snapshot& aSnapshot);
+[[nodiscard]] std::optional<Snapshot>
+DecodeSnapshot(std::string_view aBytes);
 
 enum class TableErrorKind
 {
--- a/main/firefly_ledger.cpp
+++ b/main/firefly_ledger.cpp
@@ -18,15 +18,17 @@
 
 using firefly::ExitCode;
 
-int Fail(const std::string& aMessage)
+int
+Fail(const std::string& aMessage)
 {
   std::cerr << "firefly-ledger: " << aMessage << '\n';
   return static_cast<int>(ExitCode::kFailed);
 }
 
-firefly::LedgerService::Options MakeOptions(const firefly::Settings& aSettings,
-                                            const firefly::StateChart& aChart,
-                                            firefly::WallTime aStarted)
+firefly::LedgerService::Options
+MakeOptions(const firefly::Settings& aSettings,
+            const firefly::StateChart& aChart,
+            firefly::WallTime aStarted)
 {
   const auto started = aStarted.time_since_epoch().count();
   firefly::LedgerService::Options options;
@@ -44,7 +46,8 @@
   return options;
 }
 
-int Run(const firefly::Settings& aSettings)
+int
+Run(const firefly::Settings& aSettings)
 {
   const auto chart =
     firefly::LoadStateChart(aSettings.chartsDirectory / "booking.toml");
@@ -81,7 +84,8 @@
 
 } // namespace
 
-int main(int aCount, char** aWords)
+int
+main(int aCount, char** aWords)
 {
   const auto settings = firefly::StartDaemon(
     { .program = "firefly-ledger",
--- a/policy/admission.cpp
+++ b/policy/admission.cpp
@@ -14,14 +14,16 @@
 constexpr double kBarStep = 0.05;
 constexpr Duration kShortestRetryAfter = std::chrono::seconds(1);
 
-AdmissionDecision Refuse(RefusalReason aReason, Duration aRetryAfter)
+AdmissionDecision
+Refuse(RefusalReason aReason, Duration aRetryAfter)
 {
   return { .action = AdmissionAction::kRefuse,
            .reason = aReason,
            .retryAfter = std::max(aRetryAfter, kShortestRetryAfter) };
 }
 
-AdmissionDecision AdmitOrQueue(const LoadSummary& aLoad)
+AdmissionDecision
+AdmitOrQueue(const LoadSummary& aLoad)
 {
   if (aLoad.hasRoom && aLoad.queued == 0) {
     return { .action = AdmissionAction::kAdmit };
@@ -34,7 +36,8 @@
 
 } // namespace
 
-std::string_view ToString(RefusalReason aReason)
+std::string_view
+ToString(RefusalReason aReason)
 {
   switch (aReason) {
     case RefusalReason::kNone:
@@ -59,9 +62,10 @@
   return "unknown";
 }
 
-AdmissionDecision WorthAdmission::Decide(const RequestInfo& aRequest,
-                                         const LoadSummary& aLoad,
-                                         Instant aNow)
+AdmissionDecision
+WorthAdmission::Decide(const RequestInfo& aRequest,
+                       const LoadSummary& aLoad,
+                       Instant aNow)
 {
   if (aNow + aLoad.expectedWait > aRequest.FirstTokenDeadline()) {
     return Refuse(RefusalReason::kDeadline, aLoad.expectedWait);
@@ -79,25 +83,31 @@
   return { .action = AdmissionAction::kQueue };
 }
 
-void WorthAdmission::OnShed(double aWorthPerSecond, Instant aNow)
+void
+WorthAdmission::OnShed(double aWorthPerSecond, Instant aNow)
 {
   const double bar = Bar(aNow);
   mBar = bar + kBarStep * std::max(0.0, aWorthPerSecond - bar);
   mBarAt = aNow;
 }
 
-double WorthAdmission::Bar(Instant aNow) const
+double
+WorthAdmission::Bar(Instant aNow) const
 {
   return mBar * std::exp(-ToSeconds(aNow - mBarAt) / kBarMemorySeconds);
 }
 
-AdmissionDecision PlainAdmission::Decide(const RequestInfo& /*aRequest*/,
-                                         const LoadSummary& aLoad,
-                                         Instant /*aNow*/)
+AdmissionDecision
+PlainAdmission::Decide(const RequestInfo& /*aRequest*/,
+                       const LoadSummary& aLoad,
+                       Instant /*aNow*/)
 {
   return AdmitOrQueue(aLoad);
 }
 
-void PlainAdmission::OnShed(double /*aWorthPerSecond*/, Instant /*aNow*/) {}
+void
+PlainAdmission::OnShed(double /*aWorthPerSecond*/, Instant /*aNow*/)
+{
+}
 
 } // namespace firefly::policy
--- a/policy/fleet_view.h
+++ b/policy/fleet_view.h
@@ -41,7 +41,8 @@
   kClosed,
 };
 
-// What a backend server can carry at its usual speed.
+// What a backend server can carry at its usual speed; an engine carries the
+// prompt and the output rate at the same time.
 struct BackendCapacity
 {
   // Prompt tokens a second, prefix cache misses only.
@@ -66,7 +67,8 @@
 };
 
 // The role as a word, such as "prefill".
-std::string_view ToString(EngineRole aRole);
+std::string_view
+ToString(EngineRole aRole);
 
 struct Backend
 {
@@ -139,9 +141,11 @@
 
 // A hash that is the same in all processes and on all platforms (FNV-1a, then
 // mixed).
-std::uint64_t StableHash(const std::string& aText);
+std::uint64_t
+StableHash(const std::string& aText);
 
 // Mixes two hashes into one.
-std::uint64_t MixHash(std::uint64_t aLeft, std::uint64_t aRight);
+std::uint64_t
+MixHash(std::uint64_t aLeft, std::uint64_t aRight);
 
 } // namespace firefly::policy
--- a/policy/hedger.cpp
+++ b/policy/hedger.cpp
@@ -20,20 +20,23 @@
 {
 }
 
-Duration QuantileHedger::HedgeAfter(Duration aExpectedWait) const
+Duration
+QuantileHedger::HedgeAfter(Duration aExpectedWait) const
 {
   return std::clamp(aExpectedWait + FromSeconds(mExcessSeconds),
                     mOptions.shortest,
                     mOptions.longest);
 }
 
-Duration QuantileHedger::ResumeAfter() const
+Duration
+QuantileHedger::ResumeAfter() const
 {
   return std::max(mOptions.shortestStall,
                   FromSeconds(mGapSeconds * mOptions.stallGaps));
 }
 
-void QuantileHedger::OnFirstToken(Duration aExpectedWait, Duration aWait)
+void
+QuantileHedger::OnFirstToken(Duration aExpectedWait, Duration aWait)
 {
   const double excess = ToSeconds(aWait - aExpectedWait);
   if (excess > mExcessSeconds) {
@@ -44,23 +47,32 @@
   mExcessSeconds = std::max(0.0, mExcessSeconds);
 }
 
-void QuantileHedger::OnTokenGap(Duration aGap)
+void
+QuantileHedger::OnTokenGap(Duration aGap)
 {
   mGapSeconds += kGapWeight * (ToSeconds(aGap) - mGapSeconds);
 }
 
-Duration NoHedger::HedgeAfter(Duration /*aExpectedWait*/) const
+Duration
+NoHedger::HedgeAfter(Duration /*aExpectedWait*/) const
 {
   return kNever;
 }
 
-Duration NoHedger::ResumeAfter() const
+Duration
+NoHedger::ResumeAfter() const
 {
   return kNever;
 }
 
-void NoHedger::OnFirstToken(Duration /*aExpectedWait*/, Duration /*aWait*/) {}
+void
+NoHedger::OnFirstToken(Duration /*aExpectedWait*/, Duration /*aWait*/)
+{
+}
 
-void NoHedger::OnTokenGap(Duration /*aGap*/) {}
+void
+NoHedger::OnTokenGap(Duration /*aGap*/)
+{
+}
 
 } // namespace firefly::policy
--- a/policy/limits.cpp
+++ b/policy/limits.cpp
@@ -26,16 +26,18 @@
 
 const std::string kAny = "*";
 
-double Faded(double aDemand, Duration aAge)
+double
+Faded(double aDemand, Duration aAge)
 {
   return aDemand * std::exp(-ToSeconds(aAge) / kDemandMemorySeconds);
 }
 
 } // namespace
 
-std::uint64_t LimitKeeper::RowKey(const ServiceId& aService,
-                                  const RequestType& aType,
-                                  const CustomerId& aCustomer)
+std::uint64_t
+LimitKeeper::RowKey(const ServiceId& aService,
+                    const RequestType& aType,
+                    const CustomerId& aCustomer)
 {
   return StableHash(aService.Value() + '\n' + aType.Value() + '\n' +
                     aCustomer.Value());
@@ -47,7 +49,8 @@
 {
 }
 
-void SharedLimitKeeper::Configure(const std::vector<LimitRow>& aRows)
+void
+SharedLimitKeeper::Configure(const std::vector<LimitRow>& aRows)
 {
   for (auto& [key, state] : mRows) {
     state.configured = false;
@@ -62,7 +65,8 @@
   });
 }
 
-void SharedLimitKeeper::SetEntries(const std::vector<HostId>& aEntries)
+void
+SharedLimitKeeper::SetEntries(const std::vector<HostId>& aEntries)
 {
   mEntries = aEntries;
   const auto self = std::find(mEntries.begin(), mEntries.end(), mOptions.self);
@@ -75,9 +79,8 @@
   });
 }
 
-tl::expected<LimitPermit, LimitExceeded> SharedLimitKeeper::TryStart(
-  const RequestInfo& aRequest,
-  Instant aNow)
+tl::expected<LimitPermit, LimitExceeded>
+SharedLimitKeeper::TryStart(const RequestInfo& aRequest, Instant aNow)
 {
   const auto rows = RowsOf(aRequest);
   for (auto* const state : rows) {
@@ -108,7 +111,8 @@
   return permit;
 }
 
-void SharedLimitKeeper::Finish(const LimitPermit& aPermit)
+void
+SharedLimitKeeper::Finish(const LimitPermit& aPermit)
 {
   for (const auto key : aPermit.rows) {
     const auto it = mRows.find(key);
@@ -118,7 +122,8 @@
   }
 }
 
-void SharedLimitKeeper::FillDigest(Digest& aDigest, Instant aNow)
+void
+SharedLimitKeeper::FillDigest(Digest& aDigest, Instant aNow)
 {
   for (auto& [key, state] : mRows) {
     const double demand = Faded(state.demand, aNow - state.demandAt);
@@ -132,7 +137,8 @@
   }
 }
 
-void SharedLimitKeeper::OnPeerDigest(const Digest& aDigest, Instant aNow)
+void
+SharedLimitKeeper::OnPeerDigest(const Digest& aDigest, Instant aNow)
 {
   if (aDigest.host == mOptions.self) {
     return;
@@ -147,9 +153,10 @@
   }
 }
 
-const LimitRow* SharedLimitKeeper::RowFor(const ServiceId& aService,
-                                          const RequestType& aType,
-                                          const CustomerId& aCustomer) const
+const LimitRow*
+SharedLimitKeeper::RowFor(const ServiceId& aService,
+                          const RequestType& aType,
+                          const CustomerId& aCustomer) const
 {
   const RequestType anyType(kAny);
   const CustomerId anyCustomer(kAny);
@@ -166,7 +173,8 @@
   return nullptr;
 }
 
-double SharedLimitKeeper::ShareOf(std::uint64_t aRow, Instant aNow)
+double
+SharedLimitKeeper::ShareOf(std::uint64_t aRow, Instant aNow)
 {
   const auto it = mRows.find(aRow);
   if (it == mRows.end()) {
@@ -176,8 +184,8 @@
   return it->second.share.Value();
 }
 
-std::vector<SharedLimitKeeper::RowState*> SharedLimitKeeper::RowsOf(
-  const RequestInfo& aRequest)
+std::vector<SharedLimitKeeper::RowState*>
+SharedLimitKeeper::RowsOf(const RequestInfo& aRequest)
 {
   const RequestType anyType(kAny);
   const CustomerId anyCustomer(kAny);
@@ -197,17 +205,19 @@
   return rows;
 }
 
-void SharedLimitKeeper::CountDemand(RowState& aRow, Instant aNow)
+void
+SharedLimitKeeper::CountDemand(RowState& aRow, Instant aNow)
 {
   aRow.demand = Faded(aRow.demand, aNow - aRow.demandAt);
   aRow.demand += 1 / kDemandMemorySeconds;
   aRow.demandAt = aNow;
 }
 
-double SharedLimitKeeper::SettledValue::Update(double aTarget,
-                                               double aStart,
-                                               Instant aNow,
-                                               Duration aSettle)
+double
+SharedLimitKeeper::SettledValue::Update(double aTarget,
+                                        double aStart,
+                                        Instant aNow,
+                                        Duration aSettle)
 {
   if (!mStarted) {
     mStarted = true;
@@ -228,9 +238,10 @@
   return mValue;
 }
 
-void SharedLimitKeeper::UpdateShare(std::uint64_t aRow,
-                                    RowState& aState,
-                                    Instant aNow)
+void
+SharedLimitKeeper::UpdateShare(std::uint64_t aRow,
+                               RowState& aState,
+                               Instant aNow)
 {
   if (aState.shared && aNow - aState.sharedAt < kShareRefresh) {
     return;
@@ -249,10 +260,10 @@
     SlotsOf(parts, limit), SlotsOf(even, limit), aNow, settle);
 }
 
-std::vector<SharedLimitKeeper::Part> SharedLimitKeeper::Parts(
-  std::uint64_t aRow,
-  const RowState& aState,
-  Instant aNow) const
+std::vector<SharedLimitKeeper::Part>
+SharedLimitKeeper::Parts(std::uint64_t aRow,
+                         const RowState& aState,
+                         Instant aNow) const
 {
   const double even = 1 / static_cast<double>(mEntries.size());
   const double own = Faded(aState.demand, aNow - aState.demandAt);
@@ -281,8 +292,9 @@
   return parts;
 }
 
-double SharedLimitKeeper::SlotsOf(const std::vector<Part>& aParts,
-                                  std::uint32_t aLimit) const
+double
+SharedLimitKeeper::SlotsOf(const std::vector<Part>& aParts,
+                           std::uint32_t aLimit) const
 {
   double whole = 0;
   std::vector<std::pair<double, const std::string*>> rests;
@@ -307,7 +319,8 @@
   return own + (extra ? 1 : 0);
 }
 
-void SharedLimitKeeper::RefillRate(RowState& aState, Instant aNow)
+void
+SharedLimitKeeper::RefillRate(RowState& aState, Instant aNow)
 {
   const double rate = aState.row.ratePerSecond * aState.share.Value();
   const double most = std::max(1.0, rate * kBurstSeconds);
--- a/policy/poison_guard.cpp
+++ b/policy/poison_guard.cpp
@@ -9,8 +9,8 @@
 {
 }
 
-PoisonVerdict SuspectPoisonGuard::VerdictOf(Fingerprint aRequest,
-                                            Instant aNow) const
+PoisonVerdict
+SuspectPoisonGuard::VerdictOf(Fingerprint aRequest, Instant aNow) const
 {
   const auto quarantined = mQuarantined.find(aRequest.Value());
   if (quarantined != mQuarantined.end() &&
@@ -25,10 +25,11 @@
   return PoisonVerdict::kClear;
 }
 
-void SuspectPoisonGuard::OnCrash(Fingerprint aRequest,
-                                 Tokens aProgress,
-                                 Instant aStarted,
-                                 Instant aNow)
+void
+SuspectPoisonGuard::OnCrash(Fingerprint aRequest,
+                            Tokens aProgress,
+                            Instant aStarted,
+                            Instant aNow)
 {
   const Record record{ .since = aNow, .progress = aProgress, .own = true };
   const auto suspect = mSuspects.find(aRequest.Value());
@@ -44,7 +45,8 @@
   Add(mQuarantined, aRequest.Value(), record);
 }
 
-void SuspectPoisonGuard::OnProgress(Fingerprint aRequest, Tokens aProgress)
+void
+SuspectPoisonGuard::OnProgress(Fingerprint aRequest, Tokens aProgress)
 {
   const auto it = mSuspects.find(aRequest.Value());
   if (it == mSuspects.end()) {
@@ -56,14 +58,16 @@
   }
 }
 
-void SuspectPoisonGuard::OnFinish(Fingerprint aRequest)
+void
+SuspectPoisonGuard::OnFinish(Fingerprint aRequest)
 {
   mSuspects.erase(aRequest.Value());
 }
 
-void SuspectPoisonGuard::OnPeer(const std::vector<std::uint64_t>& aQuarantined,
-                                const std::vector<std::uint64_t>& aSuspects,
-                                Instant aNow)
+void
+SuspectPoisonGuard::OnPeer(const std::vector<std::uint64_t>& aQuarantined,
+                           const std::vector<std::uint64_t>& aSuspects,
+                           Instant aNow)
 {
   const Record told{ .since = aNow, .progress = Tokens(0), .own = false };
   for (const auto request : aQuarantined) {
@@ -78,19 +82,22 @@
   }
 }
 
-std::vector<std::uint64_t> SuspectPoisonGuard::Quarantined(Instant aNow) const
+std::vector<std::uint64_t>
+SuspectPoisonGuard::Quarantined(Instant aNow) const
 {
   return Listed(mQuarantined, mOptions.quarantine, false, aNow);
 }
 
-std::vector<std::uint64_t> SuspectPoisonGuard::Suspects(Instant aNow) const
+std::vector<std::uint64_t>
+SuspectPoisonGuard::Suspects(Instant aNow) const
 {
   return Listed(mSuspects, mOptions.suspicion, true, aNow);
 }
 
-void SuspectPoisonGuard::Add(Records& aRecords,
-                             std::uint64_t aRequest,
-                             Record aRecord) const
+void
+SuspectPoisonGuard::Add(Records& aRecords,
+                        std::uint64_t aRequest,
+                        Record aRecord) const
 {
   if (aRecords.size() >= mOptions.bound) {
     const auto older = [](const auto& aLeft, const auto& aRight) {
@@ -101,10 +108,11 @@
   aRecords[aRequest] = aRecord;
 }
 
-std::vector<std::uint64_t> SuspectPoisonGuard::Listed(const Records& aRecords,
-                                                      Duration aLifetime,
-                                                      bool aOwnOnly,
-                                                      Instant aNow)
+std::vector<std::uint64_t>
+SuspectPoisonGuard::Listed(const Records& aRecords,
+                           Duration aLifetime,
+                           bool aOwnOnly,
+                           Instant aNow)
 {
   std::vector<std::uint64_t> requests;
   for (const auto& [request, record] : aRecords) {
@@ -117,37 +125,45 @@
   return requests;
 }
 
-PoisonVerdict NoPoisonGuard::VerdictOf(Fingerprint /*aRequest*/,
-                                       Instant /*aNow*/) const
+PoisonVerdict
+NoPoisonGuard::VerdictOf(Fingerprint /*aRequest*/, Instant /*aNow*/) const
 {
   return PoisonVerdict::kClear;
 }
 
-void NoPoisonGuard::OnCrash(Fingerprint /*aRequest*/,
-                            Tokens /*aProgress*/,
-                            Instant /*aStarted*/,
-                            Instant /*aNow*/)
+void
+NoPoisonGuard::OnCrash(Fingerprint /*aRequest*/,
+                       Tokens /*aProgress*/,
+                       Instant /*aStarted*/,
+                       Instant /*aNow*/)
 {
 }
 
-void NoPoisonGuard::OnProgress(Fingerprint /*aRequest*/, Tokens /*aProgress*/)
+void
+NoPoisonGuard::OnProgress(Fingerprint /*aRequest*/, Tokens /*aProgress*/)
 {
 }
 
-void NoPoisonGuard::OnFinish(Fingerprint /*aRequest*/) {}
+void
+NoPoisonGuard::OnFinish(Fingerprint /*aRequest*/)
+{
+}
 
-void NoPoisonGuard::OnPeer(const std::vector<std::uint64_t>& /*aQuarantined*/,
-                           const std::vector<std::uint64_t>& /*aSuspects*/,
-                           Instant /*aNow*/)
+void
+NoPoisonGuard::OnPeer(const std::vector<std::uint64_t>& /*aQuarantined*/,
+                      const std::vector<std::uint64_t>& /*aSuspects*/,
+                      Instant /*aNow*/)
 {
 }
 
-std::vector<std::uint64_t> NoPoisonGuard::Quarantined(Instant /*aNow*/) const
+std::vector<std::uint64_t>
+NoPoisonGuard::Quarantined(Instant /*aNow*/) const
 {
   return {};
 }
 
-std::vector<std::uint64_t> NoPoisonGuard::Suspects(Instant /*aNow*/) const
+std::vector<std::uint64_t>
+NoPoisonGuard::Suspects(Instant /*aNow*/) const
 {
   return {};
 }
--- a/policy/policy_set.h
+++ b/policy/policy_set.h
@@ -56,17 +56,17 @@
 };
 
 // The names of all parts that PolicyOptions::without may name.
-const std::set<std::string>& PolicyParts();
+const std::set<std::string>&
+PolicyParts();
 
 // The set of that name: "firefly", "round-robin" or "least-reported-load".
-tl::expected<PolicySet, PolicyError> MakePolicySet(
-  const std::string& aName,
-  const PolicyOptions& aOptions);
+tl::expected<PolicySet, PolicyError>
+MakePolicySet(const std::string& aName, const PolicyOptions& aOptions);
 
 // The role controller that belongs to the set of that name; for the steward.
-tl::expected<std::unique_ptr<RoleController>, PolicyError> MakeRoleController(
-  const std::string& aName,
-  const CostRoleController::Options& aOptions,
-  const std::set<std::string>& aWithout = {});
+tl::expected<std::unique_ptr<RoleController>, PolicyError>
+MakeRoleController(const std::string& aName,
+                   const CostRoleController::Options& aOptions,
+                   const std::set<std::string>& aWithout = {});
 
 } // namespace firefly::policy
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -49,7 +49,8 @@
 };
 
 // The reason as a word, such as "outcome-unknown".
-std::string_view ToString(FailureReason aReason);
+std::string_view
+ToString(FailureReason aReason);
 
 // Carries out the router's decisions. Calls come from inside the router's
 // own calls; an implementation must not call back into the router from them.
--- a/policy/role_controller.cpp
+++ b/policy/role_controller.cpp
@@ -15,7 +15,8 @@
 
 } // namespace
 
-double& CostRoleController::RoleCounts::Of(EngineRole aRole)
+double&
+CostRoleController::RoleCounts::Of(EngineRole aRole)
 {
   switch (aRole) {
     case EngineRole::kPrefill:
@@ -34,9 +35,10 @@
 {
 }
 
-std::vector<RoleChange> CostRoleController::Decide(const FleetView& aFleet,
-                                                   const FleetDemand& aDemand,
-                                                   Instant aNow)
+std::vector<RoleChange>
+CostRoleController::Decide(const FleetView& aFleet,
+                           const FleetDemand& aDemand,
+                           Instant aNow)
 {
   RoleCounts counts;
   for (const auto& backend : aFleet.All()) {
@@ -97,7 +99,8 @@
   return { best };
 }
 
-void CostRoleController::OnStarted(const RoleChange& aChange, Instant aNow)
+void
+CostRoleController::OnStarted(const RoleChange& aChange, Instant aNow)
 {
   const auto until = aNow + mLastPayback;
   mStarted[aChange.backend] = { aNow, until };
@@ -105,7 +108,8 @@
   mRunning[aChange.backend] = aNow;
 }
 
-void CostRoleController::OnFinished(const BackendId& aBackend, Instant aNow)
+void
+CostRoleController::OnFinished(const BackendId& aBackend, Instant aNow)
 {
   const auto it = mRunning.find(aBackend);
   if (it == mRunning.end()) {
@@ -116,58 +120,32 @@
   mRunning.erase(it);
 }
 
-double CostRoleController::Served(const RoleCounts& aCounts,
-                                  const FleetDemand& aDemand) const
+double
+CostRoleController::Served(const RoleCounts& aCounts,
+                           const FleetDemand& aDemand) const
 {
   if (aDemand.promptTokensPerSecond <= 0 &&
       aDemand.outputTokensPerSecond <= 0) {
     return 1;
   }
-  struct Group
-  {
-    double engines;
-    double prefill;
-    double decode;
+  const auto& capacities = mOptions.capacities;
+  const auto sum = [&](double BackendCapacity::*aRate) {
+    return aCounts.mixed * capacities.mixed.*aRate +
+           aCounts.prefill * capacities.prefill.*aRate +
+           aCounts.decode * capacities.decode.*aRate;
   };
-  const auto group = [](double aEngines, const BackendCapacity& aCapacity) {
-    return Group{ aEngines,
-                  aCapacity.prefillTokensPerSecond,
-                  aCapacity.decodeTokensPerSecond };
-  };
-  std::array groups{ group(aCounts.mixed, mOptions.capacities.mixed),
-                     group(aCounts.prefill, mOptions.capacities.prefill),
-                     group(aCounts.decode, mOptions.capacities.decode) };
-  // Prefill goes to those who are best at it, relative to their decoding.
-  std::sort(groups.begin(), groups.end(), [](const auto& aL, const auto& aR) {
-    return aL.prefill * aR.decode > aR.prefill * aL.decode;
-  });
-  const auto fits = [&](double aPart) {
-    double prompt = aPart * aDemand.promptTokensPerSecond;
-    double output = aPart * aDemand.outputTokensPerSecond;
-    for (const auto& it : groups) {
-      const double engines = std::min(it.engines, prompt / it.prefill);
-      prompt -= engines * it.prefill;
-      output -= (it.engines - engines) * it.decode;
-    }
-    return prompt <= 1e-6 && output <= 1e-6;
-  };
-  if (fits(1)) {
-    return 1;
-  }
-  constexpr int kSteps = 20;
-  double low = 0;
-  double high = 1;
-  for (int i = 0; i < kSteps; ++i) {
-    const double middle = (low + high) / 2;
-    (fits(middle) ? low : high) = middle;
-  }
-  return low;
+  const double prompt = std::max(1.0, aDemand.promptTokensPerSecond);
+  const double output = std::max(1.0, aDemand.outputTokensPerSecond);
+  return std::min({ 1.0,
+                    sum(&BackendCapacity::prefillTokensPerSecond) / prompt,
+                    sum(&BackendCapacity::decodeTokensPerSecond) / output });
 }
 
-bool CostRoleController::MayChange(const Backend& aBackend,
-                                   EngineRole /*aTo*/,
-                                   const FleetView& aFleet,
-                                   Instant aNow) const
+bool
+CostRoleController::MayChange(const Backend& aBackend,
+                              EngineRole /*aTo*/,
+                              const FleetView& aFleet,
+                              Instant aNow) const
 {
   if (aBackend.kind != BackendKind::kEngine ||
       aBackend.state != BackendState::kOpen) {
@@ -184,8 +162,9 @@
   return !DomainBusy(aBackend.domain, aFleet);
 }
 
-bool CostRoleController::DomainBusy(const DomainId& aDomain,
-                                    const FleetView& aFleet) const
+bool
+CostRoleController::DomainBusy(const DomainId& aDomain,
+                               const FleetView& aFleet) const
 {
   return std::any_of(
     mRunning.begin(), mRunning.end(), [&](const auto& aRunning) {
@@ -194,21 +173,22 @@
     });
 }
 
-std::vector<RoleChange> StaticRoleController::Decide(
-  const FleetView& /*aFleet*/,
-  const FleetDemand& /*aDemand*/,
-  Instant /*aNow*/)
+std::vector<RoleChange>
+StaticRoleController::Decide(const FleetView& /*aFleet*/,
+                             const FleetDemand& /*aDemand*/,
+                             Instant /*aNow*/)
 {
   return {};
 }
 
-void StaticRoleController::OnStarted(const RoleChange& /*aChange*/,
-                                     Instant /*aNow*/)
+void
+StaticRoleController::OnStarted(const RoleChange& /*aChange*/, Instant /*aNow*/)
 {
 }
 
-void StaticRoleController::OnFinished(const BackendId& /*aBackend*/,
-                                      Instant /*aNow*/)
+void
+StaticRoleController::OnFinished(const BackendId& /*aBackend*/,
+                                 Instant /*aNow*/)
 {
 }
 
--- a/servers/control/blocking_fetcher.cpp
+++ b/servers/control/blocking_fetcher.cpp
@@ -9,7 +9,8 @@
 {
 }
 
-std::vector<FetchResult> BlockingFetcher::FetchAll(std::vector<HttpCall> aCalls)
+std::vector<FetchResult>
+BlockingFetcher::FetchAll(std::vector<HttpCall> aCalls)
 {
   std::vector<FetchResult> results(aCalls.size(), tl::unexpected(HttpError{}));
   std::size_t left = aCalls.size();
@@ -27,19 +28,22 @@
   return results;
 }
 
-void BlockingFetcher::Sleep(Duration aSpan)
+void
+BlockingFetcher::Sleep(Duration aSpan)
 {
   const Timer timer = mExecutor.RunAfter(aSpan, [this] { mExecutor.Stop(); });
   RunUntilStopped();
 }
 
-void BlockingFetcher::RunUntilStopped()
+void
+BlockingFetcher::RunUntilStopped()
 {
   mExecutor.Context().restart();
   mExecutor.Run();
 }
 
-Instant BlockingFetcher::Now() const
+Instant
+BlockingFetcher::Now() const
 {
   return mExecutor.Now();
 }
--- a/servers/control/control_program.cpp
+++ b/servers/control/control_program.cpp
@@ -68,7 +68,8 @@
   5  accepted, but not yet confirmed by all live entries
 )";
 
-std::optional<std::uint64_t> ParseWhole(const std::string& aText)
+std::optional<std::uint64_t>
+ParseWhole(const std::string& aText)
 {
   std::uint64_t number = 0;
   const char* end = aText.data() + aText.size();
@@ -108,7 +109,8 @@
   ControlOptions mOptions;
 };
 
-ExitCode ControlProgram::Run()
+ExitCode
+ControlProgram::Run()
 {
   if (!ReadOptions() || !ReadTargets()) {
     return ExitCode::kUsage;
@@ -135,7 +137,8 @@
   return commands.Booking(BookingKey(mArguments.Text("KEY")));
 }
 
-bool ControlProgram::ReadOptions()
+bool
+ControlProgram::ReadOptions()
 {
   const std::string format = mArguments.Text("--format");
   if (format != "text" && format != "json") {
@@ -153,7 +156,8 @@
   return true;
 }
 
-bool ControlProgram::ReadTargets()
+bool
+ControlProgram::ReadTargets()
 {
   if (mArguments.Has("--settings")) {
     const auto settings = LoadSettings(
@@ -185,7 +189,8 @@
   return true;
 }
 
-ExitCode ControlProgram::RunTable()
+ExitCode
+ControlProgram::RunTable()
 {
   TableCommands commands(mFetcher, mOptions);
   if (mArguments.Has("export")) {
@@ -207,8 +212,8 @@
                                 : RunApply(commands, *csv);
 }
 
-ExitCode ControlProgram::RunApply(TableCommands& aCommands,
-                                  const std::string& aCsv)
+ExitCode
+ControlProgram::RunApply(TableCommands& aCommands, const std::string& aCsv)
 {
   if (!mArguments.Has("--base")) {
     return aCommands.Apply(aCsv, {});
@@ -218,7 +223,8 @@
               : Refuse("--base: must be a whole number");
 }
 
-std::optional<std::string> ControlProgram::ReadFile()
+std::optional<std::string>
+ControlProgram::ReadFile()
 {
   std::ifstream in(mArguments.Text("FILE"), std::ios::binary);
   if (!in) {
@@ -227,7 +233,8 @@
   return std::string(std::istreambuf_iterator<char>(in), {});
 }
 
-ExitCode ControlProgram::Refuse(const std::string& aText)
+ExitCode
+ControlProgram::Refuse(const std::string& aText)
 {
   mOptions.err << aText << '\n';
   return ExitCode::kUsage;
@@ -235,12 +242,13 @@
 
 } // namespace
 
-ExitCode RunControl(Fetcher& aFetcher,
-                    std::ostream& aOut,
-                    std::ostream& aErr,
-                    const std::string& aVersion,
-                    int aCount,
-                    const char* const* aWords)
+ExitCode
+RunControl(Fetcher& aFetcher,
+           std::ostream& aOut,
+           std::ostream& aErr,
+           const std::string& aVersion,
+           int aCount,
+           const char* const* aWords)
 {
   const auto arguments = ParseArguments(kUsage, aVersion, aCount, aWords);
   if (!arguments) {
--- a/servers/control/fetcher.cpp
+++ b/servers/control/fetcher.cpp
@@ -4,7 +4,8 @@
 
 namespace firefly {
 
-FetchResult Fetcher::Fetch(HttpCall aCall)
+FetchResult
+Fetcher::Fetch(HttpCall aCall)
 {
   std::vector<HttpCall> calls;
   calls.push_back(std::move(aCall));
--- a/servers/control/json_view.cpp
+++ b/servers/control/json_view.cpp
@@ -2,7 +2,8 @@
 
 namespace firefly {
 
-std::optional<Json> ParseObject(const std::string& aText)
+std::optional<Json>
+ParseObject(const std::string& aText)
 {
   Json value = Json::parse(aText, nullptr, false);
   if (!value.is_object()) {
@@ -11,7 +12,8 @@
   return value;
 }
 
-std::string TextOf(const Json& aObject, const std::string& aKey)
+std::string
+TextOf(const Json& aObject, const std::string& aKey)
 {
   const auto found = aObject.find(aKey);
   if (found == aObject.end() || found->is_null()) {
@@ -26,21 +28,24 @@
   return DumpLine(*found).substr(0, DumpLine(*found).size() - 1);
 }
 
-double NumberOf(const Json& aObject, const std::string& aKey)
+double
+NumberOf(const Json& aObject, const std::string& aKey)
 {
   const auto found = aObject.find(aKey);
   const bool number = found != aObject.end() && found->is_number();
   return number ? found->get<double>() : 0;
 }
 
-Json ArrayOf(const Json& aObject, const std::string& aKey)
+Json
+ArrayOf(const Json& aObject, const std::string& aKey)
 {
   const auto found = aObject.find(aKey);
   const bool array = found != aObject.end() && found->is_array();
   return array ? *found : Json::array();
 }
 
-std::string JoinArray(const Json& aArray)
+std::string
+JoinArray(const Json& aArray)
 {
   std::string text;
   for (const auto& it : aArray) {
@@ -50,7 +55,8 @@
   return text.empty() ? "-" : text;
 }
 
-std::string ProblemTitle(const HttpResult& aResult)
+std::string
+ProblemTitle(const HttpResult& aResult)
 {
   std::string status = "status " + std::to_string(aResult.status);
   const auto problem = ParseObject(aResult.body);
@@ -60,7 +66,8 @@
   return TextOf(*problem, "title") + " (" + status + ')';
 }
 
-Objects ObjectsOf(const Answers& aAnswers)
+Objects
+ObjectsOf(const Answers& aAnswers)
 {
   Objects objects{ .objects = {}, .away = aAnswers.away };
   for (const auto& it : aAnswers.answers) {
@@ -79,7 +86,8 @@
   return objects;
 }
 
-Json AwayJson(const std::vector<AwayProcess>& aAway)
+Json
+AwayJson(const std::vector<AwayProcess>& aAway)
 {
   Json list = Json::array();
   for (const auto& it : aAway) {
@@ -88,7 +96,8 @@
   return list;
 }
 
-std::string DumpLine(const Json& aValue)
+std::string
+DumpLine(const Json& aValue)
 {
   return aValue.dump(-1, ' ', false, Json::error_handler_t::replace) + '\n';
 }
--- a/servers/log/log.cpp
+++ b/servers/log/log.cpp
@@ -22,7 +22,8 @@
 LogLayout sLayout = LogLayout::kText;
 bool sStarted = false;
 
-log4cxx::LevelPtr LevelOf(LogLevel aLevel)
+log4cxx::LevelPtr
+LevelOf(LogLevel aLevel)
 {
   switch (aLevel) {
     case LogLevel::kDebug:
@@ -37,7 +38,8 @@
   return log4cxx::Level::getError();
 }
 
-log4cxx::LayoutPtr MakeLayout(LogLayout aLayout)
+log4cxx::LayoutPtr
+MakeLayout(LogLayout aLayout)
 {
   if (aLayout == LogLayout::kJson) {
     return std::make_shared<log4cxx::JSONLayout>();
@@ -47,7 +49,8 @@
 
 // A value with spaces or quotes is quoted, so that fields can be told apart;
 // a line break in it can't start a line of its own.
-std::string QuoteField(const std::string& aValue)
+std::string
+QuoteField(const std::string& aValue)
 {
   if (!aValue.empty() &&
       aValue.find_first_of(" \t\r\n\"=") == std::string::npos) {
@@ -63,7 +66,8 @@
   return quoted + '"';
 }
 
-std::string TextLine(std::string_view aEvent, const LogFields& aFields)
+std::string
+TextLine(std::string_view aEvent, const LogFields& aFields)
 {
   std::string line(aEvent);
   for (const auto& it : aFields) {
@@ -72,10 +76,11 @@
   return line;
 }
 
-void WriteJson(const log4cxx::LoggerPtr& aLogger,
-               const log4cxx::LevelPtr& aLevel,
-               std::string_view aEvent,
-               const LogFields& aFields)
+void
+WriteJson(const log4cxx::LoggerPtr& aLogger,
+          const log4cxx::LevelPtr& aLevel,
+          std::string_view aEvent,
+          const LogFields& aFields)
 {
   // The layout writes the mapped context as an object of its own.
   std::list<log4cxx::MDC> context;
@@ -87,7 +92,8 @@
 
 } // namespace
 
-void StartLog(const LogSettings& aSettings)
+void
+StartLog(const LogSettings& aSettings)
 {
   sLayout = aSettings.layout;
   sStarted = true;
@@ -98,29 +104,34 @@
   log4cxx::Logger::getRootLogger()->setLevel(LevelOf(aSettings.level));
 }
 
-void Log::Debug(std::string_view aEvent, const LogFields& aFields) const
+void
+Log::Debug(std::string_view aEvent, const LogFields& aFields) const
 {
   Write(LogLevel::kDebug, aEvent, aFields);
 }
 
-void Log::Info(std::string_view aEvent, const LogFields& aFields) const
+void
+Log::Info(std::string_view aEvent, const LogFields& aFields) const
 {
   Write(LogLevel::kInfo, aEvent, aFields);
 }
 
-void Log::Warning(std::string_view aEvent, const LogFields& aFields) const
+void
+Log::Warning(std::string_view aEvent, const LogFields& aFields) const
 {
   Write(LogLevel::kWarning, aEvent, aFields);
 }
 
-void Log::Error(std::string_view aEvent, const LogFields& aFields) const
+void
+Log::Error(std::string_view aEvent, const LogFields& aFields) const
 {
   Write(LogLevel::kError, aEvent, aFields);
 }
 
-void Log::Write(LogLevel aLevel,
-                std::string_view aEvent,
-                const LogFields& aFields) const
+void
+Log::Write(LogLevel aLevel,
+           std::string_view aEvent,
+           const LogFields& aFields) const
 {
   if (!sStarted) {
     return;
--- a/servers/platform/http_log_client.cpp
+++ b/servers/platform/http_log_client.cpp
@@ -17,26 +17,30 @@
 constexpr int kFirstServerError = 500;
 constexpr int kServiceUnavailable = 503;
 
-coord::LogError Unavailable(std::string aMessage)
+coord::LogError
+Unavailable(std::string aMessage)
 {
   return { .kind = coord::LogErrorKind::kUnavailable,
            .message = std::move(aMessage) };
 }
 
-coord::LogError Unknown(std::string aMessage)
+coord::LogError
+Unknown(std::string aMessage)
 {
   return { .kind = coord::LogErrorKind::kUnknown,
            .message = std::move(aMessage) };
 }
 
-coord::LogError FromTransport(const HttpError& aError)
+coord::LogError
+FromTransport(const HttpError& aError)
 {
   return aError.kind == HttpErrorKind::kNotSent ? Unavailable(aError.message)
                                                 : Unknown(aError.message);
 }
 
 // A refusal has no effect; another server error may come after one.
-coord::LogError FromStatus(int aStatus)
+coord::LogError
+FromStatus(int aStatus)
 {
   const std::string message = "status " + std::to_string(aStatus);
   if (aStatus == kGone) {
@@ -47,8 +51,8 @@
   return refused ? Unavailable(message) : Unknown(message);
 }
 
-tl::expected<coord::LogOffset, coord::LogError> ParseAppended(
-  const HttpResult& aResult)
+tl::expected<coord::LogOffset, coord::LogError>
+ParseAppended(const HttpResult& aResult)
 {
   if (aResult.status != kOk) {
     return tl::make_unexpected(FromStatus(aResult.status));
@@ -61,7 +65,8 @@
   return coord::LogOffset(answer["first"].get<std::uint64_t>());
 }
 
-coord::LogBatch DecodeBatch(const json& aAnswer)
+coord::LogBatch
+DecodeBatch(const json& aAnswer)
 {
   coord::LogBatch batch;
   batch.first = coord::LogOffset(aAnswer.at("first").get<std::uint64_t>());
@@ -76,8 +81,8 @@
   return batch;
 }
 
-tl::expected<coord::LogBatch, coord::LogError> ParseBatch(
-  const HttpResult& aResult)
+tl::expected<coord::LogBatch, coord::LogError>
+ParseBatch(const HttpResult& aResult)
 {
   if (aResult.status != kOk) {
     return tl::make_unexpected(FromStatus(aResult.status));
@@ -97,7 +102,8 @@
 {
 }
 
-HttpCall HttpLogClient::MakeCall(const coord::StreamName& aStream) const
+HttpCall
+HttpLogClient::MakeCall(const coord::StreamName& aStream) const
 {
   HttpCall call;
   call.url = mOptions.url + "/" + mOptions.streamPrefix + aStream.Value();
@@ -106,9 +112,10 @@
   return call;
 }
 
-void HttpLogClient::Append(const coord::StreamName& aStream,
-                           std::vector<std::string> aPayloads,
-                           AppendCallback aCallback)
+void
+HttpLogClient::Append(const coord::StreamName& aStream,
+                      std::vector<std::string> aPayloads,
+                      AppendCallback aCallback)
 {
   json payloads = json::array();
   for (const std::string& payload : aPayloads) {
@@ -133,10 +140,11 @@
     });
 }
 
-void HttpLogClient::Read(const coord::StreamName& aStream,
-                         coord::LogOffset aFrom,
-                         std::size_t aLimit,
-                         ReadCallback aCallback)
+void
+HttpLogClient::Read(const coord::StreamName& aStream,
+                    coord::LogOffset aFrom,
+                    std::size_t aLimit,
+                    ReadCallback aCallback)
 {
   const auto wait =
     std::chrono::duration_cast<std::chrono::milliseconds>(mOptions.readWait);
--- a/servers/platform/weight_store_client.cpp
+++ b/servers/platform/weight_store_client.cpp
@@ -11,7 +11,8 @@
 constexpr int kTooManyRequests = 429;
 constexpr std::int64_t kDefaultRetrySeconds = 1;
 
-Duration RetryAfter(const HttpHeaders& aHeaders)
+Duration
+RetryAfter(const HttpHeaders& aHeaders)
 {
   const std::string_view text = FindHeader(aHeaders, "Retry-After");
   std::int64_t seconds = kDefaultRetrySeconds;
@@ -19,8 +20,8 @@
   return std::chrono::seconds(seconds);
 }
 
-tl::expected<void, PlatformError> Judge(
-  const tl::expected<HttpResult, HttpError>& aResult)
+tl::expected<void, PlatformError>
+Judge(const tl::expected<HttpResult, HttpError>& aResult)
 {
   if (!aResult) {
     return tl::make_unexpected(
@@ -46,7 +47,8 @@
 {
 }
 
-void WeightStoreClient::Reserve(const ModelId& aModel, Callback aCallback)
+void
+WeightStoreClient::Reserve(const ModelId& aModel, Callback aCallback)
 {
   HttpCall call;
   call.url = mOptions.url + "/" + aModel.Value();
--- a/servers/settings/setting_value.h
+++ b/servers/settings/setting_value.h
@@ -42,10 +42,11 @@
 };
 
 // Reads a TOML file whole. The result holds a table.
-tl::expected<SettingValue, SettingFileError> ReadSettingFile(
-  const std::string& aFile);
+tl::expected<SettingValue, SettingFileError>
+ReadSettingFile(const std::string& aFile);
 
 // The value as an operator would write it, for error messages.
-std::string DescribeSetting(const SettingValue& aValue);
+std::string
+DescribeSetting(const SettingValue& aValue);
 
 } // namespace firefly
--- a/servers/table/csv.h
+++ b/servers/table/csv.h
@@ -28,9 +28,11 @@
 // Splits a text into records. Line ends may be CRLF or LF, a byte-order mark
 // is skipped, and so are records whose fields are all empty, which spreadsheets
 // leave below the data.
-tl::expected<std::vector<CsvRecord>, CsvError> ParseCsv(std::string_view aText);
+tl::expected<std::vector<CsvRecord>, CsvError>
+ParseCsv(std::string_view aText);
 
 // One record with its line end, CRLF; fields are quoted where they need it.
-std::string FormatCsvRecord(const std::vector<std::string>& aFields);
+std::string
+FormatCsvRecord(const std::vector<std::string>& aFields);
 
 } // namespace firefly
--- a/tests/policy/request_queue_test.cpp
+++ b/tests/policy/request_queue_test.cpp
@@ -16,15 +16,17 @@
 
 namespace {
 
-QueuedRequest Waiting(const std::string& aId,
-                      double aWorth,
-                      Instant aDeadline,
-                      Lane aLane = Lane::kNormal)
+QueuedRequest
+Waiting(const std::string& aId,
+        double aWorth,
+        Instant aDeadline,
+        Lane aLane = Lane::kNormal)
 {
   return { RequestId(aId), aLane, aWorth, aDeadline };
 }
 
-bool Any(const QueuedRequest& /*aRequest*/)
+bool
+Any(const QueuedRequest& /*aRequest*/)
 {
   return true;
 }
--- a/tests/process/stream_process_test.cpp
+++ b/tests/process/stream_process_test.cpp
@@ -55,7 +55,7 @@
 
 TEST_GROUP(StreamProcess)
 {
-  Deployment deployment{ { .hosts = 1, .engines = 2, .services = 0 } };
+  Deployment deployment{ { .hosts = 1, .engines = 2 } };
 
   void setup() override { CHECK_TRUE(deployment.Up()); }
 };
--- a/tests/servers/link/link_test.cpp
+++ b/tests/servers/link/link_test.cpp
@@ -57,11 +57,12 @@
   LinkServer server;
 };
 
-Result CallAndWait(AsioExecutor& aExecutor,
-                   LinkClient& aClient,
-                   const std::string& aPath,
-                   std::string aBody,
-                   firefly::Duration aTimeout = 30s)
+Result
+CallAndWait(AsioExecutor& aExecutor,
+            LinkClient& aClient,
+            const std::string& aPath,
+            std::string aBody,
+            firefly::Duration aTimeout = 30s)
 {
   std::optional<Result> result;
   aClient.Call(aPath, std::move(aBody), aTimeout, [&](Result aResult) {
@@ -72,7 +73,8 @@
   return *result;
 }
 
-void CheckFailed(LinkErrorKind aKind, const Result& aResult)
+void
+CheckFailed(LinkErrorKind aKind, const Result& aResult)
 {
   CHECK_FALSE(aResult.has_value());
   CHECK(aKind == aResult.error().kind);
--- a/tests/servers/metrics/metrics_text_test.cpp
+++ b/tests/servers/metrics/metrics_text_test.cpp
@@ -14,7 +14,8 @@
 namespace {
 
 // A value of the characters that the format must escape, and some others.
-std::string RandomValue(Random& aRandom)
+std::string
+RandomValue(Random& aRandom)
 {
   const std::string letters = "a\\\"\n{}=, n\xc3\xa9";
   std::string value;
--- a/tests/servers/settings/settings_test.cpp
+++ b/tests/servers/settings/settings_test.cpp
@@ -64,16 +64,16 @@
   std::string line; // without the file's name
 };
 
-std::string Replace(std::string aText,
-                    const std::string& aFrom,
-                    const std::string& aTo)
+std::string
+Replace(std::string aText, const std::string& aFrom, const std::string& aTo)
 {
   const auto at = aText.find(aFrom);
   CHECK_TRUE(at != std::string::npos);
   return aText.replace(at, aFrom.size(), aTo);
 }
 
-std::filesystem::path Source(const std::string& aName)
+std::filesystem::path
+Source(const std::string& aName)
 {
   return std::filesystem::path(FIREFLY_SOURCE_DIR) / "settings" / aName;
 }
