--- a/main/firefly_entry.cpp
+++ b/main/firefly_entry.cpp
@@ -11,14 +11,16 @@
 
 namespace {
 
-int Exit(firefly::ExitCode aCode)
+int
+Exit(firefly::ExitCode aCode)
 {
   return static_cast<int>(aCode);
 }
 
 } // namespace
 
-int main(int aCount, char** aWords)
+int
+main(int aCount, char** aWords)
 {
   const auto settings = firefly::StartDaemon(
     { .program = "firefly-entry",
--- a/servers/entry/admin_handler.cpp
+++ b/servers/entry/admin_handler.cpp
@@ -15,18 +15,22 @@
 AdminHandler::AdminHandler(const TraceBook& aTraces)
   : mTraces(aTraces)
 {
-  Serve("why",
-        [this](const HttpRequest& aRequest,
-               const HttpResponderPtr& aResponder) { Why(aRequest, aResponder); });
+  Serve(
+    "why",
+    [this](const HttpRequest& aRequest, const HttpResponderPtr& aResponder) {
+      Why(aRequest, aResponder);
+    });
 }
 
-void AdminHandler::Serve(const std::string& aName, Handler aHandler)
+void
+AdminHandler::Serve(const std::string& aName, Handler aHandler)
 {
   mHandlers[aName] = std::move(aHandler);
 }
 
-void AdminHandler::Handle(const HttpRequest& aRequest,
-                          const HttpResponderPtr& aResponder)
+void
+AdminHandler::Handle(const HttpRequest& aRequest,
+                     const HttpResponderPtr& aResponder)
 {
   const auto path = SplitPath(aRequest.path);
   const bool admin = path.size() >= 2 && path[0] == "admin";
@@ -38,8 +42,9 @@
   handler->second(aRequest, aResponder);
 }
 
-void AdminHandler::Why(const HttpRequest& aRequest,
-                       const HttpResponderPtr& aResponder)
+void
+AdminHandler::Why(const HttpRequest& aRequest,
+                  const HttpResponderPtr& aResponder)
 {
   const auto path = SplitPath(aRequest.path);
   auto body = mTraces.Show(path.back());
--- a/servers/entry/answer_checker.cpp
+++ b/servers/entry/answer_checker.cpp
@@ -10,7 +10,8 @@
 {
 }
 
-PieceVerdict AnswerChecker::Check(const TokenPiece& aPiece)
+PieceVerdict
+AnswerChecker::Check(const TokenPiece& aPiece)
 {
   if (aPiece.kind == PieceKind::kDone) {
     mWhole = mFinished;
@@ -29,7 +30,8 @@
   }
 }
 
-PieceVerdict AnswerChecker::CheckToken(std::uint32_t aOffset)
+PieceVerdict
+AnswerChecker::CheckToken(std::uint32_t aOffset)
 {
   if (aOffset < mNext) {
     return PieceVerdict::kDropDuplicate;
@@ -41,7 +43,8 @@
   return PieceVerdict::kTake;
 }
 
-PieceVerdict AnswerChecker::CheckFinish(std::uint32_t aOffset)
+PieceVerdict
+AnswerChecker::CheckFinish(std::uint32_t aOffset)
 {
   if (aOffset != mNext) {
     return PieceVerdict::kBroken;
--- a/servers/entry/booking_book.cpp
+++ b/servers/entry/booking_book.cpp
@@ -4,7 +4,8 @@
 
 namespace firefly {
 
-void BookingBook::AddUnknown(UnknownBooking aBooking)
+void
+BookingBook::AddUnknown(UnknownBooking aBooking)
 {
   if (mUnknown.size() == kMaxUnknown) {
     mUnknown.pop_front();
--- a/servers/entry/booking_report.cpp
+++ b/servers/entry/booking_report.cpp
@@ -17,7 +17,8 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
-BookingKey KeyOf(const HttpRequest& aRequest)
+BookingKey
+KeyOf(const HttpRequest& aRequest)
 {
   const auto key = SplitPath(aRequest.path).back();
   const auto service = aRequest.QueryValue("service");
@@ -30,7 +31,8 @@
                    key);
 }
 
-HttpResponse ToResponse(const BookingKey& aKey, const ShownBooking& aShown)
+HttpResponse
+ToResponse(const BookingKey& aKey, const ShownBooking& aShown)
 {
   if (!aShown) {
     return MakeProblem(
@@ -51,9 +53,10 @@
 
 } // namespace
 
-void ShowBooking(const HttpRequest& aRequest,
-                 const HttpResponderPtr& aResponder,
-                 LedgerClient& aLedger)
+void
+ShowBooking(const HttpRequest& aRequest,
+            const HttpResponderPtr& aResponder,
+            LedgerClient& aLedger)
 {
   const auto key = KeyOf(aRequest);
   aLedger.Show(key, kTimeout, [aResponder, key](const ShownBooking& aShown) {
--- a/servers/entry/booking_report.h
+++ b/servers/entry/booking_report.h
@@ -9,8 +9,9 @@
 
 // Answers GET /admin/bookings/{key}. The key is the ledger's whole key, or the
 // caller's own with the query parameters service and customer.
-void ShowBooking(const HttpRequest& aRequest,
-                 const HttpResponderPtr& aResponder,
-                 LedgerClient& aLedger);
+void
+ShowBooking(const HttpRequest& aRequest,
+            const HttpResponderPtr& aResponder,
+            LedgerClient& aLedger);
 
 } // namespace firefly
--- a/servers/entry/booking_task.cpp
+++ b/servers/entry/booking_task.cpp
@@ -19,13 +19,15 @@
 constexpr int kFirstServerError = 500;
 constexpr int kUnavailable = 503;
 
-coord::RequestDigest DigestOfCall(const PlainCall& aCall)
+coord::RequestDigest
+DigestOfCall(const PlainCall& aCall)
 {
   return coord::DigestOf(aCall.head.type->name.Value() + '?' + aCall.query +
                          '\n' + aCall.body);
 }
 
-Problem NoPermit(const std::string& aWhy)
+Problem
+NoPermit(const std::string& aWhy)
 {
   return { .status = kUnavailable,
            .type = "no-permit",
@@ -34,7 +36,8 @@
            .retryAfter = std::chrono::seconds(1) };
 }
 
-Problem StillOpen()
+Problem
+StillOpen()
 {
   return { .status = kConflict,
            .type = "outcome-unknown",
@@ -42,14 +45,16 @@
            .execution = Execution::kUnknown };
 }
 
-Problem Mismatch()
+Problem
+Mismatch()
 {
   return { .status = kUnprocessable,
            .type = "key-mismatch",
            .title = "The key was used for another request" };
 }
 
-Problem Expired()
+Problem
+Expired()
 {
   return { .status = kUnprocessable,
            .type = "key-expired",
@@ -59,9 +64,10 @@
 
 } // namespace
 
-BookingKey LedgerKey(const ServiceId& aService,
-                     const CustomerId& aCustomer,
-                     const std::string& aKey)
+BookingKey
+LedgerKey(const ServiceId& aService,
+          const CustomerId& aCustomer,
+          const std::string& aKey)
 {
   return BookingKey(aService.Value() + '/' + aCustomer.Value() + '/' + aKey);
 }
@@ -83,14 +89,16 @@
 {
 }
 
-void BookingTask::Start()
+void
+BookingTask::Start()
 {
   const auto timeout = mContext.settings->ledger.permitTimeout;
   mPermitDeadline = mContext.executor->Now() + timeout;
   AskForPermit();
 }
 
-void BookingTask::AskForPermit()
+void
+BookingTask::AskForPermit()
 {
   // The callbacks own the task until the dispatcher does.
   mLedger.client->RequestPermit(
@@ -101,7 +109,8 @@
     });
 }
 
-void BookingTask::OnPermit(const PermitResult& aResult)
+void
+BookingTask::OnPermit(const PermitResult& aResult)
 {
   if (!aResult) {
     Tell(NoPermit(aResult.error().message), "not_run");
@@ -128,7 +137,8 @@
 }
 
 // The other attempt's outcome may come soon: it is waited for.
-void BookingTask::OnOtherAttempt()
+void
+BookingTask::OnOtherAttempt()
 {
   if (mContext.executor->Now() + kOpenPoll >= mPermitDeadline) {
     Tell(StillOpen(), "unknown");
@@ -138,7 +148,8 @@
     kOpenPoll, [self = shared_from_this()] { self->AskForPermit(); });
 }
 
-void BookingTask::Replay(const coord::BookingOutcome& aOutcome)
+void
+BookingTask::Replay(const coord::BookingOutcome& aOutcome)
 {
   mLife.Fire("replay");
   if (aOutcome.truncated) {
@@ -158,7 +169,8 @@
   mLife.End(true, {});
 }
 
-void BookingTask::Run()
+void
+BookingTask::Run()
 {
   const auto& limits = *mContext.dispatcher->Router().Policies().limits;
   auto info = ProfileOf(mCall, mId, limits, mLife.Arrival());
@@ -170,13 +182,15 @@
   }
 }
 
-void BookingTask::OnQueued()
+void
+BookingTask::OnQueued()
 {
   mLife.Fire("admit");
   mLife.Fire("queue");
 }
 
-void BookingTask::Dispatch(const policy::DispatchOrder& aOrder)
+void
+BookingTask::Dispatch(const policy::DispatchOrder& aOrder)
 {
   mLife.OnDispatch(aOrder);
   const auto number = aOrder.attempt;
@@ -191,7 +205,8 @@
     });
 }
 
-void BookingTask::OnResult(Number aNumber, Result aResult)
+void
+BookingTask::OnResult(Number aNumber, Result aResult)
 {
   const auto runner = std::move(mRunner);
   const bool notSent =
@@ -208,7 +223,8 @@
     mId, aNumber, error, mContext.executor->Now());
 }
 
-void BookingTask::Complete(Number aNumber, HttpResult aResult)
+void
+BookingTask::Complete(Number aNumber, HttpResult aResult)
 {
   auto& router = mContext.dispatcher->Router();
   router.OnFirstToken(mId, aNumber, mContext.executor->Now());
@@ -216,18 +232,17 @@
   Record(aResult);
   mLife.OnFirstOutput(mLateAfter);
   mLife.Fire("answer");
-  mResponder->Send(
-    ToCallerResponse(std::move(aResult), mCall.head.requestId));
+  mResponder->Send(ToCallerResponse(std::move(aResult), mCall.head.requestId));
   mLife.EndBooking("done");
   mLife.End(true, {});
   mContext.dispatcher->Forget(mId);
 }
 
-void BookingTask::Record(const HttpResult& aResult)
+void
+BookingTask::Record(const HttpResult& aResult)
 {
   const coord::BookingOutcome outcome{
-    .status = static_cast<std::uint32_t>(aResult.status),
-    .answer = aResult.body
+    .status = static_cast<std::uint32_t>(aResult.status), .answer = aResult.body
   };
   auto* book = mLedger.book;
   book->OnRecordStarted();
@@ -235,7 +250,8 @@
     mKey, mPermit, outcome, [book](const auto&) { book->OnRecordEnded(); });
 }
 
-void BookingTask::AbandonPermit()
+void
+BookingTask::AbandonPermit()
 {
   if (mPermit.Value().empty()) {
     return;
@@ -247,16 +263,24 @@
   mPermit = {};
 }
 
-void BookingTask::Cancel(Number /*aAttempt*/) {}
+void
+BookingTask::Cancel(Number /*aAttempt*/)
+{
+}
 
-void BookingTask::Sweep(Instant /*aNow*/) {}
+void
+BookingTask::Sweep(Instant /*aNow*/)
+{
+}
 
-Execution BookingTask::ExecutionSoFar() const
+Execution
+BookingTask::ExecutionSoFar() const
 {
   return mMayHaveRun ? Execution::kUnknown : Execution::kNotRun;
 }
 
-void BookingTask::Refuse(const policy::Refusal& aRefusal)
+void
+BookingTask::Refuse(const policy::Refusal& aRefusal)
 {
   if (mLife.Is("dispatched")) {
     mLife.Fire("retry");
@@ -266,7 +290,8 @@
        mMayHaveRun ? "unknown" : "not_run");
 }
 
-void BookingTask::Fail(policy::FailureReason aReason)
+void
+BookingTask::Fail(policy::FailureReason aReason)
 {
   const std::string reason(policy::ToString(aReason));
   const char* event = mMayHaveRun ? "lose" : "fail";
@@ -276,7 +301,8 @@
 }
 
 // Ends the request without an answer of the service.
-void BookingTask::Tell(const Problem& aProblem, const std::string& aOutcome)
+void
+BookingTask::Tell(const Problem& aProblem, const std::string& aOutcome)
 {
   if (!mMayHaveRun) {
     AbandonPermit();
--- a/servers/entry/booking_task.h
+++ b/servers/entry/booking_task.h
@@ -16,12 +16,14 @@
 
 // What the ledger calls a caller's key: callers of different customers or
 // services may use the same one.
-BookingKey LedgerKey(const ServiceId& aService,
-                     const CustomerId& aCustomer,
-                     const std::string& aKey);
+BookingKey
+LedgerKey(const ServiceId& aService,
+          const CustomerId& aCustomer,
+          const std::string& aKey);
 
-class BookingTask : public RequestTask,
-                    public std::enable_shared_from_this<BookingTask>
+class BookingTask
+  : public RequestTask
+  , public std::enable_shared_from_this<BookingTask>
 {
 public:
   // What bookings need beside the context; both outlive the task.
--- a/servers/entry/caller_handler.cpp
+++ b/servers/entry/caller_handler.cpp
@@ -15,17 +15,20 @@
 constexpr int kNotAllowed = 405;
 constexpr int kUnavailable = 503;
 
-bool IsModelPath(const std::string& aPath)
+bool
+IsModelPath(const std::string& aPath)
 {
   return aPath == "/v1/completions" || aPath == "/v1/chat/completions";
 }
 
-bool IsServicePath(const std::string& aPath)
+bool
+IsServicePath(const std::string& aPath)
 {
   return aPath.starts_with("/services/");
 }
 
-Problem NoRoom()
+Problem
+NoRoom()
 {
   return { .status = kUnavailable,
            .type = "queue-full",
@@ -33,7 +36,8 @@
            .retryAfter = std::chrono::seconds(1) };
 }
 
-Problem NotReady()
+Problem
+NotReady()
 {
   return { .status = kUnavailable,
            .type = "not-ready",
@@ -55,22 +59,23 @@
 {
 }
 
-RequestId CallerHandler::NextId()
+RequestId
+CallerHandler::NextId()
 {
   return RequestId(mIdPrefix + std::to_string(++mCount));
 }
 
-void CallerHandler::Handle(const HttpRequest& aRequest,
-                           const HttpResponderPtr& aResponder)
+void
+CallerHandler::Handle(const HttpRequest& aRequest,
+                      const HttpResponderPtr& aResponder)
 {
   auto head = mReader.ReadHead(aRequest, NextId().Value());
   const bool model = IsModelPath(aRequest.path);
   if (!model && !IsServicePath(aRequest.path)) {
-    Reject({ .status = kNotFound,
-             .type = "unknown-path",
-             .title = "No such path" },
-           head,
-           *aResponder);
+    Reject(
+      { .status = kNotFound, .type = "unknown-path", .title = "No such path" },
+      head,
+      *aResponder);
     return;
   }
   if (aRequest.method != "POST") {
@@ -92,9 +97,10 @@
   }
 }
 
-void CallerHandler::HandleModel(const HttpRequest& aRequest,
-                                const HttpResponderPtr& aResponder,
-                                CallerHead aHead)
+void
+CallerHandler::HandleModel(const HttpRequest& aRequest,
+                           const HttpResponderPtr& aResponder,
+                           CallerHead aHead)
 {
   auto call = mReader.ReadModelCall(aRequest, aHead);
   if (!call) {
@@ -106,9 +112,10 @@
   task->Start();
 }
 
-void CallerHandler::HandlePlain(const HttpRequest& aRequest,
-                                const HttpResponderPtr& aResponder,
-                                CallerHead aHead)
+void
+CallerHandler::HandlePlain(const HttpRequest& aRequest,
+                           const HttpResponderPtr& aResponder,
+                           CallerHead aHead)
 {
   auto call = mReader.ReadPlainCall(aRequest, aHead);
   if (!call) {
@@ -130,9 +137,10 @@
   task->Start();
 }
 
-void CallerHandler::Reject(const Problem& aProblem,
-                           const CallerHead& aHead,
-                           HttpResponder& aResponder)
+void
+CallerHandler::Reject(const Problem& aProblem,
+                      const CallerHead& aHead,
+                      HttpResponder& aResponder)
 {
   const auto status = std::to_string(aProblem.status);
   mContext.metrics->rejectedInput.With({ status }).Add();
--- a/servers/entry/caller_request.cpp
+++ b/servers/entry/caller_request.cpp
@@ -130,9 +130,9 @@
                        it->get<std::uint64_t>() > 0 &&
                        it->get<std::uint64_t>() <= kMaxTokens;
   if (!inRange) {
-    return tl::unexpected(
-      Malformed(std::string(key) + " must be a whole number from 1 to " +
-                std::to_string(kMaxTokens)));
+    return tl::unexpected(Malformed(std::string(key) +
+                                    " must be a whole number from 1 to " +
+                                    std::to_string(kMaxTokens)));
   }
   return it->get<std::uint32_t>();
 }
@@ -268,8 +268,8 @@
     return tl::unexpected(Malformed("the body is not JSON"));
   }
   const auto key = FindHeader(aRequest.headers, "Idempotency-Key");
-  const bool wrongKey = key.empty() ? !call.head.type->idempotent
-                                    : !IsSoundId(key);
+  const bool wrongKey =
+    key.empty() ? !call.head.type->idempotent : !IsSoundId(key);
   if (wrongKey) {
     return tl::unexpected(Malformed(
       "Idempotency-Key must be given for this request type, as at most " +
--- a/servers/entry/caller_request.h
+++ b/servers/entry/caller_request.h
@@ -84,7 +84,7 @@
 };
 
 // The JSON body for an engine.
-std::string EngineBody(const ModelCall& aCall,
-                       const EngineExtension& aExtension);
+std::string
+EngineBody(const ModelCall& aCall, const EngineExtension& aExtension);
 
 } // namespace firefly
--- a/servers/entry/dispatcher.cpp
+++ b/servers/entry/dispatcher.cpp
@@ -17,8 +17,9 @@
   Sweep();
 }
 
-bool Dispatcher::Start(const std::shared_ptr<RequestTask>& aTask,
-                       policy::RequestInfo aInfo)
+bool
+Dispatcher::Start(const std::shared_ptr<RequestTask>& aTask,
+                  policy::RequestInfo aInfo)
 {
   if (!HasRoom()) {
     return false;
@@ -34,13 +35,15 @@
   return true;
 }
 
-std::shared_ptr<RequestTask> Dispatcher::Find(const RequestId& aId) const
+std::shared_ptr<RequestTask>
+Dispatcher::Find(const RequestId& aId) const
 {
   const auto it = mTasks.find(aId);
   return it == mTasks.end() ? nullptr : it->second;
 }
 
-std::shared_ptr<RequestTask> Dispatcher::Decide(const RequestId& aId)
+std::shared_ptr<RequestTask>
+Dispatcher::Decide(const RequestId& aId)
 {
   if (mArriving == aId) {
     mArriving = {};
@@ -48,41 +51,47 @@
   return Find(aId);
 }
 
-void Dispatcher::Dispatch(const policy::DispatchOrder& aOrder)
+void
+Dispatcher::Dispatch(const policy::DispatchOrder& aOrder)
 {
   if (const auto task = Decide(aOrder.requestId)) {
     task->Dispatch(aOrder);
   }
 }
 
-void Dispatcher::Cancel(const RequestId& aId, policy::AttemptNumber aAttempt)
+void
+Dispatcher::Cancel(const RequestId& aId, policy::AttemptNumber aAttempt)
 {
   if (const auto task = Find(aId)) {
     task->Cancel(aAttempt);
   }
 }
 
-void Dispatcher::Refuse(const RequestId& aId, const policy::Refusal& aRefusal)
+void
+Dispatcher::Refuse(const RequestId& aId, const policy::Refusal& aRefusal)
 {
   if (const auto task = Decide(aId)) {
     task->Refuse(aRefusal);
   }
 }
 
-void Dispatcher::Fail(const RequestId& aId, policy::FailureReason aReason)
+void
+Dispatcher::Fail(const RequestId& aId, policy::FailureReason aReason)
 {
   if (const auto task = Decide(aId)) {
     task->Fail(aReason);
   }
 }
 
-void Dispatcher::Tick()
+void
+Dispatcher::Tick()
 {
   mRouter.Tick(mExecutor.Now());
   mTickTimer = mExecutor.RunAfter(mOptions.tickInterval, [this] { Tick(); });
 }
 
-void Dispatcher::Sweep()
+void
+Dispatcher::Sweep()
 {
   std::vector<std::shared_ptr<RequestTask>> tasks;
   tasks.reserve(mTasks.size());
--- a/servers/entry/engine_call.cpp
+++ b/servers/entry/engine_call.cpp
@@ -2,11 +2,12 @@
 
 namespace firefly {
 
-HttpCall MakeEngineCall(const ModelCall& aCall,
-                        const std::string& aEngineUrl,
-                        const EngineExtension& aExtension,
-                        const EngineCallLimits& aLimits,
-                        bool aFreshConnection)
+HttpCall
+MakeEngineCall(const ModelCall& aCall,
+               const std::string& aEngineUrl,
+               const EngineExtension& aExtension,
+               const EngineCallLimits& aLimits,
+               bool aFreshConnection)
 {
   HttpCall call;
   call.method = "POST";
@@ -20,9 +21,10 @@
   return call;
 }
 
-HttpCall MakeCancelCall(const std::string& aEngineUrl,
-                        const std::string& aAttemptId,
-                        Duration aConnectTimeout)
+HttpCall
+MakeCancelCall(const std::string& aEngineUrl,
+               const std::string& aAttemptId,
+               Duration aConnectTimeout)
 {
   constexpr Duration kAnswerTimeout = std::chrono::seconds(1);
   HttpCall call;
--- a/servers/entry/engine_call.h
+++ b/servers/entry/engine_call.h
@@ -18,15 +18,17 @@
 
 // The streamed request for one attempt. Attempts after the first use a fresh
 // connection, in case the pooled ones are silently dead.
-HttpCall MakeEngineCall(const ModelCall& aCall,
-                        const std::string& aEngineUrl,
-                        const EngineExtension& aExtension,
-                        const EngineCallLimits& aLimits,
-                        bool aFreshConnection);
+HttpCall
+MakeEngineCall(const ModelCall& aCall,
+               const std::string& aEngineUrl,
+               const EngineExtension& aExtension,
+               const EngineCallLimits& aLimits,
+               bool aFreshConnection);
 
 // Tells the engine that nobody waits for the attempt any more.
-HttpCall MakeCancelCall(const std::string& aEngineUrl,
-                        const std::string& aAttemptId,
-                        Duration aConnectTimeout);
+HttpCall
+MakeCancelCall(const std::string& aEngineUrl,
+               const std::string& aAttemptId,
+               Duration aConnectTimeout);
 
 } // namespace firefly
--- a/servers/entry/entry_digest.cpp
+++ b/servers/entry/entry_digest.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-std::string Encode(const EntryDigest& aDigest)
+std::string
+Encode(const EntryDigest& aDigest)
 {
   return coord::FieldWriter()
     .Number(aDigest.table.Value())
@@ -20,7 +21,8 @@
 
 // Leaves out the half that matters least.
 template<typename T, typename Weight>
-void Halve(std::vector<T>& aItems, Weight aWeight)
+void
+Halve(std::vector<T>& aItems, Weight aWeight)
 {
   const auto heavier = [&](const T& aLeft, const T& aRight) {
     return aWeight(aLeft) > aWeight(aRight);
@@ -31,7 +33,8 @@
 
 } // namespace
 
-std::string EncodeEntryDigest(EntryDigest aDigest, std::size_t aMaxBytes)
+std::string
+EncodeEntryDigest(EntryDigest aDigest, std::size_t aMaxBytes)
 {
   auto bytes = Encode(aDigest);
   auto& work = aDigest.work;
@@ -51,7 +54,8 @@
   return bytes;
 }
 
-std::optional<EntryDigest> DecodeEntryDigest(const std::string& aBytes)
+std::optional<EntryDigest>
+DecodeEntryDigest(const std::string& aBytes)
 {
   coord::FieldReader reader(aBytes);
   EntryDigest digest;
--- a/servers/entry/entry_digest.h
+++ b/servers/entry/entry_digest.h
@@ -18,9 +18,11 @@
 };
 
 // The bytes, at most so many: the least work is left out first.
-std::string EncodeEntryDigest(EntryDigest aDigest, std::size_t aMaxBytes);
+std::string
+EncodeEntryDigest(EntryDigest aDigest, std::size_t aMaxBytes);
 
 // The digest of the bytes, or nothing if they are none.
-std::optional<EntryDigest> DecodeEntryDigest(const std::string& aBytes);
+std::optional<EntryDigest>
+DecodeEntryDigest(const std::string& aBytes);
 
 } // namespace firefly
--- a/servers/entry/entry_membership.cpp
+++ b/servers/entry/entry_membership.cpp
@@ -13,8 +13,8 @@
 constexpr std::size_t kMaxMessageBytes = 1400;
 constexpr std::size_t kMaxDigestBytes = 640;
 
-coord::Membership::Options MembershipOptions(
-  const EntryMembership::Options& aOptions)
+coord::Membership::Options
+MembershipOptions(const EntryMembership::Options& aOptions)
 {
   const auto& host = aOptions.settings->host;
   const auto& membership = aOptions.settings->membership;
@@ -32,7 +32,8 @@
            .seed = aOptions.seed };
 }
 
-bool IsLive(const coord::Member& aMember)
+bool
+IsLive(const coord::Member& aMember)
 {
   return aMember.status == MemberStatus::kAlive ||
          aMember.status == MemberStatus::kSuspect;
@@ -56,11 +57,12 @@
   }
 }
 
-tl::expected<void, GossipError> EntryMembership::Start()
+tl::expected<void, GossipError>
+EntryMembership::Start()
 {
   const auto& host = mOptions.settings->host;
-  auto opened =
-    mSocket.Open(host.address, host.gossipPort, [this](std::string_view aBytes) {
+  auto opened = mSocket.Open(
+    host.address, host.gossipPort, [this](std::string_view aBytes) {
       mMembership.OnMessage(aBytes);
     });
   if (!opened) {
@@ -72,14 +74,16 @@
   return {};
 }
 
-void EntryMembership::SetSeeds(const std::vector<coord::PeerAddress>& aSeeds)
+void
+EntryMembership::SetSeeds(const std::vector<coord::PeerAddress>& aSeeds)
 {
   auto seeds = mPeers;
   seeds.insert(seeds.end(), aSeeds.begin(), aSeeds.end());
   mMembership.SetSeeds(std::move(seeds));
 }
 
-void EntryMembership::Tell()
+void
+EntryMembership::Tell()
 {
   EntryDigest digest{ .table = mTable,
                       .ready = mReady,
@@ -88,12 +92,14 @@
   mTimer = mExecutor.RunAfter(mOptions.digestInterval, [this] { Tell(); });
 }
 
-void EntryMembership::OnMember(const coord::Member&)
+void
+EntryMembership::OnMember(const coord::Member&)
 {
   mHandlers.onEntries(LiveEntries());
 }
 
-void EntryMembership::OnDigest(const coord::Member& aMember)
+void
+EntryMembership::OnDigest(const coord::Member& aMember)
 {
   const auto digest = DecodeEntryDigest(aMember.digest);
   if (!digest || aMember.host == mOptions.settings->host.id) {
@@ -106,7 +112,8 @@
   }
 }
 
-std::vector<HostId> EntryMembership::LiveEntries() const
+std::vector<HostId>
+EntryMembership::LiveEntries() const
 {
   std::vector<HostId> hosts;
   for (const auto& it : mMembership.Members()) {
@@ -117,7 +124,8 @@
   return hosts;
 }
 
-std::vector<TableMember> EntryMembership::TableMembers() const
+std::vector<TableMember>
+EntryMembership::TableMembers() const
 {
   std::vector<TableMember> members;
   for (const auto& it : mMembership.Members()) {
--- a/servers/entry/entry_metrics.cpp
+++ b/servers/entry/entry_metrics.cpp
@@ -64,12 +64,12 @@
   , members(aRegistry.Gauges({ .name = "firefly_members",
                                .help = "Entries by state",
                                .labelNames = { "state" } }))
-  , tableVersion(aRegistry.Gauges({ .name = "firefly_table_version",
-                                    .help = "The table in force here" }))
-  , planVersion(aRegistry.Gauges({ .name = "firefly_plan_version",
-                                   .help = "The plan known here" }))
-  , ready(aRegistry.Gauges({ .name = "firefly_ready",
-                             .help = "Whether this entry takes requests" }))
+  , tableVersion(aRegistry.Gauges(
+      { .name = "firefly_table_version", .help = "The table in force here" }))
+  , planVersion(aRegistry.Gauges(
+      { .name = "firefly_plan_version", .help = "The plan known here" }))
+  , ready(aRegistry.Gauges(
+      { .name = "firefly_ready", .help = "Whether this entry takes requests" }))
   , quarantined(aRegistry.Gauges({ .name = "firefly_quarantined_requests",
                                    .help = "Fingerprints refused everywhere" }))
   , bookings(aRegistry.Counters({ .name = "firefly_bookings_total",
--- a/servers/entry/entry_metrics.h
+++ b/servers/entry/entry_metrics.h
@@ -33,7 +33,7 @@
   MetricFamily<Gauge>& ready;
   MetricFamily<Gauge>& quarantined;
   MetricFamily<Counter>& bookings;
-  MetricFamily<Counter>& rejectedInput;   // by status, before any dispatch
+  MetricFamily<Counter>& rejectedInput;    // by status, before any dispatch
   MetricFamily<Counter>& wrongTransitions; // that the chart doesn't have
 };
 
--- a/servers/entry/entry_server.cpp
+++ b/servers/entry/entry_server.cpp
@@ -37,7 +37,8 @@
 constexpr Duration kReadyPoll = std::chrono::milliseconds(100);
 constexpr int kLeaveMessages = 3;
 
-Incarnation NewIncarnation(const Executor& aExecutor)
+Incarnation
+NewIncarnation(const Executor& aExecutor)
 {
   const auto now = aExecutor.WallNow().time_since_epoch().count();
   return Incarnation(static_cast<std::uint64_t>(now));
@@ -98,26 +99,24 @@
                                              Incarnation aIncarnation)
   {
     LedgerClient::Options options;
-    options.attemptPrefix = aSettings.host.id.Value() + "/" +
-                            std::to_string(aIncarnation.Value());
+    options.attemptPrefix =
+      aSettings.host.id.Value() + "/" + std::to_string(aIncarnation.Value());
     options.partitions = aSettings.ledger.partitions;
     options.ledgers = LedgersOf(aSettings, {});
     return options;
   }
 
   // The ledgers of the entry hosts that live; of all while none is known to.
-  static std::vector<LedgerAddress> LedgersOf(
-    const Settings& aSettings,
-    const std::vector<HostId>& aLive)
+  static std::vector<LedgerAddress> LedgersOf(const Settings& aSettings,
+                                              const std::vector<HostId>& aLive)
   {
     std::vector<LedgerAddress> ledgers;
     for (const auto& it : aSettings.peers) {
       const bool live =
         std::find(aLive.begin(), aLive.end(), it.id) != aLive.end();
       if (aLive.empty() || live) {
-        ledgers.push_back({ .host = it.id,
-                            .address = it.address,
-                            .port = it.ledgerLinkPort });
+        ledgers.push_back(
+          { .host = it.id, .address = it.address, .port = it.ledgerLinkPort });
       }
     }
     return ledgers;
@@ -164,9 +163,8 @@
                                  std::to_string(mIncarnation.Value()));
     auto& router = mDispatcher->Router();
     mMembership.emplace(
-      EntryMembership::Options{ .settings = &mSettings,
-                                .incarnation = mIncarnation,
-                                .seed = mSeed },
+      EntryMembership::Options{
+        .settings = &mSettings, .incarnation = mIncarnation, .seed = mSeed },
       mExecutor,
       router,
       EntryMembership::Handlers{
@@ -179,39 +177,38 @@
             mDispatcher->Router().SetEntries(aEntries);
             mLedger.SetLedgers(LedgersOf(mSettings, aEntries));
           } });
-    mTable.emplace(
-      TableKeeper::Options{
-        .settings = &mSettings, .writer = writer, .seed = mSeed },
-      mExecutor,
-      mLogClient,
-      mClient,
-      [this](TableVersion aVersion, const auto& aRows) {
-        mDispatcher->Router().Configure(aRows);
-        mMembership->SetTable(aVersion);
-      });
+    mTable.emplace(TableKeeper::Options{ .settings = &mSettings,
+                                         .writer = writer,
+                                         .seed = mSeed },
+                   mExecutor,
+                   mLogClient,
+                   mClient,
+                   [this](TableVersion aVersion, const auto& aRows) {
+                     mDispatcher->Router().Configure(aRows);
+                     mMembership->SetTable(aVersion);
+                   });
     mPlan.emplace(
-      coord::AuthorityStream::Options{
-        .writer = writer,
-        .backendChart = &*mBackendChart,
-        .pollInterval = mSettings.platform.pollInterval,
-        .seed = mSeed },
+      coord::AuthorityStream::Options{ .writer = writer,
+                                       .backendChart = &*mBackendChart,
+                                       .pollInterval =
+                                         mSettings.platform.pollInterval,
+                                       .seed = mSeed },
       mExecutor,
       mLogClient,
       mFleet,
       [] {});
-    mHosts.emplace(
-      HostWatcher::Options{ .settings = &mSettings },
-      mExecutor,
-      mHostList,
-      HostWatcher::Handlers{
-        .onLeaving =
-          [this](std::set<BackendId> aLeaving) {
-            mFleet.SetLeaving(std::move(aLeaving));
-          },
-        .onHosts =
-          [this](const std::vector<std::string>& aAddresses) {
-            AskHosts(aAddresses);
-          } });
+    mHosts.emplace(HostWatcher::Options{ .settings = &mSettings },
+                   mExecutor,
+                   mHostList,
+                   HostWatcher::Handlers{
+                     .onLeaving =
+                       [this](std::set<BackendId> aLeaving) {
+                         mFleet.SetLeaving(std::move(aLeaving));
+                       },
+                     .onHosts =
+                       [this](const std::vector<std::string>& aAddresses) {
+                         AskHosts(aAddresses);
+                       } });
     mLoads.emplace(LoadPoller::Options{ .settings = &mSettings },
                    mExecutor,
                    mClient,
@@ -422,12 +419,14 @@
 
 EntryServer::~EntryServer() = default;
 
-tl::expected<void, EntryError> EntryServer::Start()
+tl::expected<void, EntryError>
+EntryServer::Start()
 {
   return mImpl->Start();
 }
 
-void EntryServer::Drain(std::function<void()> aDone)
+void
+EntryServer::Drain(std::function<void()> aDone)
 {
   mImpl->Drain(std::move(aDone));
 }
--- a/servers/entry/fleet_keeper.cpp
+++ b/servers/entry/fleet_keeper.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-policy::EngineRole ToEngineRole(BackendRole aRole)
+policy::EngineRole
+ToEngineRole(BackendRole aRole)
 {
   switch (aRole) {
     case BackendRole::kPrefill:
@@ -18,7 +19,8 @@
   }
 }
 
-policy::EngineRole ToEngineRole(coord::BackendRole aRole)
+policy::EngineRole
+ToEngineRole(coord::BackendRole aRole)
 {
   switch (aRole) {
     case coord::BackendRole::kPrefill:
@@ -30,7 +32,8 @@
   }
 }
 
-policy::BackendState ToBackendState(const std::string& aPlanState)
+policy::BackendState
+ToBackendState(const std::string& aPlanState)
 {
   if (aPlanState == "open") {
     return policy::BackendState::kOpen;
@@ -39,7 +42,8 @@
                              : policy::BackendState::kDraining;
 }
 
-policy::Backend ToBackend(const BackendSettings& aSettings)
+policy::Backend
+ToBackend(const BackendSettings& aSettings)
 {
   policy::Backend backend;
   backend.id = aSettings.id;
@@ -65,15 +69,16 @@
   }
 }
 
-void FleetKeeper::Apply(const coord::AuthorityState& aPlan)
+void
+FleetKeeper::Apply(const coord::AuthorityState& aPlan)
 {
   for (const auto& [id, entry] : aPlan.Plan()) {
     ApplyEntry(id, entry);
   }
 }
 
-void FleetKeeper::ApplyEntry(const BackendId& aId,
-                             const coord::PlanEntry& aEntry)
+void
+FleetKeeper::ApplyEntry(const BackendId& aId, const coord::PlanEntry& aEntry)
 {
   const auto* settings = mSettings.FindBackend(aId);
   if (settings == nullptr) {
@@ -89,7 +94,8 @@
   SetState(aId);
 }
 
-void FleetKeeper::SetLeaving(std::set<BackendId> aLeaving)
+void
+FleetKeeper::SetLeaving(std::set<BackendId> aLeaving)
 {
   mLeaving = std::move(aLeaving);
   for (const auto& it : mSettings.backends) {
@@ -97,7 +103,8 @@
   }
 }
 
-void FleetKeeper::SetState(const BackendId& aId)
+void
+FleetKeeper::SetState(const BackendId& aId)
 {
   const auto it = mPlanned.find(aId);
   auto state = it == mPlanned.end() ? policy::BackendState::kOpen : it->second;
--- a/servers/entry/gossip_socket.cpp
+++ b/servers/entry/gossip_socket.cpp
@@ -13,7 +13,8 @@
 
 using asio::ip::udp;
 
-std::optional<udp::endpoint> ParseEndpoint(const std::string& aText)
+std::optional<udp::endpoint>
+ParseEndpoint(const std::string& aText)
 {
   const auto colon = aText.rfind(':');
   if (colon == std::string::npos) {
@@ -43,9 +44,10 @@
   mSocket.close(ec);
 }
 
-tl::expected<void, GossipError> GossipSocket::Open(const std::string& aAddress,
-                                                   std::uint16_t aPort,
-                                                   Handler aHandler)
+tl::expected<void, GossipError>
+GossipSocket::Open(const std::string& aAddress,
+                   std::uint16_t aPort,
+                   Handler aHandler)
 {
   asio::error_code ec;
   const auto address = asio::ip::make_address(aAddress, ec);
@@ -59,15 +61,16 @@
     mSocket.non_blocking(true, ec);
   }
   if (ec) {
-    return tl::unexpected(GossipError{
-      aAddress + ":" + std::to_string(aPort) + " (UDP): " + ec.message() });
+    return tl::unexpected(GossipError{ aAddress + ":" + std::to_string(aPort) +
+                                       " (UDP): " + ec.message() });
   }
   mHandler = std::move(aHandler);
   Receive();
   return {};
 }
 
-void GossipSocket::Receive()
+void
+GossipSocket::Receive()
 {
   mSocket.async_receive_from(
     asio::buffer(mBuffer),
@@ -83,7 +86,8 @@
     });
 }
 
-void GossipSocket::Send(const coord::PeerAddress& aPeer, std::string aBytes)
+void
+GossipSocket::Send(const coord::PeerAddress& aPeer, std::string aBytes)
 {
   const auto endpoint = ParseEndpoint(aPeer.Value());
   if (!endpoint) {
@@ -93,8 +97,8 @@
   mSocket.send_to(asio::buffer(aBytes), *endpoint, 0, ec);
 }
 
-coord::PeerAddress MakePeerAddress(const std::string& aAddress,
-                                   std::uint16_t aPort)
+coord::PeerAddress
+MakePeerAddress(const std::string& aAddress, std::uint16_t aPort)
 {
   return coord::PeerAddress(aAddress + ":" + std::to_string(aPort));
 }
--- a/servers/entry/gossip_socket.h
+++ b/servers/entry/gossip_socket.h
@@ -51,7 +51,7 @@
 };
 
 // "10.0.0.1:7400" of its parts.
-coord::PeerAddress MakePeerAddress(const std::string& aAddress,
-                                   std::uint16_t aPort);
+coord::PeerAddress
+MakePeerAddress(const std::string& aAddress, std::uint16_t aPort);
 
 } // namespace firefly
--- a/servers/entry/host_watcher.cpp
+++ b/servers/entry/host_watcher.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 // "10.0.0.1" of "http://10.0.0.1:8000".
-std::string AddressOf(const std::string& aUrl)
+std::string
+AddressOf(const std::string& aUrl)
 {
   const auto scheme = aUrl.find("://");
   const auto begin = scheme == std::string::npos ? 0 : scheme + 3;
@@ -28,7 +29,8 @@
 {
 }
 
-void HostWatcher::Start()
+void
+HostWatcher::Start()
 {
   mClient.Fetch(
     [this](const tl::expected<std::vector<ListedHost>, PlatformError>& aList) {
@@ -40,7 +42,8 @@
 }
 
 // A backend server is listed under its own id, or under its host's address.
-std::vector<BackendId> HostWatcher::BackendsOf(const ListedHost& aHost) const
+std::vector<BackendId>
+HostWatcher::BackendsOf(const ListedHost& aHost) const
 {
   std::vector<BackendId> byAddress;
   for (const auto& it : mOptions.settings->backends) {
@@ -54,7 +57,8 @@
   return byAddress;
 }
 
-void HostWatcher::TakeList(const std::vector<ListedHost>& aHosts)
+void
+HostWatcher::TakeList(const std::vector<ListedHost>& aHosts)
 {
   std::set<BackendId> leaving;
   std::vector<std::string> others;
--- a/servers/entry/load_poller.cpp
+++ b/servers/entry/load_poller.cpp
@@ -14,7 +14,8 @@
 constexpr Duration kTimeout = std::chrono::seconds(1);
 constexpr std::size_t kMaxReportBytes = 4096;
 
-std::optional<std::uint32_t> CountAt(const Json& aBody, const char* aKey)
+std::optional<std::uint32_t>
+CountAt(const Json& aBody, const char* aKey)
 {
   const auto it = aBody.find(aKey);
   if (it == aBody.end() || !it->is_number_unsigned()) {
@@ -36,7 +37,8 @@
 {
 }
 
-void LoadPoller::Start()
+void
+LoadPoller::Start()
 {
   for (const auto& it : mOptions.settings->backends) {
     if (it.kind == BackendKind::kEngine && mAsked.insert(it.id).second) {
@@ -46,7 +48,8 @@
   mTimer = mExecutor.RunAfter(mOptions.interval, [this] { Start(); });
 }
 
-void LoadPoller::Ask(const BackendSettings& aBackend)
+void
+LoadPoller::Ask(const BackendSettings& aBackend)
 {
   HttpCall call;
   call.url = aBackend.url + "/load";
@@ -63,7 +66,8 @@
                 });
 }
 
-void LoadPoller::TakeReport(const BackendId& aBackend, const std::string& aBody)
+void
+LoadPoller::TakeReport(const BackendId& aBackend, const std::string& aBody)
 {
   const auto body = Json::parse(aBody, nullptr, false);
   if (!body.is_object()) {
@@ -72,10 +76,9 @@
   const auto requests = CountAt(body, "requests");
   const auto prefill = CountAt(body, "prefill_tokens");
   if (requests && prefill) {
-    mRouter.OnReport({ .backend = aBackend,
-                       .requests = *requests,
-                       .prefillTokens = *prefill },
-                     mExecutor.Now());
+    mRouter.OnReport(
+      { .backend = aBackend, .requests = *requests, .prefillTokens = *prefill },
+      mExecutor.Now());
   }
 }
 
--- a/servers/entry/lookup_task.cpp
+++ b/servers/entry/lookup_task.cpp
@@ -13,7 +13,8 @@
 constexpr int kFirstServerError = 500;
 
 // Another backend server may do better.
-bool IsWorthRetrying(int aStatus)
+bool
+IsWorthRetrying(int aStatus)
 {
   return aStatus == kTooManyRequests || aStatus >= kFirstServerError;
 }
@@ -32,7 +33,8 @@
 {
 }
 
-void LookupTask::Start()
+void
+LookupTask::Start()
 {
   const auto& limits = *mContext.dispatcher->Router().Policies().limits;
   auto info = ProfileOf(mCall, mId, limits, mLife.Arrival());
@@ -43,13 +45,15 @@
   }
 }
 
-void LookupTask::OnQueued()
+void
+LookupTask::OnQueued()
 {
   mLife.Fire("admit");
   mLife.Fire("queue");
 }
 
-void LookupTask::Dispatch(const policy::DispatchOrder& aOrder)
+void
+LookupTask::Dispatch(const policy::DispatchOrder& aOrder)
 {
   mLife.OnDispatch(aOrder);
   const auto number = aOrder.attempt;
@@ -65,7 +69,8 @@
     });
 }
 
-void LookupTask::OnResult(Number aNumber, Result aResult)
+void
+LookupTask::OnResult(Number aNumber, Result aResult)
 {
   if (!aResult) {
     const auto error = ToAttemptError(aResult.error());
@@ -84,29 +89,32 @@
   router.OnFinish(mId, aNumber, mContext.executor->Now());
   mLife.OnFirstOutput(mLateAfter);
   mLife.Fire("answer");
-  mResponder->Send(
-    ToCallerResponse(std::move(*aResult), mCall.head.requestId));
+  mResponder->Send(ToCallerResponse(std::move(*aResult), mCall.head.requestId));
   Finish(true, {});
 }
 
-void LookupTask::Retry(Number aNumber, policy::AttemptError aError)
+void
+LookupTask::Retry(Number aNumber, policy::AttemptError aError)
 {
   mAttempts.erase(aNumber);
   mContext.dispatcher->Router().OnError(
     mId, aNumber, aError, mContext.executor->Now());
 }
 
-void LookupTask::Cancel(Number aAttempt)
+void
+LookupTask::Cancel(Number aAttempt)
 {
   mMayHaveRun = mMayHaveRun || mAttempts.erase(aAttempt) > 0;
 }
 
-Execution LookupTask::ExecutionSoFar() const
+Execution
+LookupTask::ExecutionSoFar() const
 {
   return mMayHaveRun ? Execution::kUnknown : Execution::kNotRun;
 }
 
-void LookupTask::Refuse(const policy::Refusal& aRefusal)
+void
+LookupTask::Refuse(const policy::Refusal& aRefusal)
 {
   if (mLife.Is("dispatched")) {
     mLife.Fire("retry");
@@ -118,7 +126,8 @@
   Finish(false, reason);
 }
 
-void LookupTask::Fail(policy::FailureReason aReason)
+void
+LookupTask::Fail(policy::FailureReason aReason)
 {
   const std::string reason(policy::ToString(aReason));
   mLife.Fire(mLife.Is("queued") ? "refuse" : "fail", {}, reason);
@@ -127,9 +136,13 @@
   Finish(false, reason);
 }
 
-void LookupTask::Sweep(Instant /*aNow*/) {}
+void
+LookupTask::Sweep(Instant /*aNow*/)
+{
+}
 
-void LookupTask::Finish(bool aAnswered, const std::string& aReason)
+void
+LookupTask::Finish(bool aAnswered, const std::string& aReason)
 {
   mLife.End(aAnswered, aReason);
   mContext.dispatcher->Forget(mId);
--- a/servers/entry/lookup_task.h
+++ b/servers/entry/lookup_task.h
@@ -11,8 +11,9 @@
 
 namespace firefly {
 
-class LookupTask : public RequestTask,
-                   public std::enable_shared_from_this<LookupTask>
+class LookupTask
+  : public RequestTask
+  , public std::enable_shared_from_this<LookupTask>
 {
 public:
   LookupTask(const TaskContext& aContext,
--- a/servers/entry/model_request_task.cpp
+++ b/servers/entry/model_request_task.cpp
@@ -21,19 +21,22 @@
 constexpr int kFirstServerError = 500;
 constexpr int kUnavailable = 503;
 
-bool IsNotRun(int aStatus)
+bool
+IsNotRun(int aStatus)
 {
   return aStatus == kTooManyRequests || aStatus == kUnavailable;
 }
 
 // The engine says that the caller's request is wrong.
-bool IsCallersFault(int aStatus)
+bool
+IsCallersFault(int aStatus)
 {
   return aStatus >= kFirstClientError && aStatus < kFirstServerError &&
          aStatus != kTimeoutStatus && aStatus != kTooManyRequests;
 }
 
-std::string ReasonOf(PieceVerdict aVerdict)
+std::string
+ReasonOf(PieceVerdict aVerdict)
 {
   return aVerdict == PieceVerdict::kDropCrossed ? "crossed" : "duplicate";
 }
@@ -55,12 +58,14 @@
 {
 }
 
-policy::RequestRouter& ModelRequestTask::Router() const
+policy::RequestRouter&
+ModelRequestTask::Router() const
 {
   return mContext.dispatcher->Router();
 }
 
-void ModelRequestTask::Start()
+void
+ModelRequestTask::Start()
 {
   auto info =
     ProfileOf(mCall, mId, *Router().Policies().limits, mLife.Arrival());
@@ -71,22 +76,23 @@
   }
 }
 
-void ModelRequestTask::OnQueued()
+void
+ModelRequestTask::OnQueued()
 {
   mLife.Fire("admit");
   mLife.Fire("queue");
 }
 
-void ModelRequestTask::Dispatch(const policy::DispatchOrder& aOrder)
+void
+ModelRequestTask::Dispatch(const policy::DispatchOrder& aOrder)
 {
   const auto* backend = mContext.settings->FindBackend(aOrder.backend);
   const auto number = aOrder.attempt;
   mLife.OnDispatch(aOrder);
-  const EngineExtension extension{
-    .requestId = mId.Value() + "-" + std::to_string(number.Value()),
-    .priority = aOrder.priority,
-    .resumeFrom = aOrder.resumeFrom.Value()
-  };
+  const EngineExtension extension{ .requestId = mId.Value() + "-" +
+                                                std::to_string(number.Value()),
+                                   .priority = aOrder.priority,
+                                   .resumeFrom = aOrder.resumeFrom.Value() };
   auto& attempt =
     mAttempts
       .emplace(number,
@@ -111,7 +117,8 @@
     HandlersFor(number));
 }
 
-HttpStreamHandlers ModelRequestTask::HandlersFor(Number aNumber)
+HttpStreamHandlers
+ModelRequestTask::HandlersFor(Number aNumber)
 {
   const auto weak = weak_from_this();
   return { .onHead =
@@ -136,13 +143,15 @@
              } };
 }
 
-ModelRequestTask::Attempt* ModelRequestTask::Find(Number aNumber)
+ModelRequestTask::Attempt*
+ModelRequestTask::Find(Number aNumber)
 {
   const auto it = mAttempts.find(aNumber);
   return it == mAttempts.end() ? nullptr : &it->second;
 }
 
-void ModelRequestTask::OnBody(Number aNumber, std::string_view aBytes)
+void
+ModelRequestTask::OnBody(Number aNumber, std::string_view aBytes)
 {
   auto* attempt = Find(aNumber);
   if (attempt == nullptr) {
@@ -170,7 +179,8 @@
   }
 }
 
-void ModelRequestTask::TakeEvent(Number aNumber, const std::string& aData)
+void
+ModelRequestTask::TakeEvent(Number aNumber, const std::string& aData)
 {
   const auto piece = ParsePiece(aData, mCall.chat);
   if (!piece) {
@@ -192,7 +202,8 @@
   }
 }
 
-bool ModelRequestTask::AcceptFirst(Number aNumber)
+bool
+ModelRequestTask::AcceptFirst(Number aNumber)
 {
   if (Find(aNumber)->accepted) {
     return true;
@@ -211,7 +222,8 @@
   return true;
 }
 
-void ModelRequestTask::TakePiece(Number aNumber, const TokenPiece& aPiece)
+void
+ModelRequestTask::TakePiece(Number aNumber, const TokenPiece& aPiece)
 {
   if (aPiece.kind == PieceKind::kOther || !AcceptFirst(aNumber)) {
     return;
@@ -232,11 +244,11 @@
   }
 }
 
-void ModelRequestTask::TakeToken(Number aNumber, const TokenPiece& aPiece)
+void
+ModelRequestTask::TakeToken(Number aNumber, const TokenPiece& aPiece)
 {
   ++mDelivered;
-  Router().OnTokens(
-    mId, aNumber, policy::Tokens(1), mContext.executor->Now());
+  Router().OnTokens(mId, aNumber, policy::Tokens(1), mContext.executor->Now());
   if (mCall.stream) {
     mOut += ToCallerEvent(mHead, aPiece);
     return;
@@ -253,8 +265,9 @@
   }
 }
 
-void ModelRequestTask::OnDone(Number aNumber,
-                              const tl::expected<void, HttpError>& aResult)
+void
+ModelRequestTask::OnDone(Number aNumber,
+                         const tl::expected<void, HttpError>& aResult)
 {
   auto* attempt = Find(aNumber);
   if (attempt == nullptr) {
@@ -270,7 +283,8 @@
   }
 }
 
-void ModelRequestTask::OnRefusedByEngine(Number aNumber)
+void
+ModelRequestTask::OnRefusedByEngine(Number aNumber)
 {
   const auto* attempt = Find(aNumber);
   const auto status = attempt->status;
@@ -283,14 +297,14 @@
   mAttempts.erase(aNumber);
   Router().OnFinish(mId, aNumber, mContext.executor->Now());
   mLife.Fire("answer");
-  mResponder->Send(
-    { .status = status,
-      .headers = { { "X-Request-Id", mCall.head.requestId } },
-      .body = body });
+  mResponder->Send({ .status = status,
+                     .headers = { { "X-Request-Id", mCall.head.requestId } },
+                     .body = body });
   Finish(true, {});
 }
 
-void ModelRequestTask::EndAttempt(Number aNumber, AttemptError aError)
+void
+ModelRequestTask::EndAttempt(Number aNumber, AttemptError aError)
 {
   const auto it = mAttempts.find(aNumber);
   if (it == mAttempts.end()) {
@@ -300,15 +314,16 @@
   mAttempts.erase(it);
   Flush();
   CancelAtEngine(attempt);
-  mMayHaveRun = mMayHaveRun || aError == AttemptError::kBroken ||
-                attempt.accepted;
+  mMayHaveRun =
+    mMayHaveRun || aError == AttemptError::kBroken || attempt.accepted;
   if (mLife.Is("streaming") && attempt.accepted) {
     mLife.Fire("stall", attempt.backend.Value());
   }
   Router().OnError(mId, aNumber, aError, mContext.executor->Now());
 }
 
-void ModelRequestTask::Cancel(Number aAttempt)
+void
+ModelRequestTask::Cancel(Number aAttempt)
 {
   const auto it = mAttempts.find(aAttempt);
   if (it == mAttempts.end()) {
@@ -322,22 +337,24 @@
   mAttempts.erase(it);
 }
 
-void ModelRequestTask::CancelAtEngine(const Attempt& aAttempt) const
+void
+ModelRequestTask::CancelAtEngine(const Attempt& aAttempt) const
 {
   const auto* backend = mContext.settings->FindBackend(aAttempt.backend);
   mContext.client->Fetch(
-    MakeCancelCall(backend->url,
-                   aAttempt.id,
-                   mContext.settings->entry.connectTimeout),
+    MakeCancelCall(
+      backend->url, aAttempt.id, mContext.settings->entry.connectTimeout),
     [](const tl::expected<HttpResult, HttpError>&) {});
 }
 
-Execution ModelRequestTask::ExecutionSoFar() const
+Execution
+ModelRequestTask::ExecutionSoFar() const
 {
   return mMayHaveRun ? Execution::kUnknown : Execution::kNotRun;
 }
 
-void ModelRequestTask::Refuse(const policy::Refusal& aRefusal)
+void
+ModelRequestTask::Refuse(const policy::Refusal& aRefusal)
 {
   if (mLife.Is("dispatched")) {
     mLife.Fire("retry");
@@ -348,7 +365,8 @@
   Finish(false, reason);
 }
 
-void ModelRequestTask::Fail(policy::FailureReason aReason)
+void
+ModelRequestTask::Fail(policy::FailureReason aReason)
 {
   const std::string reason(policy::ToString(aReason));
   mLife.Fire(mLife.Is("queued") ? "refuse" : "fail", {}, reason);
@@ -356,7 +374,8 @@
   Finish(false, reason);
 }
 
-void ModelRequestTask::Tell(const Problem& aProblem)
+void
+ModelRequestTask::Tell(const Problem& aProblem)
 {
   const auto& requestId = mCall.head.requestId;
   if (!mBegun) {
@@ -368,7 +387,8 @@
                     [responder = mResponder](bool) { responder->Abort(); });
 }
 
-void ModelRequestTask::Complete(Number aNumber)
+void
+ModelRequestTask::Complete(Number aNumber)
 {
   mAttempts.erase(aNumber);
   const auto now = mContext.executor->Now();
@@ -391,16 +411,17 @@
   Finish(true, {});
 }
 
-void ModelRequestTask::SendWhole()
+void
+ModelRequestTask::SendWhole()
 {
   const AnswerUsage usage{ .promptTokens = EstimateTokens(mCall.prompt).Value(),
                            .outputTokens = mDelivered };
-  mResponder->Send(
-    { .headers = { { "X-Request-Id", mCall.head.requestId } },
-      .body = WholeBody(mHead, mText, mFinishReason, usage) });
+  mResponder->Send({ .headers = { { "X-Request-Id", mCall.head.requestId } },
+                     .body = WholeBody(mHead, mText, mFinishReason, usage) });
 }
 
-void ModelRequestTask::Flush()
+void
+ModelRequestTask::Flush()
 {
   if (mOut.empty()) {
     return;
@@ -419,7 +440,8 @@
                     });
 }
 
-void ModelRequestTask::OnWritten(bool aTaken)
+void
+ModelRequestTask::OnWritten(bool aTaken)
 {
   if (!aTaken) {
     OnCallerGone();
@@ -431,7 +453,8 @@
   }
 }
 
-void ModelRequestTask::Hold(Number aNumber)
+void
+ModelRequestTask::Hold(Number aNumber)
 {
   auto* attempt = Find(aNumber);
   if (attempt == nullptr || mHeld.Value() != 0) {
@@ -441,7 +464,8 @@
   attempt->transfer->Pause();
 }
 
-void ModelRequestTask::Release()
+void
+ModelRequestTask::Release()
 {
   auto* attempt = Find(std::exchange(mHeld, {}));
   if (attempt == nullptr) {
@@ -451,7 +475,8 @@
   attempt->transfer->Resume();
 }
 
-void ModelRequestTask::Sweep(Instant aNow)
+void
+ModelRequestTask::Sweep(Instant aNow)
 {
   if (mResponder->Lost()) {
     OnCallerGone();
@@ -470,7 +495,8 @@
   }
 }
 
-void ModelRequestTask::OnCallerGone()
+void
+ModelRequestTask::OnCallerGone()
 {
   if (mEnded) {
     return;
@@ -482,7 +508,8 @@
   mContext.dispatcher->Forget(mId);
 }
 
-void ModelRequestTask::Finish(bool aAnswered, const std::string& aReason)
+void
+ModelRequestTask::Finish(bool aAnswered, const std::string& aReason)
 {
   mEnded = true;
   mLife.End(aAnswered, aReason);
--- a/servers/entry/model_request_task.h
+++ b/servers/entry/model_request_task.h
@@ -15,8 +15,9 @@
 
 namespace firefly {
 
-class ModelRequestTask : public RequestTask,
-                         public std::enable_shared_from_this<ModelRequestTask>
+class ModelRequestTask
+  : public RequestTask
+  , public std::enable_shared_from_this<ModelRequestTask>
 {
 public:
   ModelRequestTask(const TaskContext& aContext,
@@ -87,8 +88,8 @@
   std::string mText;            // of an answer that is given whole
   std::string mFinishReason;
   Instant mFirstTokenAt{};
-  Number mHeld;            // the attempt whose transfer is paused
-  bool mBegun = false;     // the answer's head was sent
+  Number mHeld;        // the attempt whose transfer is paused
+  bool mBegun = false; // the answer's head was sent
   bool mMayHaveRun = false;
   bool mEnded = false;
 };
--- a/servers/entry/plain_call_runner.cpp
+++ b/servers/entry/plain_call_runner.cpp
@@ -10,10 +10,11 @@
 
 } // namespace
 
-HttpCall MakePlainCall(const PlainCall& aCall,
-                       const std::string& aBackendUrl,
-                       const EntrySettings& aLimits,
-                       bool aFreshConnection)
+HttpCall
+MakePlainCall(const PlainCall& aCall,
+              const std::string& aBackendUrl,
+              const EntrySettings& aLimits,
+              bool aFreshConnection)
 {
   HttpCall call;
   call.method = aCall.head.type->method;
@@ -60,7 +61,8 @@
         } });
 }
 
-HttpResponse ToCallerResponse(HttpResult aResult, const std::string& aRequestId)
+HttpResponse
+ToCallerResponse(HttpResult aResult, const std::string& aRequestId)
 {
   const auto type = FindHeader(aResult.headers, "Content-Type");
   return { .status = aResult.status,
--- a/servers/entry/plain_call_runner.h
+++ b/servers/entry/plain_call_runner.h
@@ -11,10 +11,11 @@
 namespace firefly {
 
 // The call that a caller's request becomes at the backend server.
-HttpCall MakePlainCall(const PlainCall& aCall,
-                       const std::string& aBackendUrl,
-                       const EntrySettings& aLimits,
-                       bool aFreshConnection);
+HttpCall
+MakePlainCall(const PlainCall& aCall,
+              const std::string& aBackendUrl,
+              const EntrySettings& aLimits,
+              bool aFreshConnection);
 
 // A running call; dropping it cancels the call without a callback.
 class PlainCallRunner
@@ -33,7 +34,7 @@
 };
 
 // The service's answer for the caller, with the request's id.
-HttpResponse ToCallerResponse(HttpResult aResult,
-                              const std::string& aRequestId);
+HttpResponse
+ToCallerResponse(HttpResult aResult, const std::string& aRequestId);
 
 } // namespace firefly
--- a/servers/entry/plan_keeper.cpp
+++ b/servers/entry/plan_keeper.cpp
@@ -21,9 +21,13 @@
   mStream.Folding().RemoveObserver(*this);
 }
 
-void PlanKeeper::OnApplied(const coord::RecordId&, coord::LogOffset, bool) {}
+void
+PlanKeeper::OnApplied(const coord::RecordId&, coord::LogOffset, bool)
+{
+}
 
-void PlanKeeper::OnCaughtUp()
+void
+PlanKeeper::OnCaughtUp()
 {
   const auto version = Plan().PlanVersion();
   if (!mStream.Folding().Ready() || (mRead && version == mVersion)) {
--- a/servers/entry/problem.h
+++ b/servers/entry/problem.h
@@ -28,10 +28,11 @@
 };
 
 // The answer for a problem; the request id goes into body and header.
-HttpResponse ToResponse(const Problem& aProblem, const std::string& aRequestId);
+HttpResponse
+ToResponse(const Problem& aProblem, const std::string& aRequestId);
 
 // The problem as the JSON object of a stream's error event.
-std::string ToErrorObject(const Problem& aProblem,
-                          const std::string& aRequestId);
+std::string
+ToErrorObject(const Problem& aProblem, const std::string& aRequestId);
 
 } // namespace firefly
--- a/servers/entry/request_life.cpp
+++ b/servers/entry/request_life.cpp
@@ -19,9 +19,10 @@
   mOptions.traces->Add(mTrace);
 }
 
-void RequestLife::Fire(const std::string& aEvent,
-                       const std::string& aBackend,
-                       const std::string& aDetail)
+void
+RequestLife::Fire(const std::string& aEvent,
+                  const std::string& aBackend,
+                  const std::string& aDetail)
 {
   if (!mMachine.Fire(aEvent)) {
     mOptions.metrics->wrongTransitions.With({ "request" }).Add();
@@ -29,7 +30,8 @@
   Note(aEvent, aBackend, aDetail);
 }
 
-void RequestLife::OnDispatch(const policy::DispatchOrder& aOrder)
+void
+RequestLife::OnDispatch(const policy::DispatchOrder& aOrder)
 {
   const auto& backend = aOrder.backend.Value();
   if (aOrder.isHedge) {
@@ -52,9 +54,10 @@
   Fire("dispatch", backend);
 }
 
-void RequestLife::Note(const std::string& aStep,
-                       const std::string& aBackend,
-                       const std::string& aDetail)
+void
+RequestLife::Note(const std::string& aStep,
+                  const std::string& aBackend,
+                  const std::string& aDetail)
 {
   mTrace->Add({ .at = mOptions.executor->Now() - mTrace->arrival,
                 .step = aStep,
@@ -62,7 +65,8 @@
                 .detail = aDetail });
 }
 
-void RequestLife::OnFirstOutput(Duration aLateAfter)
+void
+RequestLife::OnFirstOutput(Duration aLateAfter)
 {
   const auto wait = mOptions.executor->Now() - mTrace->arrival;
   mLate = wait > aLateAfter;
@@ -70,7 +74,8 @@
     .Observe(ToSeconds(wait));
 }
 
-std::string RequestLife::OutcomeOf(bool aAnswered) const
+std::string
+RequestLife::OutcomeOf(bool aAnswered) const
 {
   if (aAnswered) {
     return mLate ? "late" : "in_time";
@@ -78,7 +83,8 @@
   return mMachine.Is("refused") ? "refused" : "failed";
 }
 
-void RequestLife::End(bool aAnswered, const std::string& aReason)
+void
+RequestLife::End(bool aAnswered, const std::string& aReason)
 {
   auto& metrics = *mOptions.metrics;
   const auto& service = mTrace->service;
@@ -97,7 +103,8 @@
   }
 }
 
-void RequestLife::EndBooking(const std::string& aOutcome)
+void
+RequestLife::EndBooking(const std::string& aOutcome)
 {
   mOptions.metrics->bookings
     .With({ mTrace->service, mTrace->requestType, aOutcome })
--- a/servers/entry/request_life.h
+++ b/servers/entry/request_life.h
@@ -13,7 +13,6 @@
 
 namespace firefly {
 
-
 // Follows one request from its arrival to its end.
 class RequestLife
 {
--- a/servers/entry/request_profile.cpp
+++ b/servers/entry/request_profile.cpp
@@ -14,10 +14,11 @@
 constexpr std::size_t kBlockBytes = kBlockTokens * kBytesPerToken;
 constexpr std::size_t kMaxBlocks = 512;
 
-policy::RequestInfo Common(const CallerHead& aHead,
-                           const RequestId& aId,
-                           const policy::LimitKeeper& aLimits,
-                           Instant aArrival)
+policy::RequestInfo
+Common(const CallerHead& aHead,
+       const RequestId& aId,
+       const policy::LimitKeeper& aLimits,
+       Instant aArrival)
 {
   policy::RequestInfo info;
   info.requestId = aId;
@@ -37,16 +38,17 @@
   return info;
 }
 
-policy::Fingerprint FingerprintOf(const std::string& aTarget,
-                                  const std::string& aBody)
+policy::Fingerprint
+FingerprintOf(const std::string& aTarget, const std::string& aBody)
 {
-  return policy::Fingerprint(policy::MixHash(policy::StableHash(aTarget),
-                                             policy::StableHash(aBody)));
+  return policy::Fingerprint(
+    policy::MixHash(policy::StableHash(aTarget), policy::StableHash(aBody)));
 }
 
 } // namespace
 
-std::vector<std::uint64_t> PrefixHashes(const std::string& aPrompt)
+std::vector<std::uint64_t>
+PrefixHashes(const std::string& aPrompt)
 {
   std::vector<std::uint64_t> hashes;
   const auto blocks = std::min(aPrompt.size() / kBlockBytes, kMaxBlocks);
@@ -59,16 +61,18 @@
   return hashes;
 }
 
-policy::Tokens EstimateTokens(const std::string& aText)
+policy::Tokens
+EstimateTokens(const std::string& aText)
 {
   const auto n = aText.size() / kBytesPerToken + 1;
   return policy::Tokens(static_cast<std::uint32_t>(n));
 }
 
-policy::RequestInfo ProfileOf(const ModelCall& aCall,
-                              const RequestId& aId,
-                              const policy::LimitKeeper& aLimits,
-                              Instant aArrival)
+policy::RequestInfo
+ProfileOf(const ModelCall& aCall,
+          const RequestId& aId,
+          const policy::LimitKeeper& aLimits,
+          Instant aArrival)
 {
   auto info = Common(aCall.head, aId, aLimits, aArrival);
   info.model = aCall.head.service->model;
@@ -80,10 +84,11 @@
   return info;
 }
 
-policy::RequestInfo ProfileOf(const PlainCall& aCall,
-                              const RequestId& aId,
-                              const policy::LimitKeeper& aLimits,
-                              Instant aArrival)
+policy::RequestInfo
+ProfileOf(const PlainCall& aCall,
+          const RequestId& aId,
+          const policy::LimitKeeper& aLimits,
+          Instant aArrival)
 {
   auto info = Common(aCall.head, aId, aLimits, aArrival);
   info.idempotent = aCall.head.type->idempotent;
--- a/servers/entry/request_profile.h
+++ b/servers/entry/request_profile.h
@@ -13,21 +13,25 @@
 
 // What the policies need to know of a model call. The table's row, where there
 // is one, goes before the settings.
-policy::RequestInfo ProfileOf(const ModelCall& aCall,
-                              const RequestId& aId,
-                              const policy::LimitKeeper& aLimits,
-                              Instant aArrival);
+policy::RequestInfo
+ProfileOf(const ModelCall& aCall,
+          const RequestId& aId,
+          const policy::LimitKeeper& aLimits,
+          Instant aArrival);
 
 // The same of a plain call.
-policy::RequestInfo ProfileOf(const PlainCall& aCall,
-                              const RequestId& aId,
-                              const policy::LimitKeeper& aLimits,
-                              Instant aArrival);
+policy::RequestInfo
+ProfileOf(const PlainCall& aCall,
+          const RequestId& aId,
+          const policy::LimitKeeper& aLimits,
+          Instant aArrival);
 
 // Hashes of the prompt's leading blocks, each over all blocks up to it.
-std::vector<std::uint64_t> PrefixHashes(const std::string& aPrompt);
+std::vector<std::uint64_t>
+PrefixHashes(const std::string& aPrompt);
 
 // About how many tokens the text has.
-policy::Tokens EstimateTokens(const std::string& aText);
+policy::Tokens
+EstimateTokens(const std::string& aText);
 
 } // namespace firefly
--- a/servers/entry/request_task.cpp
+++ b/servers/entry/request_task.cpp
@@ -11,7 +11,8 @@
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 
-int StatusOf(RefusalReason aReason)
+int
+StatusOf(RefusalReason aReason)
 {
   switch (aReason) {
     case RefusalReason::kCustomerLimit:
@@ -26,7 +27,8 @@
 
 } // namespace
 
-Problem ToProblem(const policy::Refusal& aRefusal, Execution aExecution)
+Problem
+ToProblem(const policy::Refusal& aRefusal, Execution aExecution)
 {
   const bool retryable = aRefusal.reason != RefusalReason::kQuarantined;
   return { .status = StatusOf(aRefusal.reason),
@@ -36,7 +38,8 @@
            .retryAfter = retryable ? aRefusal.retryAfter : Duration::zero() };
 }
 
-Problem ToProblem(policy::FailureReason aReason, Execution aExecution)
+Problem
+ToProblem(policy::FailureReason aReason, Execution aExecution)
 {
   const bool quarantined = aReason == policy::FailureReason::kQuarantined;
   return { .status = quarantined ? kUnprocessable : kBadGateway,
@@ -45,7 +48,8 @@
            .execution = aExecution };
 }
 
-policy::AttemptError ToAttemptError(const HttpError& aError)
+policy::AttemptError
+ToAttemptError(const HttpError& aError)
 {
   switch (aError.kind) {
     case HttpErrorKind::kNotSent:
--- a/servers/entry/request_task.h
+++ b/servers/entry/request_task.h
@@ -48,14 +48,17 @@
 
 // The problem that tells a caller of the router's refusal. What may have run
 // is known to the task alone.
-Problem ToProblem(const policy::Refusal& aRefusal, Execution aExecution);
+Problem
+ToProblem(const policy::Refusal& aRefusal, Execution aExecution);
 
 // The problem that tells a caller of a failure.
-Problem ToProblem(policy::FailureReason aReason, Execution aExecution);
+Problem
+ToProblem(policy::FailureReason aReason, Execution aExecution);
 
 // How an attempt ended, in the router's terms. Only a closed connection counts
 // as a crash; an attempt that timed out is given up as one that had no effect
 // on its backend server.
-policy::AttemptError ToAttemptError(const HttpError& aError);
+policy::AttemptError
+ToAttemptError(const HttpError& aError);
 
 } // namespace firefly
--- a/servers/entry/request_trace.cpp
+++ b/servers/entry/request_trace.cpp
@@ -12,7 +12,8 @@
 
 constexpr double kMillisPerSecond = 1000;
 
-Json ToJson(const TraceStep& aStep)
+Json
+ToJson(const TraceStep& aStep)
 {
   Json step{ { "at_ms", ToSeconds(aStep.at) * kMillisPerSecond },
              { "step", aStep.step } };
@@ -27,19 +28,20 @@
 
 } // namespace
 
-void RequestTrace::Add(TraceStep aStep)
+void
+RequestTrace::Add(TraceStep aStep)
 {
   if (steps.size() < kMaxSteps) {
     steps.push_back(std::move(aStep));
   }
 }
 
-void TraceBook::Add(const RequestTracePtr& aTrace)
+void
+TraceBook::Add(const RequestTracePtr& aTrace)
 {
   if (mTraces.size() >= mBound) {
     const auto oldest = mById.find(mTraces.front()->requestId);
-    if (oldest != mById.end() &&
-        oldest->second.lock() == mTraces.front()) {
+    if (oldest != mById.end() && oldest->second.lock() == mTraces.front()) {
       mById.erase(oldest);
     }
     mTraces.pop_front();
@@ -48,7 +50,8 @@
   mById[aTrace->requestId] = aTrace;
 }
 
-std::string TraceBook::Show(const std::string& aRequestId) const
+std::string
+TraceBook::Show(const std::string& aRequestId) const
 {
   const auto it = mById.find(aRequestId);
   const auto trace = it == mById.end() ? nullptr : it->second.lock();
--- a/servers/entry/status_report.cpp
+++ b/servers/entry/status_report.cpp
@@ -9,7 +9,8 @@
 using Json = nlohmann::json;
 using coord::MemberStatus;
 
-const char* NameOf(MemberStatus aStatus)
+const char*
+NameOf(MemberStatus aStatus)
 {
   switch (aStatus) {
     case MemberStatus::kAlive:
@@ -24,7 +25,8 @@
   return "dead";
 }
 
-const char* NameOf(policy::BackendState aState)
+const char*
+NameOf(policy::BackendState aState)
 {
   switch (aState) {
     case policy::BackendState::kOpen:
@@ -37,16 +39,18 @@
   return "gone";
 }
 
-policy::Digest OwnWork(const policy::RequestRouter& aRouter,
-                       const policy::FleetView& aFleet,
-                       Instant aNow)
+policy::Digest
+OwnWork(const policy::RequestRouter& aRouter,
+        const policy::FleetView& aFleet,
+        Instant aNow)
 {
   policy::Digest digest;
   aRouter.Policies().selector->FillDigest(digest, aFleet, aNow);
   return digest;
 }
 
-Json MembersOf(const StatusParts& aParts)
+Json
+MembersOf(const StatusParts& aParts)
 {
   Json members = Json::array();
   for (const auto& it : aParts.members) {
@@ -64,7 +68,8 @@
   return members;
 }
 
-Json BackendsOf(const StatusParts& aParts)
+Json
+BackendsOf(const StatusParts& aParts)
 {
   const auto work = OwnWork(*aParts.router, *aParts.fleet, aParts.now);
   Json backends = Json::array();
@@ -78,8 +83,7 @@
     backend["kind"] = engine ? "engine" : "plain";
     if (engine) {
       backend["role"] = policy::ToString(it.role);
-      backend["model"] =
-        it.models.empty() ? "" : it.models.front().Value();
+      backend["model"] = it.models.empty() ? "" : it.models.front().Value();
     }
     const auto hash = aParts.fleet->HashAt(aParts.fleet->SlotOf(it.id));
     for (const auto& own : work.work) {
@@ -94,28 +98,29 @@
   return backends;
 }
 
-Json BookingsOf(const BookingBook& aBook)
+Json
+BookingsOf(const BookingBook& aBook)
 {
   Json bookings = Json::array();
   for (const auto& it : aBook.Unknown()) {
-    bookings.push_back(
-      { { "key", it.key.Value() },
-        { "service", it.service.Value() },
-        { "request_type", it.requestType.Value() },
-        { "since_ms", it.since.time_since_epoch().count() } });
+    bookings.push_back({ { "key", it.key.Value() },
+                         { "service", it.service.Value() },
+                         { "request_type", it.requestType.Value() },
+                         { "since_ms", it.since.time_since_epoch().count() } });
   }
   return bookings;
 }
 
 // Each request type's running requests, and its limits under the table.
-void AddRequestTypes(const StatusParts& aParts, Json& aReport)
+void
+AddRequestTypes(const StatusParts& aParts, Json& aReport)
 {
   aReport["limits"] = Json::array();
   const CustomerId any("*");
   for (const auto& service : aParts.settings->services) {
     for (const auto& type : service.requestTypes) {
-      const auto* row = aParts.router->Policies().limits->RowFor(
-        service.id, type.name, any);
+      const auto* row =
+        aParts.router->Policies().limits->RowFor(service.id, type.name, any);
       if (row == nullptr) {
         continue;
       }
@@ -137,10 +142,10 @@
 
 } // namespace
 
-std::map<std::uint64_t, std::uint32_t> OwnOutstanding(
-  const policy::RequestRouter& aRouter,
-  const policy::FleetView& aFleet,
-  Instant aNow)
+std::map<std::uint64_t, std::uint32_t>
+OwnOutstanding(const policy::RequestRouter& aRouter,
+               const policy::FleetView& aFleet,
+               Instant aNow)
 {
   std::map<std::uint64_t, std::uint32_t> outstanding;
   for (const auto& it : OwnWork(aRouter, aFleet, aNow).work) {
@@ -149,7 +154,8 @@
   return outstanding;
 }
 
-std::string MakeStatusReport(const StatusParts& aParts)
+std::string
+MakeStatusReport(const StatusParts& aParts)
 {
   const auto& host = aParts.settings->host;
   Json report{ { "host", host.id.Value() },
@@ -169,7 +175,8 @@
   return report.dump();
 }
 
-void SetStatusGauges(const StatusParts& aParts, EntryMetrics& aMetrics)
+void
+SetStatusGauges(const StatusParts& aParts, EntryMetrics& aMetrics)
 {
   std::map<std::string, double> states{
     { "alive", 0 }, { "suspect", 0 }, { "dead", 0 }, { "left", 0 }
@@ -180,13 +187,12 @@
   for (const auto& [state, count] : states) {
     aMetrics.members.With({ state }).Set(count);
   }
-  aMetrics.tableVersion.With({}).Set(
-    static_cast<double>(aParts.table.Value()));
+  aMetrics.tableVersion.With({}).Set(static_cast<double>(aParts.table.Value()));
   aMetrics.planVersion.With({}).Set(static_cast<double>(aParts.plan.Value()));
   aMetrics.ready.With({}).Set(aParts.ready ? 1 : 0);
   const auto& router = *aParts.router;
-  aMetrics.quarantined.With({}).Set(
-    static_cast<double>(router.Policies().poison->Quarantined(aParts.now).size()));
+  aMetrics.quarantined.With({}).Set(static_cast<double>(
+    router.Policies().poison->Quarantined(aParts.now).size()));
   const auto outstanding = OwnOutstanding(router, *aParts.fleet, aParts.now);
   for (const auto& it : aParts.fleet->All()) {
     const auto hash = aParts.fleet->HashAt(aParts.fleet->SlotOf(it.id));
--- a/servers/entry/status_report.h
+++ b/servers/entry/status_report.h
@@ -34,15 +34,17 @@
 };
 
 // The body of GET /admin/status.
-std::string MakeStatusReport(const StatusParts& aParts);
+std::string
+MakeStatusReport(const StatusParts& aParts);
 
 // Sets the gauges that follow from the same parts.
-void SetStatusGauges(const StatusParts& aParts, EntryMetrics& aMetrics);
+void
+SetStatusGauges(const StatusParts& aParts, EntryMetrics& aMetrics);
 
 // This entry's own attempts at each backend server, by the hash of its id.
-std::map<std::uint64_t, std::uint32_t> OwnOutstanding(
-  const policy::RequestRouter& aRouter,
-  const policy::FleetView& aFleet,
-  Instant aNow);
+std::map<std::uint64_t, std::uint32_t>
+OwnOutstanding(const policy::RequestRouter& aRouter,
+               const policy::FleetView& aFleet,
+               Instant aNow);
 
 } // namespace firefly
--- a/servers/entry/table_keeper.cpp
+++ b/servers/entry/table_keeper.cpp
@@ -13,8 +13,8 @@
 constexpr int kUnavailable = 503;
 constexpr int kOk = 200;
 
-coord::VersionedTable::Options TableOptions(
-  const TableKeeper::Options& aOptions)
+coord::VersionedTable::Options
+TableOptions(const TableKeeper::Options& aOptions)
 {
   return { .writer = aOptions.writer,
            .pollInterval = aOptions.settings->platform.pollInterval,
@@ -23,25 +23,23 @@
 
 } // namespace
 
-std::vector<policy::LimitRow> ToLimitRows(const OperatorsTable& aTable,
-                                          const Settings& aSettings)
+std::vector<policy::LimitRow>
+ToLimitRows(const OperatorsTable& aTable, const Settings& aSettings)
 {
   std::vector<policy::LimitRow> rows;
   for (const auto& [key, row] : aTable.Rows()) {
-    const auto* type =
-      aSettings.FindRequestType(row.service, row.requestType);
+    const auto* type = aSettings.FindRequestType(row.service, row.requestType);
     if (type == nullptr) {
       continue;
     }
-    rows.push_back(
-      { .service = row.service,
-        .requestType = row.requestType,
-        .customer = row.customer,
-        .weight = row.weight,
-        .maxConcurrent = row.maxConcurrent.value_or(0),
-        .ratePerSecond = row.ratePerSecond.value_or(0),
-        .worth = policy::Worth(row.worth.value_or(type->worth)),
-        .lateAfter = row.lateAfter.value_or(type->lateAfter) });
+    rows.push_back({ .service = row.service,
+                     .requestType = row.requestType,
+                     .customer = row.customer,
+                     .weight = row.weight,
+                     .maxConcurrent = row.maxConcurrent.value_or(0),
+                     .ratePerSecond = row.ratePerSecond.value_or(0),
+                     .worth = policy::Worth(row.worth.value_or(type->worth)),
+                     .lateAfter = row.lateAfter.value_or(type->lateAfter) });
   }
   return rows;
 }
@@ -60,7 +58,8 @@
 {
 }
 
-void TableKeeper::Start()
+void
+TableKeeper::Start()
 {
   mTable.Start();
   AskPeers();
@@ -68,7 +67,8 @@
 
 // While the log can't be read, a fresh process takes the newest table of all
 // its peers rather than that of the first.
-void TableKeeper::AskPeers()
+void
+TableKeeper::AskPeers()
 {
   if (!mTable.Ready() && mFetching == 0) {
     for (const auto& it : mOptions.settings->peers) {
@@ -78,7 +78,8 @@
   mAskTimer = mExecutor.RunAfter(kAskInterval, [this] { AskPeers(); });
 }
 
-void TableKeeper::OnPeerVersion(const HostId& aPeer, TableVersion aVersion)
+void
+TableKeeper::OnPeerVersion(const HostId& aPeer, TableVersion aVersion)
 {
   if (mTable.Ready() && aVersion <= Version()) {
     mPeerAgreedAt = mExecutor.Now();
@@ -95,7 +96,8 @@
   }
 }
 
-void TableKeeper::Fetch(const HostSettings& aPeer)
+void
+TableKeeper::Fetch(const HostSettings& aPeer)
 {
   if (aPeer.id == mOptions.settings->host.id) {
     return;
@@ -113,7 +115,8 @@
                 });
 }
 
-void TableKeeper::OnFetched(const tl::expected<HttpResult, HttpError>& aResult)
+void
+TableKeeper::OnFetched(const tl::expected<HttpResult, HttpError>& aResult)
 {
   const auto snapshot = aResult && aResult->status == kOk
                           ? coord::DecodeSnapshot(aResult->body)
@@ -129,7 +132,8 @@
   mPeerAgreedAt = mExecutor.Now();
 }
 
-bool TableKeeper::Ready() const
+bool
+TableKeeper::Ready() const
 {
   if (!mTable.Ready()) {
     return false;
@@ -137,17 +141,20 @@
   if (mOptions.settings->peers.size() <= 1) {
     return true; // nobody else could have a newer one
   }
-  const auto news = std::max(mTable.FreshAt().value_or(Instant{}), mPeerAgreedAt);
+  const auto news =
+    std::max(mTable.FreshAt().value_or(Instant{}), mPeerAgreedAt);
   return mExecutor.Now() - news <= mOptions.settings->entry.tableTimeout;
 }
 
-TableVersion TableKeeper::Version() const
+TableVersion
+TableKeeper::Version() const
 {
   const auto& current = mTable.Current();
   return current ? current->version : TableVersion();
 }
 
-void TableKeeper::ServeSnapshot(HttpResponder& aResponder) const
+void
+TableKeeper::ServeSnapshot(HttpResponder& aResponder) const
 {
   const auto& current = mTable.Current();
   if (!current) {
@@ -159,7 +166,8 @@
                     .body = coord::EncodeSnapshot(*current) });
 }
 
-void TableKeeper::OnVersion(const coord::Snapshot& aSnapshot)
+void
+TableKeeper::OnVersion(const coord::Snapshot& aSnapshot)
 {
   PutInForce(aSnapshot);
   if (mAdmin != nullptr) {
@@ -167,7 +175,8 @@
   }
 }
 
-void TableKeeper::PutInForce(const coord::Snapshot& aSnapshot)
+void
+TableKeeper::PutInForce(const coord::Snapshot& aSnapshot)
 {
   const auto& settings = *mOptions.settings;
   const bool none = aSnapshot.version.Value() == 0;
--- a/servers/entry/table_keeper.h
+++ b/servers/entry/table_keeper.h
@@ -20,15 +20,15 @@
 
 // The limits that the policies keep under a table, with the settings' values
 // where a cell is empty.
-std::vector<policy::LimitRow> ToLimitRows(const OperatorsTable& aTable,
-                                          const Settings& aSettings);
+std::vector<policy::LimitRow>
+ToLimitRows(const OperatorsTable& aTable, const Settings& aSettings);
 
 class TableKeeper : private coord::TableObserver
 {
 public:
   // Told of each version that comes into force.
-  using Handler = std::function<void(TableVersion,
-                                     const std::vector<policy::LimitRow>&)>;
+  using Handler =
+    std::function<void(TableVersion, const std::vector<policy::LimitRow>&)>;
 
   struct Options
   {
@@ -79,7 +79,7 @@
   coord::VersionedTable mTable;
   LogTableStore mStore;
   TableAdmin* mAdmin = nullptr;
-  std::size_t mFetching = 0; // calls to peers that are under way
+  std::size_t mFetching = 0;            // calls to peers that are under way
   std::optional<coord::Snapshot> mBest; // of their answers so far
   Instant mPeerAgreedAt{};
   Timer mAskTimer;
--- a/servers/entry/token_piece.h
+++ b/servers/entry/token_piece.h
@@ -39,8 +39,8 @@
 };
 
 // Reads the data of one event.
-tl::expected<TokenPiece, PieceError> ParsePiece(const std::string& aData,
-                                                bool aChat);
+tl::expected<TokenPiece, PieceError>
+ParsePiece(const std::string& aData, bool aChat);
 
 // What the answer's head says; the same in all its pieces.
 struct AnswerHead
@@ -52,13 +52,16 @@
 };
 
 // The event that tells the caller of a token or of the end of the answer.
-std::string ToCallerEvent(const AnswerHead& aHead, const TokenPiece& aPiece);
+std::string
+ToCallerEvent(const AnswerHead& aHead, const TokenPiece& aPiece);
 
 // The event that ends a caller's stream.
-std::string DoneEvent();
+std::string
+DoneEvent();
 
 // The event that tells a caller that its answer can't be completed.
-std::string ErrorEvent(const Problem& aProblem, const std::string& aRequestId);
+std::string
+ErrorEvent(const Problem& aProblem, const std::string& aRequestId);
 
 // The counts of a whole answer.
 struct AnswerUsage
@@ -68,9 +71,10 @@
 };
 
 // A whole answer's body.
-std::string WholeBody(const AnswerHead& aHead,
-                      const std::string& aText,
-                      const std::string& aFinishReason,
-                      const AnswerUsage& aUsage);
+std::string
+WholeBody(const AnswerHead& aHead,
+          const std::string& aText,
+          const std::string& aFinishReason,
+          const AnswerUsage& aUsage);
 
 } // namespace firefly
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -14,17 +14,19 @@
 using Json = nlohmann::json;
 
 const std::vector<std::string> kPortNames{
-  "entry_port",        "entry_admin_port",   "entry_link_port",
-  "gossip_port",       "steward_link_port",  "steward_admin_port",
-  "ledger_link_port",  "ledger_admin_port",
+  "entry_port",       "entry_admin_port",  "entry_link_port",
+  "gossip_port",      "steward_link_port", "steward_admin_port",
+  "ledger_link_port", "ledger_admin_port",
 };
 
-std::string HostName(int aHost)
+std::string
+HostName(int aHost)
 {
   return "host-" + std::to_string(aHost + 1);
 }
 
-std::string PortArgument(std::uint16_t aPort)
+std::string
+PortArgument(std::uint16_t aPort)
 {
   return "--port=" + std::to_string(aPort);
 }
@@ -51,7 +53,8 @@
   }
 }
 
-void Deployment::PickPorts()
+void
+Deployment::PickPorts()
 {
   for (int i = 0; i < mOptions.hosts; ++i) {
     Ports ports;
@@ -69,7 +72,8 @@
   mPlatformPort = FreePort();
 }
 
-std::string Deployment::SettingsText() const
+std::string
+Deployment::SettingsText() const
 {
   std::ostringstream text;
   const auto platform = LoopbackUrl(mPlatformPort);
@@ -128,7 +132,8 @@
   return text.str();
 }
 
-void Deployment::StartStandIns()
+void
+Deployment::StartStandIns()
 {
   const std::string folder = "tests/stand_ins/";
   mPlatform = std::make_unique<ChildProcess>(ChildProcess::Options{
@@ -161,7 +166,8 @@
   WaitFor([&] { return mHttp.Succeeds(PlatformUrl() + "/control"); });
 }
 
-void Deployment::StartEntry(int aHost)
+void
+Deployment::StartEntry(int aHost)
 {
   mEntries[aHost] = std::make_unique<ChildProcess>(ChildProcess::Options{
     .program = "main/firefly-entry",
@@ -169,7 +175,8 @@
     .output = {} });
 }
 
-void Deployment::StartLedger(int aHost)
+void
+Deployment::StartLedger(int aHost)
 {
   mLedgers[aHost] = std::make_unique<ChildProcess>(ChildProcess::Options{
     .program = "main/firefly-ledger",
@@ -177,38 +184,45 @@
     .output = {} });
 }
 
-bool Deployment::WaitUntilReady(int aHost)
+bool
+Deployment::WaitUntilReady(int aHost)
 {
   const auto url = AdminUrl(aHost) + "/readyz";
   return WaitFor([&] { return mHttp.Succeeds(url); });
 }
 
-std::string Deployment::EntryUrl(int aHost) const
+std::string
+Deployment::EntryUrl(int aHost) const
 {
   return LoopbackUrl(mHostPorts[aHost].byName.at("entry_port"));
 }
 
-std::string Deployment::AdminUrl(int aHost) const
+std::string
+Deployment::AdminUrl(int aHost) const
 {
   return LoopbackUrl(mHostPorts[aHost].byName.at("entry_admin_port"));
 }
 
-std::string Deployment::EngineUrl(int aIndex) const
+std::string
+Deployment::EngineUrl(int aIndex) const
 {
   return LoopbackUrl(mEnginePorts[aIndex]);
 }
 
-std::string Deployment::ServiceUrl(int aIndex) const
+std::string
+Deployment::ServiceUrl(int aIndex) const
 {
   return LoopbackUrl(mServicePorts[aIndex]);
 }
 
-std::string Deployment::PlatformUrl() const
+std::string
+Deployment::PlatformUrl() const
 {
   return LoopbackUrl(mPlatformPort);
 }
 
-double Deployment::Metric(int aHost, const std::string& aName)
+double
+Deployment::Metric(int aHost, const std::string& aName)
 {
   const auto text = mHttp.Ask("GET", AdminUrl(aHost) + "/metrics").body;
   const auto samples = ParseMetrics(text);
@@ -219,15 +233,15 @@
   return sum;
 }
 
-std::string CompletionBody(const std::string& aPrompt,
-                           int aTokens,
-                           bool aStream)
+std::string
+CompletionBody(const std::string& aPrompt, int aTokens, bool aStream)
 {
-  return Json{ { "model", "assistant" },
-               { "prompt", aPrompt },
-               { "max_tokens", aTokens },
-               { "stream", aStream } }
-    .dump();
+  return Json{
+    { "model", "assistant" },
+    { "prompt", aPrompt },
+    { "max_tokens", aTokens },
+    { "stream", aStream }
+  }.dump();
 }
 
 StreamingCaller::StreamingCaller(const std::string& aEntryUrl,
@@ -241,13 +255,14 @@
   call.totalTimeout = kWaitLimit;
   mTransfer = mClient.Stream(
     std::move(call),
-    { .onHead =
-        [this](int aStatus, const HttpHeaders&) { mAnswer.status = aStatus; },
+    { .onHead = [this](int aStatus,
+                       const HttpHeaders&) { mAnswer.status = aStatus; },
       .onBody = [this](std::string_view aBytes) { Take(aBytes); },
       .onDone = [this](const auto&) { mEnded = true; } });
 }
 
-void StreamingCaller::Take(std::string_view aBytes)
+void
+StreamingCaller::Take(std::string_view aBytes)
 {
   mPartial += aBytes;
   for (auto end = mPartial.find('\n'); end != std::string::npos;
@@ -257,7 +272,8 @@
   }
 }
 
-void StreamingCaller::TakeLine(const std::string& aLine)
+void
+StreamingCaller::TakeLine(const std::string& aLine)
 {
   const std::string mark = "data: ";
   if (aLine == "event: error") {
@@ -278,14 +294,16 @@
   }
 }
 
-bool StreamingCaller::WaitForTokens(std::size_t aTokens)
+bool
+StreamingCaller::WaitForTokens(std::size_t aTokens)
 {
   RunUntil(
     mExecutor, [&] { return mTokens >= aTokens || mEnded; }, kWaitLimit);
   return mTokens >= aTokens;
 }
 
-const StreamedAnswer& StreamingCaller::Wait()
+const StreamedAnswer&
+StreamingCaller::Wait()
 {
   RunUntil(
     mExecutor, [&] { return mEnded; }, kWaitLimit);
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -16,7 +16,7 @@
 struct StreamedAnswer
 {
   int status = 0;
-  std::string text; // of all token events
+  std::string text;   // of all token events
   bool done = false;  // the end mark came
   bool error = false; // an error event came
 };
@@ -125,8 +125,7 @@
 };
 
 // The body of a streamed completion.
-std::string CompletionBody(const std::string& aPrompt,
-                           int aTokens,
-                           bool aStream);
+std::string
+CompletionBody(const std::string& aPrompt, int aTokens, bool aStream);
 
 } // namespace firefly::testing
--- a/tests/process/stream_process_test.cpp
+++ b/tests/process/stream_process_test.cpp
@@ -19,7 +19,8 @@
 constexpr std::size_t kMidway = 10;
 const std::string kPrompt = "the bylaws of the second yard";
 
-void CheckWhole(const StreamedAnswer& aAnswer, const std::string& aPrompt)
+void
+CheckWhole(const StreamedAnswer& aAnswer, const std::string& aPrompt)
 {
   LONGS_EQUAL(200, aAnswer.status);
   CHECK_TRUE(aAnswer.done);
@@ -28,7 +29,8 @@
 }
 
 // Gives all engines the same faults.
-void SetFaults(Deployment& aDeployment, int aEngines, const std::string& aBody)
+void
+SetFaults(Deployment& aDeployment, int aEngines, const std::string& aBody)
 {
   for (int i = 0; i < aEngines; ++i) {
     LONGS_EQUAL(200,
@@ -39,7 +41,8 @@
 }
 
 // The engine that streams now.
-int BusyEngine(Deployment& aDeployment, int aEngines)
+int
+BusyEngine(Deployment& aDeployment, int aEngines)
 {
   for (int i = 0; i < aEngines; ++i) {
     const auto state =
@@ -57,7 +60,10 @@
 {
   Deployment deployment{ { .hosts = 1, .engines = 2 } };
 
-  void setup() override { CHECK_TRUE(deployment.Up()); }
+  void setup() override
+  {
+    CHECK_TRUE(deployment.Up());
+  }
 };
 
 TEST(StreamProcess, AnswersWholeAndStreamed)
--- a/tests/stand_ins/engine/engine.cpp
+++ b/tests/stand_ins/engine/engine.cpp
@@ -126,8 +126,8 @@
     aResponder.Send(Fault(400, e.what()));
     return;
   }
-  const bool older =
-    std::pair(order.fence, order.id) < std::pair(mLastOrder.fence, mLastOrder.id);
+  const bool older = std::pair(order.fence, order.id) <
+                     std::pair(mLastOrder.fence, mLastOrder.id);
   if (older && mOptions.checksFencing) {
     ++mRefused;
     aResponder.Send(Fault(409, "older fencing number"));
@@ -150,17 +150,16 @@
 Engine::BeginChange()
 {
   mChanging = true;
-  for (const auto& jobs : { std::exchange(mRunning, {}),
-                            std::exchange(mWaiting, {}) }) {
+  for (const auto& jobs :
+       { std::exchange(mRunning, {}), std::exchange(mWaiting, {}) }) {
     for (const auto& it : jobs) {
       ++mCutByChange;
       it->timer.Cancel();
       it->responder->Abort();
     }
   }
-  mChangeTimer = mExecutor.RunAfter(mOptions.change, [this] {
-    mChanging = false;
-  });
+  mChangeTimer =
+    mExecutor.RunAfter(mOptions.change, [this] { mChanging = false; });
 }
 
 void
@@ -197,14 +196,12 @@
 void
 Engine::Start(const JobPtr& aJob)
 {
-  aJob->timer =
-    mExecutor.RunAfter(Slowed(mOptions.firstToken), [this, aJob] {
-      if (aJob->request.stream) {
-        aJob->responder->Begin(200,
-                               { { "Content-Type", "text/event-stream" } });
-      }
-      Step(aJob);
-    });
+  aJob->timer = mExecutor.RunAfter(Slowed(mOptions.firstToken), [this, aJob] {
+    if (aJob->request.stream) {
+      aJob->responder->Begin(200, { { "Content-Type", "text/event-stream" } });
+    }
+    Step(aJob);
+  });
 }
 
 void
@@ -304,36 +301,39 @@
 std::string
 Engine::StateBody() const
 {
-  return Json{ { "role", mOptions.role },
-               { "model", mOptions.model },
-               { "version", mLastOrder.version },
-               { "adapter", mLastOrder.adapter },
-               { "running", mRunning.size() + mWaiting.size() },
-               { "last_order", mLastOrder.id },
-               { "fence", mLastOrder.fence },
-               { "changing", mChanging } }
-    .dump();
+  return Json{
+    { "role", mOptions.role },
+    { "model", mOptions.model },
+    { "version", mLastOrder.version },
+    { "adapter", mLastOrder.adapter },
+    { "running", mRunning.size() + mWaiting.size() },
+    { "last_order", mLastOrder.id },
+    { "fence", mLastOrder.fence },
+    { "changing", mChanging }
+  }.dump();
 }
 
 std::string
 Engine::CountsBody() const
 {
-  return Json{ { "executions", mExecutions },
-               { "orders_accepted", mAccepted },
-               { "orders_refused", mRefused },
-               { "orders_conflicting", mConflicting },
-               { "cut_by_change", mCutByChange },
-               { "cancelled", mCancelled },
-               { "tokens", mTokens } }
-    .dump();
+  return Json{
+    { "executions", mExecutions },
+    { "orders_accepted", mAccepted },
+    { "orders_refused", mRefused },
+    { "orders_conflicting", mConflicting },
+    { "cut_by_change", mCutByChange },
+    { "cancelled", mCancelled },
+    { "tokens", mTokens }
+  }.dump();
 }
 
 std::string
 Engine::LoadBody() const
 {
-  return Json{ { "requests", mReported.requests },
-               { "prefill_tokens", mReported.prefillTokens } }
-    .dump();
+  return Json{
+    { "requests", mReported.requests },
+    { "prefill_tokens", mReported.prefillTokens }
+  }.dump();
 }
 
 void
@@ -343,8 +343,8 @@
   mSampled = { .requests = mRunning.size() + mWaiting.size(),
                .prefillTokens = 0 };
   for (const auto& it : mWaiting) {
-    mSampled.prefillTokens += static_cast<std::uint32_t>(
-      it->request.prompt.size() / kBytesPerToken);
+    mSampled.prefillTokens +=
+      static_cast<std::uint32_t>(it->request.prompt.size() / kBytesPerToken);
   }
   mLoadTimer = mExecutor.RunAfter(mOptions.reportLag, [this] { SampleLoad(); });
 }
--- a/tests/stand_ins/engine/engine_job.cpp
+++ b/tests/stand_ins/engine/engine_job.cpp
@@ -37,7 +37,8 @@
 Json
 Head(const EngineRequest& aRequest, const std::string& aId, bool aChunk)
 {
-  const std::string kind = aRequest.chat ? "chat.completion" : "text_completion";
+  const std::string kind =
+    aRequest.chat ? "chat.completion" : "text_completion";
   return { { "id", aId },
            { "object", aRequest.chat && aChunk ? kind + ".chunk" : kind },
            { "created", kCreated },
--- a/tests/stand_ins/engine/engine_job.h
+++ b/tests/stand_ins/engine/engine_job.h
@@ -31,27 +31,32 @@
 {
   std::optional<std::uint32_t> stallAfter;    // tokens, then nothing more
   std::optional<std::uint32_t> truncateAfter; // tokens, then a clean end
-  std::optional<std::uint32_t> cutAfter;      // tokens, then a closed connection
-  std::optional<std::uint32_t> duplicateAt;   // this token comes twice
-  std::optional<std::uint32_t> skipAt;        // this token never comes
-  std::optional<std::uint32_t> crossAt;       // a foreign piece before this one
+  std::optional<std::uint32_t> cutAfter;    // tokens, then a closed connection
+  std::optional<std::uint32_t> duplicateAt; // this token comes twice
+  std::optional<std::uint32_t> skipAt;      // this token never comes
+  std::optional<std::uint32_t> crossAt;     // a foreign piece before this one
   double slowFactor = 1.0;
   std::string crashMarker; // a prompt with it ends the process
   std::uint32_t crashAfter = 0;
 };
 
 // Reads the body of a completion request; nothing if it is malformed.
-std::optional<EngineRequest> ParseEngineRequest(const HttpRequest& aRequest);
+std::optional<EngineRequest>
+ParseEngineRequest(const HttpRequest& aRequest);
 
 // Reads the body of POST /control; nothing if it is malformed.
-std::optional<EngineFaults> ParseEngineFaults(const std::string& aBody);
+std::optional<EngineFaults>
+ParseEngineFaults(const std::string& aBody);
 
 // One SSE event with a token, and the events that end a stream.
-std::string TokenEvent(const EngineRequest& aRequest,
-                       const std::string& aId,
-                       std::uint32_t aOffset,
-                       const std::string& aText);
-std::string FinishEvent(const EngineRequest& aRequest, std::uint32_t aOffset);
-std::string WholeAnswer(const EngineRequest& aRequest);
+std::string
+TokenEvent(const EngineRequest& aRequest,
+           const std::string& aId,
+           std::uint32_t aOffset,
+           const std::string& aText);
+std::string
+FinishEvent(const EngineRequest& aRequest, std::uint32_t aOffset);
+std::string
+WholeAnswer(const EngineRequest& aRequest);
 
 } // namespace firefly::testing
--- a/tests/stand_ins/engine/main.cpp
+++ b/tests/stand_ins/engine/main.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr const char* kUsage = R"(firefly-standin-engine: a model engine for tests
+constexpr const char* kUsage =
+  R"(firefly-standin-engine: a model engine for tests
 
 Usage:
   firefly-standin-engine [options]
@@ -60,14 +61,13 @@
   }
   firefly::AsioExecutor executor;
   firefly::testing::Engine engine(EngineOptions(*arguments), executor);
-  firefly::HttpServer server(
-    executor,
-    { .port = static_cast<std::uint16_t>(
-        std::stoul(arguments->Text("--port"))) },
-    [&](const firefly::HttpRequest& aRequest,
-        const firefly::HttpResponderPtr& aResponder) {
-      engine.Handle(aRequest, aResponder);
-    });
+  firefly::HttpServer server(executor,
+                             { .port = static_cast<std::uint16_t>(
+                                 std::stoul(arguments->Text("--port"))) },
+                             [&](const firefly::HttpRequest& aRequest,
+                                 const firefly::HttpResponderPtr& aResponder) {
+                               engine.Handle(aRequest, aResponder);
+                             });
   if (const auto started = server.Start(); !started) {
     std::cerr << started.error().message << '\n';
     return 1;
--- a/tests/stand_ins/engine/token_text.h
+++ b/tests/stand_ins/engine/token_text.h
@@ -9,13 +9,11 @@
 namespace firefly::testing {
 
 // The token at that index of the output.
-std::string TokenAt(const std::string& aPrompt,
-                    std::uint64_t aSeed,
-                    std::uint32_t aIndex);
+std::string
+TokenAt(const std::string& aPrompt, std::uint64_t aSeed, std::uint32_t aIndex);
 
 // The first tokens of the output, as one text.
-std::string TextOf(const std::string& aPrompt,
-                   std::uint64_t aSeed,
-                   std::uint32_t aTokens);
+std::string
+TextOf(const std::string& aPrompt, std::uint64_t aSeed, std::uint32_t aTokens);
 
 } // namespace firefly::testing
--- a/tests/stand_ins/service/main.cpp
+++ b/tests/stand_ins/service/main.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr const char* kUsage = R"(firefly-standin-service: a plain service for tests
+constexpr const char* kUsage =
+  R"(firefly-standin-service: a plain service for tests
 
 Usage:
   firefly-standin-service [options]
@@ -22,7 +23,8 @@
 
 } // namespace
 
-int main(int aCount, char** aWords)
+int
+main(int aCount, char** aWords)
 {
   const auto arguments =
     firefly::ParseArguments(kUsage, "0.1.0", aCount, aWords);
@@ -32,13 +34,12 @@
   firefly::AsioExecutor executor;
   firefly::testing::Service service(executor);
   const auto port = std::stoul(arguments->Text("--port"));
-  firefly::HttpServer server(
-    executor,
-    { .port = static_cast<std::uint16_t>(port) },
-    [&](const firefly::HttpRequest& aRequest,
-        const firefly::HttpResponderPtr& aResponder) {
-      service.Handle(aRequest, aResponder);
-    });
+  firefly::HttpServer server(executor,
+                             { .port = static_cast<std::uint16_t>(port) },
+                             [&](const firefly::HttpRequest& aRequest,
+                                 const firefly::HttpResponderPtr& aResponder) {
+                               service.Handle(aRequest, aResponder);
+                             });
   if (const auto started = server.Start(); !started) {
     std::cerr << started.error().message << '\n';
     return 1;
--- a/tests/stand_ins/service/service.cpp
+++ b/tests/stand_ins/service/service.cpp
@@ -10,36 +10,33 @@
 
 using Json = nlohmann::json;
 
-void Answer(HttpResponder& aResponder, int aStatus, const Json& aBody)
+void
+Answer(HttpResponder& aResponder, int aStatus, const Json& aBody)
 {
-  aResponder.Send(
-    { .status = aStatus, .headers = {}, .body = aBody.dump() });
+  aResponder.Send({ .status = aStatus, .headers = {}, .body = aBody.dump() });
 }
 
 } // namespace
 
-void Service::Handle(const HttpRequest& aRequest,
-                     const HttpResponderPtr& aResponder)
+void
+Service::Handle(const HttpRequest& aRequest, const HttpResponderPtr& aResponder)
 {
   if (aRequest.path == "/control") {
     TakeControl(aRequest.body, *aResponder);
   } else if (aRequest.path == "/counts") {
     aResponder->Send({ .headers = {}, .body = CountsBody() });
   } else if (mDelay > Duration::zero()) {
-    std::erase_if(mDelays, [](const Timer& aTimer) {
-      return !aTimer.Pending();
-    });
-    mDelays.push_back(
-      mExecutor.RunAfter(mDelay, [this, aRequest, aResponder] {
-        Serve(aRequest, aResponder);
-      }));
+    std::erase_if(mDelays,
+                  [](const Timer& aTimer) { return !aTimer.Pending(); });
+    mDelays.push_back(mExecutor.RunAfter(
+      mDelay, [this, aRequest, aResponder] { Serve(aRequest, aResponder); }));
   } else {
     Serve(aRequest, aResponder);
   }
 }
 
-void Service::Serve(const HttpRequest& aRequest,
-                    const HttpResponderPtr& aResponder)
+void
+Service::Serve(const HttpRequest& aRequest, const HttpResponderPtr& aResponder)
 {
   if (mRefuseNext > 0) {
     --mRefuseNext;
@@ -54,8 +51,8 @@
   }
 }
 
-void Service::Book(const HttpRequest& aRequest,
-                   const HttpResponderPtr& aResponder)
+void
+Service::Book(const HttpRequest& aRequest, const HttpResponderPtr& aResponder)
 {
   const std::string key(FindHeader(aRequest.headers, "Idempotency-Key"));
   const auto count = ++mBookings[key];
@@ -69,7 +66,8 @@
          { { "key", key }, { "run", count }, { "booked", aRequest.body } });
 }
 
-void Service::TakeControl(const std::string& aBody, HttpResponder& aResponder)
+void
+Service::TakeControl(const std::string& aBody, HttpResponder& aResponder)
 {
   const auto body = Json::parse(aBody, nullptr, false);
   if (!body.is_object()) {
@@ -84,7 +82,8 @@
   Answer(aResponder, 200, Json::object());
 }
 
-std::string Service::CountsBody() const
+std::string
+Service::CountsBody() const
 {
   return Json{ { "bookings", mBookings }, { "lookups", mLookups } }.dump();
 }
