--- a/policy/size_estimator.cpp
+++ b/policy/size_estimator.cpp
@@ -106,13 +106,13 @@
 }
 
 Lane
-LaneOf(const RequestInfo& aRequest, const SizeEstimate& aEstimate)
+LaneOf(Tokens aUncachedPrompt, const SizeEstimate& aEstimate)
 {
   if (aEstimate.usual.Value() >= kStragglerTokens) {
     return Lane::kStraggler;
   }
   if (aEstimate.usual.Value() <= kShortOutputTokens &&
-      aRequest.promptTokens.Value() <= kShortPromptTokens) {
+      aUncachedPrompt.Value() <= kShortPromptTokens) {
     return Lane::kShort;
   }
   return Lane::kNormal;
--- a/policy/size_estimator.h
+++ b/policy/size_estimator.h
@@ -71,8 +71,9 @@
   std::unordered_map<std::string, Histogram> mTypes;
 };
 
-// The lane that the estimate puts the request into.
+// The lane that the estimate puts a request into whose prompt has so many
+// tokens that no cache holds.
 Lane
-LaneOf(const RequestInfo& aRequest, const SizeEstimate& aEstimate);
+LaneOf(Tokens aUncachedPrompt, const SizeEstimate& aEstimate);
 
 } // namespace firefly::policy
