--- a/servers/entry/caller_handler.cpp
+++ b/servers/entry/caller_handler.cpp
@@ -69,7 +69,7 @@
 CallerHandler::Handle(const HttpRequest& aRequest,
                       const HttpResponderPtr& aResponder)
 {
-  auto head = mReader.ReadHead(aRequest, NextId().Value());
+  const auto head = mReader.ReadHead(aRequest, NextId().Value());
   const bool model = IsModelPath(aRequest.path);
   if (!model && !IsServicePath(aRequest.path)) {
     Reject(
@@ -91,16 +91,16 @@
     return;
   }
   if (model) {
-    HandleModel(aRequest, aResponder, std::move(head));
+    HandleModel(aRequest, aResponder, head);
   } else {
-    HandlePlain(aRequest, aResponder, std::move(head));
+    HandlePlain(aRequest, aResponder, head);
   }
 }
 
 void
 CallerHandler::HandleModel(const HttpRequest& aRequest,
                            const HttpResponderPtr& aResponder,
-                           CallerHead aHead)
+                           const CallerHead& aHead)
 {
   auto call = mReader.ReadModelCall(aRequest, aHead);
   if (!call) {
@@ -115,7 +115,7 @@
 void
 CallerHandler::HandlePlain(const HttpRequest& aRequest,
                            const HttpResponderPtr& aResponder,
-                           CallerHead aHead)
+                           const CallerHead& aHead)
 {
   auto call = mReader.ReadPlainCall(aRequest, aHead);
   if (!call) {
--- a/servers/entry/caller_handler.h
+++ b/servers/entry/caller_handler.h
@@ -31,10 +31,10 @@
 private:
   void HandleModel(const HttpRequest& aRequest,
                    const HttpResponderPtr& aResponder,
-                   CallerHead aHead);
+                   const CallerHead& aHead);
   void HandlePlain(const HttpRequest& aRequest,
                    const HttpResponderPtr& aResponder,
-                   CallerHead aHead);
+                   const CallerHead& aHead);
   void Reject(const Problem& aProblem,
               const CallerHead& aHead,
               HttpResponder& aResponder);
--- a/servers/entry/entry_digest.cpp
+++ b/servers/entry/entry_digest.cpp
@@ -40,9 +40,10 @@
   auto& work = aDigest.work;
   while (bytes.size() > aMaxBytes &&
          !(work.work.empty() && work.rows.empty() && work.models.empty())) {
-    Halve(work.work, [](const auto& it) { return it.requests; });
-    Halve(work.rows, [](const auto& it) { return it.permillePerSecond; });
-    Halve(work.models, [](const auto& it) { return it.outputTokensPerSecond; });
+    Halve(work.work, [](const auto& aItem) { return aItem.requests; });
+    Halve(work.rows, [](const auto& aItem) { return aItem.permillePerSecond; });
+    Halve(work.models,
+          [](const auto& aItem) { return aItem.outputTokensPerSecond; });
     bytes = Encode(aDigest);
   }
   while (bytes.size() > aMaxBytes &&
--- a/servers/entry/entry_server.cpp
+++ b/servers/entry/entry_server.cpp
@@ -218,6 +218,7 @@
   void AskHosts(const std::vector<std::string>& aAddresses)
   {
     std::vector<coord::PeerAddress> seeds;
+    seeds.reserve(aAddresses.size());
     for (const auto& it : aAddresses) {
       seeds.push_back(MakePeerAddress(it, mSettings.host.gossipPort));
     }
--- a/servers/table/log_table_store.h
+++ b/servers/table/log_table_store.h
@@ -28,7 +28,7 @@
              std::string aPayload,
              ApplyCallback aCallback) override
   {
-    mTable.Apply(aBase, std::move(aPayload), std::move(aCallback));
+    mTable.Apply(aBase, aPayload, std::move(aCallback));
   }
 
 private:
