Tell restarts by the process's start time, and bookings by the caller's key

The burn report looked for a metric of its own that entries lack; the standard process_start_time_seconds, which all daemons expose, does the same. booking show takes the service and customer that make up the ledger's key.

--- a/servers/burn/burn_history.cpp
+++ b/servers/burn/burn_history.cpp
@@ -10,7 +10,7 @@
 bool
 Restarted(const EntrySample& aBefore, const EntrySample& aAfter)
 {
-  if (aBefore.incarnation != aAfter.incarnation) {
+  if (aBefore.startTime != aAfter.startTime) {
     return true;
   }
   return std::ranges::any_of(aBefore.counters, [&](const auto& aPair) {
--- a/servers/burn/burn_record.cpp
+++ b/servers/burn/burn_record.cpp
@@ -84,7 +84,7 @@
   }
   return { { "url", aEntry.url },
            { "error", aEntry.error },
-           { "incarnation", aEntry.incarnation },
+           { "start_time", aEntry.startTime },
            { "types", types } };
 }
 
@@ -93,7 +93,7 @@
 {
   EntrySample entry{ .url = aJson.at("url"),
                      .error = aJson.at("error"),
-                     .incarnation = aJson.at("incarnation"),
+                     .startTime = aJson.at("start_time"),
                      .counters = {} };
   for (const auto& it : aJson.at("types")) {
     const BurnKey key{ ServiceId(it.at("service")),
--- a/servers/burn/burn_sample.cpp
+++ b/servers/burn/burn_sample.cpp
@@ -108,8 +108,8 @@
 {
   EntrySample sample{ .url = std::move(aUrl), .error = "", .counters = {} };
   for (const auto& it : aSamples) {
-    if (it.name == "firefly_incarnation") {
-      sample.incarnation = it.value;
+    if (it.name == "process_start_time_seconds") {
+      sample.startTime = it.value;
     } else if (IsBurnMetric(it.name)) {
       const BurnKey key{ ServiceId(LabelOf(it, "service")),
                          RequestType(LabelOf(it, "request_type")) };
--- a/servers/burn/burn_sample.h
+++ b/servers/burn/burn_sample.h
@@ -64,8 +64,8 @@
 struct EntrySample
 {
   std::string url;
-  std::string error; // empty when the entry answered
-  double incarnation = 0;
+  std::string error;    // empty when the entry answered
+  double startTime = 0; // of the process, in seconds since 1970
   BurnCountersByKey counters;
 
   bool operator==(const EntrySample&) const = default;
--- a/servers/control/control_program.cpp
+++ b/servers/control/control_program.cpp
@@ -31,7 +31,7 @@
   fireflyctl role BACKEND ROLE [--steward URL]... [--settings FILE] [--format FORMAT]
   fireflyctl load BACKEND MODEL [--model-version V] [--adapter A] [--steward URL]... [--settings FILE] [--format FORMAT]
   fireflyctl why REQUEST [--entry URL]... [--settings FILE] [--format FORMAT]
-  fireflyctl booking show KEY [--entry URL]... [--settings FILE] [--format FORMAT]
+  fireflyctl booking show KEY [--service ID] [--customer ID] [--entry URL]... [--settings FILE] [--format FORMAT]
   fireflyctl --help
   fireflyctl --version
 
@@ -43,6 +43,8 @@
   --base N          Edit just this version; else the newest one.
   --model-version V  The model's version; else the newest.
   --adapter A       The adapter to load with the model; else none.
+  --service ID      Of the booking; KEY is then the caller's own key.
+  --customer ID     Of the booking.
   --timeout S       Seconds to wait for confirmations [default: 10].
   --help            Show this text.
   --version         Show the version.
@@ -66,6 +68,7 @@
   fireflyctl table export --entry http://127.0.0.1:17101 > table.csv
   fireflyctl table apply table.csv --settings settings/demo.toml --timeout 12
   fireflyctl drain engine-1 --settings settings/demo.toml
+  fireflyctl booking show k-17 --service desk --settings settings/demo.toml
 
 Exit codes:
   0  done
@@ -152,7 +155,9 @@
   if (mArguments.Has("why")) {
     return commands.Why(RequestId(mArguments.Text("REQUEST")));
   }
-  return commands.Booking(BookingKey(mArguments.Text("KEY")));
+  return commands.Booking(BookingKey(mArguments.Text("KEY")),
+                          ServiceId(mArguments.Text("--service")),
+                          CustomerId(mArguments.Text("--customer")));
 }
 
 bool
--- a/servers/control/fleet_commands.cpp
+++ b/servers/control/fleet_commands.cpp
@@ -246,11 +246,11 @@
 void
 PrintBooking(std::ostream& aOut, const Json& aBooking)
 {
-  aOut << "booking " << TextOf(aBooking, "key") << " of "
-       << TextOf(aBooking, "service") << ", "
-       << TextOf(aBooking, "request_type") << ": " << TextOf(aBooking, "state")
-       << ", attempt " << TextOf(aBooking, "attempt") << " ("
-       << TextOf(aBooking, "url") << ")\n";
+  aOut << "booking " << TextOf(aBooking, "key") << ": "
+       << TextOf(aBooking, "state") << ", attempt "
+       << TextOf(aBooking, "attempt") << ", status "
+       << TextOf(aBooking, "status") << " (" << TextOf(aBooking, "url")
+       << ")\n";
 }
 
 } // namespace
@@ -355,10 +355,16 @@
 }
 
 ExitCode
-FleetCommands::Booking(const BookingKey& aKey)
+FleetCommands::Booking(const BookingKey& aKey,
+                       const ServiceId& aService,
+                       const CustomerId& aCustomer)
 {
-  return ShowKnown("/admin/bookings/" + PercentEncode(aKey.Value()),
-                   "booking " + aKey.Value());
+  std::string path = "/admin/bookings/" + PercentEncode(aKey.Value());
+  if (!aService.Value().empty()) {
+    path += "?service=" + PercentEncode(aService.Value());
+    path += "&customer=" + PercentEncode(aCustomer.Value());
+  }
+  return ShowKnown(path, "booking " + aKey.Value());
 }
 
 ExitCode
--- a/servers/control/fleet_commands.h
+++ b/servers/control/fleet_commands.h
@@ -45,8 +45,11 @@
   // What became of a request.
   ExitCode Why(const RequestId& aRequest);
 
-  // The state of a booking.
-  ExitCode Booking(const BookingKey& aKey);
+  // The state of a booking. Without a service, the key is the ledger's whole
+  // key, as status shows it; with one it is the caller's own.
+  ExitCode Booking(const BookingKey& aKey,
+                   const ServiceId& aService,
+                   const CustomerId& aCustomer);
 
 private:
   ExitCode Order(const std::string& aVerb,
--- a/servers/metrics/metrics.h
+++ b/servers/metrics/metrics.h
@@ -182,7 +182,7 @@
 std::vector<double>
 TokenGapBounds();
 
-// Keeps the gauges of the process's own processor time and memory.
+// Keeps the gauges of the process's own start, processor time and memory.
 void
 AddProcessMetrics(MetricRegistry& aRegistry);
 
--- a/servers/metrics/process_metrics.cpp
+++ b/servers/metrics/process_metrics.cpp
@@ -1,5 +1,6 @@
 #include "servers/metrics/metrics.h"
 
+#include <chrono>
 #include <fstream>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -37,6 +38,15 @@
   return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
 }
 
+// The wall-clock time now, in seconds since 1970.
+double
+NowSeconds()
+{
+  return std::chrono::duration<double>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
 } // namespace
 
 void
@@ -52,6 +62,11 @@
       .Gauges({ .name = "process_resident_memory_bytes",
                 .help = "Memory of the process that is in RAM, in bytes." })
       .With({});
+  aRegistry
+    .Gauges({ .name = "process_start_time_seconds",
+              .help = "Start of the process, in seconds since 1970." })
+    .With({})
+    .Set(NowSeconds());
   aRegistry.OnExpose([&processor, &memory] {
     processor.Add(ProcessorSeconds() - processor.Value());
     memory.Set(ResidentBytes());
--- a/tests/servers/burn/burn_fixture.h
+++ b/tests/servers/burn/burn_fixture.h
@@ -19,10 +19,10 @@
 inline EntrySample
 Counted(const std::string& aUrl,
         const OutcomeAmounts& aRequests,
-        double aIncarnation = 1)
+        double aStart = 1)
 {
   EntrySample sample{
-    .url = aUrl, .error = "", .incarnation = aIncarnation, .counters = {}
+    .url = aUrl, .error = "", .startTime = aStart, .counters = {}
   };
   sample.counters[TestKey()].requests = aRequests;
   return sample;
--- a/tests/servers/burn/burn_history_test.cpp
+++ b/tests/servers/burn/burn_history_test.cpp
@@ -53,7 +53,7 @@
   history.Add(AtMinute(0, { Counted("a", { .inTime = 100 }) }));
   history.Add(AtMinute(1, { Counted("a", { .inTime = 40 }) }));
   DOUBLES_EQUAL(40, Between(0, 1).inTime, 1e-9);
-  // It may have counted more than before: the incarnation tells.
+  // It may have counted more than before: the start time tells.
   history.Add(AtMinute(2, { Counted("a", { .inTime = 70 }, 2) }));
   DOUBLES_EQUAL(70, Between(1, 2).inTime, 1e-9);
 }
--- a/tests/servers/burn/burn_program_test.cpp
+++ b/tests/servers/burn/burn_program_test.cpp
@@ -33,7 +33,7 @@
   const std::string labels = "service=\"rota<b>\",request_type=\"lookup\"";
   const std::string inTime = std::to_string(aRequests * 9 / 10);
   const std::string late = std::to_string(aRequests / 10);
-  return "firefly_incarnation 5\n"
+  return "process_start_time_seconds 5\n"
          "firefly_requests_total{" +
          labels + ",outcome=\"in_time\"} " + inTime +
          "\nfirefly_requests_total{" + labels + ",outcome=\"late\"} " + late +
--- a/tests/servers/control/control_test.cpp
+++ b/tests/servers/control/control_test.cpp
@@ -177,11 +177,26 @@
                err.str().c_str());
   fetcher.Answer("GET http://a/admin/bookings/k",
                  200,
-                 R"({"key":"k","state":"done","service":"s",
-                     "request_type":"t","attempt":"a-1"})");
+                 R"({"key":"k","state":"done","attempt":"a-1","status":200})");
   Run(ExitCode::kFailed, { "booking", "show", "k", "--entry=http://a" });
   Run(ExitCode::kOk, { "booking", "show", "k", "--entry=http://a" });
-  STRCMP_EQUAL("booking k of s, t: done, attempt a-1 (http://a)\n",
+  STRCMP_EQUAL("booking k: done, attempt a-1, status 200 (http://a)\n",
+               out.str().c_str());
+}
+
+TEST(ControlTest, ACallersOwnKeyNeedsItsService)
+{
+  fetcher.Answer("GET http://a/admin/bookings/k?service=desk&customer=a%26b",
+                 200,
+                 R"({"key":"k","state":"unknown","attempt":"a-1"})");
+  Run(ExitCode::kOk,
+      { "booking",
+        "show",
+        "k",
+        "--service=desk",
+        "--customer=a&b",
+        "--entry=http://a" });
+  STRCMP_EQUAL("booking k: unknown, attempt a-1, status - (http://a)\n",
                out.str().c_str());
 }
 
--- a/tests/servers/metrics/metrics_text_test.cpp
+++ b/tests/servers/metrics/metrics_text_test.cpp
@@ -132,6 +132,7 @@
   AddProcessMetrics(registry);
   const auto samples = ParseMetrics(registry.Expose());
   CHECK_TRUE(samples.has_value());
-  LONGS_EQUAL(2, samples->size());
+  LONGS_EQUAL(3, samples->size());
   CHECK_TRUE((*samples)[1].value > 100'000);
+  CHECK_TRUE((*samples)[2].value > 1e9);
 }
