--- a/tests/process/process_harness.cpp
+++ b/tests/process/process_harness.cpp
@@ -214,8 +214,7 @@
                 [&](const tl::expected<HttpResult, HttpError>& aResult) {
                   answer = aResult.value_or(HttpResult{});
                 });
-  RunUntil(
-    mExecutor, [&] { return answer.has_value(); }, kWaitLimit);
+  RunUntil([&] { return answer.has_value(); });
   return answer.value_or(HttpResult{});
 }
 
@@ -226,4 +225,18 @@
   return Ask("GET", aUrl).status == kOk;
 }
 
+bool
+BlockingHttp::RunUntil(const std::function<bool()>& aCondition,
+                       std::chrono::seconds aLimit)
+{
+  return testing::RunUntil(mExecutor, aCondition, aLimit);
+}
+
+void
+BlockingHttp::RunFor(std::chrono::milliseconds aTime)
+{
+  mExecutor.Context().restart();
+  mExecutor.Context().run_for(aTime);
+}
+
 } // namespace firefly::testing
--- a/tests/process/process_harness.h
+++ b/tests/process/process_harness.h
@@ -106,6 +106,16 @@
   // Whether a GET gives status 200.
   bool Succeeds(const std::string& aUrl);
 
+  // Runs the executor until the condition holds; false when the limit is over.
+  bool RunUntil(const std::function<bool()>& aCondition,
+                std::chrono::seconds aLimit = kWaitLimit);
+
+  // Runs the executor for that time.
+  void RunFor(std::chrono::milliseconds aTime);
+
+  // Servers and clients of the test live on it while calls block.
+  AsioExecutor& Executor() { return mExecutor; }
+
 private:
   AsioExecutor mExecutor;
   CurlClient mClient{ mExecutor, {} };
