--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -4,143 +4,310 @@
 
 #include <nlohmann/json.hpp>
 
+#include "servers/metrics/metrics_text.h"
+#include "tests/helpers/run_until.h"
+
 namespace firefly::testing {
 
-Deployment::Deployment(std::size_t aHosts)
-  : mHosts(aHosts)
+namespace {
+
+using Json = nlohmann::json;
+
+const std::vector<std::string> kPortNames{
+  "entry_port",       "entry_admin_port",  "entry_link_port",
+  "gossip_port",      "steward_link_port", "steward_admin_port",
+  "ledger_link_port", "ledger_admin_port",
+};
+
+std::string
+HostName(int aHost)
 {
-  mPlatform = std::make_unique<ChildProcess>(ChildProcess::Options{
-    .program = "tests/stand_ins/platform/firefly-standin-platform",
-    .arguments = { "--port=" + std::to_string(mPlatformPort) } });
-  const std::string url = LoopbackUrl(mPlatformPort) + "/control";
-  http.RunUntil([&] { return http.Succeeds(url); });
+  return "host-" + std::to_string(aHost + 1);
 }
 
-HostId
-Deployment::Host(std::size_t aHost)
+std::string
+PortArgument(std::uint16_t aPort)
 {
-  return HostId("host-" + std::to_string(aHost));
+  return "--port=" + std::to_string(aPort);
 }
 
-std::string
-Deployment::Settings() const
+} // namespace
+
+Deployment::Deployment(const Options& aOptions)
+  : mOptions(aOptions)
 {
-  const std::string platform = LoopbackUrl(mPlatformPort);
-  std::ostringstream text;
-  text << "[platform]\n"
-       << "log_url = \"" << platform << "/log\"\n"
-       << "hosts_url = \"" << platform << "/hosts\"\n"
-       << "store_url = \"" << platform << "/weights\"\n"
-       << "log_prefix = \"test\"\n"
-       << "poll_ms = 100\n"
-       << "request_timeout_ms = 1000\n"
-       << "[steward]\n"
-       << "lease_ms = 3000\nrenew_ms = 500\ngrace_ms = 1000\n"
-       << "order_timeout_ms = 1000\n"
-       << "[ledger]\npartitions = 2\n"
-       << "[charts]\ndirectory = \"" << FIREFLY_SOURCE_DIR << "/charts\"\n"
-       << "[[backends]]\n"
-       << "id = \"engine\"\ndomain = \"domain\"\nkind = \"engine\"\n"
-       << "url = \"" << LoopbackUrl(mEnginePort) << "\"\n"
-       << "checks_fencing = false\nrole = \"mixed\"\n"
-       << "models = [\"model\"]\nslots = 8\nkv_pieces = 2000\n"
-       << "[[services]]\n"
-       << "id = \"assistant\"\nkind = \"model\"\nmodel = \"model\"\n"
-       << "[[services.request_types]]\n"
-       << "name = \"question\"\nworth = 1.0\nlate_after_ms = 5000\n";
-  for (std::size_t i = 0; i < mHosts.size(); ++i) {
-    text << HostSettings(i);
+  PickPorts();
+  mSettingsFile = mDirectory.Write("settings.toml", SettingsText()).string();
+  StartStandIns();
+  mEntries.resize(static_cast<std::size_t>(mOptions.hosts));
+  mLedgers.resize(static_cast<std::size_t>(mOptions.hosts));
+  for (int i = 0; i < mOptions.hosts; ++i) {
+    if (mOptions.ledgers) {
+      StartLedger(i);
+    }
+    StartEntry(i);
   }
-  return text.str();
+  mUp = true;
+  for (int i = 0; i < mOptions.hosts; ++i) {
+    mUp = mUp && WaitUntilReady(i);
+  }
+}
+
+void
+Deployment::PickPorts()
+{
+  for (int i = 0; i < mOptions.hosts; ++i) {
+    Ports ports;
+    for (const auto& name : kPortNames) {
+      ports.byName[name] = FreePort();
+    }
+    mHostPorts.push_back(ports);
+  }
+  for (int i = 0; i < mOptions.engines; ++i) {
+    mEnginePorts.push_back(FreePort());
+  }
+  for (int i = 0; i < mOptions.services; ++i) {
+    mServicePorts.push_back(FreePort());
+  }
+  mPlatformPort = FreePort();
 }
 
 std::string
-Deployment::HostSettings(std::size_t aHost) const
+Deployment::SettingsText() const
 {
-  const HostPorts& ports = mHosts[aHost];
   std::ostringstream text;
-  text << "[[peers]]\n"
-       << "id = \"" << Host(aHost) << "\"\ndomain = \"domain\"\n"
-       << "address = \"127.0.0.1\"\n"
-       << "entry_port = " << FreePort() << '\n'
-       << "entry_admin_port = " << FreePort() << '\n'
-       << "entry_link_port = " << FreePort() << '\n'
-       << "gossip_port = " << FreePort() << '\n'
-       << "steward_link_port = " << ports.stewardLink << '\n'
-       << "steward_admin_port = " << ports.stewardAdmin << '\n'
-       << "ledger_link_port = " << ports.ledgerLink << '\n'
-       << "ledger_admin_port = " << ports.ledgerAdmin << '\n';
+  const auto platform = LoopbackUrl(mPlatformPort);
+  text << "[platform]\nlog_url = \"" << platform << "/log\"\nhosts_url = \""
+       << platform << "/hosts\"\nstore_url = \"" << platform
+       << "/weights\"\nlog_prefix = \"test\"\npoll_ms = 100\n"
+       << "request_timeout_ms = 1000\n[entry]\nrequest_timeout_ms = 60000\n"
+       << "drain_timeout_ms = 60000\nstall_timeout_ms = 2000\n"
+       << mOptions.entrySettings << "\n[ledger]\npartitions = 4\n"
+       << "[charts]\ndirectory = \"" << FIREFLY_SOURCE_DIR << "/charts\"\n";
+  for (int i = 0; i < mOptions.hosts; ++i) {
+    text << "[[peers]]\nid = \"" << HostName(i) << "\"\ndomain = \"domain-"
+         << i % 3 + 1 << "\"\naddress = \"127.0.0.1\"\n";
+    for (const auto& [name, port] : mHostPorts[i].byName) {
+      text << name << " = " << port << "\n";
+    }
+  }
+  for (std::size_t i = 0; i < mEnginePorts.size(); ++i) {
+    text << "[[backends]]\nid = \"engine-" << i + 1 << "\"\ndomain = \"domain-"
+         << i % 3 + 1 << "\"\nkind = \"engine\"\nurl = \""
+         << LoopbackUrl(mEnginePorts[i])
+         << "\"\nchecks_fencing = true\nmodels = [\"demo-model\"]\nslots = "
+         << mOptions.slots << "\n";
+  }
+  for (std::size_t i = 0; i < mServicePorts.size(); ++i) {
+    text << "[[backends]]\nid = \"desk-" << i + 1 << "\"\ndomain = \"domain-"
+         << i % 3 + 1 << "\"\nkind = \"plain\"\nservice = \"desk\"\nurl = \""
+         << LoopbackUrl(mServicePorts[i]) << "\"\nslots = 16\n";
+  }
+  text << R"([[services]]
+id = "assistant"
+kind = "model"
+model = "demo-model"
+[[services.request_types]]
+name = "question"
+worth = 1.0
+late_after_ms = 20000
+[[services]]
+id = "desk"
+kind = "plain"
+[[services.request_types]]
+name = "lookup"
+worth = 0.5
+late_after_ms = 20000
+idempotent = true
+method = "GET"
+path = "/items"
+[[services.request_types]]
+name = "book"
+worth = 5.0
+late_after_ms = 20000
+idempotent = false
+method = "POST"
+path = "/bookings"
+)";
   return text.str();
 }
 
-std::unique_ptr<ChildProcess>
-Deployment::Start(const std::string& aProgram, std::size_t aHost)
+void
+Deployment::StartStandIns()
 {
-  const auto file = mDirectory.Write("settings.toml", Settings());
-  return std::make_unique<ChildProcess>(ChildProcess::Options{
-    .program = "main/" + aProgram,
-    .arguments = {
-      "--settings", file.string(), "--host", Host(aHost).Value() } });
+  const std::string folder = "tests/stand_ins/";
+  mPlatform = std::make_unique<ChildProcess>(ChildProcess::Options{
+    .program = folder + "platform/firefly-standin-platform",
+    .arguments = { PortArgument(mPlatformPort) },
+    .output = {} });
+  for (const auto port : mEnginePorts) {
+    mEngines.push_back(std::make_unique<ChildProcess>(ChildProcess::Options{
+      .program = folder + "engine/firefly-standin-engine",
+      .arguments = { PortArgument(port),
+                     "--token-ms=" + mOptions.tokenMillis,
+                     "--slots=" + mOptions.slots,
+                     "--checks-fencing" },
+      .output = {} }));
+  }
+  for (const auto port : mServicePorts) {
+    mServices.push_back(std::make_unique<ChildProcess>(ChildProcess::Options{
+      .program = folder + "service/firefly-standin-service",
+      .arguments = { PortArgument(port) },
+      .output = {} }));
+  }
+  for (std::size_t i = 0; i < mEnginePorts.size(); ++i) {
+    const auto url = EngineUrl(static_cast<int>(i)) + "/state";
+    WaitFor([&] { return mHttp.Succeeds(url); });
+  }
+  for (std::size_t i = 0; i < mServicePorts.size(); ++i) {
+    const auto url = ServiceUrl(static_cast<int>(i)) + "/counts";
+    WaitFor([&] { return mHttp.Succeeds(url); });
+  }
+  WaitFor([&] { return mHttp.Succeeds(PlatformUrl() + "/control"); });
 }
 
-ChildProcess&
-Deployment::StartSteward(std::size_t aHost)
+void
+Deployment::StartEntry(int aHost)
 {
-  mHosts[aHost].steward = Start("firefly-steward", aHost);
-  http.RunUntil([&] { return http.Succeeds(StewardUrl(aHost) + "/livez"); });
-  return *mHosts[aHost].steward;
+  mEntries[aHost] = std::make_unique<ChildProcess>(ChildProcess::Options{
+    .program = "main/firefly-entry",
+    .arguments = { "--settings", mSettingsFile, "--host", HostName(aHost) },
+    .output = {} });
 }
 
-ChildProcess&
-Deployment::StartLedger(std::size_t aHost)
+void
+Deployment::StartLedger(int aHost)
 {
-  mHosts[aHost].ledger = Start("firefly-ledger", aHost);
-  const std::string url = LoopbackUrl(mHosts[aHost].ledgerAdmin) + "/livez";
-  http.RunUntil([&] { return http.Succeeds(url); });
-  return *mHosts[aHost].ledger;
+  mLedgers[aHost] = std::make_unique<ChildProcess>(ChildProcess::Options{
+    .program = "main/firefly-ledger",
+    .arguments = { "--settings", mSettingsFile, "--host", HostName(aHost) },
+    .output = {} });
 }
 
-void
-Deployment::Control(const std::string& aSwitches)
+bool
+Deployment::WaitUntilReady(int aHost)
 {
-  http.Ask("POST", LoopbackUrl(mPlatformPort) + "/control", aSwitches);
+  const auto url = AdminUrl(aHost) + "/readyz";
+  return WaitFor([&] { return mHttp.Succeeds(url); });
 }
 
 std::string
-Deployment::StewardUrl(std::size_t aHost) const
+Deployment::EntryUrl(int aHost) const
 {
-  return LoopbackUrl(mHosts[aHost].stewardAdmin);
+  return LoopbackUrl(mHostPorts[aHost].byName.at("entry_port"));
 }
 
-std::uint16_t
-Deployment::StewardLinkPort(std::size_t aHost) const
+std::string
+Deployment::AdminUrl(int aHost) const
+{
+  return LoopbackUrl(mHostPorts[aHost].byName.at("entry_admin_port"));
+}
+
+std::string
+Deployment::EngineUrl(int aIndex) const
+{
+  return LoopbackUrl(mEnginePorts[aIndex]);
+}
+
+std::string
+Deployment::ServiceUrl(int aIndex) const
+{
+  return LoopbackUrl(mServicePorts[aIndex]);
+}
+
+std::string
+Deployment::PlatformUrl() const
 {
-  return mHosts[aHost].stewardLink;
+  return LoopbackUrl(mPlatformPort);
 }
 
-std::vector<LedgerAddress>
-Deployment::Ledgers() const
+double
+Deployment::Metric(int aHost, const std::string& aName)
 {
-  std::vector<LedgerAddress> ledgers;
-  for (std::size_t i = 0; i < mHosts.size(); ++i) {
-    ledgers.push_back({ .host = Host(i),
-                        .address = "127.0.0.1",
-                        .port = mHosts[i].ledgerLink });
+  const auto text = mHttp.Ask("GET", AdminUrl(aHost) + "/metrics").body;
+  const auto samples = ParseMetrics(text);
+  double sum = 0;
+  for (const auto& it : samples.value_or(std::vector<MetricSample>{})) {
+    sum += it.name == aName ? it.value : 0;
   }
-  return ledgers;
+  return sum;
 }
 
 std::string
-Deployment::Fleet(std::size_t aHost)
+CompletionBody(const std::string& aPrompt, int aTokens, bool aStream)
+{
+  return Json{
+    { "model", "assistant" },
+    { "prompt", aPrompt },
+    { "max_tokens", aTokens },
+    { "stream", aStream }
+  }.dump();
+}
+
+StreamingCaller::StreamingCaller(const std::string& aEntryUrl,
+                                 const std::string& aPrompt,
+                                 int aTokens)
 {
-  return http.Ask("GET", StewardUrl(aHost) + "/fleet").body;
+  HttpCall call;
+  call.method = "POST";
+  call.url = aEntryUrl + "/v1/completions";
+  call.body = CompletionBody(aPrompt, aTokens, true);
+  call.totalTimeout = kWaitLimit;
+  mTransfer = mClient.Stream(
+    std::move(call),
+    { .onHead = [this](int aStatus,
+                       const HttpHeaders&) { mAnswer.status = aStatus; },
+      .onBody = [this](std::string_view aBytes) { Take(aBytes); },
+      .onDone = [this](const auto&) { mEnded = true; } });
+}
+
+void
+StreamingCaller::Take(std::string_view aBytes)
+{
+  mPartial += aBytes;
+  for (auto end = mPartial.find('\n'); end != std::string::npos;
+       end = mPartial.find('\n')) {
+    TakeLine(mPartial.substr(0, end));
+    mPartial.erase(0, end + 1);
+  }
+}
+
+void
+StreamingCaller::TakeLine(const std::string& aLine)
+{
+  const std::string mark = "data: ";
+  if (aLine == "event: error") {
+    mAnswer.error = true;
+  }
+  if (!aLine.starts_with(mark)) {
+    return;
+  }
+  const auto data = aLine.substr(mark.size());
+  if (data == "[DONE]") {
+    mAnswer.done = true;
+    return;
+  }
+  const auto piece = Json::parse(data, nullptr, false);
+  if (piece.is_object() && piece.contains("choices")) {
+    mAnswer.text += piece["choices"][0].value("text", "");
+    ++mTokens;
+  }
 }
 
 bool
-Deployment::Leads(std::size_t aHost)
+StreamingCaller::WaitForTokens(std::size_t aTokens)
+{
+  RunUntil(
+    mExecutor, [&] { return mTokens >= aTokens || mEnded; }, kWaitLimit);
+  return mTokens >= aTokens;
+}
+
+const StreamedAnswer&
+StreamingCaller::Wait()
 {
-  const auto fleet = nlohmann::json::parse(Fleet(aHost), nullptr, false);
-  return fleet.is_object() && fleet.value("leading", false);
+  RunUntil(
+    mExecutor, [&] { return mEnded; }, kWaitLimit);
+  return mAnswer;
 }
 
 } // namespace firefly::testing
--- a/tests/process/ledger_process_test.cpp
+++ b/tests/process/ledger_process_test.cpp
@@ -2,7 +2,7 @@
 #include <optional>
 
 #include "servers/ledger/ledger_client.h"
-#include "tests/process/deployment.h"
+#include "tests/process/control_deployment.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -14,7 +14,7 @@
 using firefly::coord::PermitVerdict;
 using firefly::coord::RequestDigest;
 using firefly::testing::ChildProcess;
-using firefly::testing::Deployment;
+using firefly::testing::ControlDeployment;
 
 namespace {
 
@@ -32,7 +32,7 @@
 
 TEST_GROUP(LedgerProcessTest)
 {
-  Deployment deployment{ kHosts };
+  ControlDeployment deployment{ kHosts };
   LedgerClient first{ deployment.http.Executor(), Options("first") };
   LedgerClient second{ deployment.http.Executor(), Options("second") };
 
--- a/tests/process/steward_process_test.cpp
+++ b/tests/process/steward_process_test.cpp
@@ -4,14 +4,14 @@
 
 #include "servers/link/link_client.h"
 #include "servers/steward/entry_reports.h"
-#include "tests/process/deployment.h"
+#include "tests/process/control_deployment.h"
 #include "tests/process/test_engine.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace std::chrono_literals;
 using firefly::testing::ChildProcess;
-using firefly::testing::Deployment;
+using firefly::testing::ControlDeployment;
 using firefly::testing::TestEngine;
 
 namespace {
@@ -24,7 +24,7 @@
 class Reporters
 {
 public:
-  explicit Reporters(Deployment& aDeployment)
+  explicit Reporters(ControlDeployment& aDeployment)
     : mExecutor(aDeployment.http.Executor())
   {
     for (std::size_t i = 0; i < kHosts; ++i) {
@@ -42,7 +42,7 @@
       for (std::size_t i = 0; i < kHosts; ++i) {
         link.Call(firefly::kAcknowledgePath,
                   firefly::Encode(firefly::EntryReport{
-                    .host = Deployment::Host(i),
+                    .host = ControlDeployment::Host(i),
                     .incarnation = firefly::Incarnation(1),
                     .planVersion = firefly::coord::LogOffset(kNewestPlan),
                     .inFlight = {} }),
@@ -62,7 +62,7 @@
 
 TEST_GROUP(StewardProcessTest)
 {
-  Deployment deployment{ kHosts };
+  ControlDeployment deployment{ kHosts };
   TestEngine engine{ deployment.http.Executor(), deployment.EnginePort() };
   Reporters reporters{ deployment };
 
