--- a/servers/entry/entry_server.cpp
+++ b/servers/entry/entry_server.cpp
@@ -15,6 +15,7 @@
 #include "servers/entry/host_watcher.h"
 #include "servers/entry/load_poller.h"
 #include "servers/entry/plan_keeper.h"
+#include "servers/entry/plan_reporter.h"
 #include "servers/entry/status_report.h"
 #include "servers/entry/table_keeper.h"
 #include "servers/http/http_client.h"
@@ -35,6 +36,8 @@
 constexpr Duration kUnreadyGrace = std::chrono::seconds(1);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
 constexpr Duration kReadyPoll = std::chrono::milliseconds(100);
+// For how long a fresh entry waits for the plan before it goes without.
+constexpr Duration kPlanPatience = std::chrono::seconds(5);
 constexpr int kLeaveMessages = 3;
 
 Incarnation
@@ -196,7 +199,10 @@
       mExecutor,
       mLogClient,
       mFleet,
-      [] {});
+      [this] { mReporter->Report(); });
+    mReporter.emplace(PlanReporter::Options{ .settings = &mSettings },
+                      mExecutor,
+                      [this] { return MakeReport(); });
     mHosts.emplace(HostWatcher::Options{ .settings = &mSettings },
                    mExecutor,
                    mHostList,
@@ -215,6 +221,29 @@
                    router);
   }
 
+  EntryReport MakeReport()
+  {
+    const auto now = mExecutor.Now();
+    auto& router = mDispatcher->Router();
+    EntryReport report{ .host = mSettings.host.id,
+                        .incarnation = mIncarnation,
+                        .planVersion = mPlan->Version(),
+                        .inFlight = {} };
+    const auto& fleet = mFleet.View();
+    const auto outstanding = OwnOutstanding(router, fleet, now);
+    for (const auto& it : fleet.All()) {
+      const auto own = outstanding.find(fleet.HashAt(fleet.SlotOf(it.id)));
+      if (own != outstanding.end() && own->second > 0) {
+        report.inFlight[it.id] = own->second;
+      }
+    }
+    for (const auto& it : router.MakeDigest(now).models) {
+      report.promptTokensPerSecond += it.promptTokensPerSecond;
+      report.outputTokensPerSecond += it.outputTokensPerSecond;
+    }
+    return report;
+  }
+
   void AskHosts(const std::vector<std::string>& aAddresses)
   {
     std::vector<coord::PeerAddress> seeds;
@@ -273,7 +302,7 @@
              .ready = mReady,
              .draining = mDraining,
              .table = mTable->Version(),
-             .plan = mPlan->Plan().PlanVersion(),
+             .plan = mPlan->Version(),
              .members = mMembership->Members(),
              .tables = mMembership->TableMembers(),
              .fleet = &mFleet.View(),
@@ -325,6 +354,7 @@
   {
     mTable->Start();
     mPlan->Start();
+    mReporter->Report();
     mHosts->Start();
     mLoads->Start();
     CheckReady();
@@ -332,7 +362,10 @@
 
   void CheckReady()
   {
-    SetReady(!mDraining && mTable->Ready());
+    // A fresh entry reads the plan too, unless the log is away.
+    const bool planned =
+      mPlan->Read() || mExecutor.Now() - mStarted >= kPlanPatience;
+    SetReady(!mDraining && mTable->Ready() && (mReady || planned));
     mReadyTimer = mExecutor.RunAfter(kReadyPoll, [this] { CheckReady(); });
   }
 
@@ -382,6 +415,7 @@
   const Settings& mSettings;
   Incarnation mIncarnation;
   std::uint64_t mSeed;
+  Instant mStarted = mExecutor.Now();
   Log mLines{ "entry" };
   MetricRegistry mRegistry;
   EntryMetrics mMetrics;
@@ -400,6 +434,7 @@
   std::optional<TableKeeper> mTable;
   std::optional<TableAdmin> mTableAdmin;
   std::optional<PlanKeeper> mPlan;
+  std::optional<PlanReporter> mReporter;
   std::optional<HostWatcher> mHosts;
   std::optional<LoadPoller> mLoads;
   std::unique_ptr<CallerHandler> mCallers;
--- a/servers/entry/plan_keeper.h
+++ b/servers/entry/plan_keeper.h
@@ -32,6 +32,12 @@
     return mStream.State();
   }
 
+  // The version of the plan that is in force here.
+  [[nodiscard]] coord::LogOffset Version() const { return mVersion; }
+
+  // Whether the plan was read to its end once.
+  [[nodiscard]] bool Read() const { return mRead; }
+
 private:
   void OnApplied(const coord::RecordId& aId,
                  coord::LogOffset aOffset,
@@ -42,7 +48,7 @@
   std::function<void()> mOnPlan;
   coord::AuthorityStream mStream;
   bool mRead = false;
-  coord::LogOffset mVersion; // of the plan that is in force here
+  coord::LogOffset mVersion;
 };
 
 } // namespace firefly
--- /dev/null
+++ b/tests/process/table_process_test.cpp
@@ -0,0 +1,129 @@
+// The operators' table at three entries: an accepted edit is in force
+// everywhere and stays so, while the log comes and goes and entries restart.
+
+#include "tests/process/deployment.h"
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using firefly::testing::Deployment;
+using firefly::testing::WaitFor;
+
+namespace {
+
+constexpr int kHosts = 3;
+
+std::string
+TableWith(int aLimit)
+{
+  return "service,request_type,customer,weight,max_concurrent,"
+         "rate_per_second,worth,late_after_ms\n"
+         "desk,lookup,*,1," +
+         std::to_string(aLimit) + ",,,\n";
+}
+
+int
+VersionAt(Deployment& aDeployment, int aHost)
+{
+  const auto answer =
+    aDeployment.Http().Ask("GET", aDeployment.AdminUrl(aHost) + "/admin/table");
+  const auto body = nlohmann::json::parse(answer.body, nullptr, false);
+  return body.is_object() ? body.value("version", -1) : -1;
+}
+
+int
+Edit(Deployment& aDeployment, int aHost, int aBase, int aLimit)
+{
+  return aDeployment.Http()
+    .Ask("POST",
+         aDeployment.AdminUrl(aHost) +
+           "/admin/table?base=" + std::to_string(aBase),
+         TableWith(aLimit))
+    .status;
+}
+
+bool
+InForceEverywhere(Deployment& aDeployment, int aVersion)
+{
+  return WaitFor([&] {
+    int confirmed = 0;
+    for (int host = 0; host < kHosts; ++host) {
+      confirmed += VersionAt(aDeployment, host) == aVersion ? 1 : 0;
+    }
+    return confirmed == kHosts;
+  });
+}
+
+void
+SetOutage(Deployment& aDeployment, bool aAway)
+{
+  const std::string body =
+    std::string(R"({"outage": )") + (aAway ? "true}" : "false}");
+  LONGS_EQUAL(200,
+              aDeployment.Http()
+                .Ask("POST", aDeployment.PlatformUrl() + "/control", body)
+                .status);
+}
+
+} // namespace
+
+TEST_GROUP(TableProcess)
+{
+  Deployment deployment{ { .hosts = kHosts, .engines = 1 } };
+
+  void setup() override
+  {
+    CHECK_TRUE(deployment.Up());
+  }
+};
+
+TEST(TableProcess, EditIsInForceEverywhereAndALoserGetsAConflict)
+{
+  LONGS_EQUAL(200, Edit(deployment, 0, 0, 5));
+  CHECK_TRUE(InForceEverywhere(deployment, 1));
+  LONGS_EQUAL(409, Edit(deployment, 1, 0, 6));
+  LONGS_EQUAL(200, Edit(deployment, 1, 1, 7));
+  CHECK_TRUE(InForceEverywhere(deployment, 2));
+  const auto confirmed = [&] {
+    const auto answer = deployment.Http().Ask(
+      "GET", deployment.AdminUrl(0) + "/admin/table/confirmed?version=2");
+    return answer.body.find("\"pending\":[]") != std::string::npos;
+  };
+  CHECK_TRUE(WaitFor(confirmed));
+}
+
+TEST(TableProcess, RestartedEntryNeverServesAnOlderTableWhileTheLogIsAway)
+{
+  LONGS_EQUAL(200, Edit(deployment, 0, 0, 5));
+  CHECK_TRUE(InForceEverywhere(deployment, 1));
+  SetOutage(deployment, true);
+  CHECK_TRUE(Edit(deployment, 0, 1, 6) >= 500);
+  deployment.Entry(2).Kill();
+  deployment.StartEntry(2);
+  CHECK_TRUE(deployment.WaitUntilReady(2));
+  LONGS_EQUAL(1, VersionAt(deployment, 2));
+  SetOutage(deployment, false);
+  CHECK_TRUE(WaitFor(
+    [&] { return Edit(deployment, 2, VersionAt(deployment, 2), 9) == 200; }));
+  CHECK_TRUE(InForceEverywhere(deployment, VersionAt(deployment, 2)));
+}
+
+TEST(TableProcess, EntryWithoutLogAndPeersIsNotReady)
+{
+  SetOutage(deployment, true);
+  deployment.Entry(0).Kill();
+  deployment.Entry(1).Kill();
+  deployment.Entry(2).Kill();
+  deployment.StartEntry(0);
+  const auto url = deployment.AdminUrl(0);
+  CHECK_TRUE(
+    WaitFor([&] { return deployment.Http().Succeeds(url + "/livez"); }));
+  const auto refused = deployment.Http().Ask(
+    "POST", deployment.EntryUrl(0) + "/services/desk/lookup");
+  LONGS_EQUAL(503, refused.status);
+  STRCMP_CONTAINS("\"execution\":\"not-run\"", refused.body.c_str());
+  CHECK_FALSE(deployment.Http().Succeeds(url + "/readyz"));
+  SetOutage(deployment, false);
+  CHECK_TRUE(deployment.WaitUntilReady(0));
+}
