--- a/servers/entry/token_piece.cpp
+++ b/servers/entry/token_piece.cpp
@@ -103,6 +103,9 @@
   piece.offset = (*extension)["offset"].get<std::uint32_t>();
   piece.finishReason = TextAt(choices->front(), "finish_reason");
   piece.text = TokenText(choices->front(), aChat);
+  if (!piece.finishReason.empty() && !piece.text.empty()) {
+    return tl::unexpected(PieceError{ "a finish carries a token" });
+  }
   piece.kind =
     piece.finishReason.empty() ? PieceKind::kToken : PieceKind::kFinish;
   return piece;
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -41,10 +41,14 @@
   StartStandIns();
   mEntries.resize(static_cast<std::size_t>(mOptions.hosts));
   mLedgers.resize(static_cast<std::size_t>(mOptions.hosts));
+  mStewards.resize(static_cast<std::size_t>(mOptions.hosts));
   for (int i = 0; i < mOptions.hosts; ++i) {
     if (mOptions.ledgers) {
       StartLedger(i);
     }
+    if (mOptions.stewards) {
+      StartSteward(i);
+    }
     StartEntry(i);
   }
   mUp = true;
@@ -166,22 +170,31 @@
   WaitFor([&] { return mHttp.Succeeds(PlatformUrl() + "/control"); });
 }
 
-void
-Deployment::StartEntry(int aHost)
+std::unique_ptr<ChildProcess>
+Deployment::StartDaemon(const std::string& aName, int aHost) const
 {
-  mEntries[aHost] = std::make_unique<ChildProcess>(ChildProcess::Options{
-    .program = "main/firefly-entry",
+  return std::make_unique<ChildProcess>(ChildProcess::Options{
+    .program = "main/" + aName,
     .arguments = { "--settings", mSettingsFile, "--host", HostName(aHost) },
     .output = {} });
 }
 
+void
+Deployment::StartEntry(int aHost)
+{
+  mEntries[aHost] = StartDaemon("firefly-entry", aHost);
+}
+
 void
 Deployment::StartLedger(int aHost)
 {
-  mLedgers[aHost] = std::make_unique<ChildProcess>(ChildProcess::Options{
-    .program = "main/firefly-ledger",
-    .arguments = { "--settings", mSettingsFile, "--host", HostName(aHost) },
-    .output = {} });
+  mLedgers[aHost] = StartDaemon("firefly-ledger", aHost);
+}
+
+void
+Deployment::StartSteward(int aHost)
+{
+  mStewards[aHost] = StartDaemon("firefly-steward", aHost);
 }
 
 bool
@@ -203,6 +216,12 @@
   return LoopbackUrl(mHostPorts[aHost].byName.at("entry_admin_port"));
 }
 
+std::string
+Deployment::StewardUrl(int aHost) const
+{
+  return LoopbackUrl(mHostPorts[aHost].byName.at("steward_admin_port"));
+}
+
 std::string
 Deployment::EngineUrl(int aIndex) const
 {
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -30,6 +30,7 @@
     int engines = 2;
     int services = 1;
     bool ledgers = false;
+    bool stewards = false;
     // Of each engine.
     std::string tokenMillis = "5";
     std::string slots = "8";
@@ -51,13 +52,15 @@
   // Base URLs.
   [[nodiscard]] std::string EntryUrl(int aHost) const;
   [[nodiscard]] std::string AdminUrl(int aHost) const;
+  [[nodiscard]] std::string StewardUrl(int aHost) const;
   [[nodiscard]] std::string EngineUrl(int aIndex) const;
   [[nodiscard]] std::string ServiceUrl(int aIndex) const;
   [[nodiscard]] std::string PlatformUrl() const;
 
-  // Starts an entry, or a ledger, again on the same ports.
+  // Starts a daemon, for the first time or again on the same ports.
   void StartEntry(int aHost);
   void StartLedger(int aHost);
+  void StartSteward(int aHost);
   bool WaitUntilReady(int aHost);
 
   // The sum of a counter over its series at one entry.
@@ -71,6 +74,8 @@
     std::map<std::string, std::uint16_t> byName;
   };
 
+  std::unique_ptr<ChildProcess> StartDaemon(const std::string& aName,
+                                            int aHost) const;
   void PickPorts();
   void StartStandIns();
   [[nodiscard]] std::string SettingsText() const;
@@ -87,6 +92,7 @@
   std::vector<std::unique_ptr<ChildProcess>> mEngines;
   std::vector<std::unique_ptr<ChildProcess>> mServices;
   std::vector<std::unique_ptr<ChildProcess>> mLedgers;
+  std::vector<std::unique_ptr<ChildProcess>> mStewards;
   std::vector<std::unique_ptr<ChildProcess>> mEntries;
   bool mUp = false;
 };
