--- /dev/null
+++ b/servers/entry/fleet_keeper.cpp
@@ -0,0 +1,117 @@
+#include "servers/entry/fleet_keeper.h"
+
+#include <utility>
+
+namespace firefly {
+
+namespace {
+
+policy::EngineRole
+ToEngineRole(BackendRole aRole)
+{
+  switch (aRole) {
+    case BackendRole::kPrefill:
+      return policy::EngineRole::kPrefill;
+    case BackendRole::kDecode:
+      return policy::EngineRole::kDecode;
+    default:
+      return policy::EngineRole::kMixed;
+  }
+}
+
+policy::EngineRole
+ToEngineRole(coord::BackendRole aRole)
+{
+  switch (aRole) {
+    case coord::BackendRole::kPrefill:
+      return policy::EngineRole::kPrefill;
+    case coord::BackendRole::kDecode:
+      return policy::EngineRole::kDecode;
+    default:
+      return policy::EngineRole::kMixed;
+  }
+}
+
+policy::BackendState
+ToBackendState(const std::string& aPlanState)
+{
+  if (aPlanState == "open") {
+    return policy::BackendState::kOpen;
+  }
+  return aPlanState == "out" ? policy::BackendState::kClosed
+                             : policy::BackendState::kDraining;
+}
+
+policy::Backend
+ToBackend(const BackendSettings& aSettings)
+{
+  policy::Backend backend;
+  backend.id = aSettings.id;
+  backend.domain = aSettings.domain;
+  backend.role = ToEngineRole(aSettings.role);
+  backend.capacity.slots = static_cast<std::uint32_t>(aSettings.slots);
+  if (aSettings.kind == BackendKind::kPlain) {
+    backend.kind = policy::BackendKind::kPlain;
+    backend.services = { aSettings.service };
+  } else if (!aSettings.models.empty()) {
+    backend.models = { aSettings.models.front() };
+  }
+  return backend;
+}
+
+} // namespace
+
+FleetKeeper::FleetKeeper(const Settings& aSettings)
+  : mSettings(aSettings)
+{
+  for (const auto& it : mSettings.backends) {
+    mView.Upsert(ToBackend(it));
+  }
+}
+
+void
+FleetKeeper::Apply(const coord::AuthorityState& aPlan)
+{
+  for (const auto& [id, entry] : aPlan.Plan()) {
+    ApplyEntry(id, entry);
+  }
+}
+
+void
+FleetKeeper::ApplyEntry(const BackendId& aId, const coord::PlanEntry& aEntry)
+{
+  const auto* settings = mSettings.FindBackend(aId);
+  if (settings == nullptr) {
+    return;
+  }
+  auto backend = ToBackend(*settings);
+  if (aEntry.serving && settings->kind == BackendKind::kEngine) {
+    backend.role = ToEngineRole(aEntry.serving->role);
+    backend.models = { aEntry.serving->model };
+  }
+  mView.Upsert(std::move(backend));
+  mPlanned[aId] = ToBackendState(aEntry.state);
+  SetState(aId);
+}
+
+void
+FleetKeeper::SetLeaving(std::set<BackendId> aLeaving)
+{
+  mLeaving = std::move(aLeaving);
+  for (const auto& it : mSettings.backends) {
+    SetState(it.id);
+  }
+}
+
+void
+FleetKeeper::SetState(const BackendId& aId)
+{
+  const auto it = mPlanned.find(aId);
+  auto state = it == mPlanned.end() ? policy::BackendState::kOpen : it->second;
+  if (state == policy::BackendState::kOpen && mLeaving.contains(aId)) {
+    state = policy::BackendState::kDraining;
+  }
+  mView.SetState(aId, state);
+}
+
+} // namespace firefly
