Change an engine's role under streams

Two hosts with an entry and a steward each, two engines, streams at both entries. The change of a role waits for the acknowledgements and for streams that run for 8 s: each answer came whole, the engine counted 1 order taken, 0 conflicting, 0 requests cut. A killed entry holds the change (0 orders while it is silent) until its successor speaks.

Switched off in scratch edits: with reports of running work and the engine's own ignored, the change cut streams (failed); with the missing acknowledgement ignored, the change went ahead of the silent entry (failed). A first form of both tests passed with the mechanisms off: its streams and its wait were shorter than a new holder's wait for reports.

--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -41,10 +41,14 @@
   StartStandIns();
   mEntries.resize(static_cast<std::size_t>(mOptions.hosts));
   mLedgers.resize(static_cast<std::size_t>(mOptions.hosts));
+  mStewards.resize(static_cast<std::size_t>(mOptions.hosts));
   for (int i = 0; i < mOptions.hosts; ++i) {
     if (mOptions.ledgers) {
       StartLedger(i);
     }
+    if (mOptions.stewards) {
+      StartSteward(i);
+    }
     StartEntry(i);
   }
   mUp = true;
@@ -184,6 +188,15 @@
     .output = {} });
 }
 
+void
+Deployment::StartSteward(int aHost)
+{
+  mStewards[aHost] = std::make_unique<ChildProcess>(ChildProcess::Options{
+    .program = "main/firefly-steward",
+    .arguments = { "--settings", mSettingsFile, "--host", HostName(aHost) },
+    .output = {} });
+}
+
 bool
 Deployment::WaitUntilReady(int aHost)
 {
@@ -215,6 +228,12 @@
   return LoopbackUrl(mServicePorts[aIndex]);
 }
 
+std::string
+Deployment::StewardUrl(int aHost) const
+{
+  return LoopbackUrl(mHostPorts[aHost].byName.at("steward_admin_port"));
+}
+
 std::string
 Deployment::PlatformUrl() const
 {
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -30,6 +30,7 @@
     int engines = 2;
     int services = 1;
     bool ledgers = false;
+    bool stewards = false;
     // Of each engine.
     std::string tokenMillis = "5";
     std::string slots = "8";
@@ -47,6 +48,7 @@
   [[nodiscard]] ChildProcess& Engine(int aIndex) { return *mEngines[aIndex]; }
   [[nodiscard]] ChildProcess& Platform() { return *mPlatform; }
   [[nodiscard]] ChildProcess& Ledger(int aHost) { return *mLedgers[aHost]; }
+  [[nodiscard]] ChildProcess& Steward(int aHost) { return *mStewards[aHost]; }
 
   // Base URLs.
   [[nodiscard]] std::string EntryUrl(int aHost) const;
@@ -54,10 +56,12 @@
   [[nodiscard]] std::string EngineUrl(int aIndex) const;
   [[nodiscard]] std::string ServiceUrl(int aIndex) const;
   [[nodiscard]] std::string PlatformUrl() const;
+  [[nodiscard]] std::string StewardUrl(int aHost) const;
 
   // Starts an entry, or a ledger, again on the same ports.
   void StartEntry(int aHost);
   void StartLedger(int aHost);
+  void StartSteward(int aHost);
   bool WaitUntilReady(int aHost);
 
   // The sum of a counter over its series at one entry.
@@ -88,6 +92,7 @@
   std::vector<std::unique_ptr<ChildProcess>> mServices;
   std::vector<std::unique_ptr<ChildProcess>> mLedgers;
   std::vector<std::unique_ptr<ChildProcess>> mEntries;
+  std::vector<std::unique_ptr<ChildProcess>> mStewards;
   bool mUp = false;
 };
 
--- /dev/null
+++ b/tests/process/planned_change_process_test.cpp
@@ -0,0 +1,157 @@
+// Planned changes of engines while entries serve streams.
+
+#include <chrono>
+#include <list>
+
+#include <nlohmann/json.hpp>
+
+#include "tests/process/deployment.h"
+#include "tests/stand_ins/engine/token_text.h"
+
+#include <CppUTest/TestHarness.h>
+
+using firefly::testing::Deployment;
+using firefly::testing::StreamedAnswer;
+using firefly::testing::StreamingCaller;
+using firefly::testing::TextOf;
+using firefly::testing::WaitFor;
+using nlohmann::json;
+
+namespace {
+
+constexpr int kHosts = 2;
+constexpr int kTokens = 120;
+// Streams that run longer than a new holder waits for reports.
+constexpr int kLongTokens = 1600;
+constexpr auto kLongerThanReportWait = std::chrono::seconds(5);
+constexpr int kStreamsAtOnce = 4;
+const std::string kPrompt = "the standing bylaws";
+
+} // namespace
+
+TEST_GROUP(PlannedChangeProcess)
+{
+  Deployment deployment{ { .hosts = kHosts, .engines = 2, .stewards = true } };
+  int leader = -1;
+
+  void setup() override
+  {
+    CHECK_TRUE(deployment.Up());
+    CHECK_TRUE(WaitFor([&] {
+      for (int i = 0; i < kHosts; ++i) {
+        leader = Fleet(i).value("leading", false) ? i : leader;
+      }
+      return leader >= 0;
+    }));
+  }
+
+  json Get(const std::string& aUrl)
+  {
+    const auto body = deployment.Http().Ask("GET", aUrl).body;
+    json answer = json::parse(body, nullptr, false);
+    return answer.is_object() ? answer : json::object();
+  }
+
+  json Fleet(int aHost)
+  {
+    return Get(deployment.StewardUrl(aHost) + "/fleet");
+  }
+
+  // The first engine in the leader's view.
+  json Engine()
+  {
+    for (const json& backend : Fleet(leader).value("backends", json::array())) {
+      if (backend.at("id") == "engine-1") {
+        return backend;
+      }
+    }
+    return json::object();
+  }
+
+  // What the engine itself counted.
+  std::uint64_t Count(const std::string& aName)
+  {
+    return Get(deployment.EngineUrl(0) + "/counts")
+      .at(aName)
+      .get<std::uint64_t>();
+  }
+
+  void OrderRole()
+  {
+    const auto answer =
+      deployment.Http().Ask("POST",
+                            deployment.StewardUrl(leader) + "/role/engine-1",
+                            R"({"role": "prefill"})");
+    LONGS_EQUAL(202, answer.status);
+  }
+
+  bool Changed()
+  {
+    const json engine = Engine();
+    return engine.value("state", "") == "open" &&
+           engine.value("role", "") == "prefill";
+  }
+
+  bool Waits(const std::string& aHost)
+  {
+    const json engine = Engine();
+    return engine.value("state", "") == "closing" &&
+           engine.value("waits_for", json::array()) == json::array({ aHost });
+  }
+
+  // Streams at so many entries; each answer must be whole.
+  void Serve(int aEntries)
+  {
+    std::list<StreamingCaller> callers;
+    for (int i = 0; i < kStreamsAtOnce; ++i) {
+      callers.emplace_back(deployment.EntryUrl(i % aEntries), kPrompt, kTokens);
+    }
+    for (StreamingCaller& caller : callers) {
+      const StreamedAnswer& answer = caller.Wait();
+      LONGS_EQUAL(200, answer.status);
+      CHECK_TRUE(answer.done);
+      STRCMP_EQUAL(TextOf(kPrompt, 0, kTokens).c_str(), answer.text.c_str());
+    }
+  }
+};
+
+TEST(PlannedChangeProcess, ChangeOfRoleCutsNoRequest)
+{
+  std::list<StreamingCaller> running;
+  for (int i = 0; i < kStreamsAtOnce; ++i) {
+    running.emplace_back(deployment.EntryUrl(i % kHosts), kPrompt, kLongTokens);
+    CHECK_TRUE(running.back().WaitForTokens(1));
+  }
+  OrderRole();
+  int rounds = 0;
+  do {
+    Serve(kHosts);
+    ++rounds;
+  } while (!Changed() && rounds < 200);
+  for (StreamingCaller& caller : running) {
+    CHECK_TRUE(caller.Wait().done);
+    STRCMP_EQUAL(TextOf(kPrompt, 0, kLongTokens).c_str(),
+                 caller.Wait().text.c_str());
+  }
+  CHECK_TRUE(Changed());
+  LONGS_EQUAL(0, Count("cut_by_change"));
+  LONGS_EQUAL(0, Count("orders_conflicting"));
+  LONGS_EQUAL(1, Count("orders_accepted"));
+}
+
+TEST(PlannedChangeProcess, SilentEntryHoldsTheChangeUntilItsSuccessorSpeaks)
+{
+  deployment.Entry(1).Kill();
+  OrderRole();
+  CHECK_TRUE(WaitFor([&] { return Waits("host-2"); }));
+  const auto end = std::chrono::steady_clock::now() + kLongerThanReportWait;
+  while (std::chrono::steady_clock::now() < end) {
+    Serve(1);
+  }
+  CHECK_TRUE(Waits("host-2"));
+  LONGS_EQUAL(0, Count("orders_accepted"));
+  deployment.StartEntry(1);
+  CHECK_TRUE(WaitFor([&] { return Changed(); }));
+  LONGS_EQUAL(1, Count("orders_accepted"));
+  LONGS_EQUAL(0, Count("cut_by_change"));
+}
