--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -53,12 +53,13 @@
   // Base URLs.
   [[nodiscard]] std::string EntryUrl(int aHost) const;
   [[nodiscard]] std::string AdminUrl(int aHost) const;
+  [[nodiscard]] std::string StewardUrl(int aHost) const;
   [[nodiscard]] std::string EngineUrl(int aIndex) const;
   [[nodiscard]] std::string ServiceUrl(int aIndex) const;
   [[nodiscard]] std::string PlatformUrl() const;
   [[nodiscard]] std::string StewardUrl(int aHost) const;
 
-  // Starts an entry, or a ledger, again on the same ports.
+  // Starts a daemon, for the first time or again on the same ports.
   void StartEntry(int aHost);
   void StartLedger(int aHost);
   void StartSteward(int aHost);
@@ -75,6 +76,8 @@
     std::map<std::string, std::uint16_t> byName;
   };
 
+  std::unique_ptr<ChildProcess> StartDaemon(const std::string& aName,
+                                            int aHost) const;
   void PickPorts();
   void StartStandIns();
   [[nodiscard]] std::string SettingsText() const;
@@ -91,6 +94,7 @@
   std::vector<std::unique_ptr<ChildProcess>> mEngines;
   std::vector<std::unique_ptr<ChildProcess>> mServices;
   std::vector<std::unique_ptr<ChildProcess>> mLedgers;
+  std::vector<std::unique_ptr<ChildProcess>> mStewards;
   std::vector<std::unique_ptr<ChildProcess>> mEntries;
   std::vector<std::unique_ptr<ChildProcess>> mStewards;
   bool mUp = false;
