--- a/tests/process/change_process_test.cpp
+++ b/tests/process/change_process_test.cpp
@@ -19,7 +19,8 @@
 namespace {
 
 constexpr int kHosts = 2;
-constexpr int kTokens = 300;
+// The streams outlast a new holder's wait for reports.
+constexpr int kTokens = 1600;
 constexpr std::size_t kMidway = 5;
 
 // The steward that leads, or -1.
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -197,15 +197,6 @@
   mStewards[aHost] = StartDaemon("firefly-steward", aHost);
 }
 
-void
-Deployment::StartSteward(int aHost)
-{
-  mStewards[aHost] = std::make_unique<ChildProcess>(ChildProcess::Options{
-    .program = "main/firefly-steward",
-    .arguments = { "--settings", mSettingsFile, "--host", HostName(aHost) },
-    .output = {} });
-}
-
 bool
 Deployment::WaitUntilReady(int aHost)
 {
@@ -243,12 +234,6 @@
   return LoopbackUrl(mServicePorts[aIndex]);
 }
 
-std::string
-Deployment::StewardUrl(int aHost) const
-{
-  return LoopbackUrl(mHostPorts[aHost].byName.at("steward_admin_port"));
-}
-
 std::string
 Deployment::PlatformUrl() const
 {
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -48,7 +48,6 @@
   [[nodiscard]] ChildProcess& Engine(int aIndex) { return *mEngines[aIndex]; }
   [[nodiscard]] ChildProcess& Platform() { return *mPlatform; }
   [[nodiscard]] ChildProcess& Ledger(int aHost) { return *mLedgers[aHost]; }
-  [[nodiscard]] ChildProcess& Steward(int aHost) { return *mStewards[aHost]; }
 
   // Base URLs.
   [[nodiscard]] std::string EntryUrl(int aHost) const;
@@ -57,7 +56,6 @@
   [[nodiscard]] std::string EngineUrl(int aIndex) const;
   [[nodiscard]] std::string ServiceUrl(int aIndex) const;
   [[nodiscard]] std::string PlatformUrl() const;
-  [[nodiscard]] std::string StewardUrl(int aHost) const;
 
   // Starts a daemon, for the first time or again on the same ports.
   void StartEntry(int aHost);
@@ -96,7 +94,6 @@
   std::vector<std::unique_ptr<ChildProcess>> mLedgers;
   std::vector<std::unique_ptr<ChildProcess>> mStewards;
   std::vector<std::unique_ptr<ChildProcess>> mEntries;
-  std::vector<std::unique_ptr<ChildProcess>> mStewards;
   bool mUp = false;
 };
 
