--- a/servers/burn/burn_program.cpp
+++ b/servers/burn/burn_program.cpp
@@ -37,7 +37,7 @@
 
 Examples:
   firefly-burn --settings settings/demo.toml --samples 3 --interval 1
-  firefly-burn --settings settings/demo.toml --record burn.jsonl --samples 720
+  firefly-burn --settings settings/demo.toml --record burn.jsonl --samples 1
   firefly-burn --settings settings/demo.toml --replay burn.jsonl --samples 0 --format html --output burn.html
 
 Exit codes:
--- a/servers/control/fleet_commands.cpp
+++ b/servers/control/fleet_commands.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 #include "servers/control/json_view.h"
 #include "servers/control/text_table.h"
@@ -151,27 +152,30 @@
   aOut << '\n' << table.Text();
 }
 
+// Limits hold over all entries, so that one line for each row is enough.
 void
 PrintLimits(std::ostream& aOut, const std::vector<Json>& aEntries)
 {
-  TextTable table({ "SERVICE",
-                    "REQUEST TYPE",
-                    "CUSTOMER",
-                    "MAX CONCURRENT",
-                    "RATE/S",
-                    "RUNNING",
-                    "ENTRY" });
+  using Key = std::tuple<std::string, std::string, std::string>;
+  std::map<Key, Json> rows;
   for (const auto& entry : aEntries) {
     for (const auto& it : ArrayOf(entry, "limits")) {
-      table.Add({ TextOf(it, "service"),
-                  TextOf(it, "request_type"),
-                  TextOf(it, "customer"),
-                  TextOf(it, "max_concurrent"),
-                  TextOf(it, "rate_per_second"),
-                  TextOf(it, "running"),
-                  TextOf(entry, "host") });
+      rows.try_emplace({ TextOf(it, "service"),
+                         TextOf(it, "request_type"),
+                         TextOf(it, "customer") },
+                       it);
     }
   }
+  TextTable table(
+    { "SERVICE", "REQUEST TYPE", "CUSTOMER", "MAX CONCURRENT", "RATE/S" });
+  for (const auto& [key, it] : rows) {
+    const auto& [service, type, customer] = key;
+    table.Add({ service,
+                type,
+                customer,
+                TextOf(it, "max_concurrent"),
+                TextOf(it, "rate_per_second") });
+  }
   const std::string text = table.Text();
   if (!text.empty()) {
     aOut << '\n' << text;
--- a/servers/metrics/metrics.h
+++ b/servers/metrics/metrics.h
@@ -114,7 +114,7 @@
   std::vector<std::string> labelNames = {};
   std::vector<double> bounds = {}; // of a histogram
   // Further label values share one series whose values are all "other".
-  std::size_t maxSeries = 512;
+  std::size_t maxSeries = 2048;
 };
 
 // The series of one metric by their label values.
