Let the steward change roles as the mix shifts

The role controller sees the plan and the sum of what the entries report, and its decisions become planned changes. It needs what an engine carries in each role: [engine_roles.*] in the settings; without them only operators change roles, since equal capacities would make each change look free.

--- a/main/firefly_steward.cpp
+++ b/main/firefly_steward.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "core/state_chart_loader.h"
+#include "policy/policy_set.h"
 #include "servers/http/http_client.h"
 #include "servers/log/log.h"
 #include "servers/platform/platform_options.h"
@@ -181,6 +182,58 @@
   std::vector<firefly::FleetChanges::Target> mTargets;
 };
 
+firefly::policy::BackendCapacity
+CapacityOf(const firefly::EngineRoleSettings& aRole)
+{
+  return { .prefillTokensPerSecond = aRole.promptTokensPerSecond,
+           .decodeTokensPerSecond = aRole.outputTokensPerSecond,
+           .slots = static_cast<std::uint32_t>(aRole.slots) };
+}
+
+firefly::policy::RoleCapacities
+CapacitiesOf(const std::vector<firefly::EngineRoleSettings>& aRoles)
+{
+  firefly::policy::RoleCapacities capacities;
+  for (const firefly::EngineRoleSettings& role : aRoles) {
+    switch (role.role) {
+      case firefly::BackendRole::kMixed:
+        capacities.mixed = CapacityOf(role);
+        break;
+      case firefly::BackendRole::kPrefill:
+        capacities.prefill = CapacityOf(role);
+        break;
+      case firefly::BackendRole::kDecode:
+        capacities.decode = CapacityOf(role);
+        break;
+    }
+  }
+  return capacities;
+}
+
+// Null if the settings leave changes of roles to the operators.
+std::unique_ptr<firefly::RolePlanner>
+MakePlanner(const firefly::Settings& aSettings)
+{
+  if (aSettings.engineRoles.empty()) {
+    return nullptr;
+  }
+  firefly::policy::CostRoleController::Options options;
+  options.capacities = CapacitiesOf(aSettings.engineRoles);
+  options.leastPayback = aSettings.steward.payback;
+  auto controller =
+    firefly::policy::MakeRoleController(aSettings.policyName, options);
+  if (!controller) {
+    return nullptr;
+  }
+  auto planner = std::make_unique<firefly::RolePlanner>(std::move(*controller));
+  for (const firefly::BackendSettings& backend : aSettings.backends) {
+    if (backend.kind == firefly::BackendKind::kEngine) {
+      planner->Add(backend.id, backend.domain, options.capacities);
+    }
+  }
+  return planner;
+}
+
 std::string
 ReadyReason(const firefly::StewardService& aService)
 {
@@ -212,6 +265,7 @@
     MakeOptions(aSettings, *charts, executor.WallNow()),
     { .log = log, .hostList = hosts, .store = store, .watchdog = watchdog });
   engines.AddTo(service);
+  service.SetPlanner(MakePlanner(aSettings));
   service.AddMetrics(metrics);
   firefly::StewardApi api(service, MakeApiOptions(aSettings));
   firefly::StatusServer status(
--- a/servers/settings/settings.cpp
+++ b/servers/settings/settings.cpp
@@ -24,6 +24,8 @@
   { "plain", BackendKind::kPlain },
 } };
 
+constexpr SettingRange<double> kTokenRates{ 1, 10'000'000 };
+
 constexpr std::array<SettingChoice<BackendRole>, 3> kBackendRoles{ {
   { "mixed", BackendRole::kMixed },
   { "prefill", BackendRole::kPrefill },
@@ -192,6 +194,33 @@
   return steward;
 }
 
+EngineRoleSettings
+ReadEngineRole(SectionReader aReader, BackendRole aRole)
+{
+  EngineRoleSettings role{
+    .role = aRole,
+    .promptTokensPerSecond =
+      aReader.Real("prompt_tokens_per_second", kTokenRates),
+    .outputTokensPerSecond =
+      aReader.Real("output_tokens_per_second", kTokenRates),
+    .slots = ReadCount(aReader, "slots", { 1, 100'000 }, 32),
+  };
+  aReader.Finish();
+  return role;
+}
+
+std::vector<EngineRoleSettings>
+ReadEngineRoles(SectionReader aReader)
+{
+  std::vector<EngineRoleSettings> roles;
+  for (const auto& it : kBackendRoles) {
+    roles.push_back(
+      ReadEngineRole(aReader.Section(std::string(it.word)), it.value));
+  }
+  aReader.Finish();
+  return roles;
+}
+
 PlatformSettings
 ReadPlatform(SectionReader aReader)
 {
@@ -376,6 +405,9 @@
   settings.log = ReadLog(root.Section("log"));
   settings.chartsDirectory = ReadCharts(root.Section("charts"), aOptions.file);
   settings.policyName = ReadPolicy(root.Section("policy"));
+  if (root.Has("engine_roles")) {
+    settings.engineRoles = ReadEngineRoles(root.Section("engine_roles"));
+  }
   for (auto& it : root.Sections("peers")) {
     settings.peers.push_back(ReadHost(it));
   }
--- a/servers/settings/settings.h
+++ b/servers/settings/settings.h
@@ -80,6 +80,22 @@
   Duration drainTimeout{}; // for running work to leave an engine
 };
 
+enum class BackendRole
+{
+  kMixed,
+  kPrefill,
+  kDecode,
+};
+
+// What each engine can carry in one role.
+struct EngineRoleSettings
+{
+  BackendRole role = BackendRole::kMixed;
+  double promptTokensPerSecond = 0;
+  double outputTokensPerSecond = 0;
+  std::size_t slots = 0; // requests at once
+};
+
 // The platform's services.
 struct PlatformSettings
 {
@@ -98,13 +114,6 @@
   kPlain,
 };
 
-enum class BackendRole
-{
-  kMixed,
-  kPrefill,
-  kDecode,
-};
-
 // One backend server.
 struct BackendSettings
 {
@@ -184,6 +193,8 @@
   LogSettings log;
   std::filesystem::path chartsDirectory;
   std::string policyName;
+  // One for each role, or none: then roles change by operators only.
+  std::vector<EngineRoleSettings> engineRoles;
   std::vector<HostSettings> peers; // seeds of the membership
   std::vector<BackendSettings> backends;
   std::vector<ServiceSettings> services;
--- a/tests/servers/settings/settings_test.cpp
+++ b/tests/servers/settings/settings_test.cpp
@@ -129,6 +129,22 @@
   STRCMP_EQUAL("POST", type->method.c_str());
 }
 
+TEST(SettingsTest, RolesOfEnginesAreAllGivenOrNone)
+{
+  const std::string rates = "prompt_tokens_per_second = 10.5\n"
+                            "output_tokens_per_second = 2\n";
+  const std::string two = kGood + "[engine_roles.mixed]\n" + rates +
+                          "[engine_roles.prefill]\n" + rates;
+  const auto faulty = Load(two);
+  CHECK_FALSE(faulty.has_value());
+  LONGS_EQUAL(2, faulty.error().lines.size());
+  const auto whole = Load(two + "[engine_roles.decode]\n" + rates);
+  CHECK_TRUE(whole.has_value());
+  LONGS_EQUAL(3, whole->engineRoles.size());
+  DOUBLES_EQUAL(10.5, whole->engineRoles[0].promptTokensPerSecond, 0);
+  CHECK_TRUE(Load(kGood)->engineRoles.empty());
+}
+
 TEST(SettingsTest, GivesEachFaultItsLine)
 {
   const std::vector<Fault> faults{
--- a/tests/servers/steward/fleet_changes_test.cpp
+++ b/tests/servers/steward/fleet_changes_test.cpp
@@ -6,6 +6,7 @@
 #include "coord/testing/fake_process.h"
 #include "core/state_chart_loader.h"
 #include "servers/steward/fleet_changes.h"
+#include "servers/steward/role_planner.h"
 #include "tests/servers/steward/fake_engine.h"
 
 #include <CppUTest/TestHarness.h>
@@ -58,6 +59,44 @@
   firefly::Executor& mExecutor;
 };
 
+// Wants the engine to prefill as long as it does not.
+class EagerController : public firefly::policy::RoleController
+{
+public:
+  std::vector<firefly::policy::RoleChange> Decide(
+    const firefly::policy::FleetView& aFleet,
+    const firefly::policy::FleetDemand& aDemand,
+    firefly::Instant /*aNow*/) override
+  {
+    promptTokens = aDemand.promptTokensPerSecond;
+    const auto* seen = aFleet.Find(kEngine);
+    const auto wanted = firefly::policy::EngineRole::kPrefill;
+    if (seen->state != firefly::policy::BackendState::kOpen ||
+        seen->role == wanted) {
+      return {};
+    }
+    return { { .backend = kEngine, .role = wanted } };
+  }
+
+  void OnStarted(const firefly::policy::RoleChange& /*aChange*/,
+                 firefly::Instant /*aNow*/) override
+  {
+    ++started;
+  }
+
+  void OnFinished(const BackendId& /*aBackend*/,
+                  firefly::Instant /*aNow*/) override
+  {
+    ++finished;
+  }
+
+  [[nodiscard]] firefly::Duration Payback() const override { return 10s; }
+
+  int started = 0;
+  int finished = 0;
+  double promptTokens = 0;
+};
+
 // A steward without sockets.
 class Candidate : private firefly::coord::LeaseObserver
 {
@@ -314,6 +353,28 @@
   CHECK_FALSE(first->changes.Leading());
 }
 
+TEST(FleetChangesTest, PlannerStartsTheControllersChangeOnce)
+{
+  Candidate steward(executor, log, engine, "s1");
+  Acquire(steward);
+  auto controller = std::make_unique<EagerController>();
+  const EagerController& watched = *controller;
+  firefly::RolePlanner planner(std::move(controller));
+  planner.Add(kEngine, firefly::DomainId("d"), {});
+  for (int i = 0; i < 30; ++i) {
+    planner.Plan(
+      steward.changes, { .promptTokensPerSecond = 7 }, executor.Now());
+    LONGS_EQUAL(engine.orders.empty() ? 0 : watched.finished, watched.finished);
+    executor.RunFor(1s);
+    ReportBoth(steward, 0);
+  }
+  CHECK(BackendRole::kPrefill == engine.state.role);
+  LONGS_EQUAL(1, engine.orders.size());
+  LONGS_EQUAL(1, watched.started);
+  LONGS_EQUAL(1, watched.finished);
+  DOUBLES_EQUAL(7, watched.promptTokens, 0);
+}
+
 TEST_GROUP(EntryReportsTest)
 {
   EntryReports reports;
