Ration hedges, retry a suspect apart from its own hedge

A suspect whose first attempt broke was released at once by its own error, so two suspects of one entry shared an engine and both were quarantined; and its hedge ran on beside other entries' suspects. Hedges have a budget of 2% of the traffic.

--- a/bench/run_result.cpp
+++ b/bench/run_result.cpp
@@ -62,6 +62,10 @@
   json["resumes"] = aRun.resumes;
   json["load_variation"] = Optional(aRun.loadVariation);
   json["prefix_hit_part"] = Optional(aRun.prefixHitPart);
+  json["phase_goodput_parts"] = Json::array();
+  for (const auto part : aRun.phaseGoodput) {
+    json["phase_goodput_parts"].push_back(Rounded(part));
+  }
   return json;
 }
 
--- a/bench/run_result.h
+++ b/bench/run_result.h
@@ -84,6 +84,8 @@
   // The part of prefix tokens that engines found in their caches.
   std::optional<double> prefixHitPart;
   std::vector<SecondOfRun> seconds;
+  // Goodput as a part of the offered worth, for each phase of the scenario.
+  std::vector<double> phaseGoodput;
 
   // One JSON object, the same bytes for the same values.
   [[nodiscard]] std::string ToJson() const;
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -766,6 +766,24 @@
   return arrivals;
 }
 
+void
+SumPhases(RunResult& aResult, const Scenario& aScenario)
+{
+  std::size_t second = 0;
+  Duration end{};
+  for (const auto& phase : aScenario.phases) {
+    end += phase.length;
+    double offered = 0;
+    double good = 0;
+    const auto last = static_cast<std::size_t>(ToSeconds(end));
+    for (; second < last && second < aResult.seconds.size(); ++second) {
+      offered += aResult.seconds[second].offeredWorth;
+      good += aResult.seconds[second].goodputWorth;
+    }
+    aResult.phaseGoodput.push_back(offered > 0 ? good / offered : 0);
+  }
+}
+
 } // namespace
 
 tl::expected<RunResult, std::string>
@@ -809,6 +827,7 @@
   }
   if (aOptions.policy == "clairvoyant") {
     FillClairvoyant(result, *deployment, arrivals);
+    SumPhases(result, *scenario);
     return result;
   }
   Simulation simulation(
@@ -817,6 +836,7 @@
     return tl::make_unexpected(prepared.error());
   }
   simulation.Run();
+  SumPhases(result, *scenario);
   return result;
 }
 
--- a/policy/policy_set.cpp
+++ b/policy/policy_set.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+// Hedges and resumes for each first attempt, and those that may be saved up.
+constexpr double kHedgeShare = 0.02;
+constexpr double kMostHedges = 4;
+
 const std::string kFirefly = "firefly";
 const std::string kRoundRobin = "round-robin";
 const std::string kLeastReportedLoad = "least-reported-load";
@@ -34,6 +38,8 @@
   set.estimator = std::make_unique<QuantileSizeEstimator>();
   set.limits = std::make_unique<SharedLimitKeeper>(
     SharedLimitKeeper::Options{ .self = aOptions.self });
+  set.hedges = std::make_unique<ShareRetryBudget>(
+    ShareRetryBudget::Options{ .share = kHedgeShare, .most = kMostHedges });
   set.queue = std::make_unique<WorthQueue>(WorthQueue::Options{
     .bound = aOptions.queueBound, .firstInFirstOut = !has("queue") });
   set.selector = std::make_unique<LearningSelector>(
@@ -73,6 +79,8 @@
   set.limits = std::make_unique<SharedLimitKeeper>(
     SharedLimitKeeper::Options{ .self = aOptions.self });
   set.admission = std::make_unique<PlainAdmission>();
+  set.hedges = std::make_unique<ShareRetryBudget>(
+    ShareRetryBudget::Options{ .share = kHedgeShare, .most = kMostHedges });
   set.queue = std::make_unique<WorthQueue>(WorthQueue::Options{
     .bound = aOptions.queueBound, .firstInFirstOut = true });
   set.retries = std::make_unique<UnboundedRetryBudget>();
--- a/policy/policy_set.h
+++ b/policy/policy_set.h
@@ -31,6 +31,8 @@
   std::unique_ptr<RequestQueue> queue;
   std::unique_ptr<BackendSelector> selector;
   std::unique_ptr<RetryBudget> retries;
+  // Hedges and resumes have a smaller share of the traffic.
+  std::unique_ptr<RetryBudget> hedges;
   std::unique_ptr<Hedger> hedger;
   std::unique_ptr<PoisonGuard> poison;
 };
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -108,6 +108,7 @@
     return;
   }
   mPolicies.retries->OnFirstAttempt();
+  mPolicies.hedges->OnFirstAttempt();
   Start(aRequest, *choice, false, aNow);
 }
 
@@ -207,10 +208,14 @@
     return;
   }
   EndAttempt(it->second, aAttempt, aError, aNow);
+  // Before the retry, which may make it the running suspect again.
+  if (mSuspectRunning == aId) {
+    mSuspectRunning = {};
+  }
   if (it->second.attempts.empty()) {
     Retry(aId, aError, aNow);
   }
-  ReleaseSuspect(aId, aNow);
+  PumpSuspects(aNow);
   Pump(aNow);
 }
 
@@ -231,6 +236,9 @@
     return;
   }
   aRequest.mayHaveRun = true;
+  // Its other attempt could crash a second backend server beside suspects of
+  // other entries; it is run again apart.
+  CancelOthers(aRequest, aAttempt, aNow);
   mPolicies.poison->OnCrash(
     aRequest.info.fingerprint, aRequest.delivered, attempt.dispatched, aNow);
 }
@@ -587,7 +595,7 @@
   }
   const auto choice =
     mPolicies.selector->Select(aRequest.info, query, mFleet, aNow);
-  if (!choice || !mPolicies.retries->TrySpend()) {
+  if (!choice || !mPolicies.hedges->TrySpend()) {
     return;
   }
   aRequest.hedged = true;
@@ -602,7 +610,7 @@
   query.excluded.push_back(aRequest.attempts.at(aAttempt).info.slot);
   const auto choice =
     mPolicies.selector->Select(aRequest.info, query, mFleet, aNow);
-  if (!choice || !mPolicies.retries->TrySpend()) {
+  if (!choice || !mPolicies.hedges->TrySpend()) {
     return;
   }
   aRequest.answering = {};
@@ -695,6 +703,7 @@
       continue;
     }
     mPolicies.retries->OnFirstAttempt();
+    mPolicies.hedges->OnFirstAttempt();
     Start(mRequests.at(next->requestId), *chosen, false, aNow);
   }
 }
--- a/policy/role_controller.h
+++ b/policy/role_controller.h
@@ -64,13 +64,13 @@
     // A change must gain so many times what it costs.
     double margin = 2.0;
     // The part of the fleet's work that is too little to act on.
-    double deadband = 0.03;
+    double deadband = 0.12;
     // A gain must have been there for so long.
-    Duration hold = std::chrono::seconds(2);
+    Duration hold = std::chrono::seconds(5);
     // No engine changes back, nor the fleet's direction, before this.
-    Duration leastPayback = std::chrono::seconds(10);
+    Duration leastPayback = std::chrono::seconds(20);
     // What demand is multiplied with, to keep room for bursts.
-    double headroom = 1.15;
+    double headroom = 1.0;
   };
 
   explicit CostRoleController(Options aOptions);
