--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -26,7 +26,7 @@
   // Leaves out stragglers, slowdowns and poison.
   bool calm = false;
   // Parts of "firefly" to leave out.
-  std::set<std::string> without;
+  std::set<std::string> without = {};
 };
 
 // Runs the scenario; the error is a line for the user.
--- a/policy/admission.cpp
+++ b/policy/admission.cpp
@@ -8,7 +8,7 @@
 
 // What one refused request raises the price by, and the part of requests that
 // may be refused for lateness without raising it.
-constexpr double kPriceStep = 0.03;
+constexpr double kPriceStep = 0.05;
 constexpr double kLatePart = 0.05;
 // The price's bounds, as parts of the usual worth of an engine second.
 constexpr double kLeastPrice = 0.1;
--- a/policy/backend_selector.cpp
+++ b/policy/backend_selector.cpp
@@ -128,7 +128,6 @@
   load.stragglers += aLane == Lane::kStraggler ? 1 : 0;
   load.prefillTokens += prompt - cached;
   load.lastDispatch = aNow;
-  RememberPrefix(aRequest);
   return { .slot = aChoice.slot,
            .prefillTokens = Tokens(prompt - cached),
            .expectedWait = aChoice.expectedWait,
@@ -323,8 +322,12 @@
   if (mOpen.empty()) {
     return;
   }
-  for (std::uint32_t i = 0; i < mOptions.randomCandidates; ++i) {
-    AddCandidate(mOpen[mRandom.Below(mOpen.size())]);
+  // The first steps of a shuffle: candidates that differ from each other.
+  const auto wanted =
+    std::min<std::size_t>(mOptions.randomCandidates, mOpen.size());
+  for (std::size_t i = 0; i < wanted; ++i) {
+    std::swap(mOpen[i], mOpen[i + mRandom.Below(mOpen.size() - i)]);
+    AddCandidate(mOpen[i]);
   }
   if (mOptions.useAffinity && !aRequest.prefixHashes.empty()) {
     AddHomes(aRequest, aQuery, aFleet);
@@ -437,7 +440,7 @@
 }
 
 void
-LearningSelector::RememberPrefix(const RequestInfo& aRequest)
+LearningSelector::OnArrival(const RequestInfo& aRequest)
 {
   ForRememberedDepths(aRequest.prefixHashes.size(), [&](std::size_t aDepth) {
     const auto hash = aRequest.prefixHashes[aDepth - 1];
@@ -519,6 +522,11 @@
            .hadFirstToken = false };
 }
 
+void
+RoundRobinSelector::OnArrival(const RequestInfo& /*aRequest*/)
+{
+}
+
 void
 RoundRobinSelector::OnFirstToken(AttemptInfo& aAttempt,
                                  Duration /*aWait*/,
--- a/policy/backend_selector.h
+++ b/policy/backend_selector.h
@@ -91,6 +91,9 @@
                                                    const FleetView& aFleet,
                                                    Instant aNow) = 0;
 
+  // A request arrived, whether it will run or not.
+  virtual void OnArrival(const RequestInfo& aRequest) = 0;
+
   // Prompt tokens of the request that some prefix cache is likely to hold.
   [[nodiscard]] virtual Tokens ExpectedCached(
     const RequestInfo& aRequest) const = 0;
@@ -179,6 +182,7 @@
                                            const SelectQuery& aQuery,
                                            const FleetView& aFleet,
                                            Instant aNow) override;
+  void OnArrival(const RequestInfo& aRequest) override;
   [[nodiscard]] Tokens ExpectedCached(
     const RequestInfo& aRequest) const override;
   AttemptInfo OnDispatch(const RequestInfo& aRequest,
@@ -260,7 +264,6 @@
                      const FleetView& aFleet,
                      BackendSlot aSlot);
   [[nodiscard]] KnownPrefix FindPrefix(const RequestInfo& aRequest) const;
-  void RememberPrefix(const RequestInfo& aRequest);
   void AddHomes(const RequestInfo& aRequest,
                 const SelectQuery& aQuery,
                 const FleetView& aFleet);
@@ -293,6 +296,7 @@
                                            const SelectQuery& aQuery,
                                            const FleetView& aFleet,
                                            Instant aNow) override;
+  void OnArrival(const RequestInfo& aRequest) override;
   [[nodiscard]] Tokens ExpectedCached(
     const RequestInfo& aRequest) const override;
   AttemptInfo OnDispatch(const RequestInfo& aRequest,
--- a/policy/policy_set.h
+++ b/policy/policy_set.h
@@ -48,7 +48,7 @@
   // Parts of "firefly" to replace by the plain ones: "admission", "queue",
   // "peers", "speed", "affinity", "lanes", "retry-budget", "hedge", "poison",
   // "roles".
-  std::set<std::string> without;
+  std::set<std::string> without = {};
 };
 
 // Why there is no policy set.
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -94,6 +94,7 @@
   }
   const auto cached = mPolicies.selector->ExpectedCached(aRequest.info);
   aRequest.engineSeconds = EngineSeconds(aRequest, cached);
+  mPolicies.selector->OnArrival(aRequest.info);
   CountDemand(aRequest, cached, aNow);
   const auto decision = mPolicies.admission->Decide(
     aRequest.info, Summarize(aRequest, choice), aNow);
@@ -309,18 +310,9 @@
 RequestRouter::Tick(Instant aNow)
 {
   ExpireQueue(aNow);
-  std::vector<RequestId> running;
-  for (const auto& [id, request] : mRequests) {
+  for (auto& [id, request] : mRequests) {
     if (!request.attempts.empty()) {
-      running.push_back(id);
-    }
-  }
-  // An order that doesn't hang on the hash table's.
-  std::sort(running.begin(), running.end());
-  for (const auto& id : running) {
-    const auto it = mRequests.find(id);
-    if (it != mRequests.end()) {
-      Watch(it->second, aNow);
+      Watch(request, aNow);
     }
   }
   PumpSuspects(aNow);
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -201,7 +201,8 @@
     double promptTokens = 0;
     double outputTokens = 0;
   };
-  using Requests = std::unordered_map<RequestId, Request>;
+  // Ordered, so that the same calls give the same orders everywhere.
+  using Requests = std::map<RequestId, Request>;
 
   [[nodiscard]] LoadSummary Summarize(
     const Request& aRequest,
--- /dev/null
+++ b/tests/policy/backend_selector_test.cpp
@@ -0,0 +1,149 @@
+#include "policy/backend_selector.h"
+
+#include <set>
+
+#include "tests/policy/fakes.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using firefly::BackendId;
+using firefly::HostId;
+using firefly::Instant;
+using firefly::Random;
+using firefly::policy::BackendSlot;
+using firefly::policy::BackendState;
+using firefly::policy::Choice;
+using firefly::policy::Digest;
+using firefly::policy::FleetView;
+using firefly::policy::Lane;
+using firefly::policy::LearningSelector;
+using firefly::policy::LeastReportedLoadSelector;
+using firefly::policy::SelectFailure;
+using firefly::policy::SelectQuery;
+using firefly::policy::test::MakeEngine;
+using firefly::policy::test::MakeRequest;
+
+namespace {
+
+FleetView
+MakeFleet(int aEngines)
+{
+  FleetView fleet;
+  for (int i = 0; i < aEngines; ++i) {
+    fleet.Upsert(MakeEngine("e" + std::to_string(i)));
+  }
+  return fleet;
+}
+
+} // namespace
+
+TEST_GROUP(BackendSelectorTest){};
+
+TEST(BackendSelectorTest, NeverTakesABackendThatIsNotOpen)
+{
+  Random random(11);
+  auto fleet = MakeFleet(9);
+  LearningSelector own;
+  LeastReportedLoadSelector plain;
+  for (int i = 0; i < 5000; ++i) {
+    const BackendId id("e" + std::to_string(random.Below(9)));
+    fleet.SetState(id, static_cast<BackendState>(random.Below(3)));
+    auto request = MakeRequest(std::to_string(i));
+    request.prefixHashes = { random.Below(20), random.Below(20) };
+    SelectQuery query;
+    query.excluded = { BackendSlot(
+      static_cast<std::uint32_t>(random.Below(9))) };
+    query.ignoreRoom = random.Chance(0.5);
+    const Instant now(i * 1ms);
+    for (auto* const selector :
+         { static_cast<firefly::policy::BackendSelector*>(&own),
+           static_cast<firefly::policy::BackendSelector*>(&plain) }) {
+      const auto choice = selector->Select(request, query, fleet, now);
+      if (choice) {
+        CHECK(fleet.At(choice->slot).state == BackendState::kOpen);
+        CHECK(choice->slot != query.excluded.front());
+      }
+    }
+  }
+}
+
+TEST(BackendSelectorTest, SaysWhyThereIsNoChoice)
+{
+  auto fleet = MakeFleet(1);
+  LearningSelector selector;
+  auto other = MakeRequest("r");
+  other.model = firefly::ModelId("unknown");
+  const auto none = selector.Select(other, {}, fleet, Instant{});
+  CHECK(none.error().failure == SelectFailure::kNoBackend);
+  const auto request = MakeRequest("r");
+  int dispatched = 0;
+  while (const auto choice = selector.Select(request, {}, fleet, Instant{})) {
+    selector.OnDispatch(request, *choice, Lane::kNormal, Instant{});
+    dispatched++;
+    CHECK(dispatched < 1000);
+  }
+  const auto full = selector.Select(request, {}, fleet, Instant{});
+  CHECK(full.error().failure == SelectFailure::kNoRoom);
+  CHECK(full.error().expectedWait > 0s);
+}
+
+TEST(BackendSelectorTest, AllEntriesSendAPrefixToTheSameHomes)
+{
+  const auto fleet = MakeFleet(12);
+  std::set<BackendId> chosen;
+  for (std::uint64_t entry = 0; entry < 9; ++entry) {
+    LearningSelector selector(LearningSelector::Options{ .seed = entry });
+    auto request = MakeRequest("r");
+    request.promptTokens = firefly::policy::Tokens(2000);
+    for (std::uint64_t i = 0; i < 30; ++i) {
+      request.prefixHashes.push_back(1000 + i);
+    }
+    selector.OnArrival(request);
+    chosen.insert(selector.Select(request, {}, fleet, Instant{})->backend);
+  }
+  CHECK(chosen.size() <= 2);
+}
+
+TEST(BackendSelectorTest, ASlowBackendLosesWeightAtOnceAndEarnsItBack)
+{
+  const auto fleet = MakeFleet(2);
+  LearningSelector selector;
+  const auto request = MakeRequest("r");
+  const auto choice = *selector.Select(request, {}, fleet, Instant{});
+  auto attempt = selector.OnDispatch(request, choice, Lane::kNormal, Instant{});
+  for (int i = 0; i < 3; ++i) {
+    selector.OnTokens(attempt, 140ms, Instant{});
+  }
+  CHECK(selector.SpeedOf(choice.slot) < 0.4);
+  // The other one is preferred now, whatever the random candidates.
+  for (int i = 0; i < 20; ++i) {
+    CHECK(selector.Select(request, {}, fleet, Instant{})->slot != choice.slot);
+  }
+  for (int i = 0; i < 100; ++i) {
+    selector.OnTokens(attempt, 20ms, Instant{});
+  }
+  CHECK(selector.SpeedOf(choice.slot) > 0.9);
+}
+
+TEST(BackendSelectorTest, PeersWorkCountsUntilTheyFallSilent)
+{
+  const auto fleet = MakeFleet(2);
+  LearningSelector selector;
+  Digest digest;
+  digest.host = HostId("peer");
+  digest.work = { { fleet.HashAt(BackendSlot(0)), 20, 30000, 1000 } };
+  selector.OnPeerDigest(digest, fleet, Instant(1s));
+  const auto request = MakeRequest("r");
+  for (int i = 0; i < 20; ++i) {
+    const auto choice = selector.Select(request, {}, fleet, Instant(1s));
+    CHECK(choice->slot == BackendSlot(1));
+  }
+  std::set<std::uint32_t> slots;
+  for (int i = 0; i < 40; ++i) {
+    const auto choice = selector.Select(request, {}, fleet, Instant(10s));
+    selector.OnDispatch(request, *choice, Lane::kNormal, Instant(10s));
+    slots.insert(choice->slot.Value());
+  }
+  LONGS_EQUAL(2, slots.size());
+}
--- /dev/null
+++ b/tests/policy/request_router_test.cpp
@@ -0,0 +1,254 @@
+#include "policy/request_router.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/random.h"
+#include "tests/policy/fakes.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using firefly::HostId;
+using firefly::Incarnation;
+using firefly::Instant;
+using firefly::Random;
+using firefly::RequestId;
+using firefly::ServiceId;
+using firefly::policy::AttemptError;
+using firefly::policy::AttemptNumber;
+using firefly::policy::BackendState;
+using firefly::policy::DispatchOrder;
+using firefly::policy::FailureReason;
+using firefly::policy::FleetView;
+using firefly::policy::LimitRow;
+using firefly::policy::MakePolicySet;
+using firefly::policy::Refusal;
+using firefly::policy::RefusalReason;
+using firefly::policy::RequestRouter;
+using firefly::policy::RouterSink;
+using firefly::policy::Tokens;
+using firefly::policy::test::MakeEngine;
+using firefly::policy::test::MakeRequest;
+
+namespace {
+
+// Remembers what the router asked for.
+class FakeSink : public RouterSink
+{
+public:
+  void Dispatch(const DispatchOrder& aOrder) override
+  {
+    orders.push_back(aOrder);
+    live.insert({ aOrder.requestId, aOrder.attempt });
+  }
+  void Cancel(const RequestId& aId, AttemptNumber aAttempt) override
+  {
+    live.erase({ aId, aAttempt });
+  }
+  void Refuse(const RequestId& aId, const Refusal& aRefusal) override
+  {
+    refused[aId] = aRefusal.reason;
+  }
+  void Fail(const RequestId& aId, FailureReason aReason) override
+  {
+    failed[aId] = aReason;
+  }
+
+  [[nodiscard]] int Dispatched(const RequestId& aId) const
+  {
+    return static_cast<int>(
+      std::count_if(orders.begin(), orders.end(), [&](const auto& aOrder) {
+        return aOrder.requestId == aId;
+      }));
+  }
+
+  std::vector<DispatchOrder> orders;
+  std::set<std::pair<RequestId, AttemptNumber>> live;
+  std::map<RequestId, RefusalReason> refused;
+  std::map<RequestId, FailureReason> failed;
+};
+
+} // namespace
+
+TEST_GROUP(RequestRouterTest)
+{
+  FleetView fleet;
+  FakeSink sink;
+
+  RequestRouter MakeRouter(int aEngines = 4)
+  {
+    for (int i = 0; i < aEngines; ++i) {
+      fleet.Upsert(MakeEngine("e" + std::to_string(i)));
+    }
+    auto policies = MakePolicySet("firefly", { .self = HostId("entry") });
+    return RequestRouter(
+      { .self = HostId("entry"), .incarnation = Incarnation(1) },
+      std::move(*policies),
+      fleet,
+      sink);
+  }
+};
+
+TEST(RequestRouterTest, AWorkThatMayNotBeRepeatedIsNotRunTwice)
+{
+  auto router = MakeRouter();
+  auto booking = MakeRequest("booking");
+  booking.idempotent = false;
+  router.OnArrival(booking, Instant{});
+  for (int i = 1; i < 200; ++i) {
+    router.Tick(Instant(i * 20ms));
+  }
+  LONGS_EQUAL(1, sink.orders.size());
+  router.OnError(
+    RequestId("booking"), AttemptNumber(1), AttemptError::kBroken, Instant(5s));
+  LONGS_EQUAL(1, sink.orders.size());
+  CHECK(sink.failed.at(RequestId("booking")) == FailureReason::kOutcomeUnknown);
+  LONGS_EQUAL(0, router.Live());
+}
+
+TEST(RequestRouterTest, WhatNeverArrivedIsSentElsewhere)
+{
+  auto router = MakeRouter();
+  auto booking = MakeRequest("booking");
+  booking.idempotent = false;
+  router.OnArrival(booking, Instant{});
+  router.OnError(RequestId("booking"),
+                 AttemptNumber(1),
+                 AttemptError::kNotSent,
+                 Instant(1ms));
+  LONGS_EQUAL(2, sink.orders.size());
+  CHECK(sink.orders[0].backend != sink.orders[1].backend);
+}
+
+TEST(RequestRouterTest, StalledTokensAreResumedElsewhereFromTheirOffset)
+{
+  auto router = MakeRouter();
+  const RequestId id("r");
+  router.OnArrival(MakeRequest("r"), Instant{});
+  CHECK_TRUE(router.OnFirstToken(id, AttemptNumber(1), Instant(50ms)));
+  router.OnTokens(id, AttemptNumber(1), Tokens(7), Instant(100ms));
+  router.Tick(Instant(5s));
+  LONGS_EQUAL(2, sink.orders.size());
+  LONGS_EQUAL(7, sink.orders[1].resumeFrom.Value());
+  CHECK(sink.orders[0].backend != sink.orders[1].backend);
+  // The old attempt's late tokens are not the caller's any more.
+  CHECK_FALSE(router.OnFirstToken(id, AttemptNumber(1), Instant(5s)));
+}
+
+TEST(RequestRouterTest, ALateFirstTokenIsHedgedOnceAndTheLoserCancelled)
+{
+  auto router = MakeRouter();
+  const RequestId id("r");
+  router.OnArrival(MakeRequest("r"), Instant{});
+  for (int i = 1; i < 100; ++i) {
+    router.Tick(Instant(i * 20ms));
+  }
+  LONGS_EQUAL(2, sink.orders.size());
+  CHECK_TRUE(sink.orders[1].isHedge);
+  CHECK_TRUE(router.OnFirstToken(id, AttemptNumber(2), Instant(3s)));
+  LONGS_EQUAL(1, sink.live.size());
+  CHECK(sink.live.begin()->second == AttemptNumber(2));
+}
+
+TEST(RequestRouterTest, SuspectsOfACrashAreRetriedOneByOne)
+{
+  auto router = MakeRouter();
+  for (const auto* const name : { "a", "b", "c" }) {
+    router.OnArrival(MakeRequest(name), Instant{});
+  }
+  sink.orders.clear();
+  for (const auto* const name : { "a", "b", "c" }) {
+    router.OnError(
+      RequestId(name), AttemptNumber(1), AttemptError::kBroken, Instant(10ms));
+  }
+  LONGS_EQUAL(1, sink.orders.size());
+  const RequestId id("a");
+  router.OnError(id, AttemptNumber(2), AttemptError::kBroken, Instant(20ms));
+  CHECK(sink.failed.at(id) == FailureReason::kQuarantined);
+  LONGS_EQUAL(2, sink.orders.size());
+  // The caller sends it again: refused, and truly not run.
+  router.OnArrival(MakeRequest("a"), Instant(1s));
+  CHECK(sink.refused.at(id) == RefusalReason::kQuarantined);
+  LONGS_EQUAL(0, sink.Dispatched(RequestId("a")) - 1);
+  // The innocent go on, one after the other.
+  router.OnFirstToken(RequestId("b"), AttemptNumber(2), Instant(1s));
+  router.OnTokens(RequestId("b"), AttemptNumber(2), Tokens(20), Instant(1s));
+  CHECK(sink.orders.back().requestId == RequestId("c"));
+}
+
+// Random arrivals, answers, errors and callers that leave: a refused request
+// was never dispatched, limits and bounds hold, and nothing is left behind.
+TEST(RequestRouterTest, HoldsItsPromisesOverRandomRuns)
+{
+  constexpr std::uint32_t kLimit = 40;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    Random random(seed);
+    fleet = FleetView{};
+    sink = FakeSink{};
+    auto router = MakeRouter();
+    LimitRow row;
+    row.service = ServiceId("assistant");
+    row.maxConcurrent = kLimit;
+    router.Configure({ row });
+    for (int step = 0; step < 3000; ++step) {
+      const Instant now(step * 10ms);
+      if (step < 2500) {
+        auto request = MakeRequest(std::to_string(step), now);
+        request.idempotent = random.Chance(0.7);
+        router.OnArrival(request, now);
+      }
+      if (random.Chance(0.02)) {
+        const auto state = static_cast<BackendState>(random.Below(3));
+        fleet.SetState(
+          firefly::BackendId("e" + std::to_string(random.Below(4))), state);
+      }
+      while (!sink.live.empty() && random.Chance(0.6)) {
+        auto it = sink.live.begin();
+        std::advance(it, random.Below(sink.live.size()));
+        const auto [id, attempt] = *it;
+        const auto choice = random.Below(10);
+        if (choice < 5) {
+          router.OnFirstToken(id, attempt, now);
+          router.OnTokens(id, attempt, Tokens(3), now);
+        } else if (choice < 8) {
+          sink.live.erase(it);
+          router.OnFinish(id, attempt, now);
+        } else if (choice < 9) {
+          sink.live.erase(it);
+          const auto error = static_cast<AttemptError>(random.Below(3));
+          router.OnError(id, attempt, error, now);
+        } else {
+          router.OnCallerGone(id, now);
+        }
+      }
+      router.Tick(now);
+      CHECK(router.Live() <= kLimit);
+      CHECK(router.Queued() <= router.Policies().queue->Bound());
+    }
+    for (int step = 3000; step < 3400 && router.Live() > 0; ++step) {
+      const Instant now(step * 10ms);
+      while (!sink.live.empty()) {
+        const auto [id, attempt] = *sink.live.begin();
+        sink.live.erase(sink.live.begin());
+        router.OnFinish(id, attempt, now);
+      }
+      router.Tick(now);
+    }
+    LONGS_EQUAL(0, router.Live());
+    std::map<RequestId, int> dispatched;
+    for (const auto& order : sink.orders) {
+      dispatched[order.requestId]++;
+    }
+    for (const auto& [id, reason] : sink.refused) {
+      if (reason != RefusalReason::kRetryBudget &&
+          reason != RefusalReason::kNoBackend) {
+        LONGS_EQUAL(0, dispatched[id]);
+      }
+    }
+    CHECK(sink.refused.size() > 10);
+  }
+}
