--- a/tests/process/process_harness.h
+++ b/tests/process/process_harness.h
@@ -59,8 +59,9 @@
   struct Options
   {
     std::filesystem::path program; // relative to the build directory
-    std::vector<std::string> arguments;
-    std::filesystem::path output; // gets stdout and stderr; empty drops them
+    std::vector<std::string> arguments = {};
+    std::filesystem::path
+      output = {}; // gets stdout and stderr; empty drops them
   };
 
   // Starts the process; Running() tells whether that worked.
@@ -105,6 +106,16 @@
   // Whether a GET gives status 200.
   bool Succeeds(const std::string& aUrl);
 
+  // Runs the executor until the condition holds; false when the limit is over.
+  bool RunUntil(const std::function<bool()>& aCondition,
+                std::chrono::seconds aLimit = kWaitLimit);
+
+  // Runs the executor for that time.
+  void RunFor(std::chrono::milliseconds aTime);
+
+  // Servers and clients of the test live on it while calls block.
+  AsioExecutor& Executor() { return mExecutor; }
+
 private:
   AsioExecutor mExecutor;
   CurlClient mClient{ mExecutor, {} };
