--- a/coord/booking_ledger.h
+++ b/coord/booking_ledger.h
@@ -33,7 +33,8 @@
 struct PermitRequest
 {
   BookingKey key{};
-  // Made anew by the entry for each try; never used for two calls.
+  // Made anew by the entry for each try: asked for once, at one ledger, and
+  // never used for two calls.
   AttemptId attempt{};
   RequestDigest digest{};
   // A permit is not given after this.
@@ -110,7 +111,7 @@
     Duration recordTimeout = std::chrono::seconds(60);
     std::size_t maxAnswerBytes = 2048;
     // With this many keys in memory no more permits are given.
-    std::size_t maxKeys = 100000;
+    std::size_t maxKeys = 60000;
     std::uint64_t seed = 1; // of the jitter
   };
 
--- a/coord/booking_state.cpp
+++ b/coord/booking_state.cpp
@@ -135,16 +135,15 @@
 {
   const auto over = mExecutor.Now() - mOptions.window;
   while (!mVisits.empty() && mVisits.front().at <= over) {
-    auto visit = std::move(mVisits.front());
+    const auto* key = mVisits.front().key;
     mVisits.pop_front();
-    const auto it = mKeys.find(visit.key);
+    const auto it = mKeys.find(*key);
     if (it->second.touched <= over) {
       mBytes -= Cost(it->first, it->second);
       mKeys.erase(it);
       continue;
     }
-    visit.at = it->second.touched;
-    mVisits.push_back(std::move(visit));
+    mVisits.push_back({ .at = it->second.touched, .key = key });
   }
 }
 
@@ -155,7 +154,7 @@
   const auto [it, added] = mKeys.try_emplace(aKey);
   it->second.touched = now;
   if (added) {
-    mVisits.push_back({ .at = now, .key = aKey });
+    mVisits.push_back({ .at = now, .key = &it->first });
   }
   return it->second;
 }
@@ -192,8 +191,7 @@
   if (aEntry.attempts.empty()) {
     return 0;
   }
-  // The key's text stands in the map and in the visits.
-  std::size_t bytes = kKeyOverhead + 2 * aKey.size();
+  std::size_t bytes = kKeyOverhead + aKey.size();
   for (const auto& it : aEntry.attempts) {
     bytes += sizeof(Attempt) + it.id.Value().size();
     bytes += it.outcome ? it.outcome->answer.size() : 0;
--- a/coord/booking_state.h
+++ b/coord/booking_state.h
@@ -40,7 +40,8 @@
 
 // The fold of one partition. A key is forgotten a window of time after its
 // last record was read here: at most one attempt of a key runs within that
-// window. The window must be shorter than the log's retention.
+// window. The window must be shorter than the log's retention, and longer than
+// any call runs.
 class BookingState : public Fold
 {
 public:
@@ -97,7 +98,7 @@
   struct Visit
   {
     Instant at;
-    std::string key{};
+    const std::string* key; // that of the map
   };
 
   static bool ApplyIntent(Entry& aEntry,
