--- a/servers/control/fleet_commands.cpp
+++ b/servers/control/fleet_commands.cpp
@@ -1,7 +1,11 @@
 #include "servers/control/fleet_commands.h"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
 #include <map>
+#include <set>
 #include <tuple>
 
 #include "servers/control/json_view.h"
@@ -44,20 +48,28 @@
 void
 PrintEntries(std::ostream& aOut, const std::vector<Json>& aEntries)
 {
-  TextTable table({ "ENTRY", "DOMAIN", "READY", "TABLE", "PLAN", "ALIVE" });
+  TextTable table({ "ENTRY",
+                    "DOMAIN",
+                    "READY",
+                    "TABLE",
+                    "PLAN",
+                    "ALIVE",
+                    "RUNNING",
+                    "WAITING" });
   for (const auto& it : aEntries) {
     const Json members = ArrayOf(it, "members");
     const auto alive = std::ranges::count_if(members, [](const Json& aMember) {
       return TextOf(aMember, "state") == "alive";
     });
     const bool draining = TextOf(it, "draining") == "yes";
-    table.Add(
-      { TextOf(it, "host"),
-        TextOf(it, "domain"),
-        draining ? "draining" : TextOf(it, "ready"),
-        TextOf(it, "table_version"),
-        TextOf(it, "plan_version"),
-        std::to_string(alive) + " of " + std::to_string(members.size()) });
+    table.Add({ TextOf(it, "host"),
+                TextOf(it, "domain"),
+                draining ? "draining" : TextOf(it, "ready"),
+                TextOf(it, "table_version"),
+                TextOf(it, "plan_version"),
+                std::to_string(alive) + " of " + std::to_string(members.size()),
+                TextOf(it, "running"),
+                TextOf(it, "waiting") });
   }
   aOut << table.Text();
 }
@@ -124,7 +136,7 @@
                 JoinArray(it.states),
                 TextOf(it.first, "role"),
                 TextOf(it.first, "model"),
-                Json(it.outstanding).dump(),
+                std::to_string(std::llround(it.outstanding)),
                 Json(it.weight).dump() });
   }
   aOut << '\n' << table.Text();
@@ -142,12 +154,15 @@
       sum.second += NumberOf(it, "running");
     }
   }
+  if (sums.empty()) {
+    return;
+  }
   TextTable table({ "SERVICE", "REQUEST TYPE", "WAITING", "RUNNING" });
   for (const auto& [key, sum] : sums) {
     table.Add({ key.first,
                 key.second,
-                std::to_string(static_cast<long>(sum.first)),
-                std::to_string(static_cast<long>(sum.second)) });
+                std::to_string(std::llround(sum.first)),
+                std::to_string(std::llround(sum.second)) });
   }
   aOut << '\n' << table.Text();
 }
@@ -229,6 +244,15 @@
   aOut << table.Text();
 }
 
+// Tenths of milliseconds.
+std::string
+FormatMillis(double aMillis)
+{
+  std::array<char, 32> buf{};
+  std::snprintf(buf.data(), buf.size(), "%.1f", aMillis);
+  return buf.data();
+}
+
 void
 PrintSteps(std::ostream& aOut, const Json& aRequest)
 {
@@ -239,7 +263,7 @@
        << ")\n";
   TextTable table({ "AT MS", "STEP", "BACKEND", "DETAIL" });
   for (const auto& it : ArrayOf(aRequest, "steps")) {
-    table.Add({ TextOf(it, "at_ms"),
+    table.Add({ FormatMillis(NumberOf(it, "at_ms")),
                 TextOf(it, "step"),
                 TextOf(it, "backend"),
                 TextOf(it, "detail") });
@@ -257,6 +281,27 @@
        << ")\n";
 }
 
+void
+PrintKnown(const ControlOptions& aOptions, const std::vector<Json>& aObjects)
+{
+  // The ledgers tell all entries the same of a booking: told once.
+  std::set<std::string> told;
+  for (const auto& it : aObjects) {
+    Json content = it;
+    content.erase("url");
+    if (!told.insert(DumpLine(content)).second) {
+      continue;
+    }
+    if (aOptions.format == OutputFormat::kJson) {
+      aOptions.out << DumpLine(it);
+    } else if (it.contains("steps")) {
+      PrintSteps(aOptions.out, it);
+    } else {
+      PrintBooking(aOptions.out, it);
+    }
+  }
+}
+
 } // namespace
 
 ExitCode
@@ -427,15 +472,7 @@
   }
   const auto known = ObjectsOf(others);
   PrintAway(mOptions.err, known.away);
-  for (const auto& it : known.objects) {
-    if (mOptions.format == OutputFormat::kJson) {
-      mOptions.out << DumpLine(it);
-    } else if (it.contains("steps")) {
-      PrintSteps(mOptions.out, it);
-    } else {
-      PrintBooking(mOptions.out, it);
-    }
-  }
+  PrintKnown(mOptions, known.objects);
   if (!known.objects.empty()) {
     return ExitCode::kOk;
   }
--- a/tests/servers/control/control_test.cpp
+++ b/tests/servers/control/control_test.cpp
@@ -22,7 +22,7 @@
 const bool kDocoptPrepared = PrepareDocopt();
 
 constexpr const char* kStatus = R"({"host":"h1","domain":"d1","ready":true,
-"draining":false,"table_version":3,"plan_version":7,
+"draining":false,"running":4,"waiting":1,"table_version":3,"plan_version":7,
 "members":[{"host":"h1","state":"alive"},
 {"host":"h2","domain":"d2","state":"suspect"}],
 "backends":[{"id":"e1","domain":"d1","state":"serving","role":"mixed",
@@ -77,15 +77,15 @@
         "http://s" });
   STRCMP_EQUAL("leader h1\n"
                "\n"
-               "ENTRY  DOMAIN  READY  TABLE  PLAN  ALIVE\n"
-               "h1     d1      yes    3      7     1 of 2\n"
+               "ENTRY  DOMAIN  READY  TABLE  PLAN  ALIVE   RUNNING  WAITING\n"
+               "h1     d1      yes    3      7     1 of 2  4        1\n"
                "\n"
                "MEMBER  DOMAIN  STATE    SEEN BY\n"
                "h2      d2      suspect  h1\n"
                "\n"
                "BACKEND  DOMAIN  STATE    ROLE   MODEL  OUTSTANDING  "
                "LEAST WEIGHT\n"
-               "e1       d1      serving  mixed  m      2.0          0.5\n"
+               "e1       d1      serving  mixed  m      2            0.5\n"
                "\n"
                "SERVICE  REQUEST TYPE  WAITING  RUNNING\n"
                "s        t             1        2\n"
@@ -179,7 +179,11 @@
                  200,
                  R"({"key":"k","state":"done","attempt":"a-1","status":200})");
   Run(ExitCode::kFailed, { "booking", "show", "k", "--entry=http://a" });
-  Run(ExitCode::kOk, { "booking", "show", "k", "--entry=http://a" });
+  fetcher.Answer("GET http://c/admin/bookings/k",
+                 200,
+                 R"({"key":"k","state":"done","attempt":"a-1","status":200})");
+  Run(ExitCode::kOk,
+      { "booking", "show", "k", "--entry=http://a", "--entry=http://c" });
   STRCMP_EQUAL("booking k: done, attempt a-1, status 200 (http://a)\n",
                out.str().c_str());
 }
