--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -94,6 +94,7 @@
   }
   const auto cached = mPolicies.selector->ExpectedCached(aRequest.info);
   aRequest.engineSeconds = EngineSeconds(aRequest, cached);
+  mPolicies.selector->OnArrival(aRequest.info);
   CountDemand(aRequest, cached, aNow);
   const auto decision = mPolicies.admission->Decide(
     aRequest.info, Summarize(aRequest, choice), aNow);
@@ -108,6 +109,7 @@
     return;
   }
   mPolicies.retries->OnFirstAttempt();
+  mPolicies.hedges->OnFirstAttempt();
   Start(aRequest, *choice, false, aNow);
 }
 
@@ -222,10 +224,14 @@
     return;
   }
   EndAttempt(it->second, aAttempt, aError, aNow);
+  // Before the retry, which may make it the running suspect again.
+  if (mSuspectRunning == aId) {
+    mSuspectRunning = {};
+  }
   if (it->second.attempts.empty()) {
     Retry(aId, aError, aNow);
   }
-  ReleaseSuspect(aId, aNow);
+  PumpSuspects(aNow);
   Pump(aNow);
 }
 
@@ -246,6 +252,9 @@
     return;
   }
   aRequest.mayHaveRun = true;
+  // Its other attempt could crash a second backend server beside suspects of
+  // other entries; it is run again apart.
+  CancelOthers(aRequest, aAttempt, aNow);
   mPolicies.poison->OnCrash(
     aRequest.info.fingerprint, aRequest.delivered, attempt.dispatched, aNow);
 }
@@ -316,18 +325,9 @@
 RequestRouter::Tick(Instant aNow)
 {
   ExpireQueue(aNow);
-  std::vector<RequestId> running;
-  for (const auto& [id, request] : mRequests) {
+  for (auto& [id, request] : mRequests) {
     if (!request.attempts.empty()) {
-      running.push_back(id);
-    }
-  }
-  // An order that doesn't hang on the hash table's.
-  std::sort(running.begin(), running.end());
-  for (const auto& id : running) {
-    const auto it = mRequests.find(id);
-    if (it != mRequests.end()) {
-      Watch(it->second, aNow);
+      Watch(request, aNow);
     }
   }
   PumpSuspects(aNow);
@@ -602,7 +602,7 @@
   }
   const auto choice =
     mPolicies.selector->Select(aRequest.info, query, mFleet, aNow);
-  if (!choice || !mPolicies.retries->TrySpend()) {
+  if (!choice || !mPolicies.hedges->TrySpend()) {
     return;
   }
   aRequest.hedged = true;
@@ -617,7 +617,7 @@
   query.excluded.push_back(aRequest.attempts.at(aAttempt).info.slot);
   const auto choice =
     mPolicies.selector->Select(aRequest.info, query, mFleet, aNow);
-  if (!choice || !mPolicies.retries->TrySpend()) {
+  if (!choice || !mPolicies.hedges->TrySpend()) {
     return;
   }
   aRequest.answering = {};
@@ -710,6 +710,7 @@
       continue;
     }
     mPolicies.retries->OnFirstAttempt();
+    mPolicies.hedges->OnFirstAttempt();
     Start(mRequests.at(next->requestId), *chosen, false, aNow);
   }
 }
