--- a/servers/settings/settings.cpp
+++ b/servers/settings/settings.cpp
@@ -213,6 +213,7 @@
 ReadEngineRoles(SectionReader aReader)
 {
   std::vector<EngineRoleSettings> roles;
+  roles.reserve(kBackendRoles.size());
   for (const auto& it : kBackendRoles) {
     roles.push_back(
       ReadEngineRole(aReader.Section(std::string(it.word)), it.value));
