--- a/servers/burn/burn_history.cpp
+++ b/servers/burn/burn_history.cpp
@@ -20,6 +20,14 @@
   });
 }
 
+// When the process started.
+WallTime
+StartOf(const EntrySample& aSample)
+{
+  return WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(
+    FromSeconds(aSample.startTime)));
+}
+
 // The share of the step's time that lies between the two times.
 double
 Overlap(WallTime aStepFrom, WallTime aStepTo, WallTime aFrom, WallTime aTo)
@@ -60,6 +68,9 @@
   const auto last = mLast.find(aSample.url);
   if (last != mLast.end()) {
     AddSteps(last->second, aTime, aSample);
+  } else if (StartOf(aSample) > *mBegin && StartOf(aSample) < aTime) {
+    // It started after the first snapshot: all it counted is known.
+    AddSteps({ StartOf(aSample), {} }, aTime, aSample);
   }
   for (const auto& [key, counters] : aSample.counters) {
     mSteps.try_emplace(key);
--- a/servers/settings/section_reader.cpp
+++ b/servers/settings/section_reader.cpp
@@ -1,5 +1,6 @@
 #include "servers/settings/section_reader.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <sstream>
 
@@ -40,13 +41,23 @@
   return (plain || secure) && aText.find_first_of(" \t?#") == std::string::npos;
 }
 
+bool
+IsControl(char aChar)
+{
+  const auto byte = static_cast<unsigned char>(aChar);
+  return byte < 0x20 || byte == 0x7f;
+}
+
 } // namespace
 
 void
 SettingProblems::Add(unsigned aLine, const std::string& aText)
 {
   const std::string place = aLine == 0 ? "" : ":" + std::to_string(aLine);
-  mLines.push_back(mFile + place + ": " + aText);
+  std::string line = mFile + place + ": " + aText;
+  // A quoted value may hold line breaks; a fault stays one line.
+  std::ranges::replace_if(line, IsControl, '?');
+  mLines.push_back(std::move(line));
 }
 
 SectionReader::SectionReader(const SettingValue* aValue,
--- a/tests/servers/burn/burn_history_test.cpp
+++ b/tests/servers/burn/burn_history_test.cpp
@@ -71,6 +71,23 @@
   STRCMP_EQUAL("", history.Entries().at("a").error.c_str());
 }
 
+TEST(BurnHistoryTest, AnEntryThatStartedMeanwhileCountsFromItsStart)
+{
+  const EntrySample away{ .url = "a", .error = "refused", .counters = {} };
+  history.Add(AtMinute(0, { away }));
+  history.Add(AtMinute(10, { Counted("a", { .inTime = 30 }, 4 * 60) }));
+  DOUBLES_EQUAL(0, Between(0, 4).inTime, 1e-9);
+  DOUBLES_EQUAL(30, Between(4, 10).inTime, 1e-9);
+}
+
+TEST(BurnHistoryTest, AnEntryOfBeforeTheFirstSnapshotCountsFromItsFirstSample)
+{
+  const EntrySample away{ .url = "a", .error = "refused", .counters = {} };
+  history.Add(AtMinute(5, { away }));
+  history.Add(AtMinute(10, { Counted("a", { .inTime = 30 }, 60) }));
+  DOUBLES_EQUAL(0, Between(0, 10).inTime, 1e-9);
+}
+
 TEST(BurnHistoryTest, OldSnapshotsChangeNothing)
 {
   history.Add(AtMinute(5, { Counted("a", { .inTime = 10 }) }));
--- a/tests/servers/settings/settings_test.cpp
+++ b/tests/servers/settings/settings_test.cpp
@@ -183,6 +183,10 @@
       "kind = \"gpu\"",
       ":12: [[backends]] kind: \"gpu\" is not allowed; must be one of "
       "\"engine\" \"plain\"" },
+    { "kind = \"engine\"",
+      "kind = \"a\\nb\"",
+      ":12: [[backends]] kind: \"a?b\" is not allowed; must be one of "
+      "\"engine\" \"plain\"" },
     { "models = [\"m\"]",
       "models = [1]",
       ":15: [[backends]] models: 1 is not allowed; must be an array of "
