Give the frozen holder's test room on a slow machine

It stopped the holder 450 ms into an order that takes two calls of 300 ms to the log: a stall of 150 ms of the test itself would have let the order go out before the stop and failed the test. Now it stops 100 ms into two calls of 500 ms.

--- a/tests/process/steward_process_test.cpp
+++ b/tests/process/steward_process_test.cpp
@@ -102,11 +102,11 @@
   engine.immediate = true;
   OrderRole(0);
   CHECK_TRUE(Wait([&] { return FleetShows(0, R"("state":"draining")"); }));
-  // The holder is stopped while the intent of its order is in the log and the
-  // answer is on its way to it.
-  deployment.Control(R"({"delay_ms": 300})");
+  // The holder is stopped while the intent of its order is on its way to the
+  // log: with two calls to the slow log still before it, it can't have sent.
+  deployment.Control(R"({"delay_ms": 500})");
   CHECK_TRUE(Wait([&] { return FleetShows(0, R"("state":"ordering")"); }));
-  deployment.http.RunFor(450ms);
+  deployment.http.RunFor(100ms);
   holder.Freeze();
   deployment.Control(R"({"delay_ms": 0})");
   const std::size_t before = engine.orders.size();
