--- a/main/firefly_bench.cpp
+++ b/main/firefly_bench.cpp
@@ -8,6 +8,7 @@
 #include <docopt/docopt.h>
 
 #include "bench/compare.h"
+#include "bench/decision_cost.h"
 #include "bench/html_report.h"
 #include "bench/simulation.h"
 #include "policy/policy_set.h"
@@ -30,6 +31,7 @@
   firefly-bench compare [--seeds N] [--entries N] [--scenario NAME]
                     [--deployment NAME] [--ablation] [--strict]
                     [--format FORMAT]
+  firefly-bench cost [--backends N] [--entries N] [--format FORMAT]
   firefly-bench (-h | --help)
   firefly-bench --version
 
@@ -47,6 +49,7 @@
                      bound [default: 0.6].
   --calm             Leaves out stragglers, slowdowns and poison.
   --without PARTS    Parts of firefly to leave out, with commas between.
+  --backends N       Backend servers for "cost" [default: 600].
   --ablation         Compares firefly with itself without each of its parts.
   --strict           Exit code 1 if a stated target is missed.
   --format FORMAT    text or json; "compare" also html [default: text].
@@ -57,6 +60,9 @@
   firefly-bench run --scenario crest --seed 7 --format json
   firefly-bench run --scenario shift --without roles,affinity
   firefly-bench compare --seeds 5 --format html > compare.html
+  firefly-bench cost --backends 600 --entries 370
+
+"cost" measures wall time on this machine; all else runs on a virtual clock.
 
 Exit codes:
   0  done
@@ -172,6 +178,26 @@
   return strict && !hit ? kExitTargetMissed : kExitOk;
 }
 
+int
+ShowCost(const Arguments& aArguments)
+{
+  firefly::bench::CostOptions options;
+  options.backends =
+    static_cast<std::uint32_t>(NumberOf(aArguments, "--backends"));
+  options.entries =
+    static_cast<std::uint32_t>(NumberOf(aArguments, "--entries"));
+  if (options.backends == 0 || options.entries == 0) {
+    return Complain("--backends and --entries must be positive");
+  }
+  const auto format = aArguments.at("--format").asString();
+  if (format != "text" && format != "json") {
+    return Complain("unknown format '" + format + "'");
+  }
+  const auto cost = firefly::bench::MeasureCost(options);
+  std::cout << (format == "json" ? cost.ToJson() : cost.ToText());
+  return kExitOk;
+}
+
 } // namespace
 
 int
@@ -180,6 +206,9 @@
   try {
     const auto arguments = docopt::docopt_parse(
       kUsage, { aValues + 1, aValues + aCount }, true, true);
+    if (arguments.at("cost").asBool()) {
+      return ShowCost(arguments);
+    }
     return arguments.at("run").asBool() ? RunOne(arguments)
                                         : CompareAll(arguments);
   } catch (const docopt::DocoptExitHelp&) {
