--- a/bench/compare.cpp
+++ b/bench/compare.cpp
@@ -109,6 +109,25 @@
   return json;
 }
 
+// The bound runs no engines, so it has no tails.
+bool
+HasTails(const Cell& aCell)
+{
+  return aCell.policy != kClairvoyant;
+}
+
+std::string
+ShownTail(const Cell& aCell, const Spread& aTail)
+{
+  return HasTails(aCell) ? Shown(aTail) : "-";
+}
+
+Json
+TailObject(const Cell& aCell, const Spread& aTail)
+{
+  return HasTails(aCell) ? ToObject(aTail) : Json(nullptr);
+}
+
 // Runs and gathers all that a comparison needs.
 class Comparer
 {
@@ -470,8 +489,8 @@
                         cell.scenario,
                         name,
                         Shown(cell.GoodputPart()),
-                        Shown(cell.FirstTokenP99()),
-                        Shown(cell.ShortP99()),
+                        ShownTail(cell, cell.FirstTokenP99()),
+                        ShownTail(cell, cell.ShortP99()),
                         Shown(cell.RoleChanges(), "{:.0f}"));
   }
   if (!curve.empty()) {
@@ -504,8 +523,8 @@
     item["policy"] = cell.policy;
     item["without"] = cell.without;
     item["goodput_part"] = ToObject(cell.GoodputPart());
-    item["first_token_p99_s"] = ToObject(cell.FirstTokenP99());
-    item["short_p99_s"] = ToObject(cell.ShortP99());
+    item["first_token_p99_s"] = TailObject(cell, cell.FirstTokenP99());
+    item["short_p99_s"] = TailObject(cell, cell.ShortP99());
     item["role_changes"] = ToObject(cell.RoleChanges());
     json["cells"].push_back(item);
   }
--- a/policy/backend_selector.cpp
+++ b/policy/backend_selector.cpp
@@ -119,7 +119,7 @@
 LearningSelector::OnDispatch(const RequestInfo& aRequest,
                              const Choice& aChoice,
                              Lane aLane,
-                             Instant aNow)
+                             Instant /*aNow*/)
 {
   auto& load = LoadAt(aChoice.slot);
   const auto prompt = aRequest.promptTokens.Value();
@@ -127,7 +127,6 @@
   load.requests++;
   load.stragglers += aLane == Lane::kStraggler ? 1 : 0;
   load.prefillTokens += prompt - cached;
-  load.lastDispatch = aNow;
   return { .slot = aChoice.slot,
            .prefillTokens = Tokens(prompt - cached),
            .expectedWait = aChoice.expectedWait,
--- a/policy/backend_selector.h
+++ b/policy/backend_selector.h
@@ -162,8 +162,6 @@
     double stragglerSlots = 0.5;
     // ... and the part that only short work may take.
     double shortReserve = 0.1;
-    // A slow backend server that got nothing for this long is probed.
-    Duration probeAfter = std::chrono::seconds(1);
     // A peer whose digest is older no longer counts.
     Duration peerMemory = std::chrono::seconds(3);
     // Prefix blocks remembered.
@@ -227,7 +225,6 @@
     // Sums over the peers' digests.
     PeerWork peers;
     double speed = 1.0;
-    Instant lastDispatch{};
   };
   struct Peer
   {
