Guard the lease whatever the engines check

Cause: the steward armed its kernel timer only if some engine did not check fencing numbers. Ruled out: reaching each engine with the new number before anything else; it leaves the time until then open, and engines that are away. Conclusion: no switch; checks_fencing stays in the settings as what operators say of their engines.

--- a/main/firefly_steward.cpp
+++ b/main/firefly_steward.cpp
@@ -1,6 +1,5 @@
 // firefly-steward: a candidate for the fleet's one authority.
 
-#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <list>
@@ -53,13 +52,6 @@
                  .backend = std::move(*backend) };
 }
 
-bool
-IsUnchecking(const firefly::BackendSettings& aBackend)
-{
-  return aBackend.kind == firefly::BackendKind::kEngine &&
-         !aBackend.checksFencing;
-}
-
 // Unsent bytes of an order are dropped by the kernel so long after they were
 // written; a challenger waits longer.
 firefly::Duration
@@ -98,7 +90,6 @@
   options.link.address = aSettings.host.address;
   options.link.port = aSettings.host.stewardLinkPort;
   options.planInterval = steward.planInterval;
-  options.guarded = std::ranges::any_of(aSettings.backends, IsUnchecking);
   for (const firefly::HostSettings& peer : aSettings.peers) {
     options.hosts.insert(peer.id);
   }
--- a/servers/steward/steward_service.cpp
+++ b/servers/steward/steward_service.cpp
@@ -100,12 +100,11 @@
 }
 
 // Moves the end of the process to the end of the lease as it is confirmed now.
+// Engines that check fencing numbers need it too: until the new holder has
+// reached one, it takes an older number.
 bool
 StewardService::Guard()
 {
-  if (!mOptions.guarded) {
-    return true;
-  }
   return mParts.watchdog.Arm(mLease.ValidUntil() + mOptions.watchdogSlack);
 }
 
--- a/servers/steward/steward_service.h
+++ b/servers/steward/steward_service.h
@@ -29,9 +29,6 @@
     coord::OrderJournal::Options journal;
     FleetChanges::Options changes;
     LinkServer::Options link;
-    // Whether some engine does not check fencing numbers: then the watchdog
-    // guards the lease.
-    bool guarded = true;
     // The watchdog ends the process so long after the lease's own end, so
     // that a lease that lapses in a running process is stepped down from in
     // order. Less than the lease's margin.
--- a/tests/process/control_deployment.cpp
+++ b/tests/process/control_deployment.cpp
@@ -6,8 +6,9 @@
 
 namespace firefly::testing {
 
-ControlDeployment::ControlDeployment(std::size_t aHosts)
-  : mHosts(aHosts)
+ControlDeployment::ControlDeployment(std::size_t aHosts, bool aChecksFencing)
+  : mChecksFencing(aChecksFencing)
+  , mHosts(aHosts)
 {
   mPlatform = std::make_unique<ChildProcess>(ChildProcess::Options{
     .program = "tests/stand_ins/platform/firefly-standin-platform",
@@ -42,7 +43,8 @@
        << "[[backends]]\n"
        << "id = \"engine\"\ndomain = \"domain\"\nkind = \"engine\"\n"
        << "url = \"" << LoopbackUrl(mEnginePort) << "\"\n"
-       << "checks_fencing = false\nrole = \"mixed\"\n"
+       << "checks_fencing = " << (mChecksFencing ? "true" : "false")
+       << "\nrole = \"mixed\"\n"
        << "models = [\"model\"]\nslots = 8\nkv_pieces = 2000\n"
        << "[[services]]\n"
        << "id = \"assistant\"\nkind = \"model\"\nmodel = \"model\"\n"
--- a/tests/process/control_deployment.h
+++ b/tests/process/control_deployment.h
@@ -16,7 +16,7 @@
 {
 public:
   // Writes the settings and starts the platform's stand-in.
-  explicit ControlDeployment(std::size_t aHosts);
+  explicit ControlDeployment(std::size_t aHosts, bool aChecksFencing = false);
 
   // Starts a daemon of the host with that index; the host's earlier one of
   // that kind must have ended.
@@ -58,6 +58,7 @@
   std::unique_ptr<ChildProcess> Start(const std::string& aProgram,
                                       std::size_t aHost);
 
+  bool mChecksFencing;
   TemporaryDirectory mDirectory;
   std::uint16_t mPlatformPort = FreePort();
   std::uint16_t mEnginePort = FreePort();
--- a/tests/process/steward_process_test.cpp
+++ b/tests/process/steward_process_test.cpp
@@ -125,6 +125,23 @@
   LONGS_EQUAL(0, engine.conflicts);
 }
 
+// An engine that checks takes an old number until the new holder reached it.
+TEST(StewardProcessTest, FrozenHolderDiesThoughItsEngineChecksFencing)
+{
+  ControlDeployment checking(kHosts, true);
+  ChildProcess& holder = checking.StartSteward(0);
+  const auto leads = [&](std::size_t aHost) {
+    return checking.http.RunUntil([&] { return checking.Leads(aHost); });
+  };
+  CHECK_TRUE(leads(0));
+  checking.StartSteward(1);
+  holder.Freeze();
+  CHECK_TRUE(leads(1));
+  holder.Resume();
+  CHECK_TRUE(checking.http.RunUntil([&] { return !holder.Running(); }));
+  CHECK_TRUE(holder.EndedBySignal(SIGALRM));
+}
+
 TEST(StewardProcessTest, OrderOfAKilledHolderIsSettledNotRepeated)
 {
   ChildProcess& holder = StartBoth();
