--- a/servers/settings/settings.cpp
+++ b/servers/settings/settings.cpp
@@ -170,7 +170,6 @@
     .partitions = static_cast<std::uint32_t>(
       aReader.Integer("partitions", { 1, 4'096 }, 16)),
     .batchInterval = aReader.Millis("batch_interval_ms", kShortMillis, 5),
-    .maxBatch = ReadCount(aReader, "max_batch", { 1, 10'000 }, 256),
     .permitTimeout = aReader.Millis("permit_timeout_ms", kShortMillis, 3'000),
     .window = ReadHours(aReader, "window_hours", 24),
   };
--- a/servers/settings/settings.h
+++ b/servers/settings/settings.h
@@ -63,7 +63,6 @@
 {
   std::uint32_t partitions = 0;
   Duration batchInterval{};
-  std::size_t maxBatch = 0; // records an append
   Duration permitTimeout{};
   Duration window{}; // for which a key is remembered
 };
