Show each backend server's last order

Ruled out: the order's wanted state in the table; role and model are shown, and an order under way is the column CHANGE. Conclusion: last_order names the order and its fencing number.

--- a/servers/control/fleet_commands.cpp
+++ b/servers/control/fleet_commands.cpp
@@ -214,6 +214,17 @@
   aOut << '\n' << (text.empty() ? "no bookings of unknown outcome\n" : text);
 }
 
+// The newest order as its number under a fencing number.
+std::string
+OrderText(const Json& aBackend)
+{
+  const auto order = aBackend.find("last_order");
+  if (order == aBackend.end() || !order->is_object()) {
+    return "-";
+  }
+  return TextOf(*order, "id") + " under " + TextOf(*order, "fence");
+}
+
 void
 PrintFleet(std::ostream& aOut, const Json& aLeader)
 {
@@ -229,6 +240,7 @@
                     "ADAPTER",
                     "CHANGE",
                     "RUNNING",
+                    "LAST ORDER",
                     "WAITS FOR" });
   for (const auto& it : ArrayOf(aLeader, "backends")) {
     table.Add({ TextOf(it, "id"),
@@ -239,6 +251,7 @@
                 TextOf(it, "adapter"),
                 TextOf(it, "change"),
                 TextOf(it, "in_flight"),
+                OrderText(it),
                 JoinArray(ArrayOf(it, "waits_for")) });
   }
   aOut << table.Text();
--- a/servers/steward/fleet_changes.cpp
+++ b/servers/steward/fleet_changes.cpp
@@ -474,6 +474,10 @@
     status.state = entry == nullptr ? kOpen : entry->state;
     status.serving = ServingOf(work);
     status.inFlight = mReports.InFlight(id);
+    if (entry != nullptr) {
+      status.lastOrder = entry->lastOrder;
+      status.lastFence = entry->lastFence;
+    }
     if (work.change) {
       status.change = work.change->kind;
     }
--- a/servers/steward/fleet_changes.h
+++ b/servers/steward/fleet_changes.h
@@ -61,6 +61,9 @@
   std::optional<ChangeKind> change;
   std::vector<HostId> waitsFor; // entries that have not acknowledged
   std::uint64_t inFlight = 0;   // by the entries' reports
+  // The newest order in the log; id zero: there was none.
+  coord::OrderId lastOrder;
+  FencingNumber lastFence;
 };
 
 class FleetChanges
--- a/servers/steward/steward_api.cpp
+++ b/servers/steward/steward_api.cpp
@@ -42,6 +42,11 @@
   for (const HostId& host : aStatus.waitsFor) {
     waits.push_back(host.Value());
   }
+  json order;
+  if (aStatus.lastOrder != coord::OrderId()) {
+    order = { { "id", aStatus.lastOrder.Value() },
+              { "fence", aStatus.lastFence.Value() } };
+  }
   return {
     { "id", aStatus.id.Value() },
     { "state", aStatus.state },
@@ -50,6 +55,7 @@
     { "version", aStatus.serving.modelVersion },
     { "adapter", aStatus.serving.adapter },
     { "change", aStatus.change ? json(NameOf(*aStatus.change)) : json() },
+    { "last_order", std::move(order) },
     { "waits_for", std::move(waits) },
     { "in_flight", aStatus.inFlight },
   };
--- a/tests/servers/control/control_test.cpp
+++ b/tests/servers/control/control_test.cpp
@@ -38,7 +38,7 @@
 "holder":{"host":"h1","fence":12},"plan_version":40,
 "backends":[{"id":"e1","state":"draining","role":"mixed","model":"m",
 "version":"2","adapter":"","change":"order","in_flight":3,
-"waits_for":["h3"]}]})";
+"last_order":{"id":2,"fence":12},"waits_for":["h3"]}]})";
 
 } // namespace
 
@@ -117,9 +117,9 @@
   STRCMP_EQUAL("leader h1, fencing number 12, plan 40\n"
                "\n"
                "BACKEND  STATE     ROLE   MODEL  VERSION  ADAPTER  CHANGE  "
-               "RUNNING  WAITS FOR\n"
+               "RUNNING  LAST ORDER  WAITS FOR\n"
                "e1       draining  mixed  m      2        -        order   "
-               "3        h3\n",
+               "3        2 under 12  h3\n",
                out.str().c_str());
 }
 
