Keep a suspect apart until its own run has ended

A suspect that crashed an engine was put into the queue of suspects, started as the running one, and released in the same call: the next suspect then ran beside it on the same engine. When that one was the poison, the first crashed a second time and was quarantined, so that an innocent request lost its answer. Its earlier run is now taken back before the retry.

The stand-in engine holds back its stream when its reader is slow: without that it kept 150000 tokens in memory, fell behind for longer than the stall timeout, and the test of the slow caller could not tell whether the entry held it back.

--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -223,9 +223,13 @@
   }
   EndAttempt(it->second, aAttempt, aError, aNow);
   if (it->second.attempts.empty()) {
+    // Before the retry, which may make it the running suspect again.
+    if (mSuspectRunning == aId) {
+      mSuspectRunning = {};
+    }
     Retry(aId, aError, aNow);
   }
-  ReleaseSuspect(aId, aNow);
+  PumpSuspects(aNow);
   Pump(aNow);
 }
 
--- a/tests/stand_ins/engine/engine.cpp
+++ b/tests/stand_ins/engine/engine.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t kBytesPerToken = 4;
 // Execution counts are kept for so many ids.
 constexpr std::size_t kMaxCountedIds = 100000;
+// A stream whose reader is slow waits in steps of this length.
+constexpr std::size_t kMaxUnsentBytes = 65536;
+constexpr Duration kHoldBack = std::chrono::milliseconds(5);
 constexpr int kCrashExitCode = 70;
 
 HttpResponse
@@ -215,6 +218,10 @@
   if (ApplyFaults(aJob)) {
     return;
   }
+  if (aJob->responder->Unsent() > kMaxUnsentBytes) {
+    aJob->timer = mExecutor.RunAfter(kHoldBack, [this, aJob] { Step(aJob); });
+    return;
+  }
   if (aJob->next >= aJob->request.maxTokens) {
     End(aJob);
     return;
