Count the attempts at each backend server, whatever the policy

The report to the stewards took its counts from the selector's digest, which the baseline policies leave empty: under them a planned change could have overtaken a request on its way. Gauges of running and waiting requests follow the state chart.

--- a/servers/entry/booking_task.cpp
+++ b/servers/entry/booking_task.cpp
@@ -198,6 +198,7 @@
   mRunner = std::make_unique<PlainCallRunner>(
     *mContext.client,
     MakePlainCall(mCall, backend->url, mContext.settings->entry, true),
+    mContext.outstanding->Begin(aOrder.backend),
     [weak = weak_from_this(), number](Result aResult) {
       if (const auto self = weak.lock()) {
         self->OnResult(number, std::move(aResult));
--- a/servers/entry/entry_server.cpp
+++ b/servers/entry/entry_server.cpp
@@ -228,15 +228,7 @@
     EntryReport report{ .host = mSettings.host.id,
                         .incarnation = mIncarnation,
                         .planVersion = mPlan->Version(),
-                        .inFlight = {} };
-    const auto& fleet = mFleet.View();
-    const auto outstanding = OwnOutstanding(router, fleet, now);
-    for (const auto& it : fleet.All()) {
-      const auto own = outstanding.find(fleet.HashAt(fleet.SlotOf(it.id)));
-      if (own != outstanding.end() && own->second > 0) {
-        report.inFlight[it.id] = own->second;
-      }
-    }
+                        .inFlight = mOutstanding.Running() };
     for (const auto& it : router.MakeDigest(now).models) {
       report.promptTokensPerSecond += it.promptTokensPerSecond;
       report.outputTokensPerSecond += it.outputTokensPerSecond;
@@ -260,6 +252,7 @@
                                .client = &mClient,
                                .dispatcher = mDispatcher.get(),
                                .metrics = &mMetrics,
+                               .outstanding = &mOutstanding,
                                .settings = &mSettings,
                                .life = { .chart = &*mRequestChart,
                                          .executor = &mExecutor,
@@ -287,7 +280,8 @@
                    mTable->ServeSnapshot(*aResponder);
                  });
     mAdmin.Serve("status", [this](const HttpRequest&, const auto& aResponder) {
-      aResponder->Send({ .headers = {}, .body = MakeStatusReport(Parts()) });
+      aResponder->Send(
+        { .headers = {}, .body = MakeStatusReport(Parts(), mMetrics) });
     });
     mAdmin.Serve("bookings",
                  [this](const HttpRequest& aRequest, const auto& aResponder) {
@@ -308,6 +302,7 @@
              .fleet = &mFleet.View(),
              .router = &mDispatcher->Router(),
              .bookings = &mBook,
+             .outstanding = &mOutstanding,
              .now = mExecutor.Now() };
   }
 
@@ -421,6 +416,7 @@
   EntryMetrics mMetrics;
   TraceBook mTraces;
   BookingBook mBook;
+  OutstandingAttempts mOutstanding;
   CurlClient mClient;
   HttpLogClient mLogClient;
   HostListClient mHostList;
--- a/servers/entry/lookup_task.cpp
+++ b/servers/entry/lookup_task.cpp
@@ -62,6 +62,7 @@
   mAttempts[number] = std::make_unique<PlainCallRunner>(
     *mContext.client,
     MakePlainCall(mCall, backend->url, mContext.settings->entry, fresh),
+    mContext.outstanding->Begin(aOrder.backend),
     [weak = weak_from_this(), number](Result aResult) {
       if (const auto self = weak.lock()) {
         self->OnResult(number, std::move(aResult));
--- a/servers/entry/model_request_task.cpp
+++ b/servers/entry/model_request_task.cpp
@@ -98,6 +98,7 @@
       .emplace(number,
                Attempt{ .backend = aOrder.backend,
                         .id = extension.requestId,
+                        .token = mContext.outstanding->Begin(aOrder.backend),
                         .transfer = nullptr,
                         .reader = {},
                         .checker = AnswerChecker(extension.requestId,
--- a/servers/entry/model_request_task.h
+++ b/servers/entry/model_request_task.h
@@ -40,6 +40,7 @@
   {
     BackendId backend;
     std::string id; // at the engine
+    OutstandingAttempts::Token token;
     HttpTransferPtr transfer;
     SseReader reader;
     AnswerChecker checker;
--- a/servers/entry/plain_call_runner.cpp
+++ b/servers/entry/plain_call_runner.cpp
@@ -38,8 +38,10 @@
 
 PlainCallRunner::PlainCallRunner(HttpClient& aClient,
                                  HttpCall aCall,
+                                 OutstandingAttempts::Token aToken,
                                  Callback aCallback)
-  : mCallback(std::move(aCallback))
+  : mToken(std::move(aToken))
+  , mCallback(std::move(aCallback))
 {
   mTransfer = aClient.Stream(
     std::move(aCall),
--- a/servers/entry/plain_call_runner.h
+++ b/servers/entry/plain_call_runner.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "servers/entry/caller_request.h"
+#include "servers/entry/outstanding_attempts.h"
 #include "servers/http/http_client.h"
 
 namespace firefly {
@@ -23,11 +24,15 @@
 public:
   using Callback = std::function<void(tl::expected<HttpResult, HttpError>)>;
 
-  PlainCallRunner(HttpClient& aClient, HttpCall aCall, Callback aCallback);
+  PlainCallRunner(HttpClient& aClient,
+                  HttpCall aCall,
+                  OutstandingAttempts::Token aToken,
+                  Callback aCallback);
   PlainCallRunner(const PlainCallRunner&) = delete;
   PlainCallRunner& operator=(const PlainCallRunner&) = delete;
 
 private:
+  OutstandingAttempts::Token mToken;
   Callback mCallback;
   HttpResult mResult;
   HttpTransferPtr mTransfer;
--- a/servers/entry/request_life.cpp
+++ b/servers/entry/request_life.cpp
@@ -17,6 +17,19 @@
   mTrace->requestType = mType->name.Value();
   mTrace->arrival = mOptions.executor->Now();
   mOptions.traces->Add(mTrace);
+  CountState(1);
+}
+
+// Adds to the gauge of the state that the request is in.
+void
+RequestLife::CountState(double aAmount)
+{
+  if (IsOver()) {
+    return;
+  }
+  auto& gauges =
+    Is("queued") ? mOptions.metrics->queueLength : mOptions.metrics->running;
+  gauges.With({ mTrace->service, mTrace->requestType }).Add(aAmount);
 }
 
 void
@@ -24,9 +37,11 @@
                   const std::string& aBackend,
                   const std::string& aDetail)
 {
+  CountState(-1);
   if (!mMachine.Fire(aEvent)) {
     mOptions.metrics->wrongTransitions.With({ "request" }).Add();
   }
+  CountState(1);
   Note(aEvent, aBackend, aDetail);
 }
 
--- a/servers/entry/request_life.h
+++ b/servers/entry/request_life.h
@@ -54,6 +54,7 @@
   void EndBooking(const std::string& aOutcome);
 
 private:
+  void CountState(double aAmount);
   void Note(const std::string& aStep,
             const std::string& aBackend,
             const std::string& aDetail = {});
--- a/servers/entry/request_task.h
+++ b/servers/entry/request_task.h
@@ -8,6 +8,7 @@
 #include "core/executor.h"
 #include "policy/request_router.h"
 #include "servers/entry/entry_metrics.h"
+#include "servers/entry/outstanding_attempts.h"
 #include "servers/entry/request_life.h"
 #include "servers/http/http_client.h"
 #include "servers/settings/settings.h"
@@ -42,6 +43,7 @@
   HttpClient* client = nullptr;
   Dispatcher* dispatcher = nullptr;
   EntryMetrics* metrics = nullptr;
+  OutstandingAttempts* outstanding = nullptr;
   const Settings* settings = nullptr;
   RequestLife::Options life;
 };
--- a/servers/entry/status_report.cpp
+++ b/servers/entry/status_report.cpp
@@ -39,14 +39,30 @@
   return "gone";
 }
 
-policy::Digest
-OwnWork(const policy::RequestRouter& aRouter,
-        const policy::FleetView& aFleet,
-        Instant aNow)
+std::uint64_t
+OutstandingAt(const StatusParts& aParts, const BackendId& aBackend)
 {
+  const auto& running = aParts.outstanding->Running();
+  const auto it = running.find(aBackend);
+  return it == running.end() ? 0 : it->second;
+}
+
+// The speed that a backend server has shown, 1 being its usual one; 1 while
+// nothing of this entry runs there.
+double
+WeightOf(const StatusParts& aParts, const policy::Backend& aBackend)
+{
+  constexpr double kPermille = 1000;
   policy::Digest digest;
-  aRouter.Policies().selector->FillDigest(digest, aFleet, aNow);
-  return digest;
+  const auto& fleet = *aParts.fleet;
+  const auto hash = fleet.HashAt(fleet.SlotOf(aBackend.id));
+  aParts.router->Policies().selector->FillDigest(digest, fleet, aParts.now);
+  for (const auto& it : digest.work) {
+    if (it.backend == hash) {
+      return it.speedPermille / kPermille;
+    }
+  }
+  return 1;
 }
 
 Json
@@ -71,28 +87,19 @@
 Json
 BackendsOf(const StatusParts& aParts)
 {
-  const auto work = OwnWork(*aParts.router, *aParts.fleet, aParts.now);
   Json backends = Json::array();
   for (const auto& it : aParts.fleet->All()) {
     Json backend{ { "id", it.id.Value() },
                   { "domain", it.domain.Value() },
                   { "state", NameOf(it.state) },
-                  { "outstanding", 0 },
-                  { "weight", 1.0 } };
+                  { "outstanding", OutstandingAt(aParts, it.id) },
+                  { "weight", WeightOf(aParts, it) } };
     const bool engine = it.kind == policy::BackendKind::kEngine;
     backend["kind"] = engine ? "engine" : "plain";
     if (engine) {
       backend["role"] = policy::ToString(it.role);
       backend["model"] = it.models.empty() ? "" : it.models.front().Value();
     }
-    const auto hash = aParts.fleet->HashAt(aParts.fleet->SlotOf(it.id));
-    for (const auto& own : work.work) {
-      if (own.backend == hash) {
-        constexpr double kPermille = 1000;
-        backend["outstanding"] = own.requests;
-        backend["weight"] = own.speedPermille / kPermille;
-      }
-    }
     backends.push_back(std::move(backend));
   }
   return backends;
@@ -111,6 +118,22 @@
   return bookings;
 }
 
+// Waiting and running requests, of the types that had any.
+Json
+QueuesOf(const EntryMetrics& aMetrics)
+{
+  Json queues = Json::array();
+  for (const auto& [labels, gauge] : aMetrics.running.Series()) {
+    const auto waiting = aMetrics.queueLength.Series().find(labels);
+    const bool none = waiting == aMetrics.queueLength.Series().end();
+    queues.push_back({ { "service", labels.at(0) },
+                       { "request_type", labels.at(1) },
+                       { "waiting", none ? 0 : waiting->second->Value() },
+                       { "running", gauge->Value() } });
+  }
+  return queues;
+}
+
 // Each request type's running requests, and its limits under the table.
 void
 AddRequestTypes(const StatusParts& aParts, Json& aReport)
@@ -142,20 +165,8 @@
 
 } // namespace
 
-std::map<std::uint64_t, std::uint32_t>
-OwnOutstanding(const policy::RequestRouter& aRouter,
-               const policy::FleetView& aFleet,
-               Instant aNow)
-{
-  std::map<std::uint64_t, std::uint32_t> outstanding;
-  for (const auto& it : OwnWork(aRouter, aFleet, aNow).work) {
-    outstanding[it.backend] = it.requests;
-  }
-  return outstanding;
-}
-
 std::string
-MakeStatusReport(const StatusParts& aParts)
+MakeStatusReport(const StatusParts& aParts, const EntryMetrics& aMetrics)
 {
   const auto& host = aParts.settings->host;
   Json report{ { "host", host.id.Value() },
@@ -167,10 +178,8 @@
                { "plan_version", aParts.plan.Value() },
                { "members", MembersOf(aParts) },
                { "backends", BackendsOf(aParts) },
-               { "queues", Json::array() },
+               { "queues", QueuesOf(aMetrics) },
                { "unknown_bookings", BookingsOf(*aParts.bookings) } };
-  report["waiting"] = aParts.router->Queued();
-  report["running"] = aParts.router->Live() - aParts.router->Queued();
   AddRequestTypes(aParts, report);
   return report.dump();
 }
@@ -193,12 +202,10 @@
   const auto& router = *aParts.router;
   aMetrics.quarantined.With({}).Set(static_cast<double>(
     router.Policies().poison->Quarantined(aParts.now).size()));
-  const auto outstanding = OwnOutstanding(router, *aParts.fleet, aParts.now);
   for (const auto& it : aParts.fleet->All()) {
-    const auto hash = aParts.fleet->HashAt(aParts.fleet->SlotOf(it.id));
-    const auto own = outstanding.find(hash);
-    aMetrics.backendOutstanding.With({ it.id.Value() })
-      .Set(own == outstanding.end() ? 0 : own->second);
+    const auto own = static_cast<double>(OutstandingAt(aParts, it.id));
+    aMetrics.backendOutstanding.With({ it.id.Value() }).Set(own);
+    aMetrics.backendWeight.With({ it.id.Value() }).Set(WeightOf(aParts, it));
   }
 }
 
--- a/servers/entry/status_report.h
+++ b/servers/entry/status_report.h
@@ -2,7 +2,6 @@
 
 // The entry's state for operators, as docs/OPERATIONS.md shapes it.
 
-#include <map>
 #include <string>
 #include <vector>
 
@@ -11,6 +10,7 @@
 #include "policy/request_router.h"
 #include "servers/entry/booking_book.h"
 #include "servers/entry/entry_metrics.h"
+#include "servers/entry/outstanding_attempts.h"
 #include "servers/settings/settings.h"
 #include "servers/table/table_admin.h"
 
@@ -30,21 +30,16 @@
   const policy::FleetView* fleet = nullptr;
   const policy::RequestRouter* router = nullptr;
   const BookingBook* bookings = nullptr;
+  const OutstandingAttempts* outstanding = nullptr;
   Instant now{};
 };
 
 // The body of GET /admin/status.
 std::string
-MakeStatusReport(const StatusParts& aParts);
+MakeStatusReport(const StatusParts& aParts, const EntryMetrics& aMetrics);
 
 // Sets the gauges that follow from the same parts.
 void
 SetStatusGauges(const StatusParts& aParts, EntryMetrics& aMetrics);
 
-// This entry's own attempts at each backend server, by the hash of its id.
-std::map<std::uint64_t, std::uint32_t>
-OwnOutstanding(const policy::RequestRouter& aRouter,
-               const policy::FleetView& aFleet,
-               Instant aNow);
-
 } // namespace firefly
