--- a/tests/process/table_process_test.cpp
+++ b/tests/process/table_process_test.cpp
@@ -123,7 +123,11 @@
     "POST", deployment.EntryUrl(0) + "/services/desk/lookup");
   LONGS_EQUAL(503, refused.status);
   STRCMP_CONTAINS("\"execution\":\"not-run\"", refused.body.c_str());
-  CHECK_FALSE(deployment.Http().Succeeds(url + "/readyz"));
+  // Longer than an entry waits for anything else at its start.
+  const auto ready = [&] {
+    return deployment.Http().Succeeds(url + "/readyz");
+  };
+  CHECK_FALSE(WaitFor(ready, std::chrono::seconds(7)));
   SetOutage(deployment, false);
   CHECK_TRUE(deployment.WaitUntilReady(0));
 }
