Report the plan to the leader alone; two descriptors a stream; linger by setting

Cause: each entry reported each second to every steward, so messages grew with the square of the hosts (370 entries: 136,900 a second; now 370). The HTTP client kept a duplicate of each of curl's sockets, so a stream took three descriptors and 20,000 ran out near 6,600 streams. Ruled out: a duplicate closed early (asio must watch the socket that curl closes; it lets go of it now when curl wants no more events). Descriptors at many streams are measured next. Conclusion: unready_grace_ms, 5 s unless set, with its clash check.

--- a/servers/entry/entry_server.cpp
+++ b/servers/entry/entry_server.cpp
@@ -33,7 +33,6 @@
 constexpr long kPooledConnections = 1024;
 // For how long a leaving entry still takes requests, until its balancer has
 // noticed.
-constexpr Duration kUnreadyGrace = std::chrono::seconds(1);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
 constexpr Duration kReadyPoll = std::chrono::milliseconds(100);
 // For how long a fresh entry waits for the plan before it goes without.
@@ -200,9 +199,11 @@
       mLogClient,
       mFleet,
       [this] { mReporter->Report(); });
-    mReporter.emplace(PlanReporter::Options{ .settings = &mSettings },
-                      mExecutor,
-                      [this] { return MakeReport(); });
+    mReporter.emplace(
+      PlanReporter::Options{ .settings = &mSettings },
+      mExecutor,
+      [this] { return MakeReport(); },
+      [this] { return Holder(); });
     mHosts.emplace(HostWatcher::Options{ .settings = &mSettings },
                    mExecutor,
                    mHostList,
@@ -221,6 +222,16 @@
                    router);
   }
 
+  // The host whose steward leads, as far as the log was read.
+  std::optional<HostId> Holder() const
+  {
+    const auto& lease = mPlan->Plan().Lease();
+    if (!lease || lease->released) {
+      return std::nullopt;
+    }
+    return lease->holder;
+  }
+
   EntryReport MakeReport()
   {
     const auto now = mExecutor.Now();
@@ -380,11 +391,11 @@
   void PollDrain()
   {
     const auto waited = mExecutor.Now() - mDrainStart;
-    if (waited >= kUnreadyGrace) {
+    if (waited >= mSettings.entry.unreadyGrace) {
       mCallers->SetOpen(false);
     }
-    const bool idle = waited >= kUnreadyGrace && mCallerPort->Running() == 0 &&
-                      mBook.Records() == 0;
+    const bool idle = waited >= mSettings.entry.unreadyGrace &&
+                      mCallerPort->Running() == 0 && mBook.Records() == 0;
     if (idle || waited >= mSettings.entry.drainTimeout) {
       Leave(kLeaveMessages);
       return;
--- a/servers/entry/plan_reporter.cpp
+++ b/servers/entry/plan_reporter.cpp
@@ -6,16 +6,18 @@
 
 PlanReporter::PlanReporter(const Options& aOptions,
                            AsioExecutor& aExecutor,
-                           MakeReport aMakeReport)
+                           MakeReport aMakeReport,
+                           FindHolder aFindHolder)
   : mOptions(aOptions)
   , mExecutor(aExecutor)
   , mMakeReport(std::move(aMakeReport))
+  , mFindHolder(std::move(aFindHolder))
 {
   for (const auto& it : mOptions.settings->peers) {
     LinkClient::Options link;
     link.address = it.address;
     link.port = it.stewardLinkPort;
-    mStewards.push_back(std::make_unique<LinkClient>(mExecutor, link));
+    mStewards.emplace(it.id, std::make_unique<LinkClient>(mExecutor, link));
   }
 }
 
@@ -23,8 +25,12 @@
 PlanReporter::Report()
 {
   const auto body = Encode(mMakeReport());
-  for (const auto& it : mStewards) {
-    it->Call(kAcknowledgePath, body, mOptions.interval, [](const auto&) {});
+  const auto holder = mFindHolder();
+  const bool known = holder && mStewards.contains(*holder);
+  for (const auto& [host, link] : mStewards) {
+    if (!known || host == *holder) {
+      link->Call(kAcknowledgePath, body, mOptions.interval, [](const auto&) {});
+    }
   }
   mTimer = mExecutor.RunAfter(mOptions.interval, [this] { Report(); });
 }
--- a/servers/entry/plan_reporter.h
+++ b/servers/entry/plan_reporter.h
@@ -1,11 +1,12 @@
 #pragma once
 
-// Tells all stewards the version of the plan that this entry acts on, and its
-// running work: a planned change waits until each entry has told so.
+// Tells the steward that leads the version of the plan that this entry acts on,
+// and its running work: a planned change waits until each entry has told so.
 
 #include <functional>
+#include <map>
 #include <memory>
-#include <vector>
+#include <optional>
 
 #include "servers/link/link_client.h"
 #include "servers/settings/settings.h"
@@ -17,6 +18,8 @@
 {
 public:
   using MakeReport = std::function<EntryReport()>;
+  // The host of the steward that leads; nothing if it is not known.
+  using FindHolder = std::function<std::optional<HostId>()>;
 
   struct Options
   {
@@ -27,16 +30,20 @@
   // The executor must outlive the reporter.
   PlanReporter(const Options& aOptions,
                AsioExecutor& aExecutor,
-               MakeReport aMakeReport);
+               MakeReport aMakeReport,
+               FindHolder aFindHolder);
 
-  // Reports now, and then at each interval.
+  // Reports now, and then at each interval: to the holder alone, so that the
+  // messages grow with the hosts and not with their square, or to all stewards
+  // while the holder is not known.
   void Report();
 
 private:
   Options mOptions;
   AsioExecutor& mExecutor;
   MakeReport mMakeReport;
-  std::vector<std::unique_ptr<LinkClient>> mStewards;
+  FindHolder mFindHolder;
+  std::map<HostId, std::unique_ptr<LinkClient>> mStewards;
   Timer mTimer;
 };
 
--- a/servers/http/curl_multi.cpp
+++ b/servers/http/curl_multi.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include <asio/posix/stream_descriptor.hpp>
-#include <unistd.h>
 
 namespace firefly {
 
@@ -13,8 +12,8 @@
 
 } // namespace
 
-// One socket of curl's, watched for curl through a duplicate descriptor, so
-// that asio and curl each close their own.
+// One socket of curl's, watched for curl. Curl closes it, so that asio lets go
+// of it when curl wants no more events.
 struct CurlWatch
 {
   explicit CurlWatch(Descriptor aDescriptor)
@@ -45,7 +44,7 @@
   curl_multi_cleanup(mMulti);
   for (auto& [socket, watch] : mWatches) {
     watch->removed = true;
-    watch->descriptor.close();
+    watch->descriptor.release();
   }
 }
 
@@ -137,8 +136,7 @@
   if (aWhat == CURL_POLL_REMOVE) {
     if (found != self->mWatches.end()) {
       found->second->removed = true;
-      asio::error_code ec;
-      found->second->descriptor.close(ec);
+      found->second->descriptor.release();
       self->mWatches.erase(found);
     }
     return 0;
@@ -147,12 +145,8 @@
   if (found != self->mWatches.end()) {
     watch = found->second;
   } else {
-    const int copy = ::dup(aSocket);
-    if (copy < 0) {
-      return -1;
-    }
-    watch =
-      std::make_shared<CurlWatch>(Descriptor(self->mExecutor.Context(), copy));
+    watch = std::make_shared<CurlWatch>(
+      Descriptor(self->mExecutor.Context(), aSocket));
     self->mWatches.emplace(aSocket, watch);
   }
   watch->wanted = aWhat;
--- a/servers/settings/settings.cpp
+++ b/servers/settings/settings.cpp
@@ -145,6 +145,7 @@
     .stallTimeout = aReader.Millis("stall_timeout_ms", kShortMillis, 3'000),
     .drainTimeout = aReader.Millis("drain_timeout_ms", kLongMillis, 150'000),
     .tableTimeout = aReader.Millis("table_timeout_ms", kLongMillis, 10'000),
+    .unreadyGrace = aReader.Millis("unready_grace_ms", kLongMillis, 5'000),
   };
   aReader.Finish();
   return entry;
--- a/servers/settings/settings.h
+++ b/servers/settings/settings.h
@@ -47,6 +47,7 @@
   Duration stallTimeout{};           // between two pieces of an answer
   Duration drainTimeout{};           // for running requests at shutdown
   Duration tableTimeout{};           // without news of the table until unready
+  Duration unreadyGrace{};           // unready, and still taking requests
 };
 
 // Heartbeats between entries.
--- a/servers/settings/settings_checks.cpp
+++ b/servers/settings/settings_checks.cpp
@@ -17,6 +17,12 @@
 void
 CheckTimes(const Settings& aSettings, SettingProblems& aProblems)
 {
+  const auto& entry = aSettings.entry;
+  if (entry.unreadyGrace >= entry.drainTimeout) {
+    aProblems.Add(0,
+                  "[entry] unready_grace_ms: clashes with drain_timeout_ms; "
+                  "must be less");
+  }
   const auto& steward = aSettings.steward;
   if (steward.renew * 2 > steward.lease) {
     aProblems.Add(0,
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -85,7 +85,8 @@
        << platform << "/hosts\"\nstore_url = \"" << platform
        << "/weights\"\nlog_prefix = \"test\"\npoll_ms = 100\n"
        << "request_timeout_ms = 1000\n[entry]\nrequest_timeout_ms = 60000\n"
-       << "drain_timeout_ms = 60000\nstall_timeout_ms = 2000\n"
+       << "drain_timeout_ms = 60000\nunready_grace_ms = 1000\nstall_timeout_ms "
+          "= 2000\n"
        << mOptions.entrySettings << "\n[ledger]\npartitions = 4\n"
        << "[charts]\ndirectory = \"" << FIREFLY_SOURCE_DIR << "/charts\"\n";
   for (int i = 0; i < mOptions.hosts; ++i) {
--- a/tests/servers/settings/settings_test.cpp
+++ b/tests/servers/settings/settings_test.cpp
@@ -226,6 +226,10 @@
       "worth = 2\nidempotent = false",
       ": [[services]] \"chat\" request_types \"ask\" idempotent: must be true "
       "for a service of kind \"model\"" },
+    { "[platform]",
+      "[entry]\ndrain_timeout_ms = 4000\n[platform]",
+      ": [entry] unready_grace_ms: clashes with drain_timeout_ms; must be "
+      "less" },
     { "[platform]",
       "[steward]\nrenew_ms = 5000\n[platform]",
       ": [steward] renew_ms: clashes with lease_ms; must be at most half of "
