--- a/tests/load/main.cpp
+++ b/tests/load/main.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// Streams that are opened first outlive all steps.
+constexpr firefly::Duration kStreamsLimit = std::chrono::minutes(5);
+
 using firefly::Duration;
 using firefly::ToSeconds;
 using firefly::testing::LoadResult;
@@ -134,6 +137,7 @@
   auto options = LoadOptions(aArguments, aArguments.Text("--entry"));
   options.requests = streams;
   options.atOnce = 0; // started step by step
+  options.limit = kStreamsLimit;
   firefly::AsioExecutor executor;
   StreamLoad load(options, executor);
   for (std::size_t i = 0; i <= steps; ++i) {
@@ -152,7 +156,7 @@
               << ", cores " << used / seconds << ", memory MiB "
               << Metric(executor, admin, "process_resident_memory_bytes") /
                    kMebi
-              << '\n';
+              << std::endl; // each step as it is known
   }
   return load.Failed() == 0 ? 0 : 1;
 }
