Map the plan's roles and states in one place

Cause: entry and steward each turned the plan's roles and states into the decision classes' (the same 20 lines twice). Ruled out: the mapping in policy/ (it knows no plan) or coord/ (it knows no policy). Conclusion: servers/steward/plan_mapping.

--- a/servers/entry/fleet_keeper.cpp
+++ b/servers/entry/fleet_keeper.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "servers/steward/plan_mapping.h"
+
 namespace firefly {
 
 namespace {
@@ -19,29 +21,6 @@
   }
 }
 
-policy::EngineRole
-ToEngineRole(coord::BackendRole aRole)
-{
-  switch (aRole) {
-    case coord::BackendRole::kPrefill:
-      return policy::EngineRole::kPrefill;
-    case coord::BackendRole::kDecode:
-      return policy::EngineRole::kDecode;
-    default:
-      return policy::EngineRole::kMixed;
-  }
-}
-
-policy::BackendState
-ToBackendState(const std::string& aPlanState)
-{
-  if (aPlanState == "open") {
-    return policy::BackendState::kOpen;
-  }
-  return aPlanState == "out" ? policy::BackendState::kClosed
-                             : policy::BackendState::kDraining;
-}
-
 policy::Backend
 ToBackend(const BackendSettings& aSettings)
 {
--- a/servers/steward/role_planner.cpp
+++ b/servers/steward/role_planner.cpp
@@ -2,47 +2,9 @@
 
 #include <utility>
 
-namespace firefly {
-
-namespace {
-
-policy::EngineRole
-ToPolicy(coord::BackendRole aRole)
-{
-  switch (aRole) {
-    case coord::BackendRole::kPrefill:
-      return policy::EngineRole::kPrefill;
-    case coord::BackendRole::kDecode:
-      return policy::EngineRole::kDecode;
-    default:
-      return policy::EngineRole::kMixed;
-  }
-}
+#include "servers/steward/plan_mapping.h"
 
-coord::BackendRole
-ToCoord(policy::EngineRole aRole)
-{
-  switch (aRole) {
-    case policy::EngineRole::kPrefill:
-      return coord::BackendRole::kPrefill;
-    case policy::EngineRole::kDecode:
-      return coord::BackendRole::kDecode;
-    default:
-      return coord::BackendRole::kMixed;
-  }
-}
-
-policy::BackendState
-ToPolicy(const std::string& aState)
-{
-  if (aState == "open") {
-    return policy::BackendState::kOpen;
-  }
-  return aState == "out" ? policy::BackendState::kClosed
-                         : policy::BackendState::kDraining;
-}
-
-} // namespace
+namespace firefly {
 
 RolePlanner::RolePlanner(std::unique_ptr<policy::RoleController> aController)
   : mController(std::move(aController))
@@ -73,7 +35,7 @@
   for (const policy::RoleChange& change :
        mController->Decide(mFleet, aDemand, aNow)) {
     coord::WantedState wanted = *aChanges.Serving(change.backend);
-    wanted.role = ToCoord(change.role);
+    wanted.role = ToPlanRole(change.role);
     const FleetChange order{ .kind = ChangeKind::kOrder, .wanted = wanted };
     if (aChanges.Request(change.backend, order)) {
       mController->OnStarted(change, aNow);
@@ -89,9 +51,9 @@
   if (it == mCapacities.end()) {
     return;
   }
-  const policy::EngineRole role = ToPolicy(aStatus.serving.role);
+  const policy::EngineRole role = ToEngineRole(aStatus.serving.role);
   mFleet.SetRole(aStatus.id, role, it->second.Of(role));
-  const policy::BackendState state = ToPolicy(aStatus.state);
+  const policy::BackendState state = ToBackendState(aStatus.state);
   const bool steady = state == policy::BackendState::kOpen && !aStatus.change;
   mFleet.SetState(aStatus.id, steady ? state : policy::BackendState::kDraining);
   if (steady && mStarted.erase(aStatus.id) > 0) {
