Take the plan from a peer while the log is away

Cause: an entry that was replaced during an outage of the log waited 5 s for the plan and then took each backend server for open, so that a drained engine got new work. Ruled out: staying unready until the log is back (hosts are replaced at any time, and the fleet would shrink through a long outage); reporting the borrowed plan to the steward (a change must wait for the entry's own reading). Conclusion: entries serve their plan at /admin/plan; a successor asks all peers until it has read the log, and is ready with the newest that they gave.

--- a/servers/entry/entry_server.cpp
+++ b/servers/entry/entry_server.cpp
@@ -14,6 +14,7 @@
 #include "servers/entry/fleet_keeper.h"
 #include "servers/entry/host_watcher.h"
 #include "servers/entry/load_poller.h"
+#include "servers/entry/plan_borrower.h"
 #include "servers/entry/plan_keeper.h"
 #include "servers/entry/plan_reporter.h"
 #include "servers/entry/status_report.h"
@@ -36,6 +37,7 @@
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
 constexpr Duration kReadyPoll = std::chrono::milliseconds(100);
 // For how long a fresh entry waits for the plan before it goes without.
+constexpr int kPlanUnknown = 503;
 constexpr Duration kPlanPatience = std::chrono::seconds(5);
 constexpr int kLeaveMessages = 3;
 
@@ -199,6 +201,10 @@
       mLogClient,
       mFleet,
       [this] { mReporter->Report(); });
+    mBorrower.emplace(PlanBorrower::Options{ .settings = &mSettings },
+                      mExecutor,
+                      mClient,
+                      *mPlan);
     mReporter.emplace(
       PlanReporter::Options{ .settings = &mSettings },
       mExecutor,
@@ -278,6 +284,19 @@
     mRegistry.OnExpose([this] { SetStatusGauges(Parts(), mMetrics); });
   }
 
+  // Answers a peer that can't read the log.
+  void ServePlan(HttpResponder& aResponder) const
+  {
+    const auto plan = mPlan->Save();
+    if (!plan) {
+      aResponder.Send({ .status = kPlanUnknown, .headers = {}, .body = "{}" });
+      return;
+    }
+    aResponder.Send({ .contentType = "application/octet-stream",
+                      .headers = {},
+                      .body = *plan });
+  }
+
   void ServeAdmin()
   {
     mAdmin.Serve(
@@ -290,6 +309,10 @@
                  [this](const HttpRequest&, const auto& aResponder) {
                    mTable->ServeSnapshot(*aResponder);
                  });
+    mAdmin.Serve(PlanBorrower::kPlanName,
+                 [this](const HttpRequest&, const auto& aResponder) {
+                   ServePlan(*aResponder);
+                 });
     mAdmin.Serve("status", [this](const HttpRequest&, const auto& aResponder) {
       aResponder->Send(
         { .headers = {}, .body = MakeStatusReport(Parts(), mMetrics) });
@@ -360,6 +383,7 @@
   {
     mTable->Start();
     mPlan->Start();
+    mBorrower->Start();
     mReporter->Report();
     mHosts->Start();
     mLoads->Start();
@@ -368,9 +392,9 @@
 
   void CheckReady()
   {
-    // A fresh entry reads the plan too, unless the log is away.
+    // A fresh entry knows the plan too, unless log and peers are away.
     const bool planned =
-      mPlan->Read() || mExecutor.Now() - mStarted >= kPlanPatience;
+      mPlan->Known() || mExecutor.Now() - mStarted >= kPlanPatience;
     SetReady(!mDraining && mTable->Ready() && (mReady || planned));
     mReadyTimer = mExecutor.RunAfter(kReadyPoll, [this] { CheckReady(); });
   }
@@ -441,6 +465,7 @@
   std::optional<TableKeeper> mTable;
   std::optional<TableAdmin> mTableAdmin;
   std::optional<PlanKeeper> mPlan;
+  std::optional<PlanBorrower> mBorrower;
   std::optional<PlanReporter> mReporter;
   std::optional<HostWatcher> mHosts;
   std::optional<LoadPoller> mLoads;
--- a/servers/entry/plan_keeper.cpp
+++ b/servers/entry/plan_keeper.cpp
@@ -12,6 +12,7 @@
   : mFleet(aFleet)
   , mOnPlan(std::move(aOnPlan))
   , mStream(aOptions, aExecutor, aLog)
+  , mChart(*aOptions.backendChart)
 {
   mStream.Folding().AddObserver(*this);
 }
@@ -34,9 +35,33 @@
     return;
   }
   mRead = true;
+  mBorrowed.reset();
   mVersion = version;
   mFleet.Apply(Plan());
   mOnPlan();
 }
 
+std::optional<std::string>
+PlanKeeper::Save() const
+{
+  if (mRead) {
+    return Plan().Save();
+  }
+  return mBorrowed ? std::optional(mBorrowed->Save()) : std::nullopt;
+}
+
+void
+PlanKeeper::Borrow(std::string_view aPlan)
+{
+  coord::AuthorityState plan(mChart);
+  if (mRead || !plan.Load(aPlan)) {
+    return;
+  }
+  if (mBorrowed && plan.PlanVersion() <= mBorrowed->PlanVersion()) {
+    return;
+  }
+  mBorrowed.emplace(std::move(plan));
+  mFleet.Apply(*mBorrowed);
+}
+
 } // namespace firefly
--- a/servers/entry/plan_keeper.h
+++ b/servers/entry/plan_keeper.h
@@ -4,6 +4,9 @@
 // can't be read, the last plan known stays in force.
 
 #include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
 
 #include "coord/authority_stream.h"
 #include "servers/entry/fleet_keeper.h"
@@ -38,6 +41,17 @@
   // Whether the plan was read to its end once.
   [[nodiscard]] bool Read() const { return mRead; }
 
+  // Whether a plan is in force, read or borrowed.
+  [[nodiscard]] bool Known() const { return mRead || mBorrowed; }
+
+  // The plan for a peer; nothing while none is known.
+  [[nodiscard]] std::optional<std::string> Save() const;
+
+  // Takes a peer's plan until this one is read; an older one than was borrowed
+  // before, or one that can't be decoded, changes nothing. A borrowed plan is
+  // acted on but not reported: a planned change goes on waiting.
+  void Borrow(std::string_view aPlan);
+
 private:
   void OnApplied(const coord::RecordId& aId,
                  coord::LogOffset aOffset,
@@ -47,7 +61,9 @@
   FleetKeeper& mFleet;
   std::function<void()> mOnPlan;
   coord::AuthorityStream mStream;
+  const StateChart& mChart;
   bool mRead = false;
+  std::optional<coord::AuthorityState> mBorrowed;
   coord::LogOffset mVersion;
 };
 
--- a/tests/process/planned_change_process_test.cpp
+++ b/tests/process/planned_change_process_test.cpp
@@ -76,15 +76,18 @@
       .get<std::uint64_t>();
   }
 
-  void OrderRole()
+  void Command(const std::string& aPath, const std::string& aBody)
   {
-    const auto answer =
-      deployment.Http().Ask("POST",
-                            deployment.StewardUrl(leader) + "/role/engine-1",
-                            R"({"role": "prefill"})");
+    const auto answer = deployment.Http().Ask(
+      "POST", deployment.StewardUrl(leader) + aPath, aBody);
     LONGS_EQUAL(202, answer.status);
   }
 
+  void OrderRole()
+  {
+    Command("/role/engine-1", R"({"role": "prefill"})");
+  }
+
   bool Changed()
   {
     const json engine = Engine();
@@ -155,3 +158,19 @@
   LONGS_EQUAL(1, Count("orders_accepted"));
   LONGS_EQUAL(0, Count("cut_by_change"));
 }
+
+TEST(PlannedChangeProcess, SuccessorKeepsADrainedEngineOutWhileTheLogIsAway)
+{
+  Command("/drain/engine-1", "{}");
+  CHECK_TRUE(WaitFor([&] { return Engine().value("state", "") == "out"; }));
+  const json before = Get(deployment.EngineUrl(0) + "/counts");
+  const auto outage = deployment.Http().Ask(
+    "POST", deployment.PlatformUrl() + "/control", R"({"outage": true})");
+  LONGS_EQUAL(200, outage.status);
+  deployment.Entry(0).Kill();
+  deployment.StartEntry(0);
+  CHECK_TRUE(deployment.WaitUntilReady(0));
+  Serve(1);
+  const json after = Get(deployment.EngineUrl(0) + "/counts");
+  CHECK_TRUE(before.at("executions") == after.at("executions"));
+}
