Count demand in a class of its own

Ruled out: taking the suspects' turns out as well (they need the router's requests, attempts and sink).

--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <optional>
 #include <utility>
 
@@ -10,10 +9,6 @@
 
 namespace {
 
-// Demand of about this long ago weighs a third.
-constexpr double kDemandMemorySeconds = 5.0;
-// A peer's demand counts for so long.
-constexpr Duration kPeerDemandMemory = std::chrono::seconds(5);
 // Between two notes to the selector on the same overdue attempt.
 constexpr Duration kOverdueStep = std::chrono::milliseconds(250);
 // A queued request is given up when less than this is left for its answer.
@@ -95,7 +90,10 @@
   const auto cached = mPolicies.selector->ExpectedCached(aRequest.info);
   aRequest.engineSeconds = EngineSeconds(aRequest, cached);
   mPolicies.selector->OnArrival(aRequest.info);
-  CountDemand(aRequest, cached, aNow);
+  if (aRequest.info.NeedsEngine()) {
+    const Tokens uncached(aRequest.info.promptTokens.Value() - cached.Value());
+    mDemand.Count(aRequest.info.model, uncached, aRequest.size.usual, aNow);
+  }
   const auto decision = mPolicies.admission->Decide(
     aRequest.info, Summarize(aRequest, choice), aNow);
   if (decision.action == AdmissionAction::kRefuse) {
@@ -361,21 +359,9 @@
 void
 RequestRouter::OnPeerDigest(const Digest& aDigest, Instant aNow)
 {
-  auto& peer = mPeers[aDigest.host];
-  const bool older = aDigest.incarnation < peer.incarnation ||
-                     (aDigest.incarnation == peer.incarnation &&
-                      aDigest.sequence <= peer.sequence && peer.sequence > 0);
-  if (older || aDigest.host == mOptions.self) {
+  if (aDigest.host == mOptions.self || !mDemand.TakePeer(aDigest, aNow)) {
     return;
   }
-  peer.incarnation = aDigest.incarnation;
-  peer.sequence = aDigest.sequence;
-  peer.heard = aNow;
-  peer.demand = {};
-  for (const auto& it : aDigest.models) {
-    peer.demand.promptTokensPerSecond += it.promptTokensPerSecond;
-    peer.demand.outputTokensPerSecond += it.outputTokensPerSecond;
-  }
   mPolicies.limits->OnPeerDigest(aDigest, aNow);
   mPolicies.selector->OnPeerDigest(aDigest, mFleet, aNow);
   mPolicies.poison->OnPeer(aDigest.quarantined, aDigest.suspects, aNow);
@@ -384,21 +370,13 @@
 Digest
 RequestRouter::MakeDigest(Instant aNow)
 {
-  FadeDemand(aNow);
   Digest digest;
   digest.host = mOptions.self;
   digest.incarnation = mOptions.incarnation;
   digest.sequence = ++mSequence;
   mPolicies.selector->FillDigest(digest, mFleet, aNow);
   mPolicies.limits->FillDigest(digest, aNow);
-  for (const auto& [model, sum] : mDemand) {
-    digest.models.push_back(
-      { .model = model,
-        .promptTokensPerSecond =
-          static_cast<std::uint32_t>(sum.promptTokens / kDemandMemorySeconds),
-        .outputTokensPerSecond = static_cast<std::uint32_t>(
-          sum.outputTokens / kDemandMemorySeconds) });
-  }
+  mDemand.FillDigest(digest, aNow);
   digest.quarantined = mPolicies.poison->Quarantined(aNow);
   digest.suspects = mPolicies.poison->Suspects(aNow);
   return digest;
@@ -407,21 +385,7 @@
 FleetDemand
 RequestRouter::Demand(Instant aNow) const
 {
-  FleetDemand demand;
-  const double fade =
-    std::exp(-ToSeconds(aNow - mDemandAt) / kDemandMemorySeconds) /
-    kDemandMemorySeconds;
-  for (const auto& [model, sum] : mDemand) {
-    demand.promptTokensPerSecond += sum.promptTokens * fade;
-    demand.outputTokensPerSecond += sum.outputTokens * fade;
-  }
-  for (const auto& [host, peer] : mPeers) {
-    if (aNow - peer.heard <= kPeerDemandMemory) {
-      demand.promptTokensPerSecond += peer.demand.promptTokensPerSecond;
-      demand.outputTokensPerSecond += peer.demand.outputTokensPerSecond;
-    }
-  }
-  return demand;
+  return mDemand.Sum(aNow);
 }
 
 LoadSummary
@@ -760,30 +724,4 @@
   mRequests.erase(it);
 }
 
-void
-RequestRouter::CountDemand(const Request& aRequest,
-                           Tokens aCached,
-                           Instant aNow)
-{
-  if (!aRequest.info.NeedsEngine()) {
-    return;
-  }
-  FadeDemand(aNow);
-  auto& sum = mDemand[StableHash(aRequest.info.model.Value())];
-  sum.promptTokens += aRequest.info.promptTokens.Value() - aCached.Value();
-  sum.outputTokens += aRequest.size.usual.Value();
-}
-
-void
-RequestRouter::FadeDemand(Instant aNow)
-{
-  const double fade =
-    std::exp(-ToSeconds(aNow - mDemandAt) / kDemandMemorySeconds);
-  for (auto& [model, sum] : mDemand) {
-    sum.promptTokens *= fade;
-    sum.outputTokens *= fade;
-  }
-  mDemandAt = aNow;
-}
-
 } // namespace firefly::policy
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -8,9 +8,9 @@
 #include <functional>
 #include <map>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
+#include "policy/demand_tracker.h"
 #include "policy/fleet_view.h"
 #include "policy/policy_set.h"
 #include "policy/request_info.h"
@@ -200,11 +200,6 @@
     // Whether an attempt may have run at a backend server.
     bool mayHaveRun = false;
   };
-  struct DemandSum
-  {
-    double promptTokens = 0;
-    double outputTokens = 0;
-  };
   // Ordered, so that the same calls give the same orders everywhere.
   using Requests = std::map<RequestId, Request>;
 
@@ -243,8 +238,6 @@
               Duration aRetryAfter);
   void Fail(const RequestId& aId, FailureReason aReason);
   void Drop(const RequestId& aId);
-  void CountDemand(const Request& aRequest, Tokens aCached, Instant aNow);
-  void FadeDemand(Instant aNow);
 
   Options mOptions;
   PolicySet mPolicies;
@@ -256,17 +249,7 @@
   RequestId mSuspectRunning;
   Instant mSuspectsSince{};
   std::vector<HostId> mEntries;
-  // Recent demand by the hash of the model, exponentially fading.
-  std::map<std::uint64_t, DemandSum> mDemand;
-  Instant mDemandAt{};
-  struct PeerDemand
-  {
-    Incarnation incarnation;
-    std::uint64_t sequence = 0;
-    Instant heard{};
-    FleetDemand demand;
-  };
-  std::unordered_map<HostId, PeerDemand> mPeers;
+  DemandTracker mDemand;
   std::uint64_t mSequence = 0;
   Counters mCounters;
 };
