Freeze an entry mid-answer and the log mid-edit

Ruled out: an outage switch in place of a frozen log (it answers, a frozen one leaves the edit open). Conclusion: a frozen entry gives its answer whole once resumed, and an edit left open by the log is settled the same at all entries.

--- a/tests/process/fault_process_test.cpp
+++ b/tests/process/fault_process_test.cpp
@@ -52,6 +52,21 @@
   STRCMP_EQUAL(TextOf("other", 0, kTokens).c_str(), other.Wait().text.c_str());
 }
 
+TEST(FaultProcess, FrozenEntryGivesItsAnswerWholeOnceResumed)
+{
+  Deployment deployment({ .hosts = 2, .engines = 2 });
+  CHECK_TRUE(deployment.Up());
+  StreamingCaller held(deployment.EntryUrl(0), "prompt", kTokens);
+  CHECK_TRUE(held.WaitForTokens(kMidway));
+  deployment.Entry(0).Freeze();
+  StreamingCaller again(deployment.EntryUrl(1), "prompt", kTokens);
+  CHECK_TRUE(again.Wait().done);
+  STRCMP_EQUAL(TextOf("prompt", 0, kTokens).c_str(), again.Wait().text.c_str());
+  deployment.Entry(0).Resume();
+  CHECK_TRUE(held.Wait().done);
+  STRCMP_EQUAL(TextOf("prompt", 0, kTokens).c_str(), held.Wait().text.c_str());
+}
+
 TEST(FaultProcess, SlowCallerHoldsItsEngineBackAndLosesNothing)
 {
   // More than the buffers of all sockets on the way take.
--- a/tests/process/table_process_test.cpp
+++ b/tests/process/table_process_test.cpp
@@ -109,6 +109,21 @@
   CHECK_TRUE(InForceEverywhere(deployment, VersionAt(deployment, 2)));
 }
 
+TEST(TableProcess, EditThatAFrozenLogLeftOpenIsSettledTheSameEverywhere)
+{
+  LONGS_EQUAL(200, Edit(deployment, 0, 0, 5));
+  CHECK_TRUE(InForceEverywhere(deployment, 1));
+  deployment.Platform().Freeze();
+  CHECK_TRUE(Edit(deployment, 0, 1, 6) >= 500);
+  deployment.Platform().Resume();
+  CHECK_TRUE(WaitFor(
+    [&] { return Edit(deployment, 1, VersionAt(deployment, 1), 9) == 200; }));
+  // The open edit came into effect before, or never will.
+  const int version = VersionAt(deployment, 1);
+  CHECK_TRUE(version == 2 || version == 3);
+  CHECK_TRUE(InForceEverywhere(deployment, version));
+}
+
 TEST(TableProcess, EntryWithoutLogAndPeersIsNotReady)
 {
   SetOutage(deployment, true);
