--- a/coord/log_client.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "coord/log_client.h"
--- a/servers/entry/plan_borrower.cpp
+++ b/servers/entry/plan_borrower.cpp
@@ -24,6 +24,12 @@
 
 void
 PlanBorrower::Start()
+{
+  mTimer = mExecutor.RunAfter(mOptions.interval, [this] { AskPeers(); });
+}
+
+void
+PlanBorrower::AskPeers()
 {
   if (mKeeper.Read()) {
     return;
@@ -33,7 +39,7 @@
       Ask(it);
     }
   }
-  mTimer = mExecutor.RunAfter(mOptions.interval, [this] { Start(); });
+  Start();
 }
 
 void
--- a/servers/entry/plan_borrower.h
+++ b/servers/entry/plan_borrower.h
@@ -30,10 +30,12 @@
                HttpClient& aClient,
                PlanKeeper& aKeeper);
 
-  // Asks all peers at each interval, until the log told the plan.
+  // Gives the log an interval, then asks all peers at each interval until the
+  // log told the plan.
   void Start();
 
 private:
+  void AskPeers();
   void Ask(const HostSettings& aPeer);
 
   Options mOptions;
--- a/servers/settings/section_reader.cpp
+++ b/servers/settings/section_reader.cpp
@@ -167,33 +167,35 @@
 std::string
 SectionReader::Address(const std::string& aKey)
 {
-  const std::string allowed = "an IP number such as \"10.1.0.5\"";
-  const auto* value = Find(aKey, true, allowed);
-  if (value == nullptr) {
-    return "";
-  }
-  const auto* text = std::get_if<std::string>(&value->data);
-  if (text == nullptr || !IsAddress(*text)) {
-    Refuse(aKey, *value, allowed);
-    return "";
-  }
-  return *text;
+  return CheckedText(aKey, "an IP number such as \"10.1.0.5\"", IsAddress);
 }
 
 std::string
 SectionReader::Url(const std::string& aKey)
 {
-  const std::string allowed = "a URL such as \"http://10.1.0.9:7000\"";
-  const auto* value = Find(aKey, true, allowed);
+  auto text =
+    CheckedText(aKey, "a URL such as \"http://10.1.0.9:7000\"", IsUrl);
+  if (text.ends_with('/')) {
+    text.pop_back();
+  }
+  return text;
+}
+
+std::string
+SectionReader::CheckedText(const std::string& aKey,
+                           const std::string& aAllowed,
+                           bool (*aIsRight)(const std::string&))
+{
+  const auto* value = Find(aKey, true, aAllowed);
   if (value == nullptr) {
     return "";
   }
   const auto* text = std::get_if<std::string>(&value->data);
-  if (text == nullptr || !IsUrl(*text)) {
-    Refuse(aKey, *value, allowed);
+  if (text == nullptr || !aIsRight(*text)) {
+    Refuse(aKey, *value, aAllowed);
     return "";
   }
-  return text->ends_with('/') ? text->substr(0, text->size() - 1) : *text;
+  return *text;
 }
 
 std::vector<std::string>
--- a/servers/settings/section_reader.h
+++ b/servers/settings/section_reader.h
@@ -108,6 +108,10 @@
   void Refuse(const std::string& aKey,
               const SettingValue& aValue,
               const std::string& aAllowed);
+  // The text, or an empty one and a fault if it is missing or not right.
+  std::string CheckedText(const std::string& aKey,
+                          const std::string& aAllowed,
+                          bool (*aIsRight)(const std::string&));
   std::string ChoiceText(const std::string& aKey,
                          const std::string& aAllowed,
                          bool aRequired);
