--- /dev/null
+++ b/coord/keyed_feed.cpp
@@ -0,0 +1,143 @@
+#include "coord/keyed_feed.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace firefly::coord {
+
+KeyedFeed::KeyedFeed(Options aOptions,
+                     Executor& aExecutor,
+                     KeyedLogClient& aLog,
+                     KeyedFeedObserver& aObserver)
+  : mOptions(std::move(aOptions))
+  , mExecutor(aExecutor)
+  , mLog(aLog)
+  , mObserver(aObserver)
+  , mRandom(mOptions.seed)
+{
+}
+
+void
+KeyedFeed::Start()
+{
+  Load();
+}
+
+void
+KeyedFeed::Load()
+{
+  if (mFirstPage) {
+    mPageKeys.clear();
+  }
+  mFollowing = false;
+  mReads++;
+  mLog.ReadNewest(mOptions.stream,
+                  mPageKeys.empty() ? std::string() : mPageKeys.back(),
+                  [this](tl::expected<NewestPage, LogError> aPage) {
+                    OnPage(std::move(aPage));
+                  });
+}
+
+void
+KeyedFeed::OnPage(tl::expected<NewestPage, LogError> aPage)
+{
+  if (!aPage) {
+    mFirstPage = true;
+    Lose(aPage.error());
+    return;
+  }
+  if (mFirstPage) {
+    // Records that come while the pages are read are read again.
+    mNext = aPage->end;
+    mFirstPage = false;
+  }
+  for (const auto& it : aPage->records) {
+    mPageKeys.push_back(it.key);
+    Take(it);
+  }
+  if (aPage->hasMore && !aPage->records.empty()) {
+    Load();
+    return;
+  }
+  mFirstPage = true;
+  mLoaded = true;
+  Hear();
+  mObserver.OnSnapshot(mPageKeys);
+  Later(mOptions.pause, &KeyedFeed::Follow);
+}
+
+void
+KeyedFeed::Follow()
+{
+  mFollowing = true;
+  mReads++;
+  mLog.ReadFrom(mOptions.stream,
+                mNext,
+                mOptions.wait,
+                [this](tl::expected<KeyedBatch, LogError> aBatch) {
+                  OnBatch(std::move(aBatch));
+                });
+}
+
+void
+KeyedFeed::OnBatch(tl::expected<KeyedBatch, LogError> aBatch)
+{
+  if (!aBatch) {
+    if (aBatch.error().kind == LogErrorKind::kTrimmed) {
+      Load();
+      return;
+    }
+    Lose(aBatch.error());
+    return;
+  }
+  Hear();
+  for (const auto& it : aBatch->records) {
+    Take(it);
+  }
+  mNext = std::max(mNext, aBatch->next);
+  Later(mOptions.pause, &KeyedFeed::Follow);
+}
+
+void
+KeyedFeed::Take(const KeyedRecord& aRecord)
+{
+  const auto [it, isNew] = mTaken.try_emplace(aRecord.key, aRecord.offset);
+  if (!isNew) {
+    if (aRecord.offset <= it->second) {
+      return;
+    }
+    it->second = aRecord.offset;
+  }
+  mObserver.OnRecord(aRecord);
+}
+
+void
+KeyedFeed::Hear()
+{
+  mHeard = mExecutor.Now();
+  mRetry = Duration::zero();
+  if (std::exchange(mLost, false)) {
+    mObserver.OnRegained(mHeard - mLostAt);
+  }
+}
+
+void
+KeyedFeed::Lose(const LogError& aError)
+{
+  if (!std::exchange(mLost, true)) {
+    mLostAt = mExecutor.Now();
+    mObserver.OnLost(aError);
+  }
+  mRetry = std::clamp(2 * mRetry, mOptions.firstRetry, mOptions.longestRetry);
+  // Jitter, so that all readers don't come back at the same moment.
+  const auto delay = FromSeconds(ToSeconds(mRetry) * (0.5 + mRandom.Uniform()));
+  Later(delay, mFollowing ? &KeyedFeed::Follow : &KeyedFeed::Load);
+}
+
+void
+KeyedFeed::Later(Duration aDelay, void (KeyedFeed::*aStep)())
+{
+  mTimer = mExecutor.RunAfter(aDelay, [this, aStep] { (this->*aStep)(); });
+}
+
+} // namespace firefly::coord
--- /dev/null
+++ b/coord/keyed_feed.h
@@ -0,0 +1,96 @@
+#pragma once
+
+// Follows one compacted stream: first the newest record of each key, then
+// every further record, through outages and compactions of the log.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coord/keyed_log.h"
+#include "core/executor.h"
+#include "core/random.h"
+
+namespace firefly::coord {
+
+// Hears what the stream says, in order of offsets for each key.
+class KeyedFeedObserver
+{
+public:
+  virtual ~KeyedFeedObserver() = default;
+
+  virtual void OnRecord(const KeyedRecord& aRecord) = 0;
+  // All keys were read afresh; the ones named are all there are.
+  virtual void OnSnapshot(const std::vector<std::string>& aKeys) = 0;
+  // The log does not answer; what is known gets older.
+  virtual void OnLost(const LogError& aError) = 0;
+  // It answers again, after that long.
+  virtual void OnRegained(Duration aAway) = 0;
+};
+
+class KeyedFeed
+{
+public:
+  struct Options
+  {
+    StreamName stream;
+    // Between two reads, so that one call brings several records.
+    Duration pause{};
+    // How long the log may hold a read until a record comes.
+    Duration wait{};
+    // Before a read is tried again: the first time, and at most.
+    Duration firstRetry = std::chrono::milliseconds(100);
+    Duration longestRetry = std::chrono::milliseconds(800);
+    std::uint64_t seed = 1; // of the retries' jitter
+  };
+
+  // Log and observer must outlive the feed.
+  KeyedFeed(Options aOptions,
+            Executor& aExecutor,
+            KeyedLogClient& aLog,
+            KeyedFeedObserver& aObserver);
+
+  // Begins to read; call it once.
+  void Start();
+
+  // Whether all keys were read at least once.
+  [[nodiscard]] bool Loaded() const { return mLoaded; }
+
+  // When the log last said what is newest; the epoch if never.
+  [[nodiscard]] Instant Heard() const { return mHeard; }
+
+  // Reads so far.
+  [[nodiscard]] std::uint64_t Reads() const { return mReads; }
+
+private:
+  void Load();
+  void OnPage(tl::expected<NewestPage, LogError> aPage);
+  void Follow();
+  void OnBatch(tl::expected<KeyedBatch, LogError> aBatch);
+  void Take(const KeyedRecord& aRecord);
+  void Hear();
+  void Lose(const LogError& aError);
+  void Later(Duration aDelay, void (KeyedFeed::*aStep)());
+
+  Options mOptions;
+  Executor& mExecutor;
+  KeyedLogClient& mLog;
+  KeyedFeedObserver& mObserver;
+  Random mRandom;
+  // The newest offset taken of each key that was seen.
+  std::map<std::string, LogOffset> mTaken;
+  std::vector<std::string> mPageKeys;
+  LogOffset mNext;
+  bool mFirstPage = true;
+  bool mLoaded = false;
+  bool mFollowing = false;
+  Instant mHeard{};
+  Instant mLostAt{};
+  bool mLost = false;
+  Duration mRetry{};
+  std::uint64_t mReads = 0;
+  Timer mTimer;
+};
+
+} // namespace firefly::coord
--- /dev/null
+++ b/main/firefly_relay.cpp
@@ -0,0 +1,136 @@
+// firefly-relay: brings callers' requests to backend servers on the users'
+// platform; all that lasts stands in the platform's log.
+
+#include <csignal>
+#include <iostream>
+
+#include <asio/signal_set.hpp>
+
+#include "platform/platform_dialect.h"
+#include "platform/platform_records.h"
+#include "platform/platform_store.h"
+#include "servers/log/log.h"
+#include "servers/relay/relay_server.h"
+#include "servers/settings/command_line.h"
+
+namespace {
+
+// A call to the log whose bytes nobody acknowledges for so long is given up.
+constexpr firefly::Duration kLogUnacknowledged = std::chrono::milliseconds(1500);
+
+constexpr const char* kUsage =
+  R"(firefly-relay: brings callers' requests to backend servers.
+
+Usage:
+  firefly-relay --settings FILE [--check-settings]
+  firefly-relay --help
+  firefly-relay --version
+
+Options:
+  --settings FILE   The host's settings, in TOML.
+  --check-settings  Check the settings whole, print each fault, and exit.
+  --help            Show this text.
+  --version         Show the version.
+
+Signals:
+  SIGTERM, SIGINT   Not ready any more, end what runs, stop.
+  SIGHUP            Read the settings again.
+
+Example:
+  firefly-relay --settings settings/relay.toml --check-settings
+
+Exit codes:
+  0  stopped as asked, or the settings are right
+  1  could not do its work
+  2  wrong command line or settings; each fault is a line on stderr
+)";
+
+int
+Exit(firefly::ExitCode aCode)
+{
+  return static_cast<int>(aCode);
+}
+
+void
+PrintFaults(const firefly::SettingsError& aError)
+{
+  for (const auto& it : aError.lines) {
+    std::cerr << it << '\n';
+  }
+}
+
+// Stops, or reads the settings again, whenever the signals ask for it.
+void
+AwaitSignals(asio::signal_set& aSignals,
+             firefly::RelayServer& aServer,
+             firefly::AsioExecutor& aExecutor,
+             const std::string& aFile)
+{
+  aSignals.async_wait([&, aFile](const asio::error_code& aCode, int aSignal) {
+    if (aCode) {
+      return;
+    }
+    if (aSignal != SIGHUP) {
+      aServer.Drain([&] { aExecutor.Stop(); });
+    } else if (const auto settings = firefly::LoadRelaySettings(aFile)) {
+      aServer.Reload(*settings);
+    } else {
+      // The settings in force stay.
+      PrintFaults(settings.error());
+    }
+    AwaitSignals(aSignals, aServer, aExecutor, aFile);
+  });
+}
+
+int
+Serve(const firefly::RelaySettings& aSettings, const std::string& aFile)
+{
+  firefly::AsioExecutor executor;
+  firefly::CurlClient client(executor,
+                             { .maxPooledConnections = 4,
+                               .userTimeout = kLogUnacknowledged,
+                               .resetOnClose = false });
+  firefly::platform::PlatformStore store(
+    client,
+    { .url = aSettings.logUrl, .callTimeout = aSettings.logTimeout });
+  const firefly::platform::PlatformDialect dialect;
+  const firefly::platform::PlatformRecords records;
+  firefly::RelayServer server({ .executor = &executor,
+                                .log = &store,
+                                .dialect = &dialect,
+                                .decoder = &records },
+                              aSettings);
+  if (const auto started = server.Start(); !started) {
+    std::cerr << "firefly-relay: " << started.error().message << '\n';
+    return Exit(firefly::ExitCode::kFailed);
+  }
+  asio::signal_set signals(executor.Context(), SIGTERM, SIGINT, SIGHUP);
+  AwaitSignals(signals, server, executor, aFile);
+  executor.Run();
+  return Exit(firefly::ExitCode::kOk);
+}
+
+} // namespace
+
+int
+main(int aCount, char** aWords)
+{
+  const auto parsed = firefly::ParseArguments(
+    kUsage, std::string("firefly-relay ") + FIREFLY_VERSION, aCount, aWords);
+  if (!parsed) {
+    return Exit(parsed.error());
+  }
+  const auto file = parsed->Text("--settings");
+  const auto settings = firefly::LoadRelaySettings(file);
+  if (!settings) {
+    PrintFaults(settings.error());
+    return Exit(firefly::ExitCode::kUsage);
+  }
+  if (parsed->Has("--check-settings")) {
+    std::cout << file << ": right\n";
+    return Exit(firefly::ExitCode::kOk);
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  firefly::StartLog(settings->log);
+  return Serve(*settings, file);
+}
--- a/policy/backend_selector.cpp
+++ b/policy/backend_selector.cpp
@@ -39,7 +39,9 @@
   }
   const auto prompt = aRequest.promptTokens.Value();
   const auto cached = std::min(prompt, aCached);
-  return aCapacity.SecondsOf(Tokens(prompt - cached + 1), aQuery.size.usual);
+  const Tokens output =
+    aQuery.phase == WorkPhase::kPrompt ? Tokens(0) : aQuery.size.usual;
+  return aCapacity.SecondsOf(Tokens(prompt - cached + 1), output);
 }
 
 bool
@@ -49,9 +51,12 @@
 }
 
 bool
-IsOpenFor(const RequestInfo& aRequest, const Backend& aBackend)
+IsOpenFor(const RequestInfo& aRequest,
+          const SelectQuery& aQuery,
+          const Backend& aBackend)
 {
-  return aBackend.state == BackendState::kOpen && aBackend.Serves(aRequest);
+  return aBackend.state == BackendState::kOpen &&
+         aBackend.Serves(aRequest, aQuery.phase);
 }
 
 // Depths at which prefixes are remembered: powers of two, and the whole.
@@ -310,7 +315,8 @@
   const auto& all = aFleet.All();
   for (std::uint32_t i = 0; i < all.size(); ++i) {
     const BackendSlot slot(i);
-    if (IsOpenFor(aRequest, all[i]) && !Contains(aQuery.excluded, slot)) {
+    if (IsOpenFor(aRequest, aQuery, all[i]) &&
+        !Contains(aQuery.excluded, slot)) {
       mOpen.push_back(slot);
     }
   }
@@ -379,8 +385,10 @@
   const auto& load = LoadAt(aSlot);
   const double speed = load.speed;
   const auto prompt = aRequest.promptTokens.Value();
-  const auto cached =
-    Contains(mHomes, aSlot) ? std::min(prompt, mPrefix.tokens) : 0;
+  const auto cached = CachedAt(aRequest, aQuery, aSlot);
+  // Engines that only read prompts make no output.
+  const auto output =
+    aQuery.phase == WorkPhase::kPrompt ? 0 : aQuery.size.usual.Value();
   const double backlog =
     static_cast<double>(load.prefillTokens) + load.peers.prefillTokens;
   const double requests =
@@ -393,7 +401,7 @@
                      speed;
   // Beyond the slots each request waits until one of them is free.
   const double beyond = std::max(0.0, requests + 1 - capacity.slots);
-  const double slotWait = beyond * aQuery.size.usual.Value() * gap /
+  const double slotWait = beyond * output * gap /
                           std::max<std::uint32_t>(1, capacity.slots);
   const double queueing = backlog / rate + slotWait;
   const double own = (prompt - cached) / rate + gap;
@@ -403,8 +411,9 @@
                         .backend = backend.id,
                         .expectedWait = FromSeconds(wait),
                         .expectedGap = FromSeconds(capacity.tokenGapSeconds),
-                        .cachedTokens = Tokens(cached) };
-  prediction.score = wait + aQuery.size.usual.Value() * gap +
+                        .cachedTokens = Tokens(cached),
+                        .phase = aQuery.phase };
+  prediction.score = wait + output * gap +
                      kCostWeight * CostAt(aRequest, aQuery, capacity, cached);
   double slots = capacity.slots * speed;
   if (mOptions.useLanes && aQuery.lane != Lane::kShort) {
@@ -418,20 +427,31 @@
   return prediction;
 }
 
+std::uint32_t
+LearningSelector::CachedAt(const RequestInfo& aRequest,
+                           const SelectQuery& aQuery,
+                           BackendSlot aSlot) const
+{
+  const auto prompt = aRequest.promptTokens.Value();
+  if (aQuery.phase == WorkPhase::kOutput) {
+    return prompt; // it comes with the memory that is handed over
+  }
+  return Contains(mHomes, aSlot) ? std::min(prompt, mPrefix.tokens) : 0;
+}
+
 LearningSelector::KnownPrefix
 LearningSelector::FindPrefix(const RequestInfo& aRequest) const
 {
   // Until a part of it was seen, all of it may be what others share.
-  const auto block = aRequest.prefixBlockTokens.Value();
   const auto whole =
-    static_cast<std::uint32_t>(aRequest.prefixHashes.size() * block);
+    aRequest.PrefixTokens(aRequest.prefixHashes.size()).Value();
   KnownPrefix known{ .hash = aRequest.prefixHashes.back(),
                      .length = whole,
                      .tokens = 0 };
   ForRememberedDepths(aRequest.prefixHashes.size(), [&](std::size_t aDepth) {
     const auto hash = aRequest.prefixHashes[aDepth - 1];
     if (mPrefixPlaces.contains(hash)) {
-      const auto tokens = static_cast<std::uint32_t>(aDepth * block);
+      const auto tokens = aRequest.PrefixTokens(aDepth).Value();
       known = { hash, tokens, tokens };
     }
   });
@@ -472,7 +492,8 @@
   const auto& all = aFleet.All();
   for (std::uint32_t i = 0; i < all.size(); ++i) {
     const BackendSlot slot(i);
-    if (!IsOpenFor(aRequest, all[i]) || Contains(aQuery.excluded, slot)) {
+    if (!IsOpenFor(aRequest, aQuery, all[i]) ||
+        Contains(aQuery.excluded, slot)) {
       continue;
     }
     open.push_back(slot);
@@ -498,7 +519,8 @@
                  .backend = aFleet.At(slot).id,
                  .expectedWait = {},
                  .expectedGap = {},
-                 .cachedTokens = {} };
+                 .cachedTokens = {},
+                 .phase = aQuery.phase };
 }
 
 Tokens
@@ -603,7 +625,8 @@
                  .backend = aFleet.At(best).id,
                  .expectedWait = {},
                  .expectedGap = {},
-                 .cachedTokens = {} };
+                 .cachedTokens = {},
+                 .phase = aQuery.phase };
 }
 
 void
--- a/policy/backend_selector.h
+++ b/policy/backend_selector.h
@@ -29,6 +29,8 @@
   Duration expectedGap{};
   // Prompt tokens that its prefix cache is expected to hold.
   Tokens cachedTokens;
+  // What it was chosen for.
+  WorkPhase phase = WorkPhase::kWhole;
 };
 
 enum class SelectFailure : std::uint8_t
@@ -56,6 +58,7 @@
   std::vector<BackendSlot> excluded;
   // Whether room doesn't matter: a retry after a crash, a hedge.
   bool ignoreRoom = false;
+  WorkPhase phase = WorkPhase::kWhole;
 };
 
 // An engine's own report of its load, some time old when it comes.
@@ -260,6 +263,10 @@
                      const SelectQuery& aQuery,
                      const FleetView& aFleet,
                      BackendSlot aSlot);
+  // Prompt tokens that need not be read there.
+  [[nodiscard]] std::uint32_t CachedAt(const RequestInfo& aRequest,
+                                       const SelectQuery& aQuery,
+                                       BackendSlot aSlot) const;
   [[nodiscard]] KnownPrefix FindPrefix(const RequestInfo& aRequest) const;
   void AddHomes(const RequestInfo& aRequest,
                 const SelectQuery& aQuery,
--- a/policy/fleet_view.cpp
+++ b/policy/fleet_view.cpp
@@ -34,8 +34,11 @@
 }
 
 bool
-Backend::Serves(const RequestInfo& aRequest) const
+Backend::Serves(const RequestInfo& aRequest, WorkPhase aPhase) const
 {
+  if (promptsOnly != (aPhase == WorkPhase::kPrompt)) {
+    return false;
+  }
   if (aRequest.NeedsEngine()) {
     return kind == BackendKind::kEngine &&
            std::find(models.begin(), models.end(), aRequest.model) !=
--- a/policy/fleet_view.h
+++ b/policy/fleet_view.h
@@ -33,6 +33,17 @@
   kDecode,
 };
 
+// The parts of a request's work that engines may share.
+enum class WorkPhase : std::uint8_t
+{
+  // All of it, at one backend server.
+  kWhole,
+  // Reading the prompt, for another engine to go on from.
+  kPrompt,
+  // Making the output from a prompt that another engine read.
+  kOutput,
+};
+
 enum class BackendState : std::uint8_t
 {
   kOpen,
@@ -89,9 +100,13 @@
   // Services that a plain backend server answers.
   std::vector<ServiceId> services;
   BackendCapacity capacity;
+  // An engine that only reads prompts; another one goes on from its memory.
+  bool promptsOnly = false;
 
-  // Whether it has what the request needs, whatever its state.
-  [[nodiscard]] bool Serves(const RequestInfo& aRequest) const;
+  // Whether it has what that part of the request's work needs, whatever its
+  // state.
+  [[nodiscard]] bool Serves(const RequestInfo& aRequest,
+                            WorkPhase aPhase = WorkPhase::kWhole) const;
 };
 
 // A table of backend servers with stable slots.
--- a/policy/request_info.cpp
+++ b/policy/request_info.cpp
@@ -8,4 +8,17 @@
   return static_cast<int>(aLane);
 }
 
+Tokens
+RequestInfo::PrefixTokens(std::size_t aBlocks) const
+{
+  if (aBlocks == 0) {
+    return Tokens(0);
+  }
+  if (!prefixEnds.empty()) {
+    return prefixEnds.at(aBlocks - 1);
+  }
+  return Tokens(
+    static_cast<std::uint32_t>(aBlocks * prefixBlockTokens.Value()));
+}
+
 } // namespace firefly::policy
--- a/policy/request_info.h
+++ b/policy/request_info.h
@@ -49,13 +49,17 @@
   Tokens maxOutputTokens;
   // Hashes of the prompt's leading blocks, each over all blocks up to it.
   std::vector<std::uint64_t> prefixHashes;
-  // Tokens in each of those blocks.
+  // Tokens in each of those blocks, where all are of one size.
   Tokens prefixBlockTokens{ 64 };
+  // Tokens up to the end of each block, where their sizes differ; else empty.
+  std::vector<Tokens> prefixEnds{};
   Instant arrival{};
   // A first token (or a plain answer) later than this after arrival is late.
   Duration lateAfter = std::chrono::seconds(1);
   // Whether a second run does no harm.
   bool idempotent = true;
+  // Attempts at most, the first one included; 0 leaves it to the router.
+  std::uint32_t maxAttempts = 0;
   // The operators' weight of the request's row; 1 is usual.
   double weight = 1.0;
   Fingerprint fingerprint;
@@ -66,6 +70,9 @@
     return arrival + lateAfter;
   }
 
+  // Tokens of the prompt's first so many prefix blocks.
+  [[nodiscard]] Tokens PrefixTokens(std::size_t aBlocks) const;
+
   // Whether a model engine answers it rather than a plain service.
   [[nodiscard]] bool NeedsEngine() const { return !model.Value().empty(); }
 };
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -14,6 +14,10 @@
 // A queued request is given up when less than this is left for its answer.
 constexpr Duration kLeastServiceTime = std::chrono::milliseconds(40);
 constexpr std::size_t kRoles = 3;
+// Prompts that are read apart for one request; after that it runs whole.
+constexpr std::uint32_t kMostPromptReads = 1;
+// What handing a prompt's memory over takes: a call more and the transfer.
+constexpr Duration kHandoverTime = std::chrono::milliseconds(15);
 
 } // namespace
 
@@ -81,8 +85,7 @@
 RequestRouter::Admit(Request& aRequest, Instant aNow)
 {
   const auto id = aRequest.info.requestId;
-  const auto choice =
-    mPolicies.selector->Select(aRequest.info, QueryFor(aRequest), mFleet, aNow);
+  const auto choice = Choose(aRequest, QueryFor(aRequest), aNow);
   if (!choice && choice.error().failure == SelectFailure::kNoBackend) {
     Refuse(id, RefusalReason::kNoBackend, {});
     return;
@@ -142,6 +145,39 @@
   return true;
 }
 
+void
+RequestRouter::OnPromptRead(const RequestId& aId,
+                            AttemptNumber aAttempt,
+                            Instant aNow)
+{
+  const auto it = mRequests.find(aId);
+  if (it == mRequests.end()) {
+    return;
+  }
+  auto& request = it->second;
+  const auto attempt = request.attempts.find(aAttempt);
+  if (attempt == request.attempts.end()) {
+    return;
+  }
+  auto& info = attempt->second.info;
+  mPolicies.selector->OnFirstToken(
+    info, aNow - attempt->second.dispatched, aNow);
+  mPolicies.selector->OnFinish(info, aNow);
+  request.attempts.erase(attempt);
+  auto query = QueryFor(request);
+  query.phase = WorkPhase::kOutput;
+  // The prompt has been read: waiting for room would only hold its memory.
+  query.ignoreRoom = true;
+  const auto choice =
+    mPolicies.selector->Select(request.info, query, mFleet, aNow);
+  if (choice) {
+    Start(request, *choice, false, aNow);
+  } else {
+    GiveUp(aId, RefusalReason::kNoBackend);
+  }
+  Pump(aNow);
+}
+
 void
 RequestRouter::OnTokens(const RequestId& aId,
                         AttemptNumber aAttempt,
@@ -250,10 +286,15 @@
     aRequest.answering = {};
   }
   mPolicies.selector->OnError(attempt.info, aNow);
+  if (attempt.phase == WorkPhase::kPrompt) {
+    return; // reading a prompt doesn't run the request
+  }
+  aRequest.mayHaveRun = aRequest.mayHaveRun ||
+                        aError == AttemptError::kBroken ||
+                        aError == AttemptError::kFailed;
   if (aError != AttemptError::kBroken) {
     return;
   }
-  aRequest.mayHaveRun = true;
   // Its other attempt could crash a second backend server beside suspects of
   // other entries; it is run again apart.
   CancelOthers(aRequest, aAttempt, aNow);
@@ -270,8 +311,8 @@
     Fail(aId, FailureReason::kOutcomeUnknown);
     return;
   }
-  if (request.attemptsMade >= mOptions.maxAttempts) {
-    Fail(aId, FailureReason::kAttemptsExhausted);
+  if (request.runsMade >= MaxAttempts(request)) {
+    GiveUp(aId, RefusalReason::kNoBackend);
     return;
   }
   const auto verdict =
@@ -282,11 +323,7 @@
   }
   // What a crash cut off is run again at once; other retries are rationed.
   if (!broken && !mPolicies.retries->TrySpend()) {
-    if (request.mayHaveRun) {
-      Fail(aId, FailureReason::kAttemptsExhausted);
-    } else {
-      Refuse(aId, RefusalReason::kRetryBudget, {});
-    }
+    GiveUp(aId, RefusalReason::kRetryBudget);
     return;
   }
   mCounters.retries++;
@@ -296,20 +333,36 @@
   }
   auto query = QueryFor(request);
   query.ignoreRoom = true;
-  auto choice = mPolicies.selector->Select(request.info, query, mFleet, aNow);
+  auto choice = Choose(request, query, aNow);
   if (!choice) {
     query.excluded.clear();
-    choice = mPolicies.selector->Select(request.info, query, mFleet, aNow);
+    choice = Choose(request, query, aNow);
   }
   if (choice) {
     Start(request, *choice, false, aNow);
-  } else if (request.mayHaveRun) {
+  } else {
+    GiveUp(aId, RefusalReason::kNoBackend);
+  }
+}
+
+void
+RequestRouter::GiveUp(const RequestId& aId, RefusalReason aReason)
+{
+  // Only what no backend server can have run may be called refused.
+  if (mRequests.at(aId).mayHaveRun) {
     Fail(aId, FailureReason::kAttemptsExhausted);
   } else {
-    Refuse(aId, RefusalReason::kNoBackend, {});
+    Refuse(aId, aReason, {});
   }
 }
 
+std::uint32_t
+RequestRouter::MaxAttempts(const Request& aRequest) const
+{
+  const auto own = aRequest.info.maxAttempts;
+  return own == 0 ? mOptions.maxAttempts : std::min(own, mOptions.maxAttempts);
+}
+
 void
 RequestRouter::OnCallerGone(const RequestId& aId, Instant aNow)
 {
@@ -409,6 +462,38 @@
            .ignoreRoom = false };
 }
 
+tl::expected<Choice, SelectError>
+RequestRouter::Choose(const Request& aRequest,
+                      const SelectQuery& aQuery,
+                      Instant aNow) const
+{
+  auto& selector = *mPolicies.selector;
+  auto whole = selector.Select(aRequest.info, aQuery, mFleet, aNow);
+  if (!aRequest.info.NeedsEngine() ||
+      aRequest.promptReads >= kMostPromptReads ||
+      aRequest.delivered.Value() > 0) {
+    return whole;
+  }
+  auto query = aQuery;
+  query.phase = WorkPhase::kPrompt;
+  auto apart = selector.Select(aRequest.info, query, mFleet, aNow);
+  if (!apart) {
+    return whole;
+  }
+  query.phase = WorkPhase::kOutput;
+  query.ignoreRoom = true;
+  const auto output = selector.Select(aRequest.info, query, mFleet, aNow);
+  if (!output) {
+    return whole;
+  }
+  apart->expectedGap = output->expectedGap;
+  const auto apartWait = apart->expectedWait + output->expectedWait;
+  if (whole && whole->expectedWait <= apartWait + kHandoverTime) {
+    return whole;
+  }
+  return apart;
+}
+
 double
 RequestRouter::EngineSeconds(const Request& aRequest, Tokens aCached) const
 {
@@ -463,12 +548,18 @@
                      Instant aNow)
 {
   const AttemptNumber number(++aRequest.attemptsMade);
+  if (aChoice.phase == WorkPhase::kPrompt) {
+    aRequest.promptReads++;
+  } else {
+    aRequest.runsMade++;
+  }
   auto& attempt = aRequest.attempts[number];
   attempt.info =
     mPolicies.selector->OnDispatch(aRequest.info, aChoice, aRequest.lane, aNow);
   attempt.dispatched = aNow;
   attempt.lastTokens = aNow;
   attempt.isHedge = aIsHedge;
+  attempt.phase = aChoice.phase;
   if (number.Value() == 1) {
     aRequest.dispatchedFirst = aNow;
   }
@@ -477,7 +568,8 @@
                    .backend = aChoice.backend,
                    .priority = EnginePriority(aRequest.lane),
                    .resumeFrom = aRequest.delivered,
-                   .isHedge = aIsHedge });
+                   .isHedge = aIsHedge,
+                   .phase = aChoice.phase });
 }
 
 void
@@ -601,9 +693,12 @@
     return;
   }
   const auto [number, attempt] = *aRequest.attempts.begin();
+  if (attempt.phase == WorkPhase::kPrompt) {
+    return;
+  }
   const bool answering = aRequest.answering.Value() != 0;
   const bool may = aRequest.info.idempotent && aRequest.info.NeedsEngine() &&
-                   aRequest.attemptsMade < mOptions.maxAttempts;
+                   aRequest.runsMade < MaxAttempts(aRequest);
   const auto& hedger = *mPolicies.hedger;
   if (!answering) {
     const auto waited = aNow - attempt.dispatched;
@@ -662,8 +757,7 @@
   std::optional<Choice> chosen;
   const auto canRun = [&](const QueuedRequest& aQueued) {
     const auto& request = mRequests.at(aQueued.requestId);
-    const auto choice =
-      mPolicies.selector->Select(request.info, QueryFor(request), mFleet, aNow);
+    const auto choice = Choose(request, QueryFor(request), aNow);
     if (choice) {
       chosen = *choice;
     }
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -29,6 +29,8 @@
   Tokens resumeFrom;
   // A second attempt while the first may still answer.
   bool isHedge = false;
+  // kPrompt: only have the prompt read, and keep the memory for kOutput.
+  WorkPhase phase = WorkPhase::kWhole;
 };
 
 // The request was not run; nothing of it was ever sent to a backend server.
@@ -81,6 +83,8 @@
   kRejected,
   // The connection broke or the backend server failed; it may have run.
   kBroken,
+  // The backend server ran the request and answered with an error of its own.
+  kFailed,
 };
 
 class RequestRouter
@@ -110,6 +114,12 @@
   // this attempt is the one to give to the caller; others are cancelled.
   bool OnFirstToken(const RequestId& aId, AttemptNumber aAttempt, Instant aNow);
 
+  // An attempt with WorkPhase::kPrompt has read the prompt; the output is made
+  // elsewhere, from the memory that it keeps.
+  void OnPromptRead(const RequestId& aId,
+                    AttemptNumber aAttempt,
+                    Instant aNow);
+
   // More output tokens of the attempt that answers.
   void OnTokens(const RequestId& aId,
                 AttemptNumber aAttempt,
@@ -179,6 +189,7 @@
     Instant lastTokens{};
     Instant overdueAt{};
     bool isHedge = false;
+    WorkPhase phase = WorkPhase::kWhole;
   };
   struct Request
   {
@@ -188,6 +199,10 @@
     Lane lane = Lane::kNormal;
     std::map<AttemptNumber, Attempt> attempts;
     std::uint32_t attemptsMade = 0;
+    // Of these, the ones that could run it.
+    std::uint32_t runsMade = 0;
+    // Of these, the ones that only had the prompt read.
+    std::uint32_t promptReads = 0;
     // Backend servers that failed it.
     std::vector<BackendSlot> failedAt;
     // Output tokens given to the caller.
@@ -208,6 +223,11 @@
     const tl::expected<Choice, SelectError>& aChoice) const;
   void Admit(Request& aRequest, Instant aNow);
   [[nodiscard]] SelectQuery QueryFor(const Request& aRequest) const;
+  // The best place to begin: a whole run, or reading the prompt apart.
+  [[nodiscard]] tl::expected<Choice, SelectError> Choose(
+    const Request& aRequest,
+    const SelectQuery& aQuery,
+    Instant aNow) const;
   [[nodiscard]] double EngineSeconds(const Request& aRequest,
                                      Tokens aCached) const;
   [[nodiscard]] double Density(const Request& aRequest) const;
@@ -221,6 +241,8 @@
                   AttemptError aError,
                   Instant aNow);
   void Retry(const RequestId& aId, AttemptError aError, Instant aNow);
+  void GiveUp(const RequestId& aId, RefusalReason aReason);
+  [[nodiscard]] std::uint32_t MaxAttempts(const Request& aRequest) const;
   void AddSuspect(const RequestId& aId, Instant aNow);
   void ReleaseSuspect(const RequestId& aId, Instant aNow);
   [[nodiscard]] std::vector<BackendSlot> SuspectPlaces(
--- /dev/null
+++ b/servers/http1/message_reader.cpp
@@ -0,0 +1,356 @@
+#include "servers/http1/message_reader.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "servers/http1/answer_writer.h"
+
+namespace firefly {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+constexpr int kContinue = 100;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kSwitchingProtocols = 101;
+
+// Continuation lines of headers are read differently from parser to parser,
+// so that a request could be smuggled through them.
+bool
+HasFoldedLine(std::string_view aHead)
+{
+  return aHead.find("\r\n ") != std::string_view::npos ||
+         aHead.find("\r\n\t") != std::string_view::npos;
+}
+
+// A bare line feed ends a line for some parsers and not for others.
+bool
+HasBareLineFeed(std::string_view aHead)
+{
+  for (std::size_t i = 0; i < aHead.size(); ++i) {
+    if (aHead[i] == '\n' && (i == 0 || aHead[i - 1] != '\r')) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::size_t
+CountHeaders(const HttpHeaders& aHeaders, std::string_view aName)
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aHeaders, [&](const HttpHeader& aHeader) {
+      return SameHeaderName(aHeader.name, aName);
+    }));
+}
+
+// Whether a body's framing can be read in one way only.
+bool
+IsFramedClearly(const MessageHead& aHead, bool aIsRequest)
+{
+  const auto codings = CountHeaders(aHead.headers, "Transfer-Encoding");
+  if (codings > 0) {
+    const auto coding = FindHeader(aHead.headers, "Transfer-Encoding");
+    if (codings > 1 || !SameHeaderName(coding, "chunked") ||
+        CountHeaders(aHead.headers, "Content-Length") > 0) {
+      return false;
+    }
+  }
+  return !aIsRequest || CountHeaders(aHead.headers, "Host") == 1;
+}
+
+} // namespace
+
+class MessageReader::Parser
+{
+public:
+  virtual ~Parser() = default;
+  // The bytes that were used.
+  virtual tl::expected<std::size_t, MessageFault> Put(
+    std::string_view aBytes) = 0;
+  virtual tl::expected<void, MessageFault> PutEnd() = 0;
+
+  MessageHead head;
+  std::string body;
+  bool hasHead = false;
+  bool done = false;
+};
+
+template<bool IsRequest>
+class MessageReader::BeastParser
+  : public MessageReader::Parser
+  , private http::basic_parser<IsRequest>
+{
+public:
+  BeastParser(std::size_t aMaxHead, std::size_t aMaxBody, bool aNoBody)
+  {
+    this->eager(true);
+    this->header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
+      aMaxHead, std::numeric_limits<std::uint32_t>::max())));
+    this->body_limit(aMaxBody);
+    this->skip(aNoBody);
+  }
+
+  tl::expected<std::size_t, MessageFault> Put(std::string_view aBytes) override
+  {
+    beast::error_code ec;
+    const auto n =
+      this->put(boost::asio::const_buffer(aBytes.data(), aBytes.size()), ec);
+    if (ec && ec != http::error::need_more) {
+      return tl::make_unexpected(FaultOf(ec));
+    }
+    return n;
+  }
+
+  tl::expected<void, MessageFault> PutEnd() override
+  {
+    beast::error_code ec;
+    this->put_eof(ec);
+    if (ec || !done) {
+      return tl::make_unexpected(MessageFault::kCut);
+    }
+    return {};
+  }
+
+private:
+  static MessageFault FaultOf(const beast::error_code& aCode)
+  {
+    if (aCode == http::error::body_limit) {
+      return MessageFault::kBodyTooLarge;
+    }
+    return aCode == http::error::header_limit ? MessageFault::kHeadTooLarge
+                                              : MessageFault::kMalformed;
+  }
+
+  void on_request_impl(http::verb /*aVerb*/,
+                       beast::string_view aMethod,
+                       beast::string_view aTarget,
+                       int /*aVersion*/,
+                       beast::error_code& /*aCode*/) override
+  {
+    head.method = std::string(aMethod);
+    head.target = std::string(aTarget);
+  }
+
+  void on_response_impl(int aStatus,
+                        beast::string_view aReason,
+                        int /*aVersion*/,
+                        beast::error_code& /*aCode*/) override
+  {
+    head.status = aStatus;
+    head.reason = std::string(aReason);
+  }
+
+  void on_field_impl(http::field /*aField*/,
+                     beast::string_view aName,
+                     beast::string_view aValue,
+                     beast::error_code& /*aCode*/) override
+  {
+    head.headers.push_back({ std::string(aName), std::string(aValue) });
+  }
+
+  void on_header_impl(beast::error_code& aCode) override
+  {
+    if (!IsFramedClearly(head, IsRequest)) {
+      aCode = http::error::bad_transfer_encoding;
+      return;
+    }
+    head.keepAlive = this->keep_alive();
+    head.endsWithConnection = this->need_eof();
+    if (const auto n = this->content_length()) {
+      head.bodyBytes = *n;
+    }
+    hasHead = true;
+  }
+
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*aLength*/,
+                         beast::error_code& /*aCode*/) override
+  {
+  }
+
+  std::size_t on_body_impl(beast::string_view aBytes,
+                           beast::error_code& /*aCode*/) override
+  {
+    body.append(aBytes.data(), aBytes.size());
+    return aBytes.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t /*aSize*/,
+                            beast::string_view /*aExtensions*/,
+                            beast::error_code& /*aCode*/) override
+  {
+  }
+
+  std::size_t on_chunk_body_impl(std::uint64_t /*aRemaining*/,
+                                 beast::string_view aBytes,
+                                 beast::error_code& /*aCode*/) override
+  {
+    body.append(aBytes.data(), aBytes.size());
+    return aBytes.size();
+  }
+
+  void on_finish_impl(beast::error_code& /*aCode*/) override { done = true; }
+};
+
+MessageReader::MessageReader(Options aOptions)
+  : mOptions(aOptions)
+{
+  MakeParser();
+}
+
+MessageReader::~MessageReader() = default;
+
+void
+MessageReader::MakeParser()
+{
+  if (mOptions.side == Side::kRequests) {
+    mParser = std::make_unique<BeastParser<true>>(
+      mOptions.maxHeadBytes, mOptions.maxBodyBytes, false);
+  } else {
+    mParser = std::make_unique<BeastParser<false>>(
+      mOptions.maxHeadBytes, mOptions.maxBodyBytes, mNoBody);
+  }
+}
+
+tl::expected<void, MessageFault>
+MessageReader::Feed(std::string_view aBytes)
+{
+  mBuffer.append(aBytes);
+  if (!HasHead()) {
+    const auto fed = FeedHead();
+    if (!fed || !HasHead()) {
+      return fed;
+    }
+  }
+  return FeedBody();
+}
+
+void
+MessageReader::Keep(std::string_view aBytes)
+{
+  mBuffer.append(aBytes);
+}
+
+tl::expected<void, MessageFault>
+MessageReader::FeedHead()
+{
+  const auto end = mBuffer.find(kHeadEnd);
+  const auto size =
+    end == std::string::npos ? mBuffer.size() : end + kHeadEnd.size();
+  if (size > mOptions.maxHeadBytes) {
+    return tl::make_unexpected(MessageFault::kHeadTooLarge);
+  }
+  if (end == std::string::npos) {
+    return {};
+  }
+  const std::string_view head(mBuffer.data(), size);
+  if (HasFoldedLine(head) || HasBareLineFeed(head)) {
+    return tl::make_unexpected(MessageFault::kMalformed);
+  }
+  const auto used = mParser->Put(head);
+  if (!used) {
+    return tl::make_unexpected(used.error());
+  }
+  mBuffer.erase(0, size);
+  const auto status = mParser->head.status;
+  if (mOptions.side == Side::kResponses && status >= kContinue &&
+      status < kFirstFinalStatus) {
+    // An interim response; switching protocols was never asked for.
+    if (status == kSwitchingProtocols) {
+      return tl::make_unexpected(MessageFault::kMalformed);
+    }
+    MakeParser();
+    return FeedHead();
+  }
+  return {};
+}
+
+tl::expected<void, MessageFault>
+MessageReader::FeedBody()
+{
+  while (!mParser->done && !mBuffer.empty()) {
+    const auto used = mParser->Put(mBuffer);
+    if (!used) {
+      return tl::make_unexpected(used.error());
+    }
+    if (*used == 0) {
+      break;
+    }
+    mBuffer.erase(0, *used);
+  }
+  return {};
+}
+
+tl::expected<void, MessageFault>
+MessageReader::FeedEnd()
+{
+  if (Done()) {
+    return {};
+  }
+  if (!HasHead()) {
+    return tl::make_unexpected(MessageFault::kCut);
+  }
+  return mParser->PutEnd();
+}
+
+bool
+MessageReader::HasHead() const
+{
+  return mParser->hasHead;
+}
+
+bool
+MessageReader::Done() const
+{
+  return mParser->done;
+}
+
+const MessageHead&
+MessageReader::Head() const
+{
+  return mParser->head;
+}
+
+std::string
+MessageReader::TakeBody()
+{
+  return std::exchange(mParser->body, {});
+}
+
+std::size_t
+MessageReader::Buffered() const
+{
+  return mBuffer.size();
+}
+
+void
+MessageReader::Next()
+{
+  mNoBody = false;
+  MakeParser();
+}
+
+void
+MessageReader::ExpectNoBody()
+{
+  mNoBody = true;
+  MakeParser();
+}
+
+void
+MessageReader::SetLimits(std::size_t aMaxHeadBytes, std::size_t aMaxBodyBytes)
+{
+  mOptions.maxHeadBytes = aMaxHeadBytes;
+  mOptions.maxBodyBytes = aMaxBodyBytes;
+}
+
+} // namespace firefly
--- /dev/null
+++ b/servers/relay/backend_directory.cpp
@@ -0,0 +1,147 @@
+#include "servers/relay/backend_directory.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace firefly {
+
+namespace {
+
+policy::BackendState
+StateOf(const BackendRecord& aRecord)
+{
+  return aRecord.leaving ? policy::BackendState::kDraining
+                         : policy::BackendState::kOpen;
+}
+
+std::string
+DescribeState(const BackendRecord& aRecord)
+{
+  return aRecord.leaving ? "leaving" : "open";
+}
+
+} // namespace
+
+ModelId
+ScopedModel(const ServiceId& aService, const std::string& aModel)
+{
+  return ModelId(aService.Value() + "/" + aModel);
+}
+
+BackendDirectory::BackendDirectory(Options aOptions,
+                                   Executor& aExecutor,
+                                   policy::FleetView& aFleet,
+                                   BackendPool& aPool)
+  : mOptions(aOptions)
+  , mExecutor(aExecutor)
+  , mFleet(aFleet)
+  , mPool(aPool)
+{
+}
+
+void
+BackendDirectory::Apply(const BackendRecord& aRecord)
+{
+  std::erase(mLapsed, aRecord.id);
+  const auto it = mRecords.find(aRecord.id);
+  const bool known = it != mRecords.end();
+  const bool changed = !known || it->second.leaving != aRecord.leaving ||
+                       it->second.address != aRecord.address ||
+                       it->second.startedAt != aRecord.startedAt ||
+                       it->second.role != aRecord.role;
+  if (known && (it->second.address != aRecord.address ||
+                it->second.startedAt != aRecord.startedAt)) {
+    mPool.Forget(aRecord.id);
+  }
+  policy::Backend backend;
+  backend.id = aRecord.id;
+  backend.domain = aRecord.domain;
+  backend.state = StateOf(aRecord);
+  if (aRecord.role) {
+    backend.kind = policy::BackendKind::kEngine;
+    backend.role = *aRecord.role;
+    backend.promptsOnly = aRecord.role == policy::EngineRole::kPrefill;
+    backend.capacity = mOptions.capacities.Of(*aRecord.role);
+    for (const auto& model : aRecord.models) {
+      backend.models.push_back(ScopedModel(aRecord.service, model));
+    }
+  } else {
+    backend.kind = policy::BackendKind::kPlain;
+    backend.services = { aRecord.service };
+  }
+  backend.capacity.slots = aRecord.slots;
+  mFleet.Upsert(std::move(backend));
+  mRecords[aRecord.id] = aRecord;
+  if (changed) {
+    mLog.Info("backend server changed",
+              { { "backend", aRecord.id.Value() },
+                { "service", aRecord.service.Value() },
+                { "address", aRecord.address.Value() },
+                { "state", DescribeState(aRecord) } });
+  }
+}
+
+void
+BackendDirectory::Remove(const BackendId& aId)
+{
+  if (!mRecords.contains(aId)) {
+    return;
+  }
+  if (mExecutor.Now() < mGraceEnd) {
+    mLapsed.push_back(aId);
+    return;
+  }
+  RemoveNow(aId, "record removed");
+}
+
+void
+BackendDirectory::KeepOnly(const std::vector<std::string>& aIds)
+{
+  const std::set<std::string> kept(aIds.begin(), aIds.end());
+  std::vector<BackendId> gone;
+  for (const auto& [id, record] : mRecords) {
+    if (!kept.contains(id.Value())) {
+      gone.push_back(id);
+    }
+  }
+  for (const auto& id : gone) {
+    Remove(id);
+  }
+}
+
+void
+BackendDirectory::OnLogRegained()
+{
+  mGraceEnd = mExecutor.Now() + mOptions.returnGrace;
+  mTimer = mExecutor.RunAfter(mOptions.returnGrace, [this] { RemoveLapsed(); });
+}
+
+void
+BackendDirectory::RemoveLapsed()
+{
+  for (const auto& id : std::exchange(mLapsed, {})) {
+    RemoveNow(id, "record lapsed while the log was away");
+  }
+}
+
+void
+BackendDirectory::RemoveNow(const BackendId& aId, const std::string& aWhy)
+{
+  if (mRecords.erase(aId) == 0) {
+    return;
+  }
+  mFleet.Remove(aId);
+  mPool.Forget(aId);
+  mLog.Info("backend server gone",
+            { { "backend", aId.Value() }, { "why", aWhy } });
+}
+
+const BackendRecord*
+BackendDirectory::Find(const BackendId& aId) const
+{
+  const auto it = mRecords.find(aId);
+  return it == mRecords.end() ? nullptr : &it->second;
+}
+
+} // namespace firefly
--- /dev/null
+++ b/servers/relay/relay.cpp
@@ -0,0 +1,151 @@
+#include "servers/relay/relay.h"
+
+#include <utility>
+
+#include "policy/policy_set.h"
+
+namespace firefly {
+
+namespace {
+
+// The router asks to be called every 10 to 20 ms while requests are live.
+constexpr Duration kTick = std::chrono::milliseconds(20);
+
+policy::PolicySet
+MakePolicies(const Relay::Options& aOptions)
+{
+  auto policies = policy::MakePolicySet("firefly",
+                                        { .self = aOptions.self,
+                                          .seed = aOptions.seed,
+                                          .queueBound = aOptions.queueBound,
+                                          .without = { "admission", "hedge" } });
+  return std::move(policies.value());
+}
+
+} // namespace
+
+Relay::Relay(Options aOptions, const Parts& aParts)
+  : mOptions(std::move(aOptions))
+  , mParts(aParts)
+  , mRouter({ .self = mOptions.self, .incarnation = mOptions.incarnation },
+            MakePolicies(mOptions),
+            *aParts.fleet,
+            *this)
+{
+  mContext = { .executor = mParts.executor,
+               .dialect = mParts.dialect,
+               .pool = mParts.pool,
+               .directory = mParts.directory,
+               .router = &mRouter,
+               .metrics = mParts.metrics,
+               .log = &mLog };
+}
+
+Relay::~Relay() = default;
+
+void
+Relay::OnRequest(CallerRequest aRequest, std::shared_ptr<CallerAnswer> aAnswer)
+{
+  auto read = mParts.dialect->ReadRequest(std::move(aRequest));
+  if (!read) {
+    Answer(*aAnswer, OwnAnswerKind::kMalformed, {}, read.error().message);
+    return;
+  }
+  const auto id = read->id;
+  const auto& table = mParts.routing->Current();
+  if (!table) {
+    Answer(*aAnswer, OwnAnswerKind::kNotReady, id, "no routing table yet");
+    return;
+  }
+  const auto* route = table->Match(read->host, read->path);
+  if (route == nullptr) {
+    Answer(*aAnswer, OwnAnswerKind::kNoRoute, id, "no route matches");
+    return;
+  }
+  if (mTasks.contains(id)) {
+    Answer(*aAnswer, OwnAnswerKind::kRefused, id, "request id is running");
+    return;
+  }
+  const auto& service = route->TargetFor(id);
+  const auto* traits = table->Service(service);
+  const bool hasEngine = traits != nullptr && traits->engine;
+  if (!hasEngine) {
+    read->prompt.reset();
+  }
+  auto task = std::make_unique<RelayTask>(
+    mContext,
+    RelayTask::Options{
+      .request = std::move(*read),
+      .table = table,
+      .route = route,
+      .service = service,
+      .tokensPerEvent = hasEngine ? traits->engine->tokensPerEvent : 1,
+      .answer = std::move(aAnswer),
+      .onDone = [this](const RequestId& aId) { mTasks.erase(aId); } });
+  auto* started = task.get();
+  mTasks[id] = std::move(task);
+  started->Start();
+  if (!mTickTimer.Pending()) {
+    mTickTimer = mParts.executor->RunAfter(kTick, [this] { Tick(); });
+  }
+}
+
+void
+Relay::OnRejected(int aStatus, const std::string& aPeer)
+{
+  const auto status = std::to_string(aStatus);
+  mParts.metrics->rejectedInput.With({ status }).Add();
+  mLog.Info("input rejected", { { "status", status }, { "peer", aPeer } });
+}
+
+void
+Relay::Answer(CallerAnswer& aAnswer,
+              OwnAnswerKind aKind,
+              const RequestId& aId,
+              const std::string& aDetail)
+{
+  const auto own =
+    mParts.dialect->Compose(aKind, aId, aDetail, mOptions.retryAfter);
+  const auto status = std::to_string(own.status);
+  mParts.metrics->rejectedInput.With({ status }).Add();
+  mLog.Info("request turned away",
+            { { "request", aId.Value() },
+              { "status", status },
+              { "why", aDetail } });
+  aAnswer.Send(own.status, own.reason, own.headers, own.body);
+}
+
+void
+Relay::Tick()
+{
+  mRouter.Tick(mParts.executor->Now());
+  if (!mTasks.empty()) {
+    mTickTimer = mParts.executor->RunAfter(kTick, [this] { Tick(); });
+  }
+}
+
+void
+Relay::Dispatch(const policy::DispatchOrder& aOrder)
+{
+  mTasks.at(aOrder.requestId)->Dispatch(aOrder);
+}
+
+void
+Relay::Cancel(const RequestId& aId, policy::AttemptNumber aAttempt)
+{
+  mTasks.at(aId)->Cancel(aAttempt);
+}
+
+void
+Relay::Refuse(const RequestId& aId, const policy::Refusal& aRefusal)
+{
+  mTasks.at(aId)->Refuse(aRefusal);
+}
+
+void
+Relay::Fail(const RequestId& aId, policy::FailureReason aReason)
+{
+  mTasks.at(aId)->Fail(aReason);
+}
+
+} // namespace firefly
--- /dev/null
+++ b/servers/relay/relay_metrics.h
@@ -0,0 +1,28 @@
+#pragma once
+
+// What a relay counts; see docs/OPERATIONS.md.
+
+#include "servers/metrics/metrics.h"
+
+namespace firefly {
+
+struct RelayMetrics
+{
+  explicit RelayMetrics(MetricRegistry& aRegistry);
+
+  MetricFamily<Counter>& requests;
+  MetricFamily<Counter>& refusals;
+  MetricFamily<Counter>& attempts;
+  MetricFamily<Counter>& rejectedInput;
+  MetricFamily<Histogram>& firstAnswer;
+  MetricFamily<Summary>& requestSeconds;
+  MetricFamily<Gauge>& live;
+  MetricFamily<Gauge>& queued;
+  MetricFamily<Gauge>& connections;
+  MetricFamily<Gauge>& backends;
+  MetricFamily<Gauge>& routingVersion;
+  MetricFamily<Gauge>& feedAge;
+  MetricFamily<Gauge>& ready;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/servers/relay/relay_server.cpp
@@ -0,0 +1,336 @@
+#include "servers/relay/relay_server.h"
+
+#include <utility>
+
+#include "coord/keyed_feed.h"
+#include "servers/relay/relay.h"
+#include "servers/status/status_server.h"
+
+namespace firefly {
+
+namespace {
+
+constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
+// Left at the end of the stop's grace for the process to end by itself.
+constexpr Duration kStopMargin = std::chrono::milliseconds(400);
+// Between two reads of the routing table's stream.
+constexpr Duration kRoutingPause = std::chrono::milliseconds(50);
+// A backend server or caller that acknowledges nothing for so long is gone.
+constexpr Duration kUnacknowledged = std::chrono::milliseconds(2000);
+constexpr std::chrono::seconds kProbeAfter{ 1 };
+
+Incarnation
+NewIncarnation(const Executor& aExecutor)
+{
+  const auto now = aExecutor.WallNow().time_since_epoch().count();
+  return Incarnation(static_cast<std::uint64_t>(now));
+}
+
+LivenessOptions
+Liveness()
+{
+  return { .unacknowledged = kUnacknowledged, .probeAfter = kProbeAfter };
+}
+
+// Passes the records of one stream on, and says when the log is away.
+class FeedListener : public coord::KeyedFeedObserver
+{
+public:
+  struct Handlers
+  {
+    std::function<void(const coord::KeyedRecord&)> onRecord;
+    std::function<void(const std::vector<std::string>&)> onSnapshot;
+    std::function<void()> onRegained;
+  };
+
+  FeedListener(std::string aName, Handlers aHandlers)
+    : mName(std::move(aName))
+    , mHandlers(std::move(aHandlers))
+  {
+  }
+
+  void OnRecord(const coord::KeyedRecord& aRecord) override
+  {
+    mHandlers.onRecord(aRecord);
+  }
+  void OnSnapshot(const std::vector<std::string>& aKeys) override
+  {
+    mLog.Info("feed loaded",
+              { { "feed", mName }, { "keys", std::to_string(aKeys.size()) } });
+    mHandlers.onSnapshot(aKeys);
+  }
+  void OnLost(const coord::LogError& aError) override
+  {
+    mLog.Warning("log lost", { { "feed", mName }, { "why", aError.message } });
+  }
+  void OnRegained(Duration aAway) override
+  {
+    mLog.Info(
+      "log regained",
+      { { "feed", mName }, { "away_s", std::to_string(ToSeconds(aAway)) } });
+    mHandlers.onRegained();
+  }
+
+private:
+  std::string mName;
+  Handlers mHandlers;
+  Log mLog{ "feed" };
+};
+
+} // namespace
+
+class RelayServer::Impl
+{
+public:
+  Impl(const Parts& aParts, const RelaySettings& aSettings)
+    : mParts(aParts)
+    , mExecutor(*aParts.executor)
+    , mSettings(aSettings)
+    , mIncarnation(NewIncarnation(mExecutor))
+    , mSeed(policy::MixHash(policy::StableHash(aSettings.host.Value()),
+                            mIncarnation.Value()))
+    , mMetrics(mRegistry)
+    , mPool(mExecutor, { .liveness = Liveness() })
+    , mDirectory({ .capacities = aSettings.capacities },
+                 mExecutor,
+                 mFleet,
+                 mPool)
+    , mRelay({ .self = aSettings.host,
+               .incarnation = mIncarnation,
+               .seed = mSeed,
+               .queueBound = aSettings.queueBound },
+             { .executor = &mExecutor,
+               .dialect = aParts.dialect,
+               .pool = &mPool,
+               .directory = &mDirectory,
+               .fleet = &mFleet,
+               .routing = &mRouting,
+               .metrics = &mMetrics })
+    , mCallers(mExecutor,
+               { .address = aSettings.callers.host,
+                 .port = aSettings.callers.port,
+                 .maxConnections = aSettings.maxConnections,
+                 .liveness = Liveness(),
+                 .limits = {} },
+               mRelay)
+    , mStatus(mExecutor,
+              { .address = aSettings.status.host,
+                .port = aSettings.status.port,
+                .ready = [this] { return WhyNotReady(); } },
+              mRegistry)
+    , mRoutingListener("routing", RoutingHandlers())
+    , mBackendListener("backends", BackendHandlers())
+    , mRoutingFeed({ .stream = aParts.decoder->RoutingStream(),
+                     .pause = kRoutingPause,
+                     .wait = aSettings.routingWait,
+                     .seed = mSeed },
+                   mExecutor,
+                   *aParts.log,
+                   mRoutingListener)
+    , mBackendFeed({ .stream = aParts.decoder->BackendStream(),
+                     .pause = aSettings.backendPoll,
+                     .wait = aSettings.backendPoll,
+                     .seed = mSeed + 1 },
+                   mExecutor,
+                   *aParts.log,
+                   mBackendListener)
+  {
+    mRouting.OnChange([this](const policy::RoutingTable& aTable) {
+      const auto& limits = aTable.Limits();
+      mCallers.SetLimits({ .maxHeadBytes = limits.maxHeadBytes,
+                           .maxBodyBytes = limits.maxBodyBytes,
+                           .headTimeout = limits.headTimeout,
+                           .idleTimeout = limits.idleTimeout });
+    });
+    mRegistry.OnExpose([this] { SetGauges(); });
+  }
+
+  tl::expected<void, RelayServerError> Start()
+  {
+    if (const auto opened = mCallers.Start(); !opened) {
+      return tl::make_unexpected(RelayServerError{ opened.error().message });
+    }
+    if (const auto opened = mStatus.Start(); !opened) {
+      return tl::make_unexpected(RelayServerError{ opened.error().message });
+    }
+    mRoutingFeed.Start();
+    mBackendFeed.Start();
+    mLog.Info("started",
+              { { "host", mSettings.host.Value() },
+                { "callers", mSettings.callers.Text() },
+                { "incarnation", std::to_string(mIncarnation.Value()) } });
+    return {};
+  }
+
+  void Reload(const RelaySettings& aSettings)
+  {
+    mSettings.unreadyGrace = aSettings.unreadyGrace;
+    mSettings.stopGrace = aSettings.stopGrace;
+    mLog.Info("settings reloaded", { { "host", mSettings.host.Value() } });
+  }
+
+  void Drain(std::function<void()> aDone)
+  {
+    if (mDraining) {
+      return;
+    }
+    mDraining = true;
+    mDrainStart = mExecutor.Now();
+    mDrained = std::move(aDone);
+    mCallers.Retire();
+    mLog.Info("stopping", { { "live", std::to_string(mRelay.Live()) } });
+    WatchDrain();
+  }
+
+private:
+  FeedListener::Handlers RoutingHandlers()
+  {
+    return {
+      .onRecord =
+        [this](const coord::KeyedRecord& aRecord) { TakeRouting(aRecord); },
+      .onSnapshot = [](const std::vector<std::string>&) {},
+      .onRegained = [] {},
+    };
+  }
+
+  FeedListener::Handlers BackendHandlers()
+  {
+    return {
+      .onRecord =
+        [this](const coord::KeyedRecord& aRecord) { TakeBackend(aRecord); },
+      .onSnapshot = [this](const std::vector<std::string>&
+                             aKeys) { mDirectory.KeepOnly(aKeys); },
+      .onRegained = [this] { mDirectory.OnLogRegained(); },
+    };
+  }
+
+  void TakeRouting(const coord::KeyedRecord& aRecord)
+  {
+    if (aRecord.key != mParts.decoder->RoutingKey() || !aRecord.value) {
+      return;
+    }
+    auto table = mParts.decoder->DecodeRouting(*aRecord.value);
+    if (!table) {
+      mLog.Warning("routing record ignored",
+                   { { "why", table.error().message } });
+      return;
+    }
+    mRouting.Offer(std::move(*table), "log");
+  }
+
+  void TakeBackend(const coord::KeyedRecord& aRecord)
+  {
+    if (!aRecord.value) {
+      mDirectory.Remove(BackendId(aRecord.key));
+      return;
+    }
+    const auto record =
+      mParts.decoder->DecodeBackend(aRecord.key, *aRecord.value);
+    if (!record) {
+      mLog.Warning("backend record ignored",
+                   { { "backend", aRecord.key },
+                     { "why", record.error().message } });
+      mDirectory.Remove(BackendId(aRecord.key));
+      return;
+    }
+    mDirectory.Apply(*record);
+  }
+
+  [[nodiscard]] std::string WhyNotReady() const
+  {
+    if (mDraining) {
+      return "stopping";
+    }
+    if (!mRouting.Current()) {
+      return "no routing table yet";
+    }
+    return mBackendFeed.Loaded() ? "" : "no backend servers read yet";
+  }
+
+  void WatchDrain()
+  {
+    const auto passed = mExecutor.Now() - mDrainStart;
+    const bool ended = mCallers.Busy() == 0 && mRelay.Live() == 0;
+    if ((ended && passed >= mSettings.unreadyGrace) ||
+        passed >= mSettings.stopGrace - kStopMargin) {
+      mLog.Info("stopped", { { "live", std::to_string(mRelay.Live()) } });
+      mDrained();
+      return;
+    }
+    mDrainTimer = mExecutor.RunAfter(kDrainPoll, [this] { WatchDrain(); });
+  }
+
+  void SetGauges()
+  {
+    const auto now = mExecutor.Now();
+    const auto age = [now](const coord::KeyedFeed& aFeed) {
+      return aFeed.Loaded() ? ToSeconds(now - aFeed.Heard()) : -1.0;
+    };
+    mMetrics.live.With({}).Set(static_cast<double>(mRelay.Live()));
+    mMetrics.queued.With({}).Set(
+      static_cast<double>(mRelay.Router().Queued()));
+    mMetrics.connections.With({ "callers" })
+      .Set(static_cast<double>(mCallers.Connections()));
+    mMetrics.connections.With({ "backends-idle" })
+      .Set(static_cast<double>(mPool.Idle()));
+    mMetrics.backends.With({}).Set(static_cast<double>(mDirectory.Size()));
+    mMetrics.feedAge.With({ "routing" }).Set(age(mRoutingFeed));
+    mMetrics.feedAge.With({ "backends" }).Set(age(mBackendFeed));
+    mMetrics.ready.With({}).Set(WhyNotReady().empty() ? 1 : 0);
+    if (const auto& table = mRouting.Current()) {
+      mMetrics.routingVersion.With({}).Set(
+        static_cast<double>(table->Version().Value()));
+    }
+  }
+
+  Parts mParts;
+  AsioExecutor& mExecutor;
+  RelaySettings mSettings;
+  Incarnation mIncarnation;
+  std::uint64_t mSeed;
+  Log mLog{ "server" };
+  MetricRegistry mRegistry;
+  RelayMetrics mMetrics;
+  policy::FleetView mFleet;
+  RoutingKeeper mRouting;
+  BackendPool mPool;
+  BackendDirectory mDirectory;
+  Relay mRelay;
+  CallerServer mCallers;
+  StatusServer mStatus;
+  FeedListener mRoutingListener;
+  FeedListener mBackendListener;
+  coord::KeyedFeed mRoutingFeed;
+  coord::KeyedFeed mBackendFeed;
+  bool mDraining = false;
+  Instant mDrainStart{};
+  std::function<void()> mDrained;
+  Timer mDrainTimer;
+};
+
+RelayServer::RelayServer(const Parts& aParts, const RelaySettings& aSettings)
+  : mImpl(std::make_unique<Impl>(aParts, aSettings))
+{
+}
+
+RelayServer::~RelayServer() = default;
+
+tl::expected<void, RelayServerError>
+RelayServer::Start()
+{
+  return mImpl->Start();
+}
+
+void
+RelayServer::Reload(const RelaySettings& aSettings)
+{
+  mImpl->Reload(aSettings);
+}
+
+void
+RelayServer::Drain(std::function<void()> aDone)
+{
+  mImpl->Drain(std::move(aDone));
+}
+
+} // namespace firefly
--- /dev/null
+++ b/servers/relay/relay_settings.cpp
@@ -0,0 +1,147 @@
+#include "servers/relay/relay_settings.h"
+
+#include <charconv>
+
+#include "servers/settings/section_reader.h"
+
+namespace firefly {
+
+namespace {
+
+using Whole = SettingRange<std::int64_t>;
+using Fraction = SettingRange<double>;
+
+constexpr Whole kShortMillis{ 1, 60'000 };
+constexpr Whole kCounts{ 1, 1'000'000 };
+constexpr Fraction kTokenRates{ 1, 10'000'000 };
+constexpr Fraction kGapMillis{ 0.1, 10'000 };
+
+// Defaults of the sections that need not be given; milliseconds.
+constexpr std::int64_t kBackendPoll = 400;
+constexpr std::int64_t kRoutingWait = 20'000;
+constexpr std::int64_t kLogTimeout = 1'500;
+constexpr std::int64_t kStopGrace = 8'000;
+constexpr std::int64_t kUnreadyGrace = 3'000;
+constexpr std::int64_t kDrainBound = 2'000;
+constexpr std::int64_t kMaxConnections = 3'000;
+constexpr std::int64_t kQueueBound = 256;
+
+SocketAddress
+ReadAddress(SectionReader& aReader, const std::string& aKey)
+{
+  const auto text = aReader.Endpoint(aKey);
+  SocketAddress address;
+  const auto colon = text.rfind(':');
+  if (colon != std::string::npos) {
+    address.host = text.substr(0, colon);
+    std::from_chars(
+      text.data() + colon + 1, text.data() + text.size(), address.port);
+  }
+  return address;
+}
+
+policy::BackendCapacity
+ReadCapacity(SectionReader aReader, const policy::BackendCapacity& aDefault)
+{
+  constexpr double kMillisPerSecond = 1000;
+  policy::BackendCapacity capacity = aDefault;
+  capacity.prefillTokensPerSecond = aReader.Real(
+    "prompt_tokens_per_s", kTokenRates, aDefault.prefillTokensPerSecond);
+  capacity.decodeTokensPerSecond = aReader.Real(
+    "output_tokens_per_s", kTokenRates, aDefault.decodeTokensPerSecond);
+  capacity.tokenGapSeconds =
+    aReader.Real("token_gap_ms",
+                 kGapMillis,
+                 aDefault.tokenGapSeconds * kMillisPerSecond) /
+    kMillisPerSecond;
+  aReader.Finish();
+  return capacity;
+}
+
+void
+ReadEngines(SectionReader aReader, RelaySettings& aSettings)
+{
+  auto& capacities = aSettings.capacities;
+  capacities.mixed = ReadCapacity(aReader.Section("mixed"), capacities.mixed);
+  capacities.prefill =
+    ReadCapacity(aReader.Section("prefill"), capacities.prefill);
+  capacities.decode =
+    ReadCapacity(aReader.Section("decode"), capacities.decode);
+  aReader.Finish();
+}
+
+void
+ReadHost(SectionReader aReader, RelaySettings& aSettings)
+{
+  aSettings.host = HostId(aReader.Text("id"));
+  aSettings.domain = DomainId(aReader.Text("domain"));
+  aSettings.callers = ReadAddress(aReader, "callers");
+  aSettings.status = ReadAddress(aReader, "status");
+  aReader.Finish();
+}
+
+void
+ReadFeeds(SectionReader aReader, RelaySettings& aSettings)
+{
+  aSettings.logUrl = aReader.Url("url");
+  aSettings.backendPoll =
+    aReader.Millis("backend_poll_ms", kShortMillis, kBackendPoll);
+  aSettings.routingWait =
+    aReader.Millis("routing_wait_ms", kShortMillis, kRoutingWait);
+  aSettings.logTimeout =
+    aReader.Millis("timeout_ms", kShortMillis, kLogTimeout);
+  aReader.Finish();
+}
+
+void
+ReadRelay(SectionReader aReader, RelaySettings& aSettings)
+{
+  aSettings.maxConnections = static_cast<std::size_t>(
+    aReader.Integer("max_connections", kCounts, kMaxConnections));
+  aSettings.queueBound = static_cast<std::size_t>(
+    aReader.Integer("queue_bound", kCounts, kQueueBound));
+  aSettings.stopGrace =
+    aReader.Millis("stop_grace_ms", kShortMillis, kStopGrace);
+  aSettings.unreadyGrace =
+    aReader.Millis("unready_grace_ms", kShortMillis, kUnreadyGrace);
+  aSettings.drainBound =
+    aReader.Millis("drain_bound_ms", kShortMillis, kDrainBound);
+  aReader.Finish();
+}
+
+} // namespace
+
+std::string
+SocketAddress::Text() const
+{
+  return host + ":" + std::to_string(port);
+}
+
+tl::expected<RelaySettings, SettingsError>
+LoadRelaySettings(const std::filesystem::path& aFile)
+{
+  const auto tree = ReadSettingFile(aFile.string());
+  if (!tree) {
+    return tl::make_unexpected(SettingsError{ { tree.error().message } });
+  }
+  SettingProblems problems(aFile.string());
+  SectionReader root(&*tree, "", problems);
+  RelaySettings settings;
+  ReadHost(root.Section("host"), settings);
+  ReadFeeds(root.Section("log_service"), settings);
+  ReadRelay(root.Section("relay"), settings);
+  ReadEngines(root.Section("engines"), settings);
+  settings.log = ReadLogSettings(root.Section("log"));
+  root.Finish();
+  if (problems.Lines().empty() && settings.unreadyGrace >= settings.stopGrace) {
+    problems.Add(0,
+                 "relay.unready_grace_ms must be shorter than "
+                 "relay.stop_grace_ms: nothing would be left to end requests");
+  }
+  if (!problems.Lines().empty()) {
+    return tl::make_unexpected(SettingsError{ problems.Lines() });
+  }
+  return settings;
+}
+
+} // namespace firefly
--- /dev/null
+++ b/servers/relay/relay_settings.h
@@ -0,0 +1,59 @@
+#pragma once
+
+// The settings of a relay, in TOML; docs/OPERATIONS.md is the reference.
+
+#include <cstdint>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "policy/fleet_view.h"
+#include "servers/settings/settings.h"
+
+namespace firefly {
+
+// An address to listen on or to connect to.
+struct SocketAddress
+{
+  std::string host; // an IP number
+  std::uint16_t port = 0;
+
+  // "10.0.0.1:8080"
+  [[nodiscard]] std::string Text() const;
+};
+
+struct RelaySettings
+{
+  HostId host;
+  DomainId domain;
+  SocketAddress callers;
+  SocketAddress status;
+  // Where the platform's log is reached.
+  std::string logUrl;
+  // Between two reads of the backend servers' records.
+  Duration backendPoll{};
+  // How long the log may hold a read until the routing table changes.
+  Duration routingWait{};
+  // For a call to the log, beside the time that it may hold a read.
+  Duration logTimeout{};
+  std::size_t maxConnections = 0;
+  std::size_t queueBound = 0; // requests waiting
+  // Between the stop signal and the kill.
+  Duration stopGrace{};
+  // After the stop signal, for the balancer to notice.
+  Duration unreadyGrace{};
+  // After which a leaving backend server gets no new work.
+  Duration drainBound{};
+  policy::RoleCapacities capacities;
+  LogSettings log;
+};
+
+// Reads and checks the file whole; the error has one line for each fault.
+tl::expected<RelaySettings, SettingsError>
+LoadRelaySettings(const std::filesystem::path& aFile);
+
+} // namespace firefly
--- /dev/null
+++ b/servers/relay/relay_task.cpp
@@ -0,0 +1,564 @@
+#include "servers/relay/relay_task.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace firefly {
+
+namespace {
+
+using policy::AttemptError;
+using policy::AttemptNumber;
+
+
+constexpr int kFirstServerError = 500;
+constexpr int kPastSuccess = 300;
+// A plain answer up to this size is passed on once it is whole.
+constexpr std::size_t kMaxWholeBytes = 4U << 20U;
+// Unsent bytes at which a backend server is held back.
+constexpr std::size_t kMaxUnsent = 256U << 10U;
+// A request that runs at most once takes a kept connection only if it carried
+// an answer within this: a reset on an older one would leave it unknown.
+constexpr Duration kFreshForOnce = std::chrono::milliseconds(1500);
+constexpr Duration kLeastTimeLeft = std::chrono::milliseconds(1);
+
+std::string
+Millis(Duration aDuration)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
+}
+
+std::string
+Describe(BackendCallFault aFault)
+{
+  switch (aFault) {
+    case BackendCallFault::kNotSent:
+      return "not connected";
+    case BackendCallFault::kCut:
+      return "connection cut";
+    case BackendCallFault::kMalformed:
+      return "malformed answer";
+  }
+  return "unknown fault";
+}
+
+} // namespace
+
+// One send of the request to a backend server.
+class RelayTask::Attempt : public BackendCallObserver
+{
+public:
+  Attempt(RelayTask& aTask, const policy::DispatchOrder& aOrder)
+    : mTask(aTask)
+    , mNumber(aOrder.attempt)
+    , mBackend(aOrder.backend)
+    , mPromptOnly(aOrder.phase == policy::WorkPhase::kPrompt)
+    , mIsStream(aTask.mOptions.route->IsStream() && !mPromptOnly)
+  {
+  }
+
+  // Whether the backend server may run the request.
+  [[nodiscard]] bool CanRun() const { return !mPromptOnly; }
+
+  void Start(BackendPool::Call aCall)
+  {
+    mCall = mTask.mContext.pool->Start(std::move(aCall), *this);
+  }
+
+  [[nodiscard]] AttemptNumber Number() const { return mNumber; }
+  void Pause() { mCall->Pause(); }
+  void Resume() { mCall->Resume(); }
+
+  bool IsMine(const MessageHead& aHead) override
+  {
+    return mTask.mContext.dialect->Answers(aHead, mTask.mOptions.request.id);
+  }
+
+  void OnHead(const MessageHead& aHead) override
+  {
+    mHead = aHead;
+    mKind = mTask.mContext.dialect->Classify(aHead);
+    if (mPromptOnly) {
+      return;
+    }
+    if (mKind == AnswerKind::kForeign) {
+      mTask.OnAttemptError(
+        mNumber, AttemptError::kBroken, "not a backend server's answer");
+    }
+  }
+
+  void OnBody(std::string aBytes) override
+  {
+    if (mKind == AnswerKind::kNotRun) {
+      return;
+    }
+    if (mKind == AnswerKind::kSuccess && mIsStream) {
+      TakeEvents(aBytes);
+      return;
+    }
+    mBody += aBytes;
+    if (mBody.size() > kMaxWholeBytes) {
+      mTask.OnAttemptError(
+        mNumber, AttemptError::kBroken, "answer larger than the bound");
+    }
+  }
+
+  void OnEnd() override
+  {
+    if (mPromptOnly && mKind != AnswerKind::kNotRun) {
+      mTask.OnPromptRead(mNumber, mHead, mBody, mBackend);
+    } else if (mKind == AnswerKind::kNotRun) {
+      mTask.OnAttemptError(mNumber,
+                           AttemptError::kRejected,
+                           "status " + std::to_string(mHead.status));
+    } else if (mKind == AnswerKind::kFailure) {
+      mTask.OnAttemptFailure(mNumber, { mHead, std::move(mBody) });
+    } else if (!mIsStream) {
+      mTask.OnPlainAnswer(mNumber, mHead, mBody);
+    } else if (mSplitter.Partial() > 0 || !mHadEvent) {
+      mTask.OnAttemptError(
+        mNumber, AttemptError::kBroken, "stream ended within an event");
+    } else {
+      mTask.OnStreamEnd(mNumber);
+    }
+  }
+
+  void OnFault(BackendCallFault aFault) override
+  {
+    auto error = AttemptError::kBroken;
+    if (aFault == BackendCallFault::kNotSent) {
+      error = AttemptError::kNotSent;
+    } else if (mKind == AnswerKind::kNotRun && mHead.status != 0) {
+      error = AttemptError::kRejected;
+    }
+    mTask.OnAttemptError(mNumber, error, Describe(aFault));
+  }
+
+private:
+  void TakeEvents(std::string_view aBytes)
+  {
+    for (const auto& event : mSplitter.Feed(aBytes)) {
+      if (!std::exchange(mHadEvent, true) &&
+          !mTask.OnFirstEvent(mNumber, mHead)) {
+        return;
+      }
+      mTask.OnEvent(mNumber, event);
+    }
+    if (mSplitter.Overflowed()) {
+      mTask.OnAttemptError(
+        mNumber, AttemptError::kBroken, "event larger than the bound");
+      return;
+    }
+    mTask.HoldBack(*this);
+  }
+
+  RelayTask& mTask;
+  AttemptNumber mNumber;
+  BackendId mBackend;
+  bool mPromptOnly;
+  bool mIsStream;
+  std::unique_ptr<BackendCall> mCall;
+  MessageHead mHead;
+  AnswerKind mKind = AnswerKind::kForeign;
+  EventSplitter mSplitter;
+  bool mHadEvent = false;
+  std::string mBody;
+};
+
+RelayTask::RelayTask(const RelayContext& aContext, Options aOptions)
+  : mContext(aContext)
+  , mOptions(std::move(aOptions))
+  , mArrival(aContext.executor->Now())
+  , mLastEventId(mOptions.request.lastEventId)
+{
+  const auto patience =
+    mOptions.request.patience.value_or(mOptions.route->timeout);
+  mExpires = mArrival + std::min(patience, mOptions.route->timeout);
+  mOptions.answer->Observe(this);
+}
+
+RelayTask::~RelayTask()
+{
+  mOptions.answer->Observe(nullptr);
+}
+
+void
+RelayTask::Start()
+{
+  mExpiry =
+    mContext.executor->RunAfter(mExpires - mArrival, [this] { OnExpired(); });
+  mContext.router->OnArrival(MakeInfo(), mArrival);
+}
+
+policy::RequestInfo
+RelayTask::MakeInfo() const
+{
+  const auto& request = mOptions.request;
+  const auto& route = *mOptions.route;
+  policy::RequestInfo info;
+  info.requestId = request.id;
+  info.service = mOptions.service;
+  info.requestType = RequestType(route.name);
+  info.worth = policy::Worth(1);
+  info.arrival = mArrival;
+  info.lateAfter = std::min(route.lateAfter, mExpires - mArrival);
+  info.idempotent = route.MayRepeat();
+  info.maxAttempts = route.maxAttempts;
+  info.fingerprint = request.fingerprint;
+  if (!request.prompt) {
+    return info;
+  }
+  const auto& prompt = *request.prompt;
+  info.model = ScopedModel(mOptions.service, prompt.model);
+  info.promptTokens = prompt.promptTokens;
+  info.maxOutputTokens = prompt.maxOutputTokens;
+  std::uint64_t hash = policy::StableHash(info.model.Value());
+  std::uint32_t end = 0;
+  for (const auto& it : prompt.sharedParts) {
+    hash = policy::MixHash(hash, it.hash);
+    end += it.tokens.Value();
+    info.prefixHashes.push_back(hash);
+    info.prefixEnds.emplace_back(end);
+  }
+  return info;
+}
+
+Instant
+RelayTask::Now() const
+{
+  return mContext.executor->Now();
+}
+
+void
+RelayTask::Dispatch(const policy::DispatchOrder& aOrder)
+{
+  auto attempt = std::make_unique<Attempt>(*this, aOrder);
+  auto* started = attempt.get();
+  mAttempts[aOrder.attempt] = std::move(attempt);
+  mAttemptsMade++;
+  mBackends += (mBackends.empty() ? "" : ",") + aOrder.backend.Value();
+  const auto* record = mContext.directory->Find(aOrder.backend);
+  BackendPool::Call call;
+  call.backend = aOrder.backend;
+  if (record != nullptr) {
+    call.address = record->address;
+  }
+  AttemptTerms terms{ .backend = aOrder.backend,
+                      .address = call.address.Value(),
+                      .timeLeft = std::max(kLeastTimeLeft, mExpires - Now()),
+                      .enginePriority = {},
+                      .resumeAfter = mLastEventId,
+                      .promptOnly = !started->CanRun(),
+                      .memory = {} };
+  if (aOrder.phase == policy::WorkPhase::kOutput) {
+    // Can be taken once only.
+    terms.memory = std::exchange(mMemory, std::nullopt);
+  }
+  call.bytes = mContext.dialect->ComposeRequest(mOptions.request, terms);
+  call.noBody = mOptions.request.method == "HEAD";
+  if (!mOptions.route->MayRepeat() && started->CanRun()) {
+    call.freshWithin = kFreshForOnce;
+  }
+  started->Start(std::move(call));
+}
+
+void
+RelayTask::Cancel(AttemptNumber aAttempt)
+{
+  // The attempt may be the one whose call is being heard right now.
+  const auto it = mAttempts.find(aAttempt);
+  if (it == mAttempts.end()) {
+    return;
+  }
+  mRanUnseen = mRanUnseen || it->second->CanRun();
+  std::shared_ptr<Attempt> ended(std::move(it->second));
+  mAttempts.erase(it);
+  mContext.executor->Post([ended] {});
+}
+
+void
+RelayTask::OnAttemptError(AttemptNumber aAttempt,
+                          AttemptError aError,
+                          const std::string& aWhy)
+{
+  const auto it = mAttempts.find(aAttempt);
+  if (it == mAttempts.end() || mDone) {
+    return;
+  }
+  std::shared_ptr<Attempt> ended(std::move(it->second));
+  mAttempts.erase(it);
+  mContext.executor->Post([ended] {});
+  const bool unclear =
+    aError == AttemptError::kBroken || aError == AttemptError::kFailed;
+  mRanUnseen = mRanUnseen || (ended->CanRun() && unclear);
+  mContext.metrics->attempts.With({ mOptions.service.Value(), aWhy }).Add();
+  mContext.log->Info("attempt ended",
+                     { { "request", mOptions.request.id.Value() },
+                       { "attempt", std::to_string(aAttempt.Value()) },
+                       { "backends", mBackends },
+                       { "why", aWhy },
+                       { "ms", Millis(Now() - mArrival) } });
+  mContext.router->OnError(mOptions.request.id, aAttempt, aError, Now());
+}
+
+void
+RelayTask::OnPromptRead(AttemptNumber aAttempt,
+                        const MessageHead& aHead,
+                        const std::string& aBody,
+                        const BackendId& aBackend)
+{
+  const auto it = mAttempts.find(aAttempt);
+  if (it == mAttempts.end() || mDone) {
+    return;
+  }
+  const auto* record = mContext.directory->Find(aBackend);
+  auto memory = mContext.dialect->ReadPromptAnswer(
+    aHead, aBody, record == nullptr ? "" : record->address.Value());
+  if (!memory || record == nullptr) {
+    OnAttemptError(aAttempt,
+                   AttemptError::kRejected,
+                   memory ? "backend server gone" : memory.error().message);
+    return;
+  }
+  std::shared_ptr<Attempt> ended(std::move(it->second));
+  mAttempts.erase(it);
+  mContext.executor->Post([ended] {});
+  mMemory = std::move(*memory);
+  mMemoryAt = aBackend;
+  mContext.router->OnPromptRead(mOptions.request.id, aAttempt, Now());
+}
+
+void
+RelayTask::ReleaseMemory()
+{
+  const auto memory = std::exchange(mMemory, std::nullopt);
+  if (memory) {
+    mContext.pool->Send({ .backend = mMemoryAt,
+                          .address = BackendAddress(memory->address),
+                          .bytes = mContext.dialect->ComposeRelease(*memory) });
+  }
+}
+
+void
+RelayTask::OnAttemptFailure(AttemptNumber aAttempt, KeptFailure aFailure)
+{
+  const bool mayRepeat = mOptions.route->MayRepeat() &&
+                         aFailure.head.status >= kFirstServerError && !mBegun;
+  if (mayRepeat || mBegun) {
+    const auto why = "status " + std::to_string(aFailure.head.status);
+    if (!mBegun) {
+      mFailure = std::move(aFailure);
+    }
+    OnAttemptError(aAttempt, AttemptError::kFailed, why);
+    return;
+  }
+  OnPlainAnswer(aAttempt, aFailure.head, aFailure.body);
+}
+
+void
+RelayTask::OnPlainAnswer(AttemptNumber aAttempt,
+                         const MessageHead& aHead,
+                         const std::string& aBody)
+{
+  const auto now = Now();
+  const auto& id = mOptions.request.id;
+  if (mDone || !mContext.router->OnFirstToken(id, aAttempt, now)) {
+    return;
+  }
+  CountFirstAnswer();
+  mStatus = aHead.status;
+  mOptions.answer->Send(aHead.status,
+                        aHead.reason,
+                        mContext.dialect->CallerHeaders(aHead),
+                        aBody);
+  mContext.router->OnFinish(id, aAttempt, now);
+  Done(aHead.status < kPastSuccess ? "answered" : "backend-failure");
+}
+
+bool
+RelayTask::OnFirstEvent(AttemptNumber aAttempt, const MessageHead& aHead)
+{
+  const auto now = Now();
+  const auto& id = mOptions.request.id;
+  if (mDone || !mContext.router->OnFirstToken(id, aAttempt, now)) {
+    return false;
+  }
+  if (!mBegun) {
+    mBegun = true;
+    mStatus = aHead.status;
+    CountFirstAnswer();
+    mOptions.answer->Begin(aHead.status,
+                           aHead.reason,
+                           mContext.dialect->CallerHeaders(aHead),
+                           std::nullopt);
+  }
+  return true;
+}
+
+void
+RelayTask::OnEvent(AttemptNumber aAttempt, const StreamEvent& aEvent)
+{
+  if (mDone) {
+    return;
+  }
+  mOptions.answer->Write(aEvent.bytes);
+  if (!aEvent.id.empty()) {
+    mLastEventId = aEvent.id;
+  }
+  mContext.router->OnTokens(mOptions.request.id,
+                            aAttempt,
+                            policy::Tokens(mOptions.tokensPerEvent),
+                            Now());
+}
+
+void
+RelayTask::OnStreamEnd(AttemptNumber aAttempt)
+{
+  if (mDone) {
+    return;
+  }
+  mOptions.answer->Finish();
+  mContext.router->OnFinish(mOptions.request.id, aAttempt, Now());
+  Done("answered");
+}
+
+void
+RelayTask::HoldBack(Attempt& aAttempt)
+{
+  if (!mDone && mOptions.answer->Unsent() > kMaxUnsent) {
+    aAttempt.Pause();
+    mContext.router->OnHeld(mOptions.request.id, aAttempt.Number(), Now());
+  }
+}
+
+void
+RelayTask::OnCallerTookAll()
+{
+  for (const auto& [number, attempt] : mAttempts) {
+    attempt->Resume();
+  }
+}
+
+void
+RelayTask::OnCallerGone()
+{
+  if (!mDone) {
+    mContext.router->OnCallerGone(mOptions.request.id, Now());
+    Done("caller-gone");
+  }
+}
+
+void
+RelayTask::OnExpired()
+{
+  if (mDone) {
+    return;
+  }
+  const bool mayHaveRun = MayHaveRun();
+  mContext.router->OnCallerGone(mOptions.request.id, Now());
+  if (mBegun) {
+    mOptions.answer->Abort();
+    Done("timed-out", "stream not whole in time");
+  } else if (mFailure) {
+    SendFailure(*mFailure);
+    Done("backend-failure", "timed out");
+  } else if (mayHaveRun) {
+    SendOwn(OwnAnswerKind::kTimedOut, "no answer in time");
+    Done("timed-out", "no answer in time");
+  } else {
+    SendOwn(OwnAnswerKind::kRefused, "no room in time");
+    Done("refused", "no room in time");
+  }
+}
+
+bool
+RelayTask::MayHaveRun() const
+{
+  return mRanUnseen ||
+         std::ranges::any_of(mAttempts, [](const auto& aAttempt) {
+           return aAttempt.second->CanRun();
+         });
+}
+
+void
+RelayTask::Refuse(const policy::Refusal& aRefusal)
+{
+  const std::string reason(ToString(aRefusal.reason));
+  mContext.metrics->refusals.With({ mOptions.service.Value(), reason }).Add();
+  SendOwn(OwnAnswerKind::kRefused, reason, aRefusal.retryAfter);
+  Done("refused", reason);
+}
+
+void
+RelayTask::Fail(policy::FailureReason aReason)
+{
+  const std::string reason(ToString(aReason));
+  if (mBegun) {
+    mOptions.answer->Abort();
+  } else if (mFailure) {
+    SendFailure(*mFailure);
+  } else {
+    SendOwn(OwnAnswerKind::kFailed, reason);
+  }
+  Done("failed", reason);
+}
+
+void
+RelayTask::SendOwn(OwnAnswerKind aKind,
+                   const std::string& aDetail,
+                   Duration aRetryAfter)
+{
+  const auto own = mContext.dialect->Compose(
+    aKind, mOptions.request.id, aDetail, aRetryAfter);
+  mStatus = own.status;
+  mOptions.answer->Send(own.status, own.reason, own.headers, own.body);
+}
+
+void
+RelayTask::SendFailure(const KeptFailure& aFailure)
+{
+  mStatus = aFailure.head.status;
+  mOptions.answer->Send(aFailure.head.status,
+                        aFailure.head.reason,
+                        mContext.dialect->CallerHeaders(aFailure.head),
+                        aFailure.body);
+}
+
+void
+RelayTask::CountFirstAnswer()
+{
+  mFirstAnswer = Now() - mArrival;
+  mContext.metrics->firstAnswer.With({ mOptions.service.Value() })
+    .Observe(ToSeconds(*mFirstAnswer));
+}
+
+void
+RelayTask::Done(const std::string& aOutcome, const std::string& aWhy)
+{
+  mDone = true;
+  mExpiry.Cancel();
+  ReleaseMemory();
+  mOptions.answer->Observe(nullptr);
+  const auto took = Now() - mArrival;
+  const auto& service = mOptions.service.Value();
+  mContext.metrics->requests.With({ service, aOutcome }).Add();
+  mContext.metrics->requestSeconds.With({ service }).Observe(ToSeconds(took));
+  mContext.log->Info(
+    "request ended",
+    { { "request", mOptions.request.id.Value() },
+      { "route", mOptions.route->name },
+      { "service", service },
+      { "table", std::to_string(mOptions.table->Version().Value()) },
+      { "outcome", aOutcome },
+      { "why", aWhy },
+      { "status", std::to_string(mStatus) },
+      { "attempts", std::to_string(mAttemptsMade) },
+      { "backends", mBackends },
+      { "first_ms", mFirstAnswer ? Millis(*mFirstAnswer) : "" },
+      { "ms", Millis(took) } });
+  mContext.executor->Post(
+    [onDone = mOptions.onDone, id = mOptions.request.id] { onDone(id); });
+}
+
+} // namespace firefly
--- /dev/null
+++ b/servers/relay/relay_task.h
@@ -0,0 +1,137 @@
+#pragma once
+
+// One request from its arrival to its end: carries out the router's decisions
+// on it and tells the router what happened.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "policy/request_router.h"
+#include "policy/routing_table.h"
+#include "servers/http1/backend_pool.h"
+#include "servers/http1/caller_server.h"
+#include "servers/log/log.h"
+#include "servers/relay/backend_directory.h"
+#include "servers/relay/dialect.h"
+#include "servers/relay/event_splitter.h"
+#include "servers/relay/relay_metrics.h"
+
+namespace firefly {
+
+// What the tasks of a relay share; all of it outlives them.
+struct RelayContext
+{
+  Executor* executor = nullptr;
+  const Dialect* dialect = nullptr;
+  BackendPool* pool = nullptr;
+  const BackendDirectory* directory = nullptr;
+  policy::RequestRouter* router = nullptr;
+  RelayMetrics* metrics = nullptr;
+  const Log* log = nullptr;
+};
+
+class RelayTask : private CallerObserver
+{
+public:
+  struct Options
+  {
+    RelayRequest request;
+    // The table that the request began with, and its route in it.
+    std::shared_ptr<const policy::RoutingTable> table;
+    const policy::Route* route = nullptr;
+    ServiceId service;
+    // Output tokens in one event at most.
+    std::uint32_t tokensPerEvent = 1;
+    std::shared_ptr<CallerAnswer> answer;
+    // Called once, when the task may be destroyed; never inside a call to it.
+    std::function<void(const RequestId&)> onDone;
+  };
+
+  RelayTask(const RelayContext& aContext, Options aOptions);
+  ~RelayTask() override;
+  RelayTask(const RelayTask&) = delete;
+  RelayTask& operator=(const RelayTask&) = delete;
+
+  // Hands the request to the router.
+  void Start();
+
+  // The router's decisions.
+  void Dispatch(const policy::DispatchOrder& aOrder);
+  void Cancel(policy::AttemptNumber aAttempt);
+  void Refuse(const policy::Refusal& aRefusal);
+  void Fail(policy::FailureReason aReason);
+
+private:
+  class Attempt;
+  friend class Attempt;
+
+  // A failure that a backend server answered with, kept until it is known
+  // whether another one answers better.
+  struct KeptFailure
+  {
+    MessageHead head;
+    std::string body;
+  };
+
+  void OnCallerGone() override;
+  void OnCallerTookAll() override;
+
+  void OnExpired();
+  // The attempt ended without an answer for the caller.
+  void OnAttemptError(policy::AttemptNumber aAttempt,
+                      policy::AttemptError aError,
+                      const std::string& aWhy);
+  // The prompt was read; its memory waits for an engine to go on from it.
+  void OnPromptRead(policy::AttemptNumber aAttempt,
+                    const MessageHead& aHead,
+                    const std::string& aBody,
+                    const BackendId& aBackend);
+  void ReleaseMemory();
+  // A backend server answered with a failure of its own.
+  void OnAttemptFailure(policy::AttemptNumber aAttempt, KeptFailure aFailure);
+  void OnPlainAnswer(policy::AttemptNumber aAttempt,
+                     const MessageHead& aHead,
+                     const std::string& aBody);
+  // False if the attempt is not the one that answers.
+  bool OnFirstEvent(policy::AttemptNumber aAttempt, const MessageHead& aHead);
+  void OnEvent(policy::AttemptNumber aAttempt, const StreamEvent& aEvent);
+  void OnStreamEnd(policy::AttemptNumber aAttempt);
+  void HoldBack(Attempt& aAttempt);
+
+  [[nodiscard]] policy::RequestInfo MakeInfo() const;
+  [[nodiscard]] Instant Now() const;
+  [[nodiscard]] bool MayHaveRun() const;
+  void SendOwn(OwnAnswerKind aKind,
+               const std::string& aDetail,
+               Duration aRetryAfter = {});
+  void SendFailure(const KeptFailure& aFailure);
+  void CountFirstAnswer();
+  // Ends the task; the outcome goes to the log and the metrics.
+  void Done(const std::string& aOutcome, const std::string& aWhy = {});
+
+  const RelayContext& mContext;
+  Options mOptions;
+  Instant mArrival{};
+  Instant mExpires{};
+  Timer mExpiry;
+  std::map<policy::AttemptNumber, std::unique_ptr<Attempt>> mAttempts;
+  std::uint32_t mAttemptsMade = 0;
+  // Kept at an engine that read the prompt, until an attempt takes it.
+  std::optional<PromptMemory> mMemory;
+  BackendId mMemoryAt;
+  // An attempt ended that may have run.
+  bool mRanUnseen = false;
+  std::optional<KeptFailure> mFailure;
+  // The head of the answer is out.
+  bool mBegun = false;
+  std::string mLastEventId;
+  std::string mBackends; // that it was sent to, for the log
+  std::optional<Duration> mFirstAnswer;
+  int mStatus = 0;
+  bool mDone = false;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/servers/relay/routing_keeper.cpp
@@ -0,0 +1,32 @@
+#include "servers/relay/routing_keeper.h"
+
+#include <utility>
+
+namespace firefly {
+
+void
+RoutingKeeper::OnChange(
+  std::function<void(const policy::RoutingTable&)> aCallback)
+{
+  mCallback = std::move(aCallback);
+}
+
+void
+RoutingKeeper::Offer(policy::RoutingTable aTable, const std::string& aSource)
+{
+  if (mCurrent && aTable.Version() <= mCurrent->Version()) {
+    return;
+  }
+  const auto before = mCurrent ? mCurrent->Version().Value() : 0;
+  mCurrent = std::make_shared<const policy::RoutingTable>(std::move(aTable));
+  mLog.Info("routing table in force",
+            { { "version", std::to_string(mCurrent->Version().Value()) },
+              { "before", std::to_string(before) },
+              { "routes", std::to_string(mCurrent->RouteCount()) },
+              { "source", aSource } });
+  if (mCallback) {
+    mCallback(*mCurrent);
+  }
+}
+
+} // namespace firefly
--- a/servers/settings/section_reader.cpp
+++ b/servers/settings/section_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <charconv>
 #include <sstream>
 
 namespace firefly {
@@ -33,6 +34,21 @@
          inet_pton(AF_INET6, aText.c_str(), &buf) == 1;
 }
 
+bool
+IsEndpoint(const std::string& aText)
+{
+  constexpr int kMostPort = 65535;
+  const auto colon = aText.rfind(':');
+  if (colon == std::string::npos || !IsAddress(aText.substr(0, colon))) {
+    return false;
+  }
+  int port = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
+  return parsed.ec == std::errc() && parsed.ptr == end && port > 0 &&
+         port <= kMostPort;
+}
+
 bool
 IsUrl(const std::string& aText)
 {
@@ -170,6 +186,13 @@
   return CheckedText(aKey, "an IP number such as \"10.1.0.5\"", IsAddress);
 }
 
+std::string
+SectionReader::Endpoint(const std::string& aKey)
+{
+  return CheckedText(
+    aKey, "an address such as \"10.1.0.5:8080\"", IsEndpoint);
+}
+
 std::string
 SectionReader::Url(const std::string& aKey)
 {
--- a/servers/settings/section_reader.h
+++ b/servers/settings/section_reader.h
@@ -78,6 +78,9 @@
   // An address by IP number.
   std::string Address(const std::string& aKey);
 
+  // An IP number and a port, such as "10.1.0.5:8080".
+  std::string Endpoint(const std::string& aKey);
+
   // An http or https URL; a slash at its end is dropped.
   std::string Url(const std::string& aKey);
 
--- a/servers/settings/settings.cpp
+++ b/servers/settings/settings.cpp
@@ -238,17 +238,6 @@
   return platform;
 }
 
-LogSettings
-ReadLog(SectionReader aReader)
-{
-  LogSettings log{
-    .level = aReader.Choice("level", kLogLevels, { LogLevel::kInfo }),
-    .layout = aReader.Choice("layout", kLogLayouts, { LogLayout::kText }),
-  };
-  aReader.Finish();
-  return log;
-}
-
 void
 ReadPlainBackend(SectionReader& aReader, BackendSettings& aBackend)
 {
@@ -403,7 +392,7 @@
   settings.ledger = ReadLedger(root.Section("ledger"));
   settings.steward = ReadSteward(root.Section("steward"));
   settings.platform = ReadPlatform(root.Section("platform"));
-  settings.log = ReadLog(root.Section("log"));
+  settings.log = ReadLogSettings(root.Section("log"));
   settings.chartsDirectory = ReadCharts(root.Section("charts"), aOptions.file);
   settings.policyName = ReadPolicy(root.Section("policy"));
   if (root.Has("engine_roles")) {
@@ -472,6 +461,17 @@
   return settings;
 }
 
+LogSettings
+ReadLogSettings(SectionReader aReader)
+{
+  LogSettings log{
+    .level = aReader.Choice("level", kLogLevels, { LogLevel::kInfo }),
+    .layout = aReader.Choice("layout", kLogLayouts, { LogLayout::kText }),
+  };
+  aReader.Finish();
+  return log;
+}
+
 std::string_view
 NameOf(BackendKind aKind)
 {
--- a/servers/settings/settings.h
+++ b/servers/settings/settings.h
@@ -218,6 +218,12 @@
   std::vector<std::string> lines;
 };
 
+class SectionReader;
+
+// Reads the [log] section, which all programs share.
+LogSettings
+ReadLogSettings(SectionReader aReader);
+
 struct SettingsOptions
 {
   std::filesystem::path file;
