Place prompts by shared parts and tell peers of outstanding work

Cause: each relay sees a ninth of the traffic, so it took shared parts of prompts for unknown and read them at random engines (3.9 M of 9.3 M tokens again). Shared parts now have one home by hash in each pool of engines, counted as cached from the first request on; the output goes to the home as well, which keeps the memory. Relays gossip their outstanding work.

--- a/policy/backend_selector.cpp
+++ b/policy/backend_selector.cpp
@@ -22,6 +22,9 @@
 // Checks for silent peers are this far apart.
 constexpr Duration kPeerCheck = std::chrono::milliseconds(200);
 
+// The part of a shared prefix's reading that it is worth to have the prefix
+// cached at its home.
+constexpr double kKeptPrefixWeight = 0.5;
 // The weight of a request's use of a backend server beside its own time.
 constexpr double kCostWeight = 1.0;
 // Turns the upper bits of a hash into a number in (0, 1).
@@ -415,6 +418,11 @@
                         .phase = aQuery.phase };
   prediction.score = wait + output * gap +
                      kCostWeight * CostAt(aRequest, aQuery, capacity, cached);
+  if (aQuery.phase == WorkPhase::kOutput && !Contains(mHomes, aSlot)) {
+    // The memory that is handed over stays cached; at its home, later requests
+    // find it.
+    prediction.score += kKeptPrefixWeight * mPrefix.length / rate;
+  }
   double slots = capacity.slots * speed;
   if (mOptions.useLanes && aQuery.lane != Lane::kShort) {
     slots *= 1 - mOptions.shortReserve;
@@ -455,6 +463,11 @@
       known = { hash, tokens, tokens };
     }
   });
+  if (!aRequest.prefixEnds.empty()) {
+    // All of it is shared: its home depends on nothing that was seen here, and
+    // is likely to hold it since some entry's first request for it.
+    known = { aRequest.prefixHashes.back(), whole, whole };
+  }
   return known;
 }
 
--- a/policy/fleet_view.cpp
+++ b/policy/fleet_view.cpp
@@ -19,6 +19,20 @@
   return mixed;
 }
 
+std::string_view
+ToString(WorkPhase aPhase)
+{
+  switch (aPhase) {
+    case WorkPhase::kWhole:
+      return "whole";
+    case WorkPhase::kPrompt:
+      return "prompt";
+    case WorkPhase::kOutput:
+      return "output";
+  }
+  return "unknown";
+}
+
 std::string_view
 ToString(EngineRole aRole)
 {
--- a/policy/fleet_view.h
+++ b/policy/fleet_view.h
@@ -84,6 +84,10 @@
   [[nodiscard]] const BackendCapacity& Of(EngineRole aRole) const;
 };
 
+// The part of the work as a word, such as "prompt".
+std::string_view
+ToString(WorkPhase aPhase);
+
 // The role as a word, such as "prefill".
 std::string_view
 ToString(EngineRole aRole);
--- a/policy/policy_set.cpp
+++ b/policy/policy_set.cpp
@@ -44,6 +44,8 @@
     .bound = aOptions.queueBound, .firstInFirstOut = !has("queue") });
   set.selector = std::make_unique<LearningSelector>(
     LearningSelector::Options{ .seed = aOptions.seed,
+                               .randomCandidates = aOptions.randomCandidates,
+                               .homes = aOptions.homes,
                                .usePeers = has("peers"),
                                .useSpeed = has("speed"),
                                .useAffinity = has("affinity"),
--- a/policy/policy_set.h
+++ b/policy/policy_set.h
@@ -43,6 +43,10 @@
   HostId self;
   // Seed of the random candidates; should differ between entries.
   std::uint64_t seed = 1;
+  // Backend servers that hold a prefix, and random ones beside them that are
+  // weighed for each request.
+  std::uint32_t homes = 2;
+  std::uint32_t randomCandidates = 3;
   // Requests that may wait at this entry.
   std::size_t queueBound = 256;
   // Parts of "firefly" to replace by the plain ones: "admission", "queue",
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -569,7 +569,9 @@
                    .priority = EnginePriority(aRequest.lane),
                    .resumeFrom = aRequest.delivered,
                    .isHedge = aIsHedge,
-                   .phase = aChoice.phase });
+                   .phase = aChoice.phase,
+                   .expectedWait = aChoice.expectedWait,
+                   .cachedTokens = aChoice.cachedTokens });
 }
 
 void
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -31,6 +31,9 @@
   bool isHedge = false;
   // kPrompt: only have the prompt read, and keep the memory for kOutput.
   WorkPhase phase = WorkPhase::kWhole;
+  // What the choice was based on, for the log.
+  Duration expectedWait{};
+  Tokens cachedTokens;
 };
 
 // The request was not run; nothing of it was ever sent to a backend server.
--- a/servers/entry/entry_digest.cpp
+++ b/servers/gossip/entry_digest.cpp
@@ -1,4 +1,4 @@
-#include "servers/entry/entry_digest.h"
+#include "servers/gossip/entry_digest.h"
 
 #include <algorithm>
 #include <utility>
--- a/servers/entry/gossip_socket.cpp
+++ b/servers/gossip/gossip_socket.cpp
@@ -1,4 +1,4 @@
-#include "servers/entry/gossip_socket.h"
+#include "servers/gossip/gossip_socket.h"
 
 #include <charconv>
 #include <optional>
--- /dev/null
+++ b/servers/relay/peer_group.cpp
@@ -0,0 +1,110 @@
+#include "servers/relay/peer_group.h"
+
+#include <utility>
+
+#include "servers/gossip/entry_digest.h"
+
+namespace firefly {
+
+namespace {
+
+using coord::MemberStatus;
+
+constexpr const char* kRole = "relay";
+// A datagram that fits into one Ethernet frame.
+constexpr std::size_t kMaxMessageBytes = 1400;
+constexpr std::size_t kMaxDigestBytes = 640;
+constexpr std::size_t kFanOut = 3;
+// A silent relay's work counts until it is called dead.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
+constexpr Duration kSuspicion = std::chrono::seconds(3);
+
+bool
+IsLive(const coord::Member& aMember)
+{
+  return aMember.status == MemberStatus::kAlive ||
+         aMember.status == MemberStatus::kSuspect;
+}
+
+coord::Membership::Options
+MembershipOptions(const PeerGroup::Options& aOptions)
+{
+  return { .address = MakePeerAddress(aOptions.address, aOptions.port),
+           .host = aOptions.host,
+           .domain = aOptions.domain,
+           .role = kRole,
+           .incarnation = aOptions.incarnation,
+           .roundInterval = aOptions.interval,
+           .fanOut = kFanOut,
+           .probeTimeout = kProbeTimeout,
+           .suspicion = kSuspicion,
+           .maxMessageBytes = kMaxMessageBytes,
+           .maxDigestBytes = kMaxDigestBytes,
+           .seed = aOptions.seed };
+}
+
+} // namespace
+
+PeerGroup::PeerGroup(Options aOptions,
+                     AsioExecutor& aExecutor,
+                     policy::RequestRouter& aRouter)
+  : mOptions(std::move(aOptions))
+  , mExecutor(aExecutor)
+  , mRouter(aRouter)
+  , mSocket(aExecutor)
+  , mMembership(MembershipOptions(mOptions), aExecutor, mSocket, this)
+{
+}
+
+tl::expected<void, GossipError>
+PeerGroup::Start()
+{
+  auto opened = mSocket.Open(
+    mOptions.address, mOptions.port, [this](std::string_view aBytes) {
+      mMembership.OnMessage(aBytes);
+    });
+  if (!opened) {
+    return opened;
+  }
+  std::vector<coord::PeerAddress> seeds;
+  for (const auto& it : mOptions.seeds) {
+    seeds.push_back(MakePeerAddress(it, mOptions.port));
+  }
+  mMembership.SetSeeds(std::move(seeds));
+  mMembership.Start();
+  Tell();
+  return {};
+}
+
+void
+PeerGroup::Tell()
+{
+  EntryDigest digest{ .table = TableVersion(mRouting),
+                      .ready = mReady,
+                      .work = mRouter.MakeDigest(mExecutor.Now()) };
+  mMembership.SetDigest(EncodeEntryDigest(std::move(digest), kMaxDigestBytes));
+  mTimer = mExecutor.RunAfter(mOptions.interval, [this] { Tell(); });
+}
+
+void
+PeerGroup::OnMember(const coord::Member& /*aMember*/)
+{
+  std::vector<HostId> hosts;
+  for (const auto& it : mMembership.Members()) {
+    if (IsLive(it)) {
+      hosts.push_back(it.host);
+    }
+  }
+  mRouter.SetEntries(hosts);
+}
+
+void
+PeerGroup::OnDigest(const coord::Member& aMember)
+{
+  const auto digest = DecodeEntryDigest(aMember.digest);
+  if (digest && aMember.host != mOptions.host) {
+    mRouter.OnPeerDigest(digest->work, mExecutor.Now());
+  }
+}
+
+} // namespace firefly
--- /dev/null
+++ b/servers/relay/peer_group.h
@@ -0,0 +1,69 @@
+#pragma once
+
+// The other relays: who lives, and what each tells of its outstanding work, so
+// that all of them place requests as one.
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "coord/membership.h"
+#include "policy/request_router.h"
+#include "servers/gossip/gossip_socket.h"
+
+namespace firefly {
+
+class PeerGroup : private coord::MembershipObserver
+{
+public:
+  struct Options
+  {
+    HostId host;
+    DomainId domain;
+    std::string address;    // an IP number
+    std::uint16_t port = 0; // UDP, the same on all hosts
+    // IP numbers of some other relays; they may be down.
+    std::vector<std::string> seeds;
+    Incarnation incarnation;
+    Duration interval = std::chrono::milliseconds(100);
+    std::uint64_t seed = 1;
+  };
+
+  // The router must outlive the group.
+  PeerGroup(Options aOptions,
+            AsioExecutor& aExecutor,
+            policy::RequestRouter& aRouter);
+
+  // Opens the UDP port and begins to tell.
+  tl::expected<void, GossipError> Start();
+
+  // What the others are told of this relay.
+  void SetRouting(std::uint64_t aVersion) { mRouting = aVersion; }
+  void SetReady(bool aReady) { mReady = aReady; }
+
+  // Tells a few others that this relay leaves.
+  void Leave() { mMembership.Leave(); }
+
+  // Live relays, this one included.
+  [[nodiscard]] std::size_t Live() const { return mMembership.LiveCount(); }
+  [[nodiscard]] std::uint64_t BytesSent() const
+  {
+    return mMembership.BytesSent();
+  }
+
+private:
+  void OnMember(const coord::Member& aMember) override;
+  void OnDigest(const coord::Member& aMember) override;
+  void Tell();
+
+  Options mOptions;
+  AsioExecutor& mExecutor;
+  policy::RequestRouter& mRouter;
+  GossipSocket mSocket;
+  coord::Membership mMembership;
+  std::uint64_t mRouting = 0;
+  bool mReady = false;
+  Timer mTimer;
+};
+
+} // namespace firefly
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -10,6 +10,11 @@
 
 // The router asks to be called every 10 to 20 ms while requests are live.
 constexpr Duration kTick = std::chrono::milliseconds(20);
+// Engines that hold a shared part of prompts: a second copy of all parts would
+// cost more reading than it spreads load.
+constexpr std::uint32_t kHomes = 1;
+// Small fleets are weighed whole.
+constexpr std::uint32_t kCandidates = 12;
 
 policy::PolicySet
 MakePolicies(const Relay::Options& aOptions)
@@ -17,6 +22,8 @@
   auto policies = policy::MakePolicySet("firefly",
                                         { .self = aOptions.self,
                                           .seed = aOptions.seed,
+                                          .homes = kHomes,
+                                          .randomCandidates = kCandidates,
                                           .queueBound = aOptions.queueBound,
                                           .without = { "admission", "hedge" } });
   return std::move(policies.value());
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "coord/keyed_feed.h"
+#include "servers/relay/peer_group.h"
 #include "servers/relay/relay.h"
 #include "servers/status/status_server.h"
 
@@ -106,6 +107,16 @@
                .fleet = &mFleet,
                .routing = &mRouting,
                .metrics = &mMetrics })
+    , mPeers({ .host = aSettings.host,
+               .domain = aSettings.domain,
+               .address = aSettings.callers.host,
+               .port = aSettings.peerPort,
+               .seeds = aSettings.peerSeeds,
+               .incarnation = mIncarnation,
+               .interval = aSettings.peerInterval,
+               .seed = mSeed },
+             mExecutor,
+             mRelay.Router())
     , mCallers(mExecutor,
                { .address = aSettings.callers.host,
                  .port = aSettings.callers.port,
@@ -136,6 +147,7 @@
                    mBackendListener)
   {
     mRouting.OnChange([this](const policy::RoutingTable& aTable) {
+      mPeers.SetRouting(aTable.Version().Value());
       const auto& limits = aTable.Limits();
       mCallers.SetLimits({ .maxHeadBytes = limits.maxHeadBytes,
                            .maxBodyBytes = limits.maxBodyBytes,
@@ -153,6 +165,9 @@
     if (const auto opened = mStatus.Start(); !opened) {
       return tl::make_unexpected(RelayServerError{ opened.error().message });
     }
+    if (const auto opened = mPeers.Start(); !opened) {
+      return tl::make_unexpected(RelayServerError{ opened.error().message });
+    }
     mRoutingFeed.Start();
     mBackendFeed.Start();
     mLog.Info("started",
@@ -253,6 +268,7 @@
     const bool ended = mCallers.Busy() == 0 && mRelay.Live() == 0;
     if ((ended && passed >= mSettings.unreadyGrace) ||
         passed >= mSettings.stopGrace - kStopMargin) {
+      mPeers.Leave();
       mLog.Info("stopped", { { "live", std::to_string(mRelay.Live()) } });
       mDrained();
       return;
@@ -296,6 +312,7 @@
   BackendPool mPool;
   BackendDirectory mDirectory;
   Relay mRelay;
+  PeerGroup mPeers;
   CallerServer mCallers;
   StatusServer mStatus;
   FeedListener mRoutingListener;
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -13,10 +13,12 @@
 
 constexpr Whole kShortMillis{ 1, 60'000 };
 constexpr Whole kCounts{ 1, 1'000'000 };
+constexpr Whole kPorts{ 1, 65535 };
 constexpr Fraction kTokenRates{ 1, 10'000'000 };
 constexpr Fraction kGapMillis{ 0.1, 10'000 };
 
 // Defaults of the sections that need not be given; milliseconds.
+constexpr std::int64_t kPeerInterval = 100;
 constexpr std::int64_t kBackendPoll = 400;
 constexpr std::int64_t kRoutingWait = 20'000;
 constexpr std::int64_t kLogTimeout = 1'500;
@@ -80,6 +82,20 @@
   aReader.Finish();
 }
 
+void
+ReadPeers(SectionReader aReader, RelaySettings& aSettings)
+{
+  aSettings.peerPort =
+    static_cast<std::uint16_t>(aReader.Integer("port", kPorts));
+  aSettings.peerInterval =
+    aReader.Millis("interval_ms", kShortMillis, kPeerInterval);
+  for (const auto& it : aReader.Texts("seeds")) {
+    // A port in a seed is that of another protocol.
+    aSettings.peerSeeds.push_back(it.substr(0, it.find(':')));
+  }
+  aReader.Finish();
+}
+
 void
 ReadFeeds(SectionReader aReader, RelaySettings& aSettings)
 {
@@ -128,6 +144,7 @@
   SectionReader root(&*tree, "", problems);
   RelaySettings settings;
   ReadHost(root.Section("host"), settings);
+  ReadPeers(root.Section("peers"), settings);
   ReadFeeds(root.Section("log_service"), settings);
   ReadRelay(root.Section("relay"), settings);
   ReadEngines(root.Section("engines"), settings);
--- a/servers/relay/relay_settings.h
+++ b/servers/relay/relay_settings.h
@@ -32,6 +32,11 @@
   DomainId domain;
   SocketAddress callers;
   SocketAddress status;
+  // UDP, for the other relays; the same port on all hosts.
+  std::uint16_t peerPort = 0;
+  // IP numbers of some other relays.
+  std::vector<std::string> peerSeeds;
+  Duration peerInterval{};
   // Where the platform's log is reached.
   std::string logUrl;
   // Between two reads of the backend servers' records.
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -20,6 +20,8 @@
 // A request that runs at most once takes a kept connection only if it carried
 // an answer within this: a reset on an older one would leave it unknown.
 constexpr Duration kFreshForOnce = std::chrono::milliseconds(1500);
+// Engines know the priorities 0 to 9.
+constexpr std::uint32_t kLastEnginePriority = 9;
 constexpr Duration kLeastTimeLeft = std::chrono::milliseconds(1);
 
 std::string
@@ -238,6 +240,15 @@
   mAttempts[aOrder.attempt] = std::move(attempt);
   mAttemptsMade++;
   mBackends += (mBackends.empty() ? "" : ",") + aOrder.backend.Value();
+  mContext.log->Info(
+    "dispatched",
+    { { "request", mOptions.request.id.Value() },
+      { "attempt", std::to_string(aOrder.attempt.Value()) },
+      { "backend", aOrder.backend.Value() },
+      { "phase", std::string(ToString(aOrder.phase)) },
+      { "expected_ms", Millis(aOrder.expectedWait) },
+      { "cached", std::to_string(aOrder.cachedTokens.Value()) },
+      { "ms", Millis(Now() - mArrival) } });
   const auto* record = mContext.directory->Find(aOrder.backend);
   BackendPool::Call call;
   call.backend = aOrder.backend;
@@ -247,7 +258,8 @@
   AttemptTerms terms{ .backend = aOrder.backend,
                       .address = call.address.Value(),
                       .timeLeft = std::max(kLeastTimeLeft, mExpires - Now()),
-                      .enginePriority = {},
+                      .enginePriority = static_cast<int>(std::min(
+                        mOptions.route->rank, kLastEnginePriority)),
                       .resumeAfter = mLastEventId,
                       .promptOnly = !started->CanRun(),
                       .memory = {} };
@@ -312,6 +324,10 @@
   if (it == mAttempts.end() || mDone) {
     return;
   }
+  mContext.log->Info("prompt read",
+                     { { "request", mOptions.request.id.Value() },
+                       { "backend", aBackend.Value() },
+                       { "ms", Millis(Now() - mArrival) } });
   const auto* record = mContext.directory->Find(aBackend);
   auto memory = mContext.dialect->ReadPromptAnswer(
     aHead, aBody, record == nullptr ? "" : record->address.Value());
