Count what a whole prompt costs the streams beside it

Cause: a prompt read between the tokens of a decode engine's streams makes each of its steps about 17 ms longer, so that events of twelve tokens pause for more than 200 ms.

--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -16,6 +16,10 @@
 constexpr std::size_t kRoles = 3;
 // Prompts that are read apart for one request; after that it runs whole.
 constexpr std::uint32_t kMostPromptReads = 1;
+// A prompt read between the tokens of running streams stalls all of them: what
+// is beyond a harmless part of it counts so many times more.
+constexpr double kHarmlessPrompt = 1000; // tokens
+constexpr double kStallWeight = 5.0;
 // What handing a prompt's memory over takes: a call more and the transfer.
 constexpr Duration kHandoverTime = std::chrono::milliseconds(15);
 
@@ -285,7 +289,12 @@
   if (aRequest.answering == aAttempt) {
     aRequest.answering = {};
   }
-  mPolicies.selector->OnError(attempt.info, aNow);
+  if (aError == AttemptError::kFailed) {
+    // An answer, even if it is a failure, says nothing of its speed.
+    mPolicies.selector->OnFinish(attempt.info, aNow);
+  } else {
+    mPolicies.selector->OnError(attempt.info, aNow);
+  }
   if (attempt.phase == WorkPhase::kPrompt) {
     return; // reading a prompt doesn't run the request
   }
@@ -488,12 +497,24 @@
   }
   apart->expectedGap = output->expectedGap;
   const auto apartWait = apart->expectedWait + output->expectedWait;
-  if (whole && whole->expectedWait <= apartWait + kHandoverTime) {
+  if (whole && whole->expectedWait + StallOf(aRequest, *whole) <=
+                 apartWait + kHandoverTime) {
     return whole;
   }
   return apart;
 }
 
+Duration
+RequestRouter::StallOf(const Request& aRequest, const Choice& aChoice) const
+{
+  const auto& capacity = mFleet.At(aChoice.slot).capacity;
+  const double uncached = aRequest.info.promptTokens.Value() -
+                          std::min(aRequest.info.promptTokens.Value(),
+                                   aChoice.cachedTokens.Value());
+  return FromSeconds(kStallWeight * std::max(0.0, uncached - kHarmlessPrompt) /
+                     capacity.prefillTokensPerSecond);
+}
+
 double
 RequestRouter::EngineSeconds(const Request& aRequest, Tokens aCached) const
 {
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -224,6 +224,9 @@
   [[nodiscard]] LoadSummary Summarize(
     const Request& aRequest,
     const tl::expected<Choice, SelectError>& aChoice) const;
+  // What a whole run's prompt costs the streams that run beside it.
+  [[nodiscard]] Duration StallOf(const Request& aRequest,
+                                 const Choice& aChoice) const;
   void Admit(Request& aRequest, Instant aNow);
   [[nodiscard]] SelectQuery QueryFor(const Request& aRequest) const;
   // The best place to begin: a whole run, or reading the prompt apart.
