--- a/policy/routing_table.h
+++ b/policy/routing_table.h
@@ -91,7 +91,7 @@
   // Connections that one backend server accepts from all callers together.
   std::uint32_t maxConnections = 0;
   // Model engines answer the service; else plain backend servers do.
-  std::optional<EngineTraits> engine;
+  std::optional<EngineTraits> engine{};
 };
 
 // What a caller may send, and how long it may take or stay idle.
--- a/servers/http1/caller_server.cpp
+++ b/servers/http1/caller_server.cpp
@@ -75,6 +75,13 @@
     mShared->retired = true;
   }
 
+  void CloseIdle()
+  {
+    for (const auto& it : mConnections) {
+      it->CloseIfIdle();
+    }
+  }
+
   [[nodiscard]] std::size_t Busy() const
   {
     std::size_t n = 0;
@@ -180,6 +187,12 @@
   mImpl->Retire();
 }
 
+void
+CallerServer::CloseIdle()
+{
+  mImpl->CloseIdle();
+}
+
 std::size_t
 CallerServer::Busy() const
 {
--- a/servers/http1/caller_server.h
+++ b/servers/http1/caller_server.h
@@ -137,6 +137,9 @@
   // From now on each answer is the last one of its connection.
   void Retire();
 
+  // Closes the connections that carry no request.
+  void CloseIdle();
+
   // Connections that have begun a request or owe bytes of an answer.
   [[nodiscard]] std::size_t Busy() const;
   [[nodiscard]] std::size_t Connections() const;
--- a/servers/relay/backend_directory.h
+++ b/servers/relay/backend_directory.h
@@ -28,8 +28,8 @@
   // The moment of its start; another one under the same id is another life.
   std::uint64_t startedAt = 0;
   // Only of model engines.
-  std::optional<policy::EngineRole> role;
-  std::vector<std::string> models;
+  std::optional<policy::EngineRole> role{};
+  std::vector<std::string> models{};
 };
 
 // The id under which a service's model is known to the policies: models of two
@@ -43,7 +43,7 @@
   struct Options
   {
     // What an engine carries in each role.
-    policy::RoleCapacities capacities;
+    policy::RoleCapacities capacities{};
     // After the log was away, a record that is gone is believed to be gone only
     // this long after the log's return.
     Duration returnGrace = std::chrono::milliseconds(1500);
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -13,8 +13,9 @@
 // Engines that hold a shared part of prompts: a second copy of all parts would
 // cost more reading than it spreads load.
 constexpr std::uint32_t kHomes = 1;
-// Small fleets are weighed whole.
-constexpr std::uint32_t kCandidates = 12;
+// Beside the home; with more of them, relays that know of the same load a moment
+// ago all take the same engine.
+constexpr std::uint32_t kCandidates = 2;
 
 policy::PolicySet
 MakePolicies(const Relay::Options& aOptions)
@@ -59,6 +60,10 @@
     return;
   }
   const auto id = read->id;
+  if (mClosed) {
+    Answer(*aAnswer, OwnAnswerKind::kNotReady, id, "stopping");
+    return;
+  }
   const auto& table = mParts.routing->Current();
   if (!table) {
     Answer(*aAnswer, OwnAnswerKind::kNotReady, id, "no routing table yet");
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -50,6 +50,9 @@
                  std::shared_ptr<CallerAnswer> aAnswer) override;
   void OnRejected(int aStatus, const std::string& aPeer) override;
 
+  // Takes no further requests; those that run go on.
+  void Close() { mClosed = true; }
+
   // Requests that have not ended.
   [[nodiscard]] std::size_t Live() const { return mTasks.size(); }
   [[nodiscard]] policy::RequestRouter& Router() { return mRouter; }
@@ -72,6 +75,7 @@
   policy::RequestRouter mRouter;
   RelayContext mContext;
   std::unordered_map<RequestId, std::unique_ptr<RelayTask>> mTasks;
+  bool mClosed = false;
   Timer mTickTimer;
 };
 
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -265,6 +265,11 @@
   void WatchDrain()
   {
     const auto passed = mExecutor.Now() - mDrainStart;
+    if (passed >= mSettings.unreadyGrace) {
+      // The balancer has noticed; a request that came now could outlast us.
+      mRelay.Close();
+      mCallers.CloseIdle();
+    }
     const bool ended = mCallers.Busy() == 0 && mRelay.Live() == 0;
     if ((ended && passed >= mSettings.unreadyGrace) ||
         passed >= mSettings.stopGrace - kStopMargin) {
--- /dev/null
+++ b/tests/coord/keyed_feed_test.cpp
@@ -0,0 +1,221 @@
+#include "coord/keyed_feed.h"
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include "core/virtual_executor.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using firefly::Duration;
+using firefly::VirtualExecutor;
+using firefly::coord::KeyedBatch;
+using firefly::coord::KeyedFeed;
+using firefly::coord::KeyedFeedObserver;
+using firefly::coord::KeyedLogClient;
+using firefly::coord::KeyedRecord;
+using firefly::coord::LogError;
+using firefly::coord::LogErrorKind;
+using firefly::coord::LogOffset;
+using firefly::coord::NewestPage;
+using firefly::coord::StreamName;
+
+namespace {
+
+constexpr Duration kAnswerTime = std::chrono::milliseconds(4);
+
+// A compacted stream in memory that can be away and forget its history.
+class FakeKeyedLog : public KeyedLogClient
+{
+public:
+  explicit FakeKeyedLog(VirtualExecutor& aExecutor)
+    : mExecutor(aExecutor)
+  {
+  }
+
+  void Put(const std::string& aKey, std::optional<std::string> aValue)
+  {
+    records.push_back({ aKey, std::move(aValue), LogOffset(records.size()) });
+  }
+
+  void Forget() { first = records.size(); }
+
+  void ReadNewest(const StreamName& /*aStream*/,
+                  const std::string& aAfterKey,
+                  NewestCallback aCallback) override
+  {
+    calls++;
+    Later([this, aAfterKey, aCallback] {
+      if (away) {
+        aCallback(tl::make_unexpected(LogError{ LogErrorKind::kUnavailable, "" }));
+        return;
+      }
+      std::map<std::string, KeyedRecord> newest;
+      for (const auto& it : records) {
+        newest[it.key] = it;
+      }
+      NewestPage page;
+      page.end = LogOffset(records.size());
+      for (const auto& [key, it] : newest) {
+        if (!it.value || key <= aAfterKey) {
+          continue;
+        }
+        if (page.records.size() == 2) {
+          page.hasMore = true;
+          break;
+        }
+        page.records.push_back(it);
+      }
+      aCallback(page);
+    });
+  }
+
+  void ReadFrom(const StreamName& /*aStream*/,
+                LogOffset aFrom,
+                Duration /*aWait*/,
+                BatchCallback aCallback) override
+  {
+    calls++;
+    Later([this, aFrom, aCallback] {
+      if (away) {
+        aCallback(tl::make_unexpected(LogError{ LogErrorKind::kUnavailable, "" }));
+        return;
+      }
+      if (aFrom.Value() < first) {
+        aCallback(tl::make_unexpected(LogError{ LogErrorKind::kTrimmed, "" }));
+        return;
+      }
+      KeyedBatch batch;
+      for (auto i = aFrom.Value(); i < records.size(); ++i) {
+        batch.records.push_back(records[i]);
+      }
+      batch.next = LogOffset(records.size());
+      aCallback(batch);
+    });
+  }
+
+  std::deque<KeyedRecord> records;
+  std::uint64_t first = 0;
+  bool away = false;
+  int calls = 0;
+
+private:
+  void Later(std::function<void()> aStep)
+  {
+    mTimers.push_back(mExecutor.RunAfter(kAnswerTime, std::move(aStep)));
+  }
+
+  VirtualExecutor& mExecutor;
+  std::deque<firefly::Timer> mTimers;
+};
+
+class Collector : public KeyedFeedObserver
+{
+public:
+  void OnRecord(const KeyedRecord& aRecord) override
+  {
+    if (aRecord.value) {
+      values[aRecord.key] = *aRecord.value;
+    } else {
+      values.erase(aRecord.key);
+    }
+    taken++;
+  }
+  void OnSnapshot(const std::vector<std::string>& aKeys) override
+  {
+    std::erase_if(values, [&](const auto& aIt) {
+      return std::find(aKeys.begin(), aKeys.end(), aIt.first) == aKeys.end();
+    });
+    snapshots++;
+  }
+  void OnLost(const LogError& /*aError*/) override { lost++; }
+  void OnRegained(Duration aAway) override { away = aAway; }
+
+  std::map<std::string, std::string> values;
+  int taken = 0;
+  int snapshots = 0;
+  int lost = 0;
+  Duration away{};
+};
+
+} // namespace
+
+TEST_GROUP(KeyedFeedTest)
+{
+  VirtualExecutor executor;
+  FakeKeyedLog log{ executor };
+  Collector seen;
+  KeyedFeed feed{ { .stream = StreamName("s"), .pause = 100ms, .wait = 100ms },
+                  executor,
+                  log,
+                  seen };
+};
+
+TEST(KeyedFeedTest, ReadsAllPagesThenFollows)
+{
+  for (const auto* key : { "a", "b", "c", "d", "e" }) {
+    log.Put(key, "1");
+  }
+  feed.Start();
+  executor.RunFor(1s);
+  CHECK_TRUE(feed.Loaded());
+  LONGS_EQUAL(5, seen.values.size());
+  log.Put("a", "2");
+  log.Put("b", std::nullopt);
+  executor.RunFor(300ms);
+  STRCMP_EQUAL("2", seen.values["a"].c_str());
+  LONGS_EQUAL(0, seen.values.count("b"));
+}
+
+TEST(KeyedFeedTest, ReadsAfreshWhenTheHistoryIsGone)
+{
+  log.Put("a", "1");
+  log.Put("b", "1");
+  feed.Start();
+  executor.RunFor(1s);
+  log.away = true;
+  executor.RunFor(1s);
+  log.Put("a", std::nullopt);
+  log.Put("b", "2");
+  log.Forget();
+  log.away = false;
+  executor.RunFor(2s);
+  LONGS_EQUAL(2, seen.snapshots);
+  LONGS_EQUAL(0, seen.values.count("a"));
+  STRCMP_EQUAL("2", seen.values["b"].c_str());
+}
+
+TEST(KeyedFeedTest, AnOutageIsToldOnceAndEndsSoon)
+{
+  log.Put("a", "1");
+  feed.Start();
+  executor.RunFor(1s);
+  log.away = true;
+  executor.RunFor(10s);
+  LONGS_EQUAL(1, seen.lost);
+  log.Put("a", "2");
+  log.away = false;
+  executor.RunFor(1300ms); // the longest retry with its jitter
+  STRCMP_EQUAL("2", seen.values["a"].c_str());
+  CHECK_TRUE(seen.away > 9s);
+}
+
+TEST(KeyedFeedTest, AnOutageIsNotMetWithAStormOfCalls)
+{
+  feed.Start();
+  log.away = true;
+  executor.RunFor(60s);
+  CHECK_TRUE(log.calls < 200);
+}
+
+TEST(KeyedFeedTest, NoKeyGoesBack)
+{
+  log.Put("a", "1");
+  log.Put("a", "2");
+  feed.Start();
+  executor.RunFor(1s);
+  STRCMP_EQUAL("2", seen.values["a"].c_str());
+  LONGS_EQUAL(1, seen.taken);
+}
--- /dev/null
+++ b/tests/helpers/scripted_backend.cpp
@@ -0,0 +1,135 @@
+#include "tests/helpers/scripted_backend.h"
+
+#include <array>
+#include <utility>
+
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+
+namespace firefly::testing {
+
+namespace {
+
+using asio::ip::tcp;
+
+} // namespace
+
+class ScriptedBackend::Impl : public std::enable_shared_from_this<Impl>
+{
+public:
+  Impl(AsioExecutor& aExecutor, Script aScript)
+    : acceptor(aExecutor.Context(),
+               tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , script(std::move(aScript))
+  {
+  }
+
+  void Accept()
+  {
+    acceptor.async_accept([self = shared_from_this()](
+                            const asio::error_code& aCode, tcp::socket aSocket) {
+      if (!aCode) {
+        self->connections++;
+        std::make_shared<Connection>(self, std::move(aSocket))->Read();
+        self->Accept();
+      }
+    });
+  }
+
+  tcp::acceptor acceptor;
+  Script script;
+  std::vector<ScriptedRequest> requests;
+  std::size_t connections = 0;
+  std::size_t ended = 0;
+
+private:
+  class Connection : public std::enable_shared_from_this<Connection>
+  {
+  public:
+    Connection(std::shared_ptr<Impl> aOwner, tcp::socket aSocket)
+      : mOwner(std::move(aOwner))
+      , mSocket(std::move(aSocket))
+    {
+    }
+
+    void Read()
+    {
+      mSocket.async_read_some(
+        asio::buffer(mBuffer),
+        [self = shared_from_this()](const asio::error_code& aCode,
+                                    std::size_t aBytes) {
+          if (aCode) {
+            self->mOwner->ended++;
+          } else if (self->mReader.Feed({ self->mBuffer.data(), aBytes })) {
+            self->Answer();
+          }
+        });
+    }
+
+  private:
+    void Answer()
+    {
+      if (!mReader.Done()) {
+        Read();
+        return;
+      }
+      mOwner->requests.push_back({ mReader.Head(), mReader.TakeBody() });
+      mReader.Next();
+      const auto reply = mOwner->script(mOwner->requests.back());
+      asio::error_code ec;
+      asio::write(mSocket, asio::buffer(reply.bytes), ec);
+      if (reply.after == AfterReply::kReset) {
+        mSocket.set_option(asio::socket_base::linger(true, 0), ec);
+      }
+      if (reply.after != AfterReply::kKeep) {
+        mSocket.close(ec);
+        return;
+      }
+      Read();
+    }
+
+    std::shared_ptr<Impl> mOwner;
+    tcp::socket mSocket;
+    MessageReader mReader{ { .side = MessageReader::Side::kRequests } };
+    std::array<char, 4096> mBuffer{};
+  };
+};
+
+ScriptedBackend::ScriptedBackend(AsioExecutor& aExecutor, Script aScript)
+  : mImpl(std::make_shared<Impl>(aExecutor, std::move(aScript)))
+{
+  mImpl->Accept();
+}
+
+ScriptedBackend::~ScriptedBackend()
+{
+  asio::error_code ec;
+  mImpl->acceptor.close(ec);
+}
+
+std::string
+ScriptedBackend::Address() const
+{
+  return "127.0.0.1:" + std::to_string(mImpl->acceptor.local_endpoint().port());
+}
+
+const std::vector<ScriptedRequest>&
+ScriptedBackend::Requests() const
+{
+  return mImpl->requests;
+}
+
+std::size_t
+ScriptedBackend::Connections() const
+{
+  return mImpl->connections;
+}
+
+std::size_t
+ScriptedBackend::Ended() const
+{
+  return mImpl->ended;
+}
+
+} // namespace firefly::testing
--- /dev/null
+++ b/tests/helpers/scripted_backend.h
@@ -0,0 +1,61 @@
+#pragma once
+
+// A backend server on loopback that answers as a test scripts it, byte for
+// byte.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "servers/http/asio_executor.h"
+#include "servers/http1/message_reader.h"
+
+namespace firefly::testing {
+
+// What happens to the connection after a reply's bytes.
+enum class AfterReply : std::uint8_t
+{
+  kKeep,
+  kClose,
+  kReset,
+};
+
+struct ScriptedReply
+{
+  std::string bytes{};
+  AfterReply after = AfterReply::kKeep;
+};
+
+struct ScriptedRequest
+{
+  MessageHead head;
+  std::string body;
+};
+
+class ScriptedBackend
+{
+public:
+  using Script = std::function<ScriptedReply(const ScriptedRequest&)>;
+
+  ScriptedBackend(AsioExecutor& aExecutor, Script aScript);
+  ~ScriptedBackend();
+  ScriptedBackend(const ScriptedBackend&) = delete;
+  ScriptedBackend& operator=(const ScriptedBackend&) = delete;
+
+  // Such as "127.0.0.1:43211".
+  [[nodiscard]] std::string Address() const;
+
+  // The requests that came, whole, in order.
+  [[nodiscard]] const std::vector<ScriptedRequest>& Requests() const;
+  [[nodiscard]] std::size_t Connections() const;
+  // Connections that the other side has ended.
+  [[nodiscard]] std::size_t Ended() const;
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> mImpl;
+};
+
+} // namespace firefly::testing
--- /dev/null
+++ b/tests/platform/platform_records_test.cpp
@@ -0,0 +1,108 @@
+#include "platform/platform_records.h"
+
+#include <string>
+
+#include "core/random.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using firefly::BackendAddress;
+using firefly::Random;
+using firefly::RequestId;
+using firefly::platform::PlatformRecords;
+using firefly::policy::EngineRole;
+using firefly::policy::RouteKind;
+
+namespace {
+
+const std::string kConfig =
+  R"({"version":7,"routes":[)"
+  R"({"name":"r1","host":"h.example","pathPrefix":"/a/","kind":"streaming",)"
+  R"("timeoutMs":3000,"targetLatencyMs":500,"priority":1,"service":"s1",)"
+  R"("maxAttempts":2,"sticky":true,"resumable":true,"targetGapMs":200},)"
+  R"({"name":"r2","host":"h.example","pathPrefix":"/a/b/",)"
+  R"("kind":"non_idempotent","timeoutMs":1000,"targetLatencyMs":100,)"
+  R"("priority":2,"split":[{"service":"s1","weight":90},)"
+  R"({"service":"s2","weight":10}],"maxAttempts":1}],)"
+  R"("services":[{"name":"s1","healthPath":"/health","maxConns":370,)"
+  R"("engine":{"slots":64,"kvTokens":468310,"stride":12}},)"
+  R"({"name":"s2","maxConns":110}],)"
+  R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,)"
+  R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+const std::string kEngine =
+  R"({"service":"s1","address":"10.128.0.9:8080","zone":"z","version":"v1",)"
+  R"("slots":64,"state":"ready","coldLeftMs":0,"stage":"decode",)"
+  R"("models":[{"name":"m","version":1,"adapters":[]}],"seqNo":4,"born":17})";
+
+} // namespace
+
+TEST_GROUP(PlatformRecordsTest)
+{
+  PlatformRecords records;
+};
+
+TEST(PlatformRecordsTest, DecodesARoutingTable)
+{
+  const auto table = records.DecodeRouting(kConfig);
+  CHECK_TRUE(table.has_value());
+  LONGS_EQUAL(7, table->Version().Value());
+  const auto* route = table->Match("H.example", "/a/x");
+  CHECK(route->kind == RouteKind::kResumableStream);
+  CHECK(route->timeout == 3s);
+  CHECK(route->maxEventGap == 200ms);
+  const auto* split = table->Match("h.example", "/a/b/c");
+  CHECK(split->kind == RouteKind::kOnce);
+  POINTERS_EQUAL(nullptr, table->Match("h.example", "/b/"));
+  POINTERS_EQUAL(nullptr, table->Match("other", "/a/x"));
+  int second = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const auto& to = split->TargetFor(RequestId(std::to_string(i)));
+    second += to.Value() == "s2" ? 1 : 0;
+  }
+  CHECK_TRUE(second > 60 && second < 140);
+  LONGS_EQUAL(
+    12, table->Service(split->targets[0].service)->engine->tokensPerEvent);
+}
+
+TEST(PlatformRecordsTest, DecodesAnEngine)
+{
+  const auto record = records.DecodeBackend("i-1", kEngine);
+  CHECK_TRUE(record.has_value());
+  CHECK(record->role == EngineRole::kDecode);
+  CHECK(record->address == BackendAddress("10.128.0.9:8080"));
+  LONGS_EQUAL(17, record->startedAt);
+  CHECK_FALSE(record->leaving);
+}
+
+TEST(PlatformRecordsTest, RecordsOfOtherWritersNameNobody)
+{
+  CHECK_FALSE(records.DecodeBackend("i", "").has_value());
+  CHECK_FALSE(records.DecodeBackend("i", "[1]").has_value());
+  CHECK_FALSE(records.DecodeBackend("i", R"({"state":"ready"})").has_value());
+  auto other = kEngine;
+  other.replace(other.find("\"ready\""), 7, "\"happy\"");
+  CHECK_FALSE(records.DecodeBackend("i", other).has_value());
+  other = kEngine;
+  other.replace(other.find("\"slots\":64"), 10, "\"slots\":\"6\"");
+  CHECK_FALSE(records.DecodeBackend("i", other).has_value());
+}
+
+// Seeded: damaged records are decoded or refused, never more.
+TEST(PlatformRecordsTest, SurvivesDamagedRecords)
+{
+  Random random(4);
+  for (int i = 0; i < 5000; ++i) {
+    auto engine = kEngine;
+    auto config = kConfig;
+    for (auto n = random.Below(3) + 1; n > 0; --n) {
+      engine[random.Below(engine.size())] =
+        static_cast<char>(random.Below(256));
+      config[random.Below(config.size())] =
+        static_cast<char>(random.Below(256));
+    }
+    (void)records.DecodeBackend("i-1", engine);
+    (void)records.DecodeRouting(config);
+  }
+}
--- /dev/null
+++ b/tests/platform/platform_store_test.cpp
@@ -0,0 +1,141 @@
+#include "platform/platform_store.h"
+
+#include <optional>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using firefly::HttpCall;
+using firefly::HttpClient;
+using firefly::HttpError;
+using firefly::HttpErrorKind;
+using firefly::HttpStreamHandlers;
+using firefly::HttpTransfer;
+using firefly::HttpTransferPtr;
+using firefly::coord::KeyedBatch;
+using firefly::coord::LogError;
+using firefly::coord::LogErrorKind;
+using firefly::coord::LogOffset;
+using firefly::coord::NewestPage;
+using firefly::coord::StreamName;
+using firefly::platform::PlatformStore;
+
+namespace {
+
+// Keeps the calls and lets the test answer the last one.
+class FakeClient : public HttpClient
+{
+public:
+  [[nodiscard]] HttpTransferPtr Stream(HttpCall aCall,
+                                       HttpStreamHandlers aHandlers) override
+  {
+    class Nothing : public HttpTransfer
+    {
+      void Pause() override {}
+      void Resume() override {}
+    };
+    calls.push_back(std::move(aCall));
+    handlers = std::move(aHandlers);
+    return std::make_unique<Nothing>();
+  }
+
+  void Answer(int aStatus, std::string_view aBody) const
+  {
+    handlers.onHead(aStatus, {});
+    handlers.onBody(aBody);
+    handlers.onDone({});
+  }
+
+  std::vector<HttpCall> calls;
+  HttpStreamHandlers handlers;
+};
+
+std::string
+Number(std::uint64_t aNumber, int aBytes)
+{
+  std::string bytes;
+  for (int i = aBytes - 1; i >= 0; --i) {
+    bytes += static_cast<char>((aNumber >> (8 * i)) & 0xff);
+  }
+  return bytes;
+}
+
+std::string
+Record(const std::string& aKey, const std::string& aValue)
+{
+  return Number(1 + aKey.size() + aValue.size(), 4) + Number(aKey.size(), 1) +
+         aKey + aValue;
+}
+
+} // namespace
+
+TEST_GROUP(PlatformStoreTest)
+{
+  FakeClient client;
+  PlatformStore store{ client, { .url = "http://store" } };
+  std::optional<tl::expected<KeyedBatch, LogError>> batch;
+  std::optional<tl::expected<NewestPage, LogError>> page;
+
+  void Read()
+  {
+    store.ReadFrom(StreamName("keyed.op"), LogOffset(5), 2s, [this](auto aIt) {
+      batch = std::move(aIt);
+    });
+  }
+};
+
+TEST(PlatformStoreTest, ReadsRecordsAndRemovals)
+{
+  Read();
+  STRCMP_EQUAL(
+    "http://store/-/log-read?topic=keyed.op&part=0&source=5&waitMs=2000",
+    client.calls[0].url.c_str());
+  client.Answer(200,
+                Number(7, 8) + Number(0, 8) + Record("a", "one") +
+                  Record("b", ""));
+  CHECK_TRUE(batch->has_value());
+  const auto& records = (*batch)->records;
+  LONGS_EQUAL(2, records.size());
+  STRCMP_EQUAL("one", records[0].value->c_str());
+  LONGS_EQUAL(6, records[1].offset.Value());
+  CHECK_FALSE(records[1].value.has_value());
+  LONGS_EQUAL(7, (*batch)->next.Value());
+}
+
+TEST(PlatformStoreTest, ACutAnswerIsAnError)
+{
+  Read();
+  client.Answer(200, Number(7, 8) + Number(0, 8) + Number(90, 4) + "short");
+  CHECK_FALSE(batch->has_value());
+  CHECK((*batch).error().kind == LogErrorKind::kUnavailable);
+}
+
+TEST(PlatformStoreTest, ExpiredRecordsAskForTheNewest)
+{
+  Read();
+  client.Answer(410, R"({"first":9})");
+  CHECK((*batch).error().kind == LogErrorKind::kTrimmed);
+}
+
+TEST(PlatformStoreTest, ReadsTheNewestOfEachKeyInPages)
+{
+  store.ReadNewest(
+    StreamName("keyed.op"), "a b", [this](auto aIt) { page = std::move(aIt); });
+  STRCMP_EQUAL("http://store/-/log-newest?topic=keyed.op&part=0&after=a%20b",
+               client.calls[0].url.c_str());
+  client.Answer(
+    200,
+    R"({"items":[{"key":"c","value":"b25l","offset":4}],"hasMore":true,)"
+    R"("endOffset":6})");
+  CHECK_TRUE((*page)->hasMore);
+  STRCMP_EQUAL("one", (*page)->records[0].value->c_str());
+  LONGS_EQUAL(6, (*page)->end.Value());
+}
+
+TEST(PlatformStoreTest, OtherStatusesAreOutages)
+{
+  Read();
+  client.Answer(429, "");
+  CHECK((*batch).error().kind == LogErrorKind::kUnavailable);
+}
--- /dev/null
+++ b/tests/servers/relay/relay_settings_test.cpp
@@ -0,0 +1,77 @@
+#include "servers/relay/relay_settings.h"
+
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using firefly::LoadRelaySettings;
+
+namespace {
+
+const std::string kSample =
+  std::string(FIREFLY_SOURCE_DIR) + "/settings/relay.toml";
+
+std::string
+ReadSample()
+{
+  std::ifstream file(kSample);
+  return { std::istreambuf_iterator<char>(file), {} };
+}
+
+} // namespace
+
+TEST_GROUP(RelaySettingsTest)
+{
+  std::string path = "relay_settings_test.toml";
+
+  void teardown() override
+  {
+    std::remove(path.c_str());
+  }
+
+  // The faults of the sample with one text replaced.
+  std::vector<std::string> FaultsWith(const std::string& aOld,
+                                      const std::string& aNew)
+  {
+    auto text = ReadSample();
+    const auto at = text.find(aOld);
+    CHECK_TRUE(at != std::string::npos);
+    text.replace(at, aOld.size(), aNew);
+    std::ofstream(path) << text;
+    const auto settings = LoadRelaySettings(path);
+    return settings ? std::vector<std::string>{} : settings.error().lines;
+  }
+};
+
+TEST(RelaySettingsTest, TheSampleIsRight)
+{
+  const auto settings = LoadRelaySettings(kSample);
+  CHECK_TRUE(settings.has_value());
+  LONGS_EQUAL(8100, settings->callers.port);
+  LONGS_EQUAL(2, settings->peerSeeds.size());
+  STRCMP_EQUAL("127.0.0.2", settings->peerSeeds[1].c_str());
+  CHECK(settings->stopGrace == 8s);
+}
+
+TEST(RelaySettingsTest, EachFaultNamesItsKey)
+{
+  const auto faults = FaultsWith("127.0.0.1:8100", "here:8100");
+  LONGS_EQUAL(1, faults.size());
+  CHECK_TRUE(faults[0].find("callers") != std::string::npos);
+}
+
+TEST(RelaySettingsTest, AnUnknownKeyIsAFault)
+{
+  LONGS_EQUAL(1, FaultsWith("[log]", "[log]\nlevle = \"info\"").size());
+}
+
+TEST(RelaySettingsTest, TheStopMustLeaveTimeForWhatRuns)
+{
+  const auto faults =
+    FaultsWith("stop_grace_ms = 8000", "stop_grace_ms = 2000");
+  LONGS_EQUAL(1, faults.size());
+  CHECK_TRUE(faults[0].find("unready_grace_ms") != std::string::npos);
+}
--- /dev/null
+++ b/tests/servers/relay/relay_test.cpp
@@ -0,0 +1,485 @@
+// The whole request path between a raw caller and scripted backend servers on
+// loopback; the dialect is the users' platform's.
+
+#include "servers/relay/relay.h"
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "platform/platform_dialect.h"
+#include "servers/http1/answer_writer.h"
+#include "tests/helpers/raw_caller.h"
+#include "tests/helpers/run_until.h"
+#include "tests/helpers/scripted_backend.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using firefly::AsioExecutor;
+using firefly::BackendAddress;
+using firefly::BackendDirectory;
+using firefly::BackendId;
+using firefly::BackendPool;
+using firefly::BackendRecord;
+using firefly::CallerServer;
+using firefly::FindHeader;
+using firefly::HostId;
+using firefly::Incarnation;
+using firefly::MetricRegistry;
+using firefly::Relay;
+using firefly::RelayMetrics;
+using firefly::RoutingKeeper;
+using firefly::ServiceId;
+using firefly::platform::PlatformDialect;
+using firefly::policy::EngineRole;
+using firefly::policy::EngineTraits;
+using firefly::policy::FleetView;
+using firefly::policy::Route;
+using firefly::policy::RouteKind;
+using firefly::policy::RoutingTable;
+using firefly::policy::RoutingVersion;
+using firefly::testing::AfterReply;
+using firefly::testing::RawCaller;
+using firefly::testing::RunUntil;
+using firefly::testing::ScriptedBackend;
+using firefly::testing::ScriptedReply;
+using firefly::testing::ScriptedRequest;
+
+namespace {
+
+const std::string kStamp = "Fireflyrouter-Response-Stamp: s1\r\n";
+
+Route
+MakeRoute(const std::string& aPrefix,
+          RouteKind aKind,
+          std::uint32_t aAttempts,
+          const std::string& aService = "desk")
+{
+  Route route;
+  route.name = "r" + aPrefix;
+  route.host = "h.example";
+  route.pathPrefix = aPrefix;
+  route.kind = aKind;
+  route.timeout = 700ms;
+  route.lateAfter = 600ms;
+  route.maxAttempts = aAttempts;
+  route.targets = { { .service = ServiceId(aService) } };
+  return route;
+}
+
+std::string
+Get(const std::string& aTarget, const std::string& aMore = "")
+{
+  return "GET " + aTarget +
+         " HTTP/1.1\r\nHost: h.example\r\n"
+         "Fireflyrouter-Request-Id: q1\r\n"
+         "Fireflyrouter-Deadline-Ms: 5000\r\n" +
+         aMore + "\r\n";
+}
+
+std::string
+Ask(const std::string& aTarget)
+{
+  return Get(aTarget,
+             "Fireflyrouter-Model: m\r\n"
+             "Fireflyrouter-Token-Count: 9000,80\r\n"
+             "Fireflyrouter-Prompt-Prefix: a1:6000,b2:3000\r\n");
+}
+
+std::string
+Answer(int aStatus, const std::string& aBody, const std::string& aHeaders = "")
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) + " X\r\n" + aHeaders +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+std::string
+Stream(const std::string& aEvents, bool aWhole)
+{
+  return "HTTP/1.1 200 OK\r\n" + kStamp +
+         "Content-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n" +
+         firefly::ComposeChunk(aEvents) +
+         (aWhole ? std::string(firefly::LastChunk()) : "");
+}
+
+bool
+HasHeader(const ScriptedRequest& aRequest, std::string_view aName)
+{
+  return !FindHeader(aRequest.head.headers, aName).empty();
+}
+
+} // namespace
+
+TEST_GROUP(RelayTest)
+{
+  AsioExecutor executor;
+  PlatformDialect dialect;
+  MetricRegistry registry;
+  RelayMetrics metrics{ registry };
+  FleetView fleet;
+  RoutingKeeper routing;
+  BackendPool pool{ executor, {} };
+  BackendDirectory directory{ {}, executor, fleet, pool };
+  Relay relay{ { .self = HostId("self"), .incarnation = Incarnation(1) },
+               { .executor = &executor,
+                 .dialect = &dialect,
+                 .pool = &pool,
+                 .directory = &directory,
+                 .fleet = &fleet,
+                 .routing = &routing,
+                 .metrics = &metrics } };
+  CallerServer callers{ executor, {}, relay };
+  std::unique_ptr<ScriptedBackend> first;
+  std::unique_ptr<ScriptedBackend> second;
+
+  void setup() override
+  {
+    CHECK_TRUE(callers.Start().has_value());
+  }
+
+  void OfferRoutes()
+  {
+    routing.Offer(
+      RoutingTable(
+        { .version = RoutingVersion(3),
+          .routes = { MakeRoute("/book/", RouteKind::kOnce, 1),
+                      MakeRoute("/look/", RouteKind::kIdempotent, 2),
+                      MakeRoute("/ask/", RouteKind::kStream, 1, "llm"),
+                      MakeRoute(
+                        "/resume/", RouteKind::kResumableStream, 2, "llm") },
+          .services = { { .id = ServiceId("desk") },
+                        { .id = ServiceId("llm"), .engine = EngineTraits{} } },
+          .limits = {} }),
+      "test");
+  }
+
+  void Register(const std::string& aId,
+                const ScriptedBackend& aBackend,
+                std::optional<EngineRole> aRole = {})
+  {
+    directory.Apply(
+      { .id = BackendId(aId),
+        .service = ServiceId(aRole ? "llm" : "desk"),
+        .address = BackendAddress(aBackend.Address()),
+        .domain = {},
+        .slots = 8,
+        .role = aRole,
+        .models = aRole ? std::vector<std::string>{ "m" }
+                        : std::vector<std::string>{} });
+  }
+
+  std::unique_ptr<ScriptedBackend> Start(ScriptedBackend::Script aScript)
+  {
+    return std::make_unique<ScriptedBackend>(executor, std::move(aScript));
+  }
+
+  // One backend server of the desk that always gives that reply.
+  void StartDesk(const ScriptedReply& aReply)
+  {
+    first = Start([aReply](const ScriptedRequest&) { return aReply; });
+    Register("b1", *first);
+    OfferRoutes();
+  }
+
+  void Await(const std::function<bool()>& aCondition)
+  {
+    CHECK_TRUE(RunUntil(executor, aCondition, std::chrono::seconds(10)));
+  }
+};
+
+TEST(RelayTest, PassesAWholeAnswerOnUnchanged)
+{
+  StartDesk({ Answer(200, "held by cart 7", kStamp) });
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Get("/look/7?day=1"));
+  Await([&] { return caller.Has("held by cart 7"); });
+  CHECK_TRUE(caller.Has("HTTP/1.1 200 X\r\n"));
+  CHECK_TRUE(caller.Has(kStamp));
+  const auto& sent = first->Requests().at(0);
+  STRCMP_EQUAL("/look/7?day=1", sent.head.target.c_str());
+  CHECK(FindHeader(sent.head.headers, "Fireflyrouter-Expect-Instance") == "b1");
+  const auto left = std::stoi(std::string(
+    FindHeader(sent.head.headers, "Fireflyrouter-Deadline-Ms")));
+  CHECK_TRUE(left > 0 && left <= 700);
+}
+
+TEST(RelayTest, TakesOutWhatOnlyTheSystemSets)
+{
+  StartDesk({ Answer(200, "x", kStamp) });
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Get("/look/7",
+                  "Fireflyrouter-Kv-Source: 1.2.3.4:5/x\r\n"
+                  "Fireflyrouter-Stage: prefill\r\n"
+                  "Connection: X-Mine\r\nX-Mine: 1\r\nX-Other: 2\r\n"));
+  Await([&] { return caller.Has("HTTP/1.1 200"); });
+  const auto& sent = first->Requests().at(0);
+  CHECK_FALSE(HasHeader(sent, "Fireflyrouter-Kv-Source"));
+  CHECK_FALSE(HasHeader(sent, "Fireflyrouter-Stage"));
+  CHECK_FALSE(HasHeader(sent, "X-Mine"));
+  CHECK_TRUE(HasHeader(sent, "X-Other"));
+}
+
+TEST(RelayTest, AnUnclearBookingIsNotSentAgain)
+{
+  StartDesk({ "", AfterReply::kReset });
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Get("/book/7"));
+  Await([&] { return caller.Has("HTTP/1.1 502"); });
+  LONGS_EQUAL(1, first->Requests().size());
+}
+
+TEST(RelayTest, ARejectedBookingIsCalledNotRun)
+{
+  StartDesk({ Answer(503, "", "Fireflyrouter-Not-Run: 1\r\n") });
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Get("/book/7"));
+  Await([&] { return caller.Has("HTTP/1.1 503"); });
+  CHECK_TRUE(caller.Has("Retry-After: "));
+}
+
+TEST(RelayTest, ALookupGoesOnElsewhereAfterACut)
+{
+  int n = 0;
+  const auto script = [&n](const ScriptedRequest&) -> ScriptedReply {
+    if (n++ == 0) {
+      return { "HTTP/1.1 200 OK\r\n" + kStamp + "Content-Length: 9\r\n\r\nhal",
+               AfterReply::kClose };
+    }
+    return { Answer(200, "whole", kStamp) };
+  };
+  first = Start(script);
+  second = Start(script);
+  Register("b1", *first);
+  Register("b2", *second);
+  OfferRoutes();
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Get("/look/7"));
+  Await([&] { return caller.Has("whole"); });
+  CHECK_FALSE(caller.Has("hal\r\n"));
+  LONGS_EQUAL(1, first->Requests().size());
+  LONGS_EQUAL(1, second->Requests().size());
+}
+
+TEST(RelayTest, ABackendsOwnFailureKeepsItsStatusAndStamp)
+{
+  StartDesk({ Answer(500, "broken till", kStamp) });
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Get("/book/7"));
+  Await([&] { return caller.Has("broken till"); });
+  CHECK_TRUE(caller.Has("HTTP/1.1 500"));
+  CHECK_TRUE(caller.Has(kStamp));
+}
+
+TEST(RelayTest, AnAnswerWithoutAStampIsNoAnswer)
+{
+  StartDesk({ Answer(200, "who am I") });
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Get("/book/7"));
+  Await([&] { return caller.Has("HTTP/1.1 502"); });
+  CHECK_FALSE(caller.Has("who am I"));
+}
+
+TEST(RelayTest, ALateAnswerToAnotherRequestIsSkipped)
+{
+  StartDesk({ Answer(200, "other", kStamp + "Fireflyrouter-Request-Id: q0\r\n") +
+              Answer(200, "mine", kStamp + "Fireflyrouter-Request-Id: q1\r\n") });
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Get("/book/7"));
+  Await([&] { return caller.Has("mine"); });
+  CHECK_FALSE(caller.Has("other"));
+}
+
+TEST(RelayTest, ACallerThatLeavesStopsItsBackend)
+{
+  StartDesk({}); // never answers
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Get("/book/7"));
+  Await([&] { return first->Requests().size() == 1; });
+  caller.Leave();
+  const auto left = executor.Now();
+  Await([&] { return first->Ended() == 1; });
+  CHECK_TRUE(executor.Now() - left < 500ms);
+  Await([&] { return relay.Live() == 0; });
+}
+
+TEST(RelayTest, AnUnansweredRequestEndsAtItsRoutesTimeout)
+{
+  StartDesk({});
+  RawCaller caller(executor, callers.Port());
+  const auto sent = executor.Now();
+  caller.Send(Get("/book/7"));
+  Await([&] { return caller.Has("HTTP/1.1 504"); });
+  CHECK_TRUE(executor.Now() - sent >= 700ms);
+  CHECK_TRUE(executor.Now() - sent < 1200ms);
+}
+
+TEST(RelayTest, TheConnectionIsKeptOnBothSides)
+{
+  StartDesk({ Answer(200, "x", kStamp) });
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Get("/look/1"));
+  Await([&] { return caller.Has("HTTP/1.1 200"); });
+  caller.Send("GET /look/2 HTTP/1.1\r\nHost: h.example\r\n"
+              "Fireflyrouter-Request-Id: q2\r\n\r\n");
+  Await([&] { return first->Requests().size() == 2; });
+  LONGS_EQUAL(1, first->Connections());
+  CHECK_FALSE(caller.Ended());
+}
+
+TEST(RelayTest, WithoutATableNothingIsCalledMissing)
+{
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Get("/look/1"));
+  Await([&] { return caller.Has("HTTP/1.1 503"); });
+}
+
+TEST(RelayTest, AnUnknownPathIsMissing)
+{
+  StartDesk({});
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Get("/nowhere/1"));
+  Await([&] { return caller.Has("HTTP/1.1 404"); });
+}
+
+TEST(RelayTest, ASmuggledRequestIsRefusedAndItsConnectionEnds)
+{
+  StartDesk({ Answer(200, "x", kStamp) });
+  RawCaller caller(executor, callers.Port());
+  caller.Send("POST /book/1 HTTP/1.1\r\nHost: h.example\r\n"
+              "Fireflyrouter-Request-Id: q1\r\n"
+              "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "0\r\n\r\n" +
+              Get("/book/2"));
+  Await([&] { return caller.Ended(); });
+  CHECK_TRUE(caller.Has("HTTP/1.1 400"));
+  LONGS_EQUAL(0, first->Requests().size());
+}
+
+// Found by a hunted day (macaskill-rota, mix 64977954403): a request that came
+// long after the stop signal was taken, and cut when the process ended.
+TEST(RelayTest, AClosedRelayTakesNoFurtherRequest)
+{
+  StartDesk({ Answer(200, "x", kStamp) });
+  relay.Close();
+  callers.Retire();
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Get("/book/7"));
+  Await([&] { return caller.Ended(); });
+  CHECK_TRUE(caller.Has("HTTP/1.1 503"));
+  CHECK_TRUE(caller.Has("Connection: close"));
+  LONGS_EQUAL(0, first->Requests().size());
+}
+
+TEST(RelayTest, ARequestThatWasPassedOnEndsWholeWhileTheRelayRetires)
+{
+  StartDesk({ Answer(200, "whole", kStamp) });
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Get("/book/7"));
+  Await([&] { return first->Requests().size() == 1; });
+  relay.Close();
+  callers.Retire();
+  callers.CloseIdle();
+  Await([&] { return caller.Ended(); });
+  CHECK_TRUE(caller.Has("whole"));
+  CHECK_TRUE(caller.Has("Connection: close"));
+}
+
+TEST(RelayTest, AnIdleConnectionIsClosedWithoutAByte)
+{
+  RawCaller idle(executor, callers.Port());
+  Await([&] { return callers.Connections() == 1; });
+  callers.CloseIdle();
+  Await([&] { return idle.Ended(); });
+  STRCMP_EQUAL("", idle.Received().c_str());
+}
+
+TEST(RelayTest, EventsArePassedOnWholeAndAStreamThatIsCutLooksCut)
+{
+  first = Start([](const ScriptedRequest&) -> ScriptedReply {
+    return { Stream("id: 1\ndata: a\n\nid: 2\nda", false), AfterReply::kClose };
+  });
+  Register("e1", *first, EngineRole::kDecode);
+  OfferRoutes();
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Ask("/ask/1"));
+  Await([&] { return caller.Ended(); });
+  CHECK_TRUE(caller.Has("data: a\n\n"));
+  CHECK_FALSE(caller.Has("id: 2"));
+  CHECK_FALSE(caller.Has(firefly::LastChunk()));
+}
+
+TEST(RelayTest, AResumableStreamGoesOnAfterItsLastWholeEvent)
+{
+  const auto script = [](const ScriptedRequest& aRequest) -> ScriptedReply {
+    if (!HasHeader(aRequest, "Last-Event-Id")) {
+      return { Stream("id: 1\ndata: a\n\nid: 2\nda", false),
+               AfterReply::kClose };
+    }
+    return { Stream("id: 2\ndata: b\n\n", true) };
+  };
+  first = Start(script);
+  second = Start(script);
+  Register("e1", *first, EngineRole::kDecode);
+  Register("e2", *second, EngineRole::kDecode);
+  OfferRoutes();
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Ask("/resume/1"));
+  Await([&] { return caller.Has(firefly::LastChunk()); });
+  CHECK_TRUE(caller.Has("id: 1\ndata: a\n\n"));
+  CHECK_TRUE(caller.Has("id: 2\ndata: b\n\n"));
+  const auto& again = (first->Requests().size() == 1 &&
+                       HasHeader(first->Requests()[0], "Last-Event-Id"))
+                        ? first->Requests()[0]
+                        : second->Requests().at(0);
+  CHECK(FindHeader(again.head.headers, "Last-Event-Id") == "1");
+}
+
+TEST(RelayTest, APromptThatIsReadApartIsTakenOverByAnotherEngine)
+{
+  first = Start([](const ScriptedRequest&) -> ScriptedReply {
+    return { Answer(
+      200, R"({"kvHandle":"ab12","tokens":9000,"version":1})") };
+  });
+  second = Start([](const ScriptedRequest&) -> ScriptedReply {
+    return { Stream("id: 1\ndata: a\n\n", true) };
+  });
+  Register("p1", *first, EngineRole::kPrefill);
+  Register("d1", *second, EngineRole::kDecode);
+  OfferRoutes();
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Ask("/ask/1"));
+  Await([&] { return caller.Has(firefly::LastChunk()); });
+  const auto& read = first->Requests().at(0);
+  const auto& taken = second->Requests().at(0);
+  CHECK(FindHeader(read.head.headers, "Fireflyrouter-Stage") == "prefill");
+  CHECK(FindHeader(taken.head.headers, "Fireflyrouter-Kv-Source") ==
+        first->Address() + "/ab12");
+  CHECK_FALSE(HasHeader(taken, "Fireflyrouter-Stage"));
+}
+
+TEST(RelayTest, AMemoryThatNobodyTakesIsFreed)
+{
+  first = Start([](const ScriptedRequest& aRequest) -> ScriptedReply {
+    if (aRequest.head.method == "DELETE") {
+      return { Answer(200, "") };
+    }
+    return { Answer(200, R"({"kvHandle":"ab12"})") };
+  });
+  second = Start([this](const ScriptedRequest&) -> ScriptedReply {
+    return { Answer(503, "", "Fireflyrouter-Not-Run: 1\r\n") };
+  });
+  Register("p1", *first, EngineRole::kPrefill);
+  Register("d1", *second, EngineRole::kDecode);
+  OfferRoutes();
+  // The engine that would go on from it is gone when the prompt has been read.
+  RawCaller caller(executor, callers.Port());
+  caller.Send(Ask("/ask/1"));
+  Await([&] { return relay.Live() == 1; });
+  directory.Remove(BackendId("d1"));
+  Await([&] { return first->Requests().size() == 2; });
+  STRCMP_EQUAL("/-/kv-handle/ab12", first->Requests()[1].head.target.c_str());
+  Await([&] { return caller.Has("HTTP/1.1 503"); });
+}
