Replace reads of the routing table that hang

The feed can be refreshed: when the other feed regains the log, and when a peer gossips a newer version; idle connections to the log are probed. Before: KeyedFeedTest.ARefreshReplacesAReadThatHangs has nothing to call; after: passes.

--- a/coord/keyed_feed.cpp
+++ b/coord/keyed_feed.cpp
@@ -31,11 +31,14 @@
   }
   mFollowing = false;
   mReads++;
-  mLog.ReadNewest(mOptions.stream,
-                  mPageKeys.empty() ? std::string() : mPageKeys.back(),
-                  [this](tl::expected<NewestPage, LogError> aPage) {
-                    OnPage(std::move(aPage));
-                  });
+  mLog.ReadNewest(
+    mOptions.stream,
+    mPageKeys.empty() ? std::string() : mPageKeys.back(),
+    [this, call = ++mCall](tl::expected<NewestPage, LogError> aPage) {
+      if (call == mCall) {
+        OnPage(std::move(aPage));
+      }
+    });
 }
 
 void
@@ -68,15 +71,34 @@
 
 void
 KeyedFeed::Follow()
+{
+  // After an outage nothing may be held up by a wait.
+  Read(mLost ? Duration::zero() : mOptions.wait);
+}
+
+void
+KeyedFeed::Read(Duration aWait)
 {
   mFollowing = true;
   mReads++;
-  mLog.ReadFrom(mOptions.stream,
-                mNext,
-                mOptions.wait,
-                [this](tl::expected<KeyedBatch, LogError> aBatch) {
-                  OnBatch(std::move(aBatch));
-                });
+  mLog.ReadFrom(
+    mOptions.stream,
+    mNext,
+    aWait,
+    [this, call = ++mCall](tl::expected<KeyedBatch, LogError> aBatch) {
+      if (call == mCall) {
+        OnBatch(std::move(aBatch));
+      }
+    });
+}
+
+void
+KeyedFeed::Refresh()
+{
+  if (mFollowing) {
+    mTimer.Cancel();
+    Read(Duration::zero());
+  }
 }
 
 void
--- a/coord/keyed_feed.h
+++ b/coord/keyed_feed.h
@@ -54,6 +54,10 @@
   // Begins to read; call it once.
   void Start();
 
+  // Reads at once, without the wait, whatever call is under way: that one may
+  // hang on a connection that is dead, or there may be news.
+  void Refresh();
+
   // Whether all keys were read at least once.
   [[nodiscard]] bool Loaded() const { return mLoaded; }
 
@@ -67,6 +71,7 @@
   void Load();
   void OnPage(tl::expected<NewestPage, LogError> aPage);
   void Follow();
+  void Read(Duration aWait);
   void OnBatch(tl::expected<KeyedBatch, LogError> aBatch);
   void Take(const KeyedRecord& aRecord);
   void Hear();
@@ -90,6 +95,8 @@
   bool mLost = false;
   Duration mRetry{};
   std::uint64_t mReads = 0;
+  // Of the newest call; answers to older ones are dropped.
+  std::uint64_t mCall = 0;
   Timer mTimer;
 };
 
--- a/main/firefly_relay.cpp
+++ b/main/firefly_relay.cpp
@@ -18,6 +18,9 @@
 // A call to the log whose bytes nobody acknowledges for so long is given up.
 constexpr firefly::Duration kLogUnacknowledged = std::chrono::milliseconds(1500);
 
+// Calls that the log holds until there is news send nothing meanwhile.
+constexpr std::chrono::seconds kLogProbeAfter{ 1 };
+
 constexpr const char* kUsage =
   R"(firefly-relay: brings callers' requests to backend servers.
 
@@ -89,6 +92,7 @@
   firefly::CurlClient client(executor,
                              { .maxPooledConnections = 4,
                                .userTimeout = kLogUnacknowledged,
+                               .probeAfter = kLogProbeAfter,
                                .resetOnClose = false });
   firefly::platform::PlatformStore store(
     client,
--- a/servers/http/curl_transfer.cpp
+++ b/servers/http/curl_transfer.cpp
@@ -129,6 +129,15 @@
     set = setsockopt(
             aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit)) == 0;
   }
+  if (options.probeAfter.count() > 0) {
+    const auto seconds = static_cast<int>(options.probeAfter.count());
+    const auto integer = [aSocket](int aLevel, int aName, int aValue) {
+      return setsockopt(aSocket, aLevel, aName, &aValue, sizeof(aValue)) == 0;
+    };
+    set = set && integer(SOL_SOCKET, SO_KEEPALIVE, 1) &&
+          integer(IPPROTO_TCP, TCP_KEEPIDLE, seconds) &&
+          integer(IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  }
   if (options.resetOnClose) {
     const linger reset{ .l_onoff = 1, .l_linger = 0 };
     set =
--- a/servers/http/http_client.h
+++ b/servers/http/http_client.h
@@ -107,6 +107,9 @@
     // Bytes that the peer has not acknowledged are dropped, with their
     // connection, after so long; zero leaves it to the kernel.
     Duration userTimeout = Duration::zero();
+    // An idle connection is probed after this, so that a call which waits for
+    // its answer learns of a dead one; zero leaves it to the kernel.
+    std::chrono::seconds probeAfter{ 0 };
     // Closing a connection drops what has not been delivered yet.
     bool resetOnClose = false;
   };
--- a/servers/relay/peer_group.cpp
+++ b/servers/relay/peer_group.cpp
@@ -47,12 +47,14 @@
 
 PeerGroup::PeerGroup(Options aOptions,
                      AsioExecutor& aExecutor,
-                     policy::RequestRouter& aRouter)
+                     policy::RequestRouter& aRouter,
+                     RoutingHandler aOnRouting)
   : mOptions(std::move(aOptions))
   , mExecutor(aExecutor)
   , mRouter(aRouter)
   , mSocket(aExecutor)
   , mMembership(MembershipOptions(mOptions), aExecutor, mSocket, this)
+  , mOnRouting(std::move(aOnRouting))
 {
 }
 
@@ -104,6 +106,7 @@
   const auto digest = DecodeEntryDigest(aMember.digest);
   if (digest && aMember.host != mOptions.host) {
     mRouter.OnPeerDigest(digest->work, mExecutor.Now());
+    mOnRouting(digest->table.Value());
   }
 }
 
--- a/servers/relay/peer_group.h
+++ b/servers/relay/peer_group.h
@@ -29,10 +29,14 @@
     std::uint64_t seed = 1;
   };
 
+  // Hears which version of the routing table another relay has.
+  using RoutingHandler = std::function<void(std::uint64_t aVersion)>;
+
   // The router must outlive the group.
   PeerGroup(Options aOptions,
             AsioExecutor& aExecutor,
-            policy::RequestRouter& aRouter);
+            policy::RequestRouter& aRouter,
+            RoutingHandler aOnRouting);
 
   // Opens the UDP port and begins to tell.
   tl::expected<void, GossipError> Start();
@@ -61,6 +65,7 @@
   policy::RequestRouter& mRouter;
   GossipSocket mSocket;
   coord::Membership mMembership;
+  RoutingHandler mOnRouting;
   std::uint64_t mRouting = 0;
   bool mReady = false;
   Timer mTimer;
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -19,6 +19,8 @@
 // A backend server or caller that acknowledges nothing for so long is gone.
 constexpr Duration kUnacknowledged = std::chrono::milliseconds(2000);
 constexpr std::chrono::seconds kProbeAfter{ 1 };
+// Between two reads that peers' versions cause.
+constexpr Duration kRefreshPause = std::chrono::milliseconds(300);
 
 Incarnation
 NewIncarnation(const Executor& aExecutor)
@@ -116,7 +118,8 @@
                .interval = aSettings.peerInterval,
                .seed = mSeed },
              mExecutor,
-             mRelay.Router())
+             mRelay.Router(),
+             [this](std::uint64_t aVersion) { HearOfRouting(aVersion); })
     , mCallers(mExecutor,
                { .address = aSettings.callers.host,
                  .port = aSettings.callers.port,
@@ -215,10 +218,31 @@
         [this](const coord::KeyedRecord& aRecord) { TakeBackend(aRecord); },
       .onSnapshot = [this](const std::vector<std::string>&
                              aKeys) { mDirectory.KeepOnly(aKeys); },
-      .onRegained = [this] { mDirectory.OnLogRegained(); },
+      .onRegained =
+        [this] {
+          mDirectory.OnLogRegained();
+          // Its read may hang on a connection that the outage has killed.
+          mRoutingFeed.Refresh();
+        },
     };
   }
 
+  // A peer has a table of that version: a newer one must be in the log.
+  void HearOfRouting(std::uint64_t aVersion)
+  {
+    const auto& table = mRouting.Current();
+    const auto now = mExecutor.Now();
+    if (!table || aVersion <= table->Version().Value() ||
+        now < mNextRefresh) {
+      return;
+    }
+    mNextRefresh = now + kRefreshPause;
+    mLog.Info("a peer has a newer routing table",
+              { { "version", std::to_string(aVersion) },
+                { "here", std::to_string(table->Version().Value()) } });
+    mRoutingFeed.Refresh();
+  }
+
   void TakeRouting(const coord::KeyedRecord& aRecord)
   {
     if (aRecord.key != mParts.decoder->RoutingKey() || !aRecord.value) {
@@ -324,6 +348,7 @@
   FeedListener mBackendListener;
   coord::KeyedFeed mRoutingFeed;
   coord::KeyedFeed mBackendFeed;
+  Instant mNextRefresh{};
   bool mDraining = false;
   Instant mDrainStart{};
   std::function<void()> mDrained;
--- a/tests/coord/keyed_feed_test.cpp
+++ b/tests/coord/keyed_feed_test.cpp
@@ -74,10 +74,13 @@
 
   void ReadFrom(const StreamName& /*aStream*/,
                 LogOffset aFrom,
-                Duration /*aWait*/,
+                Duration aWait,
                 BatchCallback aCallback) override
   {
     calls++;
+    if (silent && aWait > Duration::zero()) {
+      return;
+    }
     Later([this, aFrom, aCallback] {
       if (away) {
         aCallback(tl::make_unexpected(LogError{ LogErrorKind::kUnavailable, "" }));
@@ -99,6 +102,8 @@
   std::deque<KeyedRecord> records;
   std::uint64_t first = 0;
   bool away = false;
+  // Calls that wait for news get no answer any more.
+  bool silent = false;
   int calls = 0;
 
 private:
@@ -219,3 +224,20 @@
   STRCMP_EQUAL("2", seen.values["a"].c_str());
   LONGS_EQUAL(1, seen.taken);
 }
+
+// Found by a standard day in a trial (macaskill-rota, scale-2, CONFIG): after a
+// cut, the read that waits for the next routing table hung on a dead connection.
+TEST(KeyedFeedTest, ARefreshReplacesAReadThatHangs)
+{
+  log.Put("a", "1");
+  feed.Start();
+  executor.RunFor(1s);
+  log.silent = true;
+  executor.RunFor(1s);
+  log.Put("a", "2");
+  executor.RunFor(5s);
+  STRCMP_EQUAL("1", seen.values["a"].c_str());
+  feed.Refresh();
+  executor.RunFor(100ms);
+  STRCMP_EQUAL("2", seen.values["a"].c_str());
+}
