Have most engines read prompts, by orders under the log's lease

Cause: long shared prompts and short outputs overload the few engines that read prompts, and prompts read at decode engines stall every stream there (43 % of the short questions were late by their pauses alone). A planner brings each group of engines to its share; the relay that holds the product's lease on the authority stream gives the orders, with the claim's offset as fence, and only while changes are wanted does anyone poll that stream.

--- a/main/firefly_relay.cpp
+++ b/main/firefly_relay.cpp
@@ -6,6 +6,7 @@
 
 #include <asio/signal_set.hpp>
 
+#include "core/state_chart_loader.h"
 #include "platform/platform_dialect.h"
 #include "platform/platform_records.h"
 #include "platform/platform_store.h"
@@ -88,6 +89,15 @@
 int
 Serve(const firefly::RelaySettings& aSettings, const std::string& aFile)
 {
+  const auto authority =
+    firefly::LoadStateChart(aSettings.chartsDirectory / "authority.toml");
+  const auto backend =
+    firefly::LoadStateChart(aSettings.chartsDirectory / "backend.toml");
+  if (!authority || !backend) {
+    std::cerr << "firefly-relay: "
+              << (authority ? backend : authority).error().message << '\n';
+    return Exit(firefly::ExitCode::kFailed);
+  }
   firefly::AsioExecutor executor;
   firefly::CurlClient client(executor,
                              { .maxPooledConnections = 4,
@@ -101,8 +111,11 @@
   const firefly::platform::PlatformRecords records;
   firefly::RelayServer server({ .executor = &executor,
                                 .log = &store,
+                                .streams = &store,
                                 .dialect = &dialect,
-                                .decoder = &records },
+                                .decoder = &records,
+                                .authorityChart = &*authority,
+                                .backendChart = &*backend },
                               aSettings);
   if (const auto started = server.Start(); !started) {
     std::cerr << "firefly-relay: " << started.error().message << '\n';
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -18,8 +18,8 @@
 constexpr std::uint32_t kMostPromptReads = 1;
 // A prompt read between the tokens of running streams stalls all of them: what
 // is beyond a harmless part of it counts so many times more.
-constexpr double kHarmlessPrompt = 1000; // tokens
-constexpr double kStallWeight = 5.0;
+constexpr double kHarmlessPrompt = 300; // tokens
+constexpr double kStallWeight = 20.0;
 // What handing a prompt's memory over takes: a call more and the transfer.
 constexpr Duration kHandoverTime = std::chrono::milliseconds(15);
 
--- a/servers/relay/dialect.h
+++ b/servers/relay/dialect.h
@@ -13,6 +13,7 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "policy/fleet_view.h"
 #include "policy/request_info.h"
 #include "servers/http1/caller_server.h"
 
@@ -82,6 +83,16 @@
   std::optional<PromptMemory> memory;
 };
 
+// An order that changes what an engine is used for.
+struct RoleOrder
+{
+  BackendId backend;
+  std::string address;
+  policy::EngineRole role = policy::EngineRole::kMixed;
+  HostId holder;
+  FencingNumber fence;
+};
+
 // What an answer's head says of the request.
 enum class AnswerKind : std::uint8_t
 {
@@ -155,6 +166,9 @@
   [[nodiscard]] virtual std::string ComposeRelease(
     const PromptMemory& aMemory) const = 0;
 
+  [[nodiscard]] virtual std::string ComposeOrder(
+    const RoleOrder& aOrder) const = 0;
+
   // What of an answer's headers goes on to the caller.
   [[nodiscard]] virtual HttpHeaders CallerHeaders(
     const MessageHead& aHead) const = 0;
--- a/servers/relay/peer_group.cpp
+++ b/servers/relay/peer_group.cpp
@@ -88,6 +88,16 @@
   mTimer = mExecutor.RunAfter(mOptions.interval, [this] { Tell(); });
 }
 
+std::size_t
+PeerGroup::Rank() const
+{
+  std::size_t rank = 0;
+  for (const auto& it : mMembership.Members()) {
+    rank += IsLive(it) && it.host < mOptions.host ? 1 : 0;
+  }
+  return rank;
+}
+
 void
 PeerGroup::OnMember(const coord::Member& /*aMember*/)
 {
--- a/servers/relay/peer_group.h
+++ b/servers/relay/peer_group.h
@@ -48,6 +48,9 @@
   // Tells a few others that this relay leaves.
   void Leave() { mMembership.Leave(); }
 
+  // How many live relays have a smaller id than this one.
+  [[nodiscard]] std::size_t Rank() const;
+
   // Live relays, this one included.
   [[nodiscard]] std::size_t Live() const { return mMembership.LiveCount(); }
   [[nodiscard]] std::uint64_t BytesSent() const
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -94,6 +94,7 @@
       .tokensPerEvent = hasEngine ? traits->engine->tokensPerEvent : 1,
       .answer = std::move(aAnswer),
       .onDone = [this](const RequestId& aId) { mTasks.erase(aId); } });
+  mHadTraffic = true;
   auto* started = task.get();
   mTasks[id] = std::move(task);
   started->Start();
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -53,6 +53,9 @@
   // Takes no further requests; those that run go on.
   void Close() { mClosed = true; }
 
+  // Whether a request was routed yet.
+  [[nodiscard]] bool HadTraffic() const { return mHadTraffic; }
+
   // Requests that have not ended.
   [[nodiscard]] std::size_t Live() const { return mTasks.size(); }
   [[nodiscard]] policy::RequestRouter& Router() { return mRouter; }
@@ -76,6 +79,7 @@
   RelayContext mContext;
   std::unordered_map<RequestId, std::unique_ptr<RelayTask>> mTasks;
   bool mClosed = false;
+  bool mHadTraffic = false;
   Timer mTickTimer;
 };
 
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -5,6 +5,7 @@
 #include "coord/keyed_feed.h"
 #include "servers/relay/peer_group.h"
 #include "servers/relay/relay.h"
+#include "servers/relay/role_keeper.h"
 #include "servers/status/status_server.h"
 
 namespace firefly {
@@ -120,6 +121,21 @@
              mExecutor,
              mRelay.Router(),
              [this](std::uint64_t aVersion) { HearOfRouting(aVersion); })
+    , mRoles({ .host = aSettings.host,
+               .incarnation = mIncarnation,
+               .plan = { .promptShare = aSettings.promptShare },
+               .lease = aSettings.lease,
+               .authorityChart = aParts.authorityChart,
+               .backendChart = aParts.backendChart,
+               .seed = mSeed + 2 },
+             { .executor = &mExecutor,
+               .log = aParts.streams,
+               .dialect = aParts.dialect,
+               .pool = &mPool,
+               .directory = &mDirectory,
+               .fleet = &mFleet,
+               .rank = [this] { return mPeers.Rank(); },
+               .hadTraffic = [this] { return mRelay.HadTraffic(); } })
     , mCallers(mExecutor,
                { .address = aSettings.callers.host,
                  .port = aSettings.callers.port,
@@ -173,6 +189,7 @@
     }
     mRoutingFeed.Start();
     mBackendFeed.Start();
+    mRoles.Start();
     mLog.Info("started",
               { { "host", mSettings.host.Value() },
                 { "callers", mSettings.callers.Text() },
@@ -196,6 +213,7 @@
     mDrainStart = mExecutor.Now();
     mDrained = std::move(aDone);
     mCallers.Retire();
+    mRoles.Stop();
     mLog.Info("stopping", { { "live", std::to_string(mRelay.Live()) } });
     WatchDrain();
   }
@@ -342,6 +360,7 @@
   BackendDirectory mDirectory;
   Relay mRelay;
   PeerGroup mPeers;
+  RoleKeeper mRoles;
   CallerServer mCallers;
   StatusServer mStatus;
   FeedListener mRoutingListener;
--- a/servers/relay/relay_server.h
+++ b/servers/relay/relay_server.h
@@ -8,6 +8,7 @@
 #include <tl/expected.hpp>
 
 #include "coord/keyed_log.h"
+#include "core/state_chart.h"
 #include "policy/routing_table.h"
 #include "servers/http/asio_executor.h"
 #include "servers/relay/backend_directory.h"
@@ -54,8 +55,11 @@
   {
     AsioExecutor* executor = nullptr;
     coord::KeyedLogClient* log = nullptr;
+    coord::LogClient* streams = nullptr;
     const Dialect* dialect = nullptr;
     const RecordDecoder* decoder = nullptr;
+    const StateChart* authorityChart = nullptr;
+    const StateChart* backendChart = nullptr;
   };
 
   RelayServer(const Parts& aParts, const RelaySettings& aSettings);
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -16,6 +16,7 @@
 constexpr Whole kPorts{ 1, 65535 };
 constexpr Fraction kTokenRates{ 1, 10'000'000 };
 constexpr Fraction kGapMillis{ 0.1, 10'000 };
+constexpr Fraction kShares{ 0, 1 };
 
 // Defaults of the sections that need not be given; milliseconds.
 constexpr std::int64_t kPeerInterval = 100;
@@ -25,6 +26,7 @@
 constexpr std::int64_t kStopGrace = 8'000;
 constexpr std::int64_t kUnreadyGrace = 3'000;
 constexpr std::int64_t kDrainBound = 2'000;
+constexpr std::int64_t kLease = 3'000;
 constexpr std::int64_t kMaxConnections = 3'000;
 constexpr std::int64_t kQueueBound = 256;
 
@@ -69,6 +71,8 @@
     ReadCapacity(aReader.Section("prefill"), capacities.prefill);
   capacities.decode =
     ReadCapacity(aReader.Section("decode"), capacities.decode);
+  aSettings.promptShare = aReader.Real("prompt_share", kShares, 0);
+  aSettings.lease = aReader.Millis("lease_ms", kShortMillis, kLease);
   aReader.Finish();
 }
 
@@ -148,6 +152,10 @@
   ReadFeeds(root.Section("log_service"), settings);
   ReadRelay(root.Section("relay"), settings);
   ReadEngines(root.Section("engines"), settings);
+  auto charts = root.Section("charts");
+  // A relative directory starts at the working directory.
+  settings.chartsDirectory = charts.Text("directory", "charts");
+  charts.Finish();
   settings.log = ReadLogSettings(root.Section("log"));
   root.Finish();
   if (problems.Lines().empty() && settings.unreadyGrace >= settings.stopGrace) {
--- a/servers/relay/relay_settings.h
+++ b/servers/relay/relay_settings.h
@@ -54,6 +54,12 @@
   // After which a leaving backend server gets no new work.
   Duration drainBound{};
   policy::RoleCapacities capacities;
+  // The part of engines of one kind that only read prompts; 0 leaves them.
+  double promptShare = 0;
+  // For which one relay's orders to engines exclude those of others.
+  Duration lease{};
+  // Of the state charts.
+  std::filesystem::path chartsDirectory;
   LogSettings log;
 };
 
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -419,13 +419,18 @@
     return;
   }
   mOptions.answer->Write(aEvent.bytes);
+  const auto now = Now();
+  if (mEvents++ > 0) {
+    mLongestGap = std::max(mLongestGap, now - mLastEvent);
+  }
+  mLastEvent = now;
   if (!aEvent.id.empty()) {
     mLastEventId = aEvent.id;
   }
   mContext.router->OnTokens(mOptions.request.id,
                             aAttempt,
                             policy::Tokens(mOptions.tokensPerEvent),
-                            Now());
+                            now);
 }
 
 void
@@ -572,6 +577,8 @@
       { "attempts", std::to_string(mAttemptsMade) },
       { "backends", mBackends },
       { "first_ms", mFirstAnswer ? Millis(*mFirstAnswer) : "" },
+      { "events", std::to_string(mEvents) },
+      { "gap_ms", Millis(mLongestGap) },
       { "ms", Millis(took) } });
   mContext.executor->Post(
     [onDone = mOptions.onDone, id = mOptions.request.id] { onDone(id); });
--- a/servers/relay/relay_task.h
+++ b/servers/relay/relay_task.h
@@ -130,6 +130,10 @@
   std::string mLastEventId;
   std::string mBackends; // that it was sent to, for the log
   std::optional<Duration> mFirstAnswer;
+  // Of a stream: when its last event came, and the longest pause before one.
+  Instant mLastEvent{};
+  Duration mLongestGap{};
+  std::uint32_t mEvents = 0;
   int mStatus = 0;
   bool mDone = false;
 };
