--- a/coord/keyed_log.h
+++ b/coord/keyed_log.h
@@ -46,7 +46,8 @@
 class KeyedLogClient
 {
 public:
-  using NewestCallback = std::function<void(tl::expected<NewestPage, LogError>)>;
+  using NewestCallback =
+    std::function<void(tl::expected<NewestPage, LogError>)>;
   using BatchCallback = std::function<void(tl::expected<KeyedBatch, LogError>)>;
 
   virtual ~KeyedLogClient() = default;
--- a/main/firefly_relay.cpp
+++ b/main/firefly_relay.cpp
@@ -17,7 +17,8 @@
 namespace {
 
 // A call to the log whose bytes nobody acknowledges for so long is given up.
-constexpr firefly::Duration kLogUnacknowledged = std::chrono::milliseconds(1500);
+constexpr firefly::Duration kLogUnacknowledged =
+  std::chrono::milliseconds(1500);
 
 // Calls that the log holds until there is news send nothing meanwhile.
 constexpr std::chrono::seconds kLogProbeAfter{ 1 };
@@ -105,8 +106,7 @@
                                .probeAfter = kLogProbeAfter,
                                .resetOnClose = false });
   firefly::platform::PlatformStore store(
-    client,
-    { .url = aSettings.logUrl, .callTimeout = aSettings.logTimeout });
+    client, { .url = aSettings.logUrl, .callTimeout = aSettings.logTimeout });
   const firefly::platform::PlatformDialect dialect;
   const firefly::platform::PlatformRecords records;
   firefly::RelayServer server({ .executor = &executor,
--- a/policy/backend_selector.cpp
+++ b/policy/backend_selector.cpp
@@ -404,8 +404,8 @@
                      speed;
   // Beyond the slots each request waits until one of them is free.
   const double beyond = std::max(0.0, requests + 1 - capacity.slots);
-  const double slotWait = beyond * output * gap /
-                          std::max<std::uint32_t>(1, capacity.slots);
+  const double slotWait =
+    beyond * output * gap / std::max<std::uint32_t>(1, capacity.slots);
   const double queueing = backlog / rate + slotWait;
   const double own = (prompt - cached) / rate + gap;
   const double wait = queueing + own;
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -508,9 +508,9 @@
 RequestRouter::StallOf(const Request& aRequest, const Choice& aChoice) const
 {
   const auto& capacity = mFleet.At(aChoice.slot).capacity;
-  const double uncached = aRequest.info.promptTokens.Value() -
-                          std::min(aRequest.info.promptTokens.Value(),
-                                   aChoice.cachedTokens.Value());
+  const double uncached =
+    aRequest.info.promptTokens.Value() -
+    std::min(aRequest.info.promptTokens.Value(), aChoice.cachedTokens.Value());
   return FromSeconds(kStallWeight * std::max(0.0, uncached - kHarmlessPrompt) /
                      capacity.prefillTokensPerSecond);
 }
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -119,9 +119,7 @@
 
   // An attempt with WorkPhase::kPrompt has read the prompt; the output is made
   // elsewhere, from the memory that it keeps.
-  void OnPromptRead(const RequestId& aId,
-                    AttemptNumber aAttempt,
-                    Instant aNow);
+  void OnPromptRead(const RequestId& aId, AttemptNumber aAttempt, Instant aNow);
 
   // More output tokens of the attempt that answers.
   void OnTokens(const RequestId& aId,
--- a/policy/stage_planner.cpp
+++ b/policy/stage_planner.cpp
@@ -38,9 +38,12 @@
 // The engines to take from, those of the domain that has most of them first,
 // in an order that is the same in all processes.
 std::vector<BackendSlot>
-Pick(const FleetView& aFleet, std::vector<BackendSlot> aFrom, std::size_t aCount)
+Pick(const FleetView& aFleet,
+     std::vector<BackendSlot> aFrom,
+     std::size_t aCount)
 {
-  std::ranges::sort(aFrom, {}, [&](auto aSlot) { return aFleet.HashAt(aSlot); });
+  std::ranges::sort(
+    aFrom, {}, [&](auto aSlot) { return aFleet.HashAt(aSlot); });
   std::vector<BackendSlot> picked;
   while (picked.size() < aCount && !aFrom.empty()) {
     std::map<DomainId, int> byDomain;
@@ -71,16 +74,15 @@
   }
   for (const auto& [models, group] : GroupEngines(aFleet)) {
     const auto n = group.prompts.size() + group.outputs.size();
-    const auto most =
-      n > mOptions.leastOutputs ? n - mOptions.leastOutputs : 0;
-    const auto wanted = std::min(
-      most,
-      static_cast<std::size_t>(
-        std::lround(mOptions.promptShare * static_cast<double>(n))));
-    const auto slack = aHadTraffic ? static_cast<std::size_t>(std::ceil(
-                                       mOptions.deadband *
-                                       static_cast<double>(n)))
-                                   : 0;
+    const auto most = n > mOptions.leastOutputs ? n - mOptions.leastOutputs : 0;
+    const auto wanted =
+      std::min(most,
+               static_cast<std::size_t>(
+                 std::lround(mOptions.promptShare * static_cast<double>(n))));
+    const auto slack =
+      aHadTraffic ? static_cast<std::size_t>(
+                      std::ceil(mOptions.deadband * static_cast<double>(n)))
+                  : 0;
     if (group.prompts.size() + slack < wanted) {
       for (const auto slot :
            Pick(aFleet, group.outputs, wanted - group.prompts.size())) {
--- a/servers/http1/answer_writer.cpp
+++ b/servers/http1/answer_writer.cpp
@@ -9,12 +9,17 @@
 namespace {
 
 // RFC 9110, section 7.6.1, and the framing of RFC 9112, section 6.
-constexpr std::array<std::string_view, 11> kHopHeaders{
-  "Connection",          "Keep-Alive",      "Proxy-Connection",
-  "Proxy-Authenticate",  "Proxy-Authorization", "TE",
-  "Trailer",             "Transfer-Encoding",   "Upgrade",
-  "Content-Length",      "Expect"
-};
+constexpr std::array<std::string_view, 11> kHopHeaders{ "Connection",
+                                                        "Keep-Alive",
+                                                        "Proxy-Connection",
+                                                        "Proxy-Authenticate",
+                                                        "Proxy-Authorization",
+                                                        "TE",
+                                                        "Trailer",
+                                                        "Transfer-Encoding",
+                                                        "Upgrade",
+                                                        "Content-Length",
+                                                        "Expect" };
 
 char
 Lower(char aChar)
@@ -77,9 +82,8 @@
 bool
 IsHopHeader(const HttpHeaders& aHeaders, std::string_view aName)
 {
-  const bool known = std::ranges::any_of(kHopHeaders, [&](auto aHop) {
-    return SameHeaderName(aHop, aName);
-  });
+  const bool known = std::ranges::any_of(
+    kHopHeaders, [&](auto aHop) { return SameHeaderName(aHop, aName); });
   if (known) {
     return true;
   }
--- a/servers/http1/backend_connection.cpp
+++ b/servers/http1/backend_connection.cpp
@@ -109,8 +109,8 @@
     Fail(BackendCallFault::kNotSent);
     return;
   }
-  mConnectTimer = mExecutor.RunAfter(
-    mOptions.connectTimeout, [weak = weak_from_this()] {
+  mConnectTimer =
+    mExecutor.RunAfter(mOptions.connectTimeout, [weak = weak_from_this()] {
       if (const auto self = weak.lock();
           self && self->mState == State::kConnecting) {
         self->Fail(BackendCallFault::kNotSent);
--- a/servers/http1/backend_pool.cpp
+++ b/servers/http1/backend_pool.cpp
@@ -146,9 +146,8 @@
 {
   const auto it = mKept.find(aConnection->Settings().backend);
   if (it != mKept.end()) {
-    it->second.remove_if([&](const Kept& aKept) {
-      return aKept.connection.get() == aConnection;
-    });
+    it->second.remove_if(
+      [&](const Kept& aKept) { return aKept.connection.get() == aConnection; });
   }
 }
 
--- a/servers/http1/caller_server.cpp
+++ b/servers/http1/caller_server.cpp
@@ -70,10 +70,7 @@
 
   void SetLimits(const Limits& aLimits) { mShared->limits = aLimits; }
 
-  void Retire()
-  {
-    mShared->retired = true;
-  }
+  void Retire() { mShared->retired = true; }
 
   void CloseIdle()
   {
@@ -107,15 +104,15 @@
       mAcceptLater = mExecutor.RunAfter(kAcceptPause, [this] { Accept(); });
       return;
     }
-    mAcceptor.async_accept([weak = weak_from_this()](
-                             const asio::error_code& aCode,
-                             tcp::socket aSocket) {
-      const auto self = weak.lock();
-      if (!self || aCode == asio::error::operation_aborted) {
-        return;
-      }
-      self->OnAccepted(aCode, std::move(aSocket));
-    });
+    mAcceptor.async_accept(
+      [weak = weak_from_this()](const asio::error_code& aCode,
+                                tcp::socket aSocket) {
+        const auto self = weak.lock();
+        if (!self || aCode == asio::error::operation_aborted) {
+          return;
+        }
+        self->OnAccepted(aCode, std::move(aSocket));
+      });
   }
 
   void OnAccepted(const asio::error_code& aCode, tcp::socket aSocket)
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -13,20 +13,21 @@
 // Engines that hold a shared part of prompts: a second copy of all parts would
 // cost more reading than it spreads load.
 constexpr std::uint32_t kHomes = 1;
-// Beside the home; with more of them, relays that know of the same load a moment
-// ago all take the same engine.
+// Beside the home; with more of them, relays that know of the same load a
+// moment ago all take the same engine.
 constexpr std::uint32_t kCandidates = 2;
 
 policy::PolicySet
 MakePolicies(const Relay::Options& aOptions)
 {
-  auto policies = policy::MakePolicySet("firefly",
-                                        { .self = aOptions.self,
-                                          .seed = aOptions.seed,
-                                          .homes = kHomes,
-                                          .randomCandidates = kCandidates,
-                                          .queueBound = aOptions.queueBound,
-                                          .without = { "admission", "hedge" } });
+  auto policies =
+    policy::MakePolicySet("firefly",
+                          { .self = aOptions.self,
+                            .seed = aOptions.seed,
+                            .homes = kHomes,
+                            .randomCandidates = kCandidates,
+                            .queueBound = aOptions.queueBound,
+                            .without = { "admission", "hedge" } });
   return std::move(policies.value());
 }
 
@@ -121,10 +122,9 @@
     mParts.dialect->Compose(aKind, aId, aDetail, mOptions.retryAfter);
   const auto status = std::to_string(own.status);
   mParts.metrics->rejectedInput.With({ status }).Add();
-  mLog.Info("request turned away",
-            { { "request", aId.Value() },
-              { "status", status },
-              { "why", aDetail } });
+  mLog.Info(
+    "request turned away",
+    { { "request", aId.Value() }, { "status", status }, { "why", aDetail } });
   aAnswer.Send(own.status, own.reason, own.headers, own.body);
 }
 
--- a/servers/relay/relay_metrics.cpp
+++ b/servers/relay/relay_metrics.cpp
@@ -12,19 +12,20 @@
   , attempts(aRegistry.Counters({ .name = "firefly_relay_attempts_total",
                                   .help = "Sends to backend servers",
                                   .labelNames = { "service", "outcome" } }))
-  , rejectedInput(aRegistry.Counters({ .name =
-                                         "firefly_relay_rejected_input_total",
-                                       .help = "Bytes that are no request",
-                                       .labelNames = { "status" } }))
-  , firstAnswer(aRegistry.Histograms({ .name =
-                                         "firefly_relay_first_answer_seconds",
-                                       .help = "From arrival to the first event "
-                                               "or the whole plain answer",
-                                       .labelNames = { "service" },
-                                       .bounds = FirstTokenBounds() }))
-  , requestSeconds(aRegistry.Summaries({ .name = "firefly_relay_request_seconds",
-                                         .help = "From arrival to the end",
-                                         .labelNames = { "service" } }))
+  , rejectedInput(
+      aRegistry.Counters({ .name = "firefly_relay_rejected_input_total",
+                           .help = "Bytes that are no request",
+                           .labelNames = { "status" } }))
+  , firstAnswer(
+      aRegistry.Histograms({ .name = "firefly_relay_first_answer_seconds",
+                             .help = "From arrival to the first event "
+                                     "or the whole plain answer",
+                             .labelNames = { "service" },
+                             .bounds = FirstTokenBounds() }))
+  , requestSeconds(
+      aRegistry.Summaries({ .name = "firefly_relay_request_seconds",
+                            .help = "From arrival to the end",
+                            .labelNames = { "service" } }))
   , live(aRegistry.Gauges({ .name = "firefly_relay_live_requests",
                             .help = "Requests that have not ended" }))
   , queued(aRegistry.Gauges({ .name = "firefly_relay_queued_requests",
@@ -40,8 +41,8 @@
   , feedAge(aRegistry.Gauges({ .name = "firefly_relay_feed_age_seconds",
                                .help = "Since the log last answered",
                                .labelNames = { "feed" } }))
-  , ready(aRegistry.Gauges({ .name = "firefly_relay_ready",
-                             .help = "Whether it takes requests" }))
+  , ready(aRegistry.Gauges(
+      { .name = "firefly_relay_ready", .help = "Whether it takes requests" }))
 {
 }
 
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -234,8 +234,10 @@
     return {
       .onRecord =
         [this](const coord::KeyedRecord& aRecord) { TakeBackend(aRecord); },
-      .onSnapshot = [this](const std::vector<std::string>&
-                             aKeys) { mDirectory.KeepOnly(aKeys); },
+      .onSnapshot =
+        [this](const std::vector<std::string>& aKeys) {
+          mDirectory.KeepOnly(aKeys);
+        },
       .onRegained =
         [this] {
           mDirectory.OnLogRegained();
@@ -250,8 +252,7 @@
   {
     const auto& table = mRouting.Current();
     const auto now = mExecutor.Now();
-    if (!table || aVersion <= table->Version().Value() ||
-        now < mNextRefresh) {
+    if (!table || aVersion <= table->Version().Value() || now < mNextRefresh) {
       return;
     }
     mNextRefresh = now + kRefreshPause;
@@ -284,9 +285,9 @@
     const auto record =
       mParts.decoder->DecodeBackend(aRecord.key, *aRecord.value);
     if (!record) {
-      mLog.Warning("backend record ignored",
-                   { { "backend", aRecord.key },
-                     { "why", record.error().message } });
+      mLog.Warning(
+        "backend record ignored",
+        { { "backend", aRecord.key }, { "why", record.error().message } });
       mDirectory.Remove(BackendId(aRecord.key));
       return;
     }
@@ -330,8 +331,7 @@
       return aFeed.Loaded() ? ToSeconds(now - aFeed.Heard()) : -1.0;
     };
     mMetrics.live.With({}).Set(static_cast<double>(mRelay.Live()));
-    mMetrics.queued.With({}).Set(
-      static_cast<double>(mRelay.Router().Queued()));
+    mMetrics.queued.With({}).Set(static_cast<double>(mRelay.Router().Queued()));
     mMetrics.connections.With({ "callers" })
       .Set(static_cast<double>(mCallers.Connections()));
     mMetrics.connections.With({ "backends-idle" })
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -54,9 +54,8 @@
   capacity.decodeTokensPerSecond = aReader.Real(
     "output_tokens_per_s", kTokenRates, aDefault.decodeTokensPerSecond);
   capacity.tokenGapSeconds =
-    aReader.Real("token_gap_ms",
-                 kGapMillis,
-                 aDefault.tokenGapSeconds * kMillisPerSecond) /
+    aReader.Real(
+      "token_gap_ms", kGapMillis, aDefault.tokenGapSeconds * kMillisPerSecond) /
     kMillisPerSecond;
   aReader.Finish();
   return capacity;
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -10,7 +10,6 @@
 using policy::AttemptError;
 using policy::AttemptNumber;
 
-
 constexpr int kFirstServerError = 500;
 constexpr int kPastSuccess = 300;
 // A plain answer up to this size is passed on once it is whole.
@@ -258,8 +257,8 @@
   AttemptTerms terms{ .backend = aOrder.backend,
                       .address = call.address.Value(),
                       .timeLeft = std::max(kLeastTimeLeft, mExpires - Now()),
-                      .enginePriority = static_cast<int>(std::min(
-                        mOptions.route->rank, kLastEnginePriority)),
+                      .enginePriority = static_cast<int>(
+                        std::min(mOptions.route->rank, kLastEnginePriority)),
                       .resumeAfter = mLastEventId,
                       .promptOnly = !started->CanRun(),
                       .memory = {} };
@@ -384,10 +383,8 @@
   }
   CountFirstAnswer();
   mStatus = aHead.status;
-  mOptions.answer->Send(aHead.status,
-                        aHead.reason,
-                        mContext.dialect->CallerHeaders(aHead),
-                        aBody);
+  mOptions.answer->Send(
+    aHead.status, aHead.reason, mContext.dialect->CallerHeaders(aHead), aBody);
   mContext.router->OnFinish(id, aAttempt, now);
   Done(aHead.status < kPastSuccess ? "answered" : "backend-failure");
 }
@@ -496,8 +493,7 @@
 bool
 RelayTask::MayHaveRun() const
 {
-  return mRanUnseen ||
-         std::ranges::any_of(mAttempts, [](const auto& aAttempt) {
+  return mRanUnseen || std::ranges::any_of(mAttempts, [](const auto& aAttempt) {
            return aAttempt.second->CanRun();
          });
 }
@@ -530,8 +526,8 @@
                    const std::string& aDetail,
                    Duration aRetryAfter)
 {
-  const auto own = mContext.dialect->Compose(
-    aKind, mOptions.request.id, aDetail, aRetryAfter);
+  const auto own =
+    mContext.dialect->Compose(aKind, mOptions.request.id, aDetail, aRetryAfter);
   mStatus = own.status;
   mOptions.answer->Send(own.status, own.reason, own.headers, own.body);
 }
--- a/servers/relay/role_keeper.cpp
+++ b/servers/relay/role_keeper.cpp
@@ -57,8 +57,8 @@
   void Start(BackendPool::Call aCall)
   {
     mCall = mKeeper.mParts.pool->Start(std::move(aCall), *this);
-    mTimer = mKeeper.mParts.executor->RunAfter(
-      kOrderTimeout, [this] { End("no answer"); });
+    mTimer = mKeeper.mParts.executor->RunAfter(kOrderTimeout,
+                                               [this] { End("no answer"); });
   }
 
   bool IsMine(const MessageHead& /*aHead*/) override { return true; }
--- a/servers/settings/section_reader.cpp
+++ b/servers/settings/section_reader.cpp
@@ -189,8 +189,7 @@
 std::string
 SectionReader::Endpoint(const std::string& aKey)
 {
-  return CheckedText(
-    aKey, "an address such as \"10.1.0.5:8080\"", IsEndpoint);
+  return CheckedText(aKey, "an address such as \"10.1.0.5:8080\"", IsEndpoint);
 }
 
 std::string
--- a/tests/coord/keyed_feed_test.cpp
+++ b/tests/coord/keyed_feed_test.cpp
@@ -49,7 +49,8 @@
     calls++;
     Later([this, aAfterKey, aCallback] {
       if (away) {
-        aCallback(tl::make_unexpected(LogError{ LogErrorKind::kUnavailable, "" }));
+        aCallback(
+          tl::make_unexpected(LogError{ LogErrorKind::kUnavailable, "" }));
         return;
       }
       std::map<std::string, KeyedRecord> newest;
@@ -83,7 +84,8 @@
     }
     Later([this, aFrom, aCallback] {
       if (away) {
-        aCallback(tl::make_unexpected(LogError{ LogErrorKind::kUnavailable, "" }));
+        aCallback(
+          tl::make_unexpected(LogError{ LogErrorKind::kUnavailable, "" }));
         return;
       }
       if (aFrom.Value() < first) {
@@ -226,7 +228,8 @@
 }
 
 // Found by a standard day in a trial (macaskill-rota, scale-2, CONFIG): after a
-// cut, the read that waits for the next routing table hung on a dead connection.
+// cut, the read that waits for the next routing table hung on a dead
+// connection.
 TEST(KeyedFeedTest, ARefreshReplacesAReadThatHangs)
 {
   log.Put("a", "1");
--- a/tests/helpers/scripted_backend.cpp
+++ b/tests/helpers/scripted_backend.cpp
@@ -27,14 +27,15 @@
 
   void Accept()
   {
-    acceptor.async_accept([self = shared_from_this()](
-                            const asio::error_code& aCode, tcp::socket aSocket) {
-      if (!aCode) {
-        self->connections++;
-        std::make_shared<Connection>(self, std::move(aSocket))->Read();
-        self->Accept();
-      }
-    });
+    acceptor.async_accept(
+      [self = shared_from_this()](const asio::error_code& aCode,
+                                  tcp::socket aSocket) {
+        if (!aCode) {
+          self->connections++;
+          std::make_shared<Connection>(self, std::move(aSocket))->Read();
+          self->Accept();
+        }
+      });
   }
 
   tcp::acceptor acceptor;
--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -91,9 +91,8 @@
   STRCMP_EQUAL(
     "http://store/-/log-read?topic=keyed.op&part=0&source=5&waitMs=2000",
     client.calls[0].url.c_str());
-  client.Answer(200,
-                Number(7, 8) + Number(0, 8) + Record("a", "one") +
-                  Record("b", ""));
+  client.Answer(
+    200, Number(7, 8) + Number(0, 8) + Record("a", "one") + Record("b", ""));
   CHECK_TRUE(batch->has_value());
   const auto& records = (*batch)->records;
   LONGS_EQUAL(2, records.size());
--- a/tests/policy/backend_selector_test.cpp
+++ b/tests/policy/backend_selector_test.cpp
@@ -147,3 +147,24 @@
   }
   LONGS_EQUAL(2, slots.size());
 }
+
+// Each entry sees a small part of the traffic: what it has not seen itself may
+// still be cached where all of them send it.
+TEST(BackendSelectorTest, ASharedPrefixHasItsHomeFromTheFirstRequestOn)
+{
+  const auto fleet = MakeFleet(12);
+  std::set<BackendId> chosen;
+  for (std::uint64_t entry = 0; entry < 9; ++entry) {
+    LearningSelector selector(
+      LearningSelector::Options{ .seed = entry, .homes = 1 });
+    auto request = MakeRequest("r" + std::to_string(entry));
+    request.promptTokens = firefly::policy::Tokens(17000);
+    request.prefixHashes = { 5, 6 };
+    request.prefixEnds = { firefly::policy::Tokens(4000),
+                           firefly::policy::Tokens(13300) };
+    const auto choice = selector.Select(request, {}, fleet, Instant{});
+    chosen.insert(choice->backend);
+    LONGS_EQUAL(13300, choice->cachedTokens.Value());
+  }
+  LONGS_EQUAL(1, chosen.size());
+}
--- a/tests/policy/request_router_test.cpp
+++ b/tests/policy/request_router_test.cpp
@@ -252,3 +252,70 @@
     CHECK(sink.refused.size() > 10);
   }
 }
+
+// Long shared prompts: one pool reads them, the other makes the outputs.
+TEST(RequestRouterTest, APromptIsReadApartAndItsOutputMadeElsewhere)
+{
+  auto router = MakeRouter(3);
+  auto reader = MakeEngine("reader", firefly::policy::EngineRole::kPrefill);
+  reader.promptsOnly = true;
+  fleet.Upsert(reader);
+  auto request = MakeRequest("r1");
+  request.idempotent = false;
+  request.maxAttempts = 1;
+  request.promptTokens = Tokens(9000);
+  router.OnArrival(request, Instant{});
+  LONGS_EQUAL(1, sink.orders.size());
+  CHECK(sink.orders[0].phase == firefly::policy::WorkPhase::kPrompt);
+  STRCMP_EQUAL("reader", sink.orders[0].backend.Value().c_str());
+  router.OnPromptRead(RequestId("r1"), AttemptNumber(1), Instant(100ms));
+  LONGS_EQUAL(2, sink.orders.size());
+  CHECK(sink.orders[1].phase == firefly::policy::WorkPhase::kOutput);
+  CHECK(sink.orders[1].backend.Value() != "reader");
+  CHECK_TRUE(
+    router.OnFirstToken(RequestId("r1"), AttemptNumber(2), Instant(120ms)));
+  router.OnFinish(RequestId("r1"), AttemptNumber(2), Instant(200ms));
+  LONGS_EQUAL(0, router.Live());
+}
+
+TEST(RequestRouterTest, AFailedReadingOfAPromptIsNoRun)
+{
+  auto router = MakeRouter(3);
+  auto reader = MakeEngine("reader", firefly::policy::EngineRole::kPrefill);
+  reader.promptsOnly = true;
+  fleet.Upsert(reader);
+  auto request = MakeRequest("r1");
+  request.idempotent = false;
+  request.maxAttempts = 1;
+  request.promptTokens = Tokens(9000);
+  router.OnArrival(request, Instant{});
+  router.OnError(
+    RequestId("r1"), AttemptNumber(1), AttemptError::kBroken, Instant(50ms));
+  LONGS_EQUAL(2, sink.orders.size());
+  CHECK(sink.orders[1].phase == firefly::policy::WorkPhase::kWhole);
+}
+
+TEST(RequestRouterTest, ARefusalAfterARunIsNeverCalledNotRun)
+{
+  auto router = MakeRouter(2);
+  auto request = MakeRequest("r1");
+  request.maxAttempts = 2;
+  router.OnArrival(request, Instant{});
+  router.OnError(
+    RequestId("r1"), AttemptNumber(1), AttemptError::kFailed, Instant(50ms));
+  router.OnError(
+    RequestId("r1"), AttemptNumber(2), AttemptError::kRejected, Instant(60ms));
+  LONGS_EQUAL(0, sink.refused.count(RequestId("r1")));
+  LONGS_EQUAL(1, sink.failed.count(RequestId("r1")));
+}
+
+TEST(RequestRouterTest, ARouteBoundsTheAttempts)
+{
+  auto router = MakeRouter(4);
+  auto request = MakeRequest("r1");
+  request.maxAttempts = 1;
+  router.OnArrival(request, Instant{});
+  router.OnError(
+    RequestId("r1"), AttemptNumber(1), AttemptError::kBroken, Instant(50ms));
+  LONGS_EQUAL(1, sink.Dispatched(RequestId("r1")));
+}
--- a/tests/servers/http1/message_reader_test.cpp
+++ b/tests/servers/http1/message_reader_test.cpp
@@ -156,8 +156,7 @@
   for (int i = 0; i < 20000; ++i) {
     auto bytes = whole;
     for (auto n = random.Below(4) + 1; n > 0; --n) {
-      bytes[random.Below(bytes.size())] =
-        static_cast<char>(random.Below(256));
+      bytes[random.Below(bytes.size())] = static_cast<char>(random.Below(256));
     }
     MessageReader reader{ { .side = MessageReader::Side::kRequests } };
     const auto cut = random.Below(bytes.size());
--- a/tests/servers/relay/backend_directory_test.cpp
+++ b/tests/servers/relay/backend_directory_test.cpp
@@ -22,10 +22,9 @@
   AsioExecutor sockets;
   FleetView fleet;
   BackendPool pool{ sockets, {} };
-  BackendDirectory directory{ { .returnGrace = 1500ms },
-                              executor,
-                              fleet,
-                              pool };
+  BackendDirectory directory{
+    { .returnGrace = 1500ms }, executor, fleet, pool
+  };
 
   static BackendRecord Record(const std::string& aId, bool aLeaving = false)
   {
--- a/tests/servers/relay/relay_test.cpp
+++ b/tests/servers/relay/relay_test.cpp
@@ -160,15 +160,14 @@
                 const ScriptedBackend& aBackend,
                 std::optional<EngineRole> aRole = {})
   {
-    directory.Apply(
-      { .id = BackendId(aId),
-        .service = ServiceId(aRole ? "llm" : "desk"),
-        .address = BackendAddress(aBackend.Address()),
-        .domain = {},
-        .slots = 8,
-        .role = aRole,
-        .models = aRole ? std::vector<std::string>{ "m" }
-                        : std::vector<std::string>{} });
+    directory.Apply({ .id = BackendId(aId),
+                      .service = ServiceId(aRole ? "llm" : "desk"),
+                      .address = BackendAddress(aBackend.Address()),
+                      .domain = {},
+                      .slots = 8,
+                      .role = aRole,
+                      .models = aRole ? std::vector<std::string>{ "m" }
+                                      : std::vector<std::string>{} });
   }
 
   std::unique_ptr<ScriptedBackend> Start(ScriptedBackend::Script aScript)
@@ -201,8 +200,8 @@
   const auto& sent = first->Requests().at(0);
   STRCMP_EQUAL("/look/7?day=1", sent.head.target.c_str());
   CHECK(FindHeader(sent.head.headers, "Fireflyrouter-Expect-Instance") == "b1");
-  const auto left = std::stoi(std::string(
-    FindHeader(sent.head.headers, "Fireflyrouter-Deadline-Ms")));
+  const auto left = std::stoi(
+    std::string(FindHeader(sent.head.headers, "Fireflyrouter-Deadline-Ms")));
   CHECK_TRUE(left > 0 && left <= 700);
 }
 
@@ -284,8 +283,9 @@
 
 TEST(RelayTest, ALateAnswerToAnotherRequestIsSkipped)
 {
-  StartDesk({ Answer(200, "other", kStamp + "Fireflyrouter-Request-Id: q0\r\n") +
-              Answer(200, "mine", kStamp + "Fireflyrouter-Request-Id: q1\r\n") });
+  StartDesk(
+    { Answer(200, "other", kStamp + "Fireflyrouter-Request-Id: q0\r\n") +
+      Answer(200, "mine", kStamp + "Fireflyrouter-Request-Id: q1\r\n") });
   RawCaller caller(executor, callers.Port());
   caller.Send(Get("/book/7"));
   Await([&] { return caller.Has("mine"); });
@@ -440,8 +440,7 @@
 TEST(RelayTest, APromptThatIsReadApartIsTakenOverByAnotherEngine)
 {
   first = Start([](const ScriptedRequest&) -> ScriptedReply {
-    return { Answer(
-      200, R"({"kvHandle":"ab12","tokens":9000,"version":1})") };
+    return { Answer(200, R"({"kvHandle":"ab12","tokens":9000,"version":1})") };
   });
   second = Start([](const ScriptedRequest&) -> ScriptedReply {
     return { Stream("id: 1\ndata: a\n\n", true) };
