--- a/policy/request_queue.h
+++ b/policy/request_queue.h
@@ -78,6 +78,7 @@
     int worthStep = 0;
     Instant deadline{};
     std::uint64_t sequence = 0;
+    // NOLINTNEXTLINE(modernize-use-nullptr): a false finding on defaults
     auto operator<=>(const Key&) const = default;
   };
   using LaneQueue = std::map<Key, QueuedRequest>;
