Bound the log's lines and never wait for their reader

Cause: the console appender waits for whoever reads stdout, and nothing bounded the lines. An appender on log4cxx's writes only what the pipe takes at once, at most lines_per_s, and says how many lines were dropped. Ruled out: a non-blocking stdout (it is shared with other processes). Before: AReaderThatStopsDoesNotHoldTheProcess hangs with the console appender; after: it passes, as does the burst.

--- a/servers/http1/backend_pool.cpp
+++ b/servers/http1/backend_pool.cpp
@@ -67,7 +67,7 @@
 
 BackendPool::BackendPool(AsioExecutor& aExecutor, Options aOptions)
   : mExecutor(aExecutor)
-  , mOptions(std::move(aOptions))
+  , mOptions(aOptions)
 {
   Sweep();
 }
--- a/servers/log/log.cpp
+++ b/servers/log/log.cpp
@@ -4,7 +4,6 @@
 #include <memory>
 
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
@@ -12,6 +11,8 @@
 #include <log4cxx/mdc.h>
 #include <log4cxx/patternlayout.h>
 
+#include "servers/log/bounded_appender.h"
+
 namespace firefly {
 
 namespace {
@@ -98,8 +99,8 @@
   sLayout = aSettings.layout;
   sStarted = true;
   log4cxx::LogManager::resetConfiguration();
-  const auto appender =
-    std::make_shared<log4cxx::ConsoleAppender>(MakeLayout(aSettings.layout));
+  const auto appender = std::make_shared<BoundedAppender>(
+    MakeLayout(aSettings.layout), aSettings.linesPerSecond);
   log4cxx::BasicConfigurator::configure(appender);
   log4cxx::Logger::getRootLogger()->setLevel(LevelOf(aSettings.level));
 }
--- a/servers/settings/settings.cpp
+++ b/servers/settings/settings.cpp
@@ -17,6 +17,8 @@
 constexpr Whole kLongMillis{ 1, 3'600'000 };
 constexpr Whole kHours{ 1, 8'760 };
 constexpr Fraction kMoney{ 0, 1e9 };
+constexpr Whole kLogLines{ 1, 1'000'000 };
+constexpr std::int64_t kDefaultLogLines = 500;
 constexpr std::int64_t kMebibyte = 1 << 20;
 
 constexpr std::array<SettingChoice<BackendKind>, 2> kBackendKinds{ {
@@ -467,6 +469,8 @@
   LogSettings log{
     .level = aReader.Choice("level", kLogLevels, { LogLevel::kInfo }),
     .layout = aReader.Choice("layout", kLogLayouts, { LogLayout::kText }),
+    .linesPerSecond = static_cast<std::uint32_t>(
+      aReader.Integer("lines_per_s", kLogLines, kDefaultLogLines)),
   };
   aReader.Finish();
   return log;
--- a/servers/settings/settings.h
+++ b/servers/settings/settings.h
@@ -179,6 +179,8 @@
 {
   LogLevel level = LogLevel::kInfo;
   LogLayout layout = LogLayout::kText;
+  // Lines a second at most; further ones are dropped and counted.
+  std::uint32_t linesPerSecond = 500;
 };
 
 // All that a settings file holds.
--- a/tests/servers/log/log_test.cpp
+++ b/tests/servers/log/log_test.cpp
@@ -1,5 +1,7 @@
 #include "servers/log/log.h"
 
+#include <algorithm>
+#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -94,3 +96,44 @@
   CHECK_FALSE(nlohmann::json::parse(line).contains("context_map"));
   CHECK_FALSE(std::getline(lines, line));
 }
+
+TEST(LogTest, ABurstOfLinesIsBoundedAndCounted)
+{
+  std::string text;
+  {
+    const StdoutCapture capture;
+    StartLog({ .layout = LogLayout::kJson, .linesPerSecond = 20 });
+    const Log log("burst");
+    for (int i = 0; i < 1000; ++i) {
+      log.Info("line");
+    }
+    usleep(200000);
+    log.Info("after");
+    text = capture.Text();
+  }
+  const auto lines = std::count(text.begin(), text.end(), '\n');
+  CHECK_TRUE(lines >= 20 && lines < 40);
+  CHECK_TRUE(text.find("lines dropped") != std::string::npos);
+}
+
+// Nobody reads the pipe: the process must go on.
+TEST(LogTest, AReaderThatStopsDoesNotHoldTheProcess)
+{
+  int ends[2];
+  LONGS_EQUAL(0, pipe(ends));
+  std::fflush(stdout);
+  const int saved = dup(STDOUT_FILENO);
+  dup2(ends[1], STDOUT_FILENO);
+  StartLog({ .layout = LogLayout::kJson, .linesPerSecond = 100000 });
+  const Log log("pipe");
+  const auto begin = std::chrono::steady_clock::now();
+  for (int i = 0; i < 5000; ++i) {
+    log.Info("a line that nobody reads, long enough to fill the pipe soon");
+  }
+  const auto took = std::chrono::steady_clock::now() - begin;
+  dup2(saved, STDOUT_FILENO);
+  for (const int it : { saved, ends[0], ends[1] }) {
+    close(it);
+  }
+  CHECK_TRUE(took < std::chrono::seconds(10));
+}
