Fetch the routing table from a peer while the log refuses this relay

Gossip told it of the newer versions; it now asks such a peer's status port for the record while its own reads fail. Ruled out: gossiping the record (a table of 350 routes fits no datagram). Before: RelayServerTest.ARelayThatTheLogRefusesHasTheNewTableFromAPeer has the old route; after: it passes.

--- a/coord/keyed_feed.h
+++ b/coord/keyed_feed.h
@@ -84,6 +84,9 @@
   // Whether all keys were read at least once.
   [[nodiscard]] bool Loaded() const { return mLoaded; }
 
+  // Whether the last read failed.
+  [[nodiscard]] bool Lost() const { return mLost; }
+
   // When the log last said what is newest; the epoch if never.
   [[nodiscard]] Instant Heard() const { return mHeard; }
 
--- a/main/firefly_relay.cpp
+++ b/main/firefly_relay.cpp
@@ -112,6 +112,7 @@
   firefly::RelayServer server({ .executor = &executor,
                                 .log = &store,
                                 .streams = &store,
+                                .client = &client,
                                 .dialect = &dialect,
                                 .decoder = &records,
                                 .authorityChart = &*authority,
--- a/servers/relay/backend_directory.cpp
+++ b/servers/relay/backend_directory.cpp
@@ -47,7 +47,8 @@
   const auto it = mRecords.find(aRecord.id);
   const bool known = it != mRecords.end();
   const bool changed = !known || it->second.slots != aRecord.slots ||
-                       it->second.models != aRecord.models || it->second.leaving != aRecord.leaving ||
+                       it->second.models != aRecord.models ||
+                       it->second.leaving != aRecord.leaving ||
                        it->second.address != aRecord.address ||
                        it->second.startedAt != aRecord.startedAt ||
                        it->second.role != aRecord.role;
--- a/servers/relay/peer_group.cpp
+++ b/servers/relay/peer_group.cpp
@@ -129,7 +129,8 @@
   const auto digest = DecodeEntryDigest(aMember.digest);
   if (digest && aMember.host != mOptions.host) {
     mRouter.OnPeerDigest(digest->work, mExecutor.Now());
-    mOnRouting(digest->table.Value());
+    const auto& address = aMember.address.Value();
+    mOnRouting(digest->table.Value(), address.substr(0, address.rfind(':')));
   }
 }
 
--- a/servers/relay/peer_group.h
+++ b/servers/relay/peer_group.h
@@ -29,8 +29,10 @@
     std::uint64_t seed = 1;
   };
 
-  // Hears which version of the routing table another relay has.
-  using RoutingHandler = std::function<void(std::uint64_t aVersion)>;
+  // Hears which version of the routing table another relay has, and its IP
+  // number.
+  using RoutingHandler =
+    std::function<void(std::uint64_t aVersion, const std::string& aHost)>;
 
   // The router must outlive the group.
   PeerGroup(Options aOptions,
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -7,6 +7,7 @@
 #include "servers/relay/peer_group.h"
 #include "servers/relay/relay.h"
 #include "servers/relay/role_keeper.h"
+#include "servers/relay/routing_borrower.h"
 #include "servers/status/status_server.h"
 
 namespace firefly {
@@ -126,7 +127,13 @@
                .seed = mSeed },
              mExecutor,
              mRelay.Router(),
-             [this](std::uint64_t aVersion) { HearOfRouting(aVersion); })
+             [this](std::uint64_t aVersion, const std::string& aHost) {
+               HearOfRouting(aVersion, aHost);
+             })
+    , mBorrower(*aParts.client,
+                [this](const std::string& aRecord) {
+                  TakeRoutingRecord(aRecord, "peer");
+                })
     , mFacts({ .address = aSettings.callers.host, .port = aSettings.factPort },
              mExecutor,
              [this](const coord::FeedProgress& aProgress) {
@@ -157,7 +164,12 @@
     , mStatus(mExecutor,
               { .address = aSettings.status.host,
                 .port = aSettings.status.port,
-                .ready = [this] { return WhyNotReady(); } },
+                .ready = [this] { return WhyNotReady(); },
+                .handler =
+                  [this](const HttpRequest& aRequest,
+                         const HttpResponderPtr& aResponder) {
+                    AnswerPeer(aRequest, *aResponder);
+                  } },
               mRegistry)
     , mRoutingListener("routing", RoutingHandlers())
     , mBackendListener("backends", BackendHandlers())
@@ -273,19 +285,38 @@
     };
   }
 
-  // A peer has a table of that version: a newer one must be in the log.
-  void HearOfRouting(std::uint64_t aVersion)
+  // A peer has a table of that version: a newer one must be in the log, but
+  // the log may not answer this process.
+  void HearOfRouting(std::uint64_t aVersion, const std::string& aHost)
   {
     const auto& table = mRouting.Current();
+    const auto here = table ? table->Version().Value() : 0;
     const auto now = mExecutor.Now();
-    if (!table || aVersion <= table->Version().Value() || now < mNextRefresh) {
+    if (aVersion <= here || now < mNextRefresh) {
       return;
     }
     mNextRefresh = now + kRefreshPause;
     mLog.Info("a peer has a newer routing table",
               { { "version", std::to_string(aVersion) },
-                { "here", std::to_string(table->Version().Value()) } });
-    mRoutingFeed.Refresh();
+                { "here", std::to_string(here) },
+                { "peer", aHost } });
+    if (mRoutingFeed.Lost() || !mRoutingFeed.Loaded()) {
+      mBorrower.Ask(aHost + ":" + std::to_string(mSettings.status.port));
+    } else {
+      mRoutingFeed.Refresh();
+    }
+  }
+
+  // What peers ask of the status port.
+  void AnswerPeer(const HttpRequest& aRequest, HttpResponder& aResponder) const
+  {
+    constexpr int kNotFound = 404;
+    if (aRequest.path != kRoutingPath || mRouting.Record().empty()) {
+      aResponder.Send(MakeProblem(kNotFound, "Not Found", aRequest.path));
+      return;
+    }
+    aResponder.Send(
+      { .contentType = "application/octet-stream", .body = mRouting.Record() });
   }
 
   bool TakeRouting(const coord::KeyedRecord& aRecord)
@@ -293,13 +324,18 @@
     if (aRecord.key != mParts.decoder->RoutingKey() || !aRecord.value) {
       return false;
     }
-    auto table = mParts.decoder->DecodeRouting(*aRecord.value);
+    return TakeRoutingRecord(*aRecord.value, "log");
+  }
+
+  bool TakeRoutingRecord(const std::string& aRecord, const std::string& aSource)
+  {
+    auto table = mParts.decoder->DecodeRouting(aRecord);
     if (!table) {
       mLog.Warning("routing record ignored",
-                   { { "why", table.error().message } });
+                   { { "source", aSource }, { "why", table.error().message } });
       return false;
     }
-    mRouting.Offer(std::move(*table), "log");
+    mRouting.Offer(std::move(*table), aSource, aRecord);
     return true;
   }
 
@@ -311,9 +347,9 @@
     const auto record =
       mParts.decoder->DecodeBackend(aRecord.key, *aRecord.value);
     if (!record) {
-      mLog.Warning("backend record ignored",
-                   { { "backend", aRecord.key },
-                     { "why", record.error().message } });
+      mLog.Warning(
+        "backend record ignored",
+        { { "backend", aRecord.key }, { "why", record.error().message } });
       return mDirectory.Remove(BackendId(aRecord.key));
     }
     return mDirectory.Apply(*record);
@@ -385,6 +421,7 @@
   BackendDirectory mDirectory;
   Relay mRelay;
   PeerGroup mPeers;
+  RoutingBorrower mBorrower;
   FactExchange mFacts;
   RoleKeeper mRoles;
   CallerServer mCallers;
--- a/servers/relay/relay_server.h
+++ b/servers/relay/relay_server.h
@@ -11,6 +11,7 @@
 #include "core/state_chart.h"
 #include "policy/routing_table.h"
 #include "servers/http/asio_executor.h"
+#include "servers/http/http_client.h"
 #include "servers/relay/backend_directory.h"
 #include "servers/relay/dialect.h"
 #include "servers/relay/relay_settings.h"
@@ -56,6 +57,8 @@
     AsioExecutor* executor = nullptr;
     coord::KeyedLogClient* log = nullptr;
     coord::LogClient* streams = nullptr;
+    // For calls to other relays.
+    HttpClient* client = nullptr;
     const Dialect* dialect = nullptr;
     const RecordDecoder* decoder = nullptr;
     const StateChart* authorityChart = nullptr;
--- a/servers/relay/routing_keeper.cpp
+++ b/servers/relay/routing_keeper.cpp
@@ -12,13 +12,16 @@
 }
 
 void
-RoutingKeeper::Offer(policy::RoutingTable aTable, const std::string& aSource)
+RoutingKeeper::Offer(policy::RoutingTable aTable,
+                     const std::string& aSource,
+                     std::string aRecord)
 {
   if (mCurrent && aTable.Version() <= mCurrent->Version()) {
     return;
   }
   const auto before = mCurrent ? mCurrent->Version().Value() : 0;
   mCurrent = std::make_shared<const policy::RoutingTable>(std::move(aTable));
+  mRecord = std::move(aRecord);
   mLog.Info("routing table in force",
             { { "version", std::to_string(mCurrent->Version().Value()) },
               { "before", std::to_string(before) },
--- a/tests/helpers/raw_caller.h
+++ b/tests/helpers/raw_caller.h
@@ -18,10 +18,12 @@
 class RawCaller
 {
 public:
-  RawCaller(AsioExecutor& aExecutor, std::uint16_t aPort)
+  RawCaller(AsioExecutor& aExecutor,
+            std::uint16_t aPort,
+            const std::string& aAddress = "127.0.0.1")
     : mState(std::make_shared<State>(aExecutor))
   {
-    mState->socket.connect({ asio::ip::address_v4::loopback(), aPort });
+    mState->socket.connect({ asio::ip::make_address(aAddress), aPort });
     Read(mState);
   }
 
--- a/tests/servers/relay/fact_exchange_test.cpp
+++ b/tests/servers/relay/fact_exchange_test.cpp
@@ -43,8 +43,7 @@
   for (int i = 0; i < 5000; ++i) {
     auto bytes = whole.substr(0, random.Below(whole.size() + 1));
     if (!bytes.empty()) {
-      bytes[random.Below(bytes.size())] =
-        static_cast<char>(random.Below(256));
+      bytes[random.Below(bytes.size())] = static_cast<char>(random.Below(256));
     }
     (void)DecodeProgress(bytes);
   }
--- /dev/null
+++ b/tests/servers/relay/relay_server_test.cpp
@@ -0,0 +1,241 @@
+// Two whole relays on loopback with a log in memory that may refuse one of
+// them.
+
+#include "servers/relay/relay_server.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "core/state_chart_loader.h"
+#include "platform/platform_dialect.h"
+#include "platform/platform_records.h"
+#include "tests/helpers/raw_caller.h"
+#include "tests/helpers/run_until.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using firefly::AsioExecutor;
+using firefly::CurlClient;
+using firefly::Duration;
+using firefly::RelayServer;
+using firefly::RelaySettings;
+using firefly::StateChart;
+using firefly::Timer;
+using firefly::coord::KeyedBatch;
+using firefly::coord::KeyedLogClient;
+using firefly::coord::KeyedRecord;
+using firefly::coord::LogError;
+using firefly::coord::LogErrorKind;
+using firefly::coord::LogOffset;
+using firefly::coord::NewestPage;
+using firefly::coord::StreamName;
+using firefly::platform::PlatformDialect;
+using firefly::platform::PlatformRecords;
+using firefly::testing::RawCaller;
+using firefly::testing::RunUntil;
+
+namespace {
+
+constexpr int kFirstPort = 18300;
+constexpr Duration kAnswerTime = std::chrono::milliseconds(20);
+
+// One process's way to the streams, which may be refused.
+class RefusingLog : public KeyedLogClient
+{
+public:
+  RefusingLog(AsioExecutor& aExecutor, std::vector<KeyedRecord>& aRouting)
+    : mExecutor(aExecutor)
+    , mRouting(aRouting)
+  {
+  }
+
+  void ReadNewest(const StreamName& aStream,
+                  const std::string& /*aAfterKey*/,
+                  NewestCallback aCallback) override
+  {
+    Later([this, aStream, aCallback] {
+      if (refuse) {
+        aCallback(tl::make_unexpected(
+          LogError{ LogErrorKind::kUnavailable, "refused" }));
+        return;
+      }
+      NewestPage page;
+      if (IsRouting(aStream) && !mRouting.empty()) {
+        page.records.push_back(mRouting.back());
+        page.end = LogOffset(mRouting.size());
+      }
+      aCallback(page);
+    });
+  }
+
+  void ReadFrom(const StreamName& aStream,
+                LogOffset aFrom,
+                Duration /*aWait*/,
+                BatchCallback aCallback) override
+  {
+    Later([this, aStream, aFrom, aCallback] {
+      if (refuse) {
+        aCallback(tl::make_unexpected(
+          LogError{ LogErrorKind::kUnavailable, "refused" }));
+        return;
+      }
+      KeyedBatch batch{ .records = {}, .next = aFrom };
+      if (IsRouting(aStream)) {
+        for (auto i = aFrom.Value(); i < mRouting.size(); ++i) {
+          batch.records.push_back(mRouting[i]);
+        }
+        batch.next = LogOffset(mRouting.size());
+      }
+      aCallback(batch);
+    });
+  }
+
+  bool refuse = false;
+
+private:
+  static bool IsRouting(const StreamName& aStream)
+  {
+    return aStream == PlatformRecords().RoutingStream();
+  }
+
+  void Later(std::function<void()> aStep)
+  {
+    mTimers.push_back(mExecutor.RunAfter(kAnswerTime, std::move(aStep)));
+  }
+
+  AsioExecutor& mExecutor;
+  std::vector<KeyedRecord>& mRouting;
+  std::vector<Timer> mTimers;
+};
+
+} // namespace
+
+TEST_GROUP(RelayServerTest)
+{
+  AsioExecutor executor;
+  CurlClient client{ executor, {} };
+  PlatformDialect dialect;
+  PlatformRecords records;
+  StateChart authority = *firefly::LoadStateChart(
+    std::string(FIREFLY_SOURCE_DIR) + "/charts/authority.toml");
+  StateChart backend = *firefly::LoadStateChart(
+    std::string(FIREFLY_SOURCE_DIR) + "/charts/backend.toml");
+  std::vector<KeyedRecord> routing;
+  RefusingLog firstLog{ executor, routing };
+  RefusingLog secondLog{ executor, routing };
+  std::unique_ptr<RelayServer> first;
+  std::unique_ptr<RelayServer> second;
+
+  // A table of one route, which each version moves.
+  void Publish(int aVersion)
+  {
+    const auto version = std::to_string(aVersion);
+    routing.push_back(
+      { "config",
+        R"({"version":)" + version +
+          R"(,"routes":[{"name":"r","host":"h","pathPrefix":"/v)" + version +
+          R"(/","kind":"idempotent","timeoutMs":300,"service":"s"}],)"
+          R"("services":[{"name":"s"}]})",
+        LogOffset(routing.size()) });
+  }
+
+  // The relays share the port numbers on addresses of their own.
+  std::unique_ptr<RelayServer> Start(const std::string& aAddress,
+                                     RefusingLog& aLog)
+  {
+    RelaySettings settings;
+    settings.host = firefly::HostId("relay-" + aAddress);
+    settings.callers = { aAddress, kFirstPort };
+    settings.status = { aAddress, kFirstPort + 1 };
+    settings.peerPort = kFirstPort + 2;
+    settings.factPort = kFirstPort + 3;
+    settings.peerSeeds = { "127.0.0.1", "127.0.0.2" };
+    settings.peerInterval = 50ms;
+    settings.backendPoll = 100ms;
+    settings.sharedPoll = 300ms;
+    settings.routingWait = 100ms;
+    settings.maxConnections = 100;
+    settings.queueBound = 10;
+    settings.stopGrace = 1500ms;
+    settings.unreadyGrace = 300ms;
+    auto server = std::make_unique<RelayServer>(
+      RelayServer::Parts{ .executor = &executor,
+                          .log = &aLog,
+                          .streams = nullptr,
+                          .client = &client,
+                          .dialect = &dialect,
+                          .decoder = &records,
+                          .authorityChart = &authority,
+                          .backendChart = &backend },
+      settings);
+    CHECK_TRUE(server->Start().has_value());
+    return server;
+  }
+
+  // The status that the relay gives to a request on that version's route.
+  std::string Ask(const std::string& aAddress, int aVersion)
+  {
+    RawCaller caller(executor, kFirstPort, aAddress);
+    caller.Send("GET /v" + std::to_string(aVersion) +
+                "/ HTTP/1.1\r\nHost: h\r\n"
+                "Fireflyrouter-Request-Id: q\r\n\r\n");
+    RunUntil(executor, [&] { return caller.Received().size() > 12; });
+    return caller.Received().substr(9, 3);
+  }
+
+  bool Serves(const std::string& aAddress, int aVersion)
+  {
+    return Ask(aAddress, aVersion) != "404";
+  }
+
+  void RunFor(std::chrono::milliseconds aSpan)
+  {
+    const auto end = executor.Now() + aSpan;
+    RunUntil(executor, [&] { return executor.Now() >= end; });
+  }
+};
+
+// Found in incident inc-8ca0: the log refused one relay for nine seconds, which
+// went on with an old table that all its peers had replaced.
+TEST(RelayServerTest, ARelayThatTheLogRefusesHasTheNewTableFromAPeer)
+{
+  Publish(1);
+  first = Start("127.0.0.1", firstLog);
+  second = Start("127.0.0.2", secondLog);
+  RunFor(1s);
+  CHECK_TRUE(Serves("127.0.0.2", 1));
+  secondLog.refuse = true;
+  RunFor(500ms);
+  Publish(2);
+  RunFor(1500ms);
+  CHECK_TRUE(Serves("127.0.0.1", 2));
+  CHECK_TRUE(Serves("127.0.0.2", 2));
+  CHECK_FALSE(Serves("127.0.0.2", 1));
+}
+
+TEST(RelayServerTest, WithoutATableItIsNotReadyAndNothingIsMissing)
+{
+  first = Start("127.0.0.1", firstLog);
+  RunFor(300ms);
+  STRCMP_EQUAL("503", Ask("127.0.0.1", 1).c_str());
+  RawCaller probe(executor, kFirstPort + 1);
+  probe.Send("GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK_TRUE(RunUntil(executor, [&] { return probe.Has("HTTP/1.1 503"); }));
+}
+
+TEST(RelayServerTest, AStoppedRelayLeavesAfterItsCallersHadTimeToNotice)
+{
+  Publish(1);
+  first = Start("127.0.0.1", firstLog);
+  RunFor(500ms);
+  bool ended = false;
+  const auto stopped = executor.Now();
+  first->Drain([&] { ended = true; });
+  RunFor(100ms);
+  CHECK_FALSE(ended);
+  CHECK_TRUE(RunUntil(executor, [&] { return ended; }));
+  CHECK_TRUE(executor.Now() - stopped >= 300ms);
+  CHECK_TRUE(executor.Now() - stopped < 1500ms);
+}
--- a/tests/servers/relay/role_keeper_test.cpp
+++ b/tests/servers/relay/role_keeper_test.cpp
@@ -62,7 +62,8 @@
   {
     mExecutor.Post([this, aPayloads, aCallback] {
       if (away) {
-        aCallback(tl::make_unexpected(LogError{ LogErrorKind::kUnavailable, "" }));
+        aCallback(
+          tl::make_unexpected(LogError{ LogErrorKind::kUnavailable, "" }));
         return;
       }
       const LogOffset first(records.size());
@@ -81,7 +82,8 @@
     reads++;
     mExecutor.Post([this, aFrom, aCallback] {
       if (away) {
-        aCallback(tl::make_unexpected(LogError{ LogErrorKind::kUnavailable, "" }));
+        aCallback(
+          tl::make_unexpected(LogError{ LogErrorKind::kUnavailable, "" }));
         return;
       }
       LogBatch batch;
@@ -172,7 +174,8 @@
   const auto second = MakeKeeper("h2");
   first->Start();
   second->Start();
-  CHECK_TRUE(RunUntil(executor, [&] { return engine->Requests().size() >= 2; }));
+  CHECK_TRUE(
+    RunUntil(executor, [&] { return engine->Requests().size() >= 2; }));
   RunFor(1500ms);
   LONGS_EQUAL(2, engine->Requests().size());
   std::set<std::string> holders;
