Go on from a prompt's memory elsewhere when an engine was not reached

An attempt that reached nobody counts as none, and the memory that it was to take is offered to the next engine. Ruled out: reading the prompt again (it is still kept). Before: RequestRouterTest.AnOutputThatReachedNobodyGoesToAnotherEngine sends nothing; after: it goes to another engine.

--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -168,12 +168,8 @@
     info, aNow - attempt->second.dispatched, aNow);
   mPolicies.selector->OnFinish(info, aNow);
   request.attempts.erase(attempt);
-  auto query = QueryFor(request);
-  query.phase = WorkPhase::kOutput;
-  // The prompt has been read: waiting for room would only hold its memory.
-  query.ignoreRoom = true;
-  const auto choice =
-    mPolicies.selector->Select(request.info, query, mFleet, aNow);
+  request.hasMemory = true;
+  const auto choice = Choose(request, QueryFor(request), aNow);
   if (choice) {
     Start(request, *choice, false, aNow);
   } else {
@@ -298,6 +294,12 @@
   if (attempt.phase == WorkPhase::kPrompt) {
     return; // reading a prompt doesn't run the request
   }
+  if (aError == AttemptError::kNotSent) {
+    // Nothing was reached: the request went to no backend server, and the
+    // memory of its prompt was not taken.
+    aRequest.runsMade--;
+    aRequest.hasMemory = attempt.phase == WorkPhase::kOutput;
+  }
   aRequest.mayHaveRun = aRequest.mayHaveRun ||
                         aError == AttemptError::kBroken ||
                         aError == AttemptError::kFailed;
@@ -477,6 +479,13 @@
                       Instant aNow) const
 {
   auto& selector = *mPolicies.selector;
+  if (aRequest.hasMemory) {
+    auto query = aQuery;
+    query.phase = WorkPhase::kOutput;
+    // The prompt has been read: waiting for room would only hold its memory.
+    query.ignoreRoom = true;
+    return selector.Select(aRequest.info, query, mFleet, aNow);
+  }
   auto whole = selector.Select(aRequest.info, aQuery, mFleet, aNow);
   if (!aRequest.info.NeedsEngine() ||
       aRequest.promptReads >= kMostPromptReads ||
@@ -574,6 +583,8 @@
   } else {
     aRequest.runsMade++;
   }
+  aRequest.hasMemory =
+    aRequest.hasMemory && aChoice.phase != WorkPhase::kOutput;
   auto& attempt = aRequest.attempts[number];
   attempt.info =
     mPolicies.selector->OnDispatch(aRequest.info, aChoice, aRequest.lane, aNow);
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -204,6 +204,8 @@
     std::uint32_t runsMade = 0;
     // Of these, the ones that only had the prompt read.
     std::uint32_t promptReads = 0;
+    // An engine keeps the memory of its prompt, which no attempt has taken.
+    bool hasMemory = false;
     // Backend servers that failed it.
     std::vector<BackendSlot> failedAt;
     // Output tokens given to the caller.
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -59,6 +59,16 @@
   {
   }
 
+  // The memory of a prompt that this attempt goes on from.
+  void SetMemory(std::optional<PromptMemory> aMemory)
+  {
+    mMemory = std::move(aMemory);
+  }
+  [[nodiscard]] const std::optional<PromptMemory>& Memory() const
+  {
+    return mMemory;
+  }
+
   // Whether the backend server may run the request.
   [[nodiscard]] bool CanRun() const { return !mPromptOnly; }
 
@@ -158,6 +168,7 @@
   AttemptNumber mNumber;
   BackendId mBackend;
   bool mPromptOnly;
+  std::optional<PromptMemory> mMemory;
   bool mIsStream;
   std::unique_ptr<BackendCall> mCall;
   MessageHead mHead;
@@ -265,6 +276,7 @@
   if (aOrder.phase == policy::WorkPhase::kOutput) {
     // Can be taken once only.
     terms.memory = std::exchange(mMemory, std::nullopt);
+    started->SetMemory(terms.memory);
   }
   call.bytes = mContext.dialect->ComposeRequest(mOptions.request, terms);
   call.noBody = mOptions.request.method == "HEAD";
@@ -303,6 +315,9 @@
   const bool unclear =
     aError == AttemptError::kBroken || aError == AttemptError::kFailed;
   mRanUnseen = mRanUnseen || (ended->CanRun() && unclear);
+  if (aError == AttemptError::kNotSent && ended->Memory()) {
+    mMemory = ended->Memory();
+  }
   mContext.metrics->attempts.With({ mOptions.service.Value(), aWhy }).Add();
   mContext.log->Info("attempt ended",
                      { { "request", mOptions.request.id.Value() },
--- a/tests/policy/request_router_test.cpp
+++ b/tests/policy/request_router_test.cpp
@@ -319,3 +319,33 @@
     RequestId("r1"), AttemptNumber(1), AttemptError::kBroken, Instant(50ms));
   LONGS_EQUAL(1, sink.Dispatched(RequestId("r1")));
 }
+
+// Found in incident inc-8ca0: the engine that was to make the output had
+// crashed, and the request was refused though it had reached nobody.
+TEST(RequestRouterTest, AnOutputThatReachedNobodyGoesToAnotherEngine)
+{
+  auto router = MakeRouter(3);
+  auto reader = MakeEngine("reader", firefly::policy::EngineRole::kPrefill);
+  reader.promptsOnly = true;
+  fleet.Upsert(reader);
+  auto request = MakeRequest("r1");
+  request.idempotent = false;
+  request.maxAttempts = 1;
+  request.promptTokens = Tokens(9000);
+  router.OnArrival(request, Instant{});
+  router.OnPromptRead(RequestId("r1"), AttemptNumber(1), Instant(100ms));
+  // The retry needs budget, which earlier requests have filled.
+  for (int i = 0; i < 20; ++i) {
+    const auto id = "fill" + std::to_string(i);
+    auto fill = MakeRequest(id);
+    fill.promptTokens = Tokens(10);
+    router.OnArrival(fill, Instant(100ms));
+    router.OnCallerGone(RequestId(id), Instant(100ms));
+  }
+  sink.orders.clear();
+  router.OnError(
+    RequestId("r1"), AttemptNumber(2), AttemptError::kNotSent, Instant(110ms));
+  LONGS_EQUAL(1, sink.orders.size());
+  CHECK(sink.orders[0].phase == firefly::policy::WorkPhase::kOutput);
+  CHECK(sink.orders[0].backend.Value() != "reader");
+}
