--- a/tests/servers/relay/relay_server_test.cpp
+++ b/tests/servers/relay/relay_server_test.cpp
@@ -197,8 +197,8 @@
   }
 };
 
-// Found in incident inc-8ca0: the log refused one relay for nine seconds, which
-// went on with an old table that all its peers had replaced.
+// Found in incident inc-8ca0: the log refused three relays for nine seconds,
+// which went on with an old table that all their peers had replaced.
 TEST(RelayServerTest, ARelayThatTheLogRefusesHasTheNewTableFromAPeer)
 {
   Publish(1);
