Leave a backend server alone for a moment when it can't be reached

What could not be reached is no candidate for 1.5 s, unless there is no other. Ruled out: taking it for slow, which prefers its home still. Before: BackendSelectorTest.WhatCouldNotBeReachedIsLeftAloneForAMoment chooses it again; after: it passes.

--- a/policy/backend_selector.cpp
+++ b/policy/backend_selector.cpp
@@ -89,7 +89,7 @@
                          Instant aNow)
 {
   ForgetSilentPeers(aNow);
-  FindCandidates(aRequest, aQuery, aFleet);
+  FindCandidates(aRequest, aQuery, aFleet, aNow);
   if (mCandidates.empty()) {
     return tl::make_unexpected(SelectError{ SelectFailure::kNoBackend, {} });
   }
@@ -189,6 +189,13 @@
   TakeSample(aAttempt.slot, kLeastSpeed);
 }
 
+void
+LearningSelector::OnUnreachable(const AttemptInfo& aAttempt, Instant aNow)
+{
+  OnFinish(aAttempt, aNow);
+  LoadAt(aAttempt.slot).notBefore = aNow + mOptions.unreachableFor;
+}
+
 void
 LearningSelector::OnOverdue(const AttemptInfo& aAttempt,
                             Duration aWaited,
@@ -309,7 +316,8 @@
 void
 LearningSelector::FindCandidates(const RequestInfo& aRequest,
                                  const SelectQuery& aQuery,
-                                 const FleetView& aFleet)
+                                 const FleetView& aFleet,
+                                 Instant aNow)
 {
   mOpen.clear();
   mCandidates.clear();
@@ -327,6 +335,12 @@
     const BackendSlot slot(static_cast<std::uint32_t>(mSlotHashes.size()));
     mSlotHashes.push_back(aFleet.HashAt(slot));
   }
+  const auto reachable = [&](BackendSlot aSlot) {
+    return aNow >= LoadAt(aSlot).notBefore;
+  };
+  if (std::ranges::any_of(mOpen, reachable)) {
+    std::erase_if(mOpen, [&](auto aSlot) { return !reachable(aSlot); });
+  }
   if (mOpen.empty()) {
     return;
   }
@@ -586,6 +600,12 @@
 {
 }
 
+void
+RoundRobinSelector::OnUnreachable(const AttemptInfo& /*aAttempt*/,
+                                  Instant /*aNow*/)
+{
+}
+
 void
 RoundRobinSelector::OnOverdue(const AttemptInfo& /*aAttempt*/,
                               Duration /*aWaited*/,
--- a/policy/backend_selector.h
+++ b/policy/backend_selector.h
@@ -124,6 +124,9 @@
   // The attempt is over by an error of the backend server.
   virtual void OnError(const AttemptInfo& aAttempt, Instant aNow) = 0;
 
+  // The attempt is over: its backend server could not be reached.
+  virtual void OnUnreachable(const AttemptInfo& aAttempt, Instant aNow) = 0;
+
   // No token has come for longer than expected, and still none has.
   virtual void OnOverdue(const AttemptInfo& aAttempt,
                          Duration aWaited,
@@ -165,6 +168,9 @@
     double stragglerSlots = 0.5;
     // ... and the part that only short work may take.
     double shortReserve = 0.1;
+    // A backend server that could not be reached is not tried for so long,
+    // unless there is no other.
+    Duration unreachableFor = std::chrono::milliseconds(1500);
     // A peer whose digest is older no longer counts.
     Duration peerMemory = std::chrono::seconds(3);
     // Prefix blocks remembered.
@@ -198,6 +204,7 @@
                 Instant aNow) override;
   void OnFinish(const AttemptInfo& aAttempt, Instant aNow) override;
   void OnError(const AttemptInfo& aAttempt, Instant aNow) override;
+  void OnUnreachable(const AttemptInfo& aAttempt, Instant aNow) override;
   void OnOverdue(const AttemptInfo& aAttempt,
                  Duration aWaited,
                  Instant aNow) override;
@@ -228,6 +235,7 @@
     // Sums over the peers' digests.
     PeerWork peers;
     double speed = 1.0;
+    Instant notBefore{};
   };
   struct Peer
   {
@@ -257,7 +265,8 @@
   void ForgetSilentPeers(Instant aNow);
   void FindCandidates(const RequestInfo& aRequest,
                       const SelectQuery& aQuery,
-                      const FleetView& aFleet);
+                      const FleetView& aFleet,
+                      Instant aNow);
   void AddCandidate(BackendSlot aSlot);
   Prediction Predict(const RequestInfo& aRequest,
                      const SelectQuery& aQuery,
@@ -315,6 +324,7 @@
                 Instant aNow) override;
   void OnFinish(const AttemptInfo& aAttempt, Instant aNow) override;
   void OnError(const AttemptInfo& aAttempt, Instant aNow) override;
+  void OnUnreachable(const AttemptInfo& aAttempt, Instant aNow) override;
   void OnOverdue(const AttemptInfo& aAttempt,
                  Duration aWaited,
                  Instant aNow) override;
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -288,6 +288,8 @@
   if (aError == AttemptError::kFailed) {
     // An answer, even if it is a failure, says nothing of its speed.
     mPolicies.selector->OnFinish(attempt.info, aNow);
+  } else if (aError == AttemptError::kNotSent) {
+    mPolicies.selector->OnUnreachable(attempt.info, aNow);
   } else {
     mPolicies.selector->OnError(attempt.info, aNow);
   }
--- a/tests/policy/backend_selector_test.cpp
+++ b/tests/policy/backend_selector_test.cpp
@@ -168,3 +168,34 @@
   }
   LONGS_EQUAL(1, chosen.size());
 }
+
+// Engines that crash without a word keep their records for seconds.
+TEST(BackendSelectorTest, WhatCouldNotBeReachedIsLeftAloneForAMoment)
+{
+  const auto fleet = MakeFleet(3);
+  LearningSelector selector;
+  const auto request = MakeRequest("r");
+  const auto choice = selector.Select(request, {}, fleet, Instant{});
+  const auto attempt =
+    selector.OnDispatch(request, *choice, Lane::kNormal, Instant{});
+  selector.OnUnreachable(attempt, Instant(100ms));
+  bool again = false;
+  for (int i = 0; i < 200; ++i) {
+    const auto next = selector.Select(request, {}, fleet, Instant(1000ms));
+    CHECK(next->backend != choice->backend);
+    const auto later = selector.Select(request, {}, fleet, Instant(2000ms));
+    again = again || later->backend == choice->backend;
+  }
+  CHECK_TRUE(again);
+}
+
+TEST(BackendSelectorTest, TheOnlyBackendIsTriedEvenIfItWasNotReached)
+{
+  const auto fleet = MakeFleet(1);
+  LearningSelector selector;
+  const auto request = MakeRequest("r");
+  const auto choice = selector.Select(request, {}, fleet, Instant{});
+  selector.OnUnreachable(
+    selector.OnDispatch(request, *choice, Lane::kNormal, Instant{}), Instant{});
+  CHECK_TRUE(selector.Select(request, {}, fleet, Instant(1ms)).has_value());
+}
