Remove settings and fields that nothing reads; forget keys that are gone

Cause: a reading of the diff: drain_bound_ms was read and had no effect, four decoded fields had no reader, and a feed kept the offset of each key that ever was. Ruled out: using them (a leaving backend server closes at once).

--- a/coord/keyed_feed.cpp
+++ b/coord/keyed_feed.cpp
@@ -66,6 +66,10 @@
   }
   mFirstPage = true;
   mLoaded = true;
+  // Keys that are gone would be kept for good.
+  std::erase_if(mTaken, [this](const auto& aIt) {
+    return std::ranges::find(mPageKeys, aIt.first) == mPageKeys.end();
+  });
   Hear();
   mObserver.OnSnapshot(mPageKeys);
   Later(NextPause(), &KeyedFeed::Follow);
--- a/policy/routing_table.h
+++ b/policy/routing_table.h
@@ -49,8 +49,6 @@
   Duration timeout{};
   // A first event (or a whole plain answer) after this is late.
   Duration lateAfter{};
-  // A pause between events beyond this makes a stream late; 0 for no bound.
-  Duration maxEventGap{};
   // 0 is the most urgent.
   std::uint32_t rank = 0;
   // Backend servers that one request may be sent to.
@@ -77,10 +75,6 @@
 // What the model engines of a service have in common.
 struct EngineTraits
 {
-  // Requests at once.
-  std::uint32_t slots = 1;
-  // Tokens that an engine's memory holds.
-  std::uint32_t memoryTokens = 0;
   // Output tokens in one event of a stream at most.
   std::uint32_t tokensPerEvent = 1;
 };
@@ -88,8 +82,6 @@
 struct ServiceTraits
 {
   ServiceId id;
-  // Connections that one backend server accepts from all callers together.
-  std::uint32_t maxConnections = 0;
   // Model engines answer the service; else plain backend servers do.
   std::optional<EngineTraits> engine{};
 };
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -26,7 +26,6 @@
 constexpr std::int64_t kLogTimeout = 1'500;
 constexpr std::int64_t kStopGrace = 8'000;
 constexpr std::int64_t kUnreadyGrace = 3'000;
-constexpr std::int64_t kDrainBound = 2'000;
 constexpr std::int64_t kLease = 3'000;
 constexpr std::int64_t kMaxConnections = 3'000;
 constexpr std::int64_t kQueueBound = 256;
@@ -128,8 +127,6 @@
     aReader.Millis("stop_grace_ms", kShortMillis, kStopGrace);
   aSettings.unreadyGrace =
     aReader.Millis("unready_grace_ms", kShortMillis, kUnreadyGrace);
-  aSettings.drainBound =
-    aReader.Millis("drain_bound_ms", kShortMillis, kDrainBound);
   aReader.Finish();
 }
 
--- a/servers/relay/relay_settings.h
+++ b/servers/relay/relay_settings.h
@@ -55,8 +55,6 @@
   Duration stopGrace{};
   // After the stop signal, for the balancer to notice.
   Duration unreadyGrace{};
-  // After which a leaving backend server gets no new work.
-  Duration drainBound{};
   policy::RoleCapacities capacities;
   // The part of engines of one kind that only read prompts; 0 leaves them.
   double promptShare = 0;
