--- a/servers/gossip/gossip_socket.cpp
+++ b/servers/gossip/gossip_socket.cpp
@@ -1,36 +1,18 @@
 #include "servers/gossip/gossip_socket.h"
 
-#include <charconv>
-#include <optional>
 #include <utility>
 
 #include <asio/buffer.hpp>
 #include <asio/ip/address.hpp>
 
+#include "servers/http/socket_address.h"
+
 namespace firefly {
 
 namespace {
 
 using asio::ip::udp;
 
-std::optional<udp::endpoint>
-ParseEndpoint(const std::string& aText)
-{
-  const auto colon = aText.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  std::uint16_t port = 0;
-  const char* end = aText.data() + aText.size();
-  const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
-  asio::error_code ec;
-  const auto address = asio::ip::make_address(aText.substr(0, colon), ec);
-  if (ec || parsed.ec != std::errc() || parsed.ptr != end) {
-    return std::nullopt;
-  }
-  return udp::endpoint(address, port);
-}
-
 } // namespace
 
 GossipSocket::GossipSocket(AsioExecutor& aExecutor)
@@ -89,12 +71,13 @@
 void
 GossipSocket::Send(const coord::PeerAddress& aPeer, std::string aBytes)
 {
-  const auto endpoint = ParseEndpoint(aPeer.Value());
-  if (!endpoint) {
+  const auto address = ParseSocketAddress(aPeer.Value());
+  if (!address) {
     return;
   }
   asio::error_code ec;
-  mSocket.send_to(asio::buffer(aBytes), *endpoint, 0, ec);
+  mSocket.send_to(
+    asio::buffer(aBytes), udp::endpoint(address->Ip(), address->port), 0, ec);
 }
 
 coord::PeerAddress
--- a/servers/http1/backend_connection.cpp
+++ b/servers/http1/backend_connection.cpp
@@ -6,9 +6,10 @@
 #include <utility>
 
 #include <asio/buffer.hpp>
-#include <asio/ip/address.hpp>
 #include <asio/write.hpp>
 
+#include "servers/http/socket_address.h"
+
 namespace firefly {
 
 namespace {
@@ -19,24 +20,6 @@
 constexpr std::size_t kMaxBodyBytes = std::size_t{ 1 } << 40U;
 constexpr std::size_t kReadBytes = 16U << 10U;
 
-std::optional<tcp::endpoint>
-ParseEndpoint(const std::string& aText)
-{
-  const auto colon = aText.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  std::uint16_t port = 0;
-  const char* end = aText.data() + aText.size();
-  const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
-  asio::error_code ec;
-  const auto address = asio::ip::make_address(aText.substr(0, colon), ec);
-  if (ec || parsed.ec != std::errc() || parsed.ptr != end) {
-    return std::nullopt;
-  }
-  return tcp::endpoint(address, port);
-}
-
 // The idle time-out of a Keep-Alive header: "timeout=5", or the bare number.
 std::optional<std::chrono::seconds>
 ReadKeepAlive(std::string_view aValue)
@@ -104,8 +87,8 @@
   if (mState != State::kConnecting) {
     return;
   }
-  const auto endpoint = ParseEndpoint(mOptions.address.Value());
-  if (!endpoint) {
+  const auto address = ParseSocketAddress(mOptions.address.Value());
+  if (!address) {
     Fail(BackendCallFault::kNotSent);
     return;
   }
@@ -117,7 +100,8 @@
       }
     });
   mSocket.async_connect(
-    *endpoint, [self = shared_from_this()](const asio::error_code& aCode) {
+    tcp::endpoint(address->Ip(), address->port),
+    [self = shared_from_this()](const asio::error_code& aCode) {
       self->OnConnected(aCode);
     });
 }
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -1,7 +1,5 @@
 #include "servers/relay/relay_settings.h"
 
-#include <charconv>
-
 #include "servers/settings/section_reader.h"
 
 namespace firefly {
@@ -33,15 +31,7 @@
 SocketAddress
 ReadAddress(SectionReader& aReader, const std::string& aKey)
 {
-  const auto text = aReader.Endpoint(aKey);
-  SocketAddress address;
-  const auto colon = text.rfind(':');
-  if (colon != std::string::npos) {
-    address.host = text.substr(0, colon);
-    std::from_chars(
-      text.data() + colon + 1, text.data() + text.size(), address.port);
-  }
-  return address;
+  return ParseSocketAddress(aReader.Endpoint(aKey)).value_or(SocketAddress{});
 }
 
 policy::BackendCapacity
@@ -132,12 +122,6 @@
 
 } // namespace
 
-std::string
-SocketAddress::Text() const
-{
-  return host + ":" + std::to_string(port);
-}
-
 tl::expected<RelaySettings, SettingsError>
 LoadRelaySettings(const std::filesystem::path& aFile)
 {
--- a/servers/relay/relay_settings.h
+++ b/servers/relay/relay_settings.h
@@ -12,20 +12,11 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "policy/fleet_view.h"
+#include "servers/http/socket_address.h"
 #include "servers/settings/settings.h"
 
 namespace firefly {
 
-// An address to listen on or to connect to.
-struct SocketAddress
-{
-  std::string host; // an IP number
-  std::uint16_t port = 0;
-
-  // "10.0.0.1:8080"
-  [[nodiscard]] std::string Text() const;
-};
-
 struct RelaySettings
 {
   HostId host;
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -12,8 +12,6 @@
 
 constexpr int kFirstServerError = 500;
 constexpr int kPastSuccess = 300;
-// A plain answer up to this size is passed on once it is whole.
-constexpr std::size_t kMaxWholeBytes = 4U << 20U;
 // Unsent bytes at which a backend server is held back.
 constexpr std::size_t kMaxUnsent = 256U << 10U;
 // A request that runs at most once takes a kept connection only if it carried
@@ -30,154 +28,8 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
 }
 
-std::string
-Describe(BackendCallFault aFault)
-{
-  switch (aFault) {
-    case BackendCallFault::kNotSent:
-      return "not connected";
-    case BackendCallFault::kCut:
-      return "connection cut";
-    case BackendCallFault::kMalformed:
-      return "malformed answer";
-  }
-  return "unknown fault";
-}
-
 } // namespace
 
-// One send of the request to a backend server.
-class RelayTask::Attempt : public BackendCallObserver
-{
-public:
-  Attempt(RelayTask& aTask, const policy::DispatchOrder& aOrder)
-    : mTask(aTask)
-    , mNumber(aOrder.attempt)
-    , mBackend(aOrder.backend)
-    , mPromptOnly(aOrder.phase == policy::WorkPhase::kPrompt)
-    , mIsStream(aTask.mOptions.route->IsStream() && !mPromptOnly)
-  {
-  }
-
-  // The memory of a prompt that this attempt goes on from.
-  void SetMemory(std::optional<PromptMemory> aMemory)
-  {
-    mMemory = std::move(aMemory);
-  }
-  [[nodiscard]] const std::optional<PromptMemory>& Memory() const
-  {
-    return mMemory;
-  }
-
-  // Whether the backend server may run the request.
-  [[nodiscard]] bool CanRun() const { return !mPromptOnly; }
-
-  void Start(BackendPool::Call aCall)
-  {
-    mCall = mTask.mContext.pool->Start(std::move(aCall), *this);
-  }
-
-  [[nodiscard]] AttemptNumber Number() const { return mNumber; }
-  void Pause() { mCall->Pause(); }
-  void Resume() { mCall->Resume(); }
-
-  bool IsMine(const MessageHead& aHead) override
-  {
-    return mTask.mContext.dialect->Answers(aHead, mTask.mOptions.request.id);
-  }
-
-  void OnHead(const MessageHead& aHead) override
-  {
-    mHead = aHead;
-    mKind = mTask.mContext.dialect->Classify(aHead);
-    if (mPromptOnly) {
-      return;
-    }
-    if (mKind == AnswerKind::kForeign) {
-      mTask.OnAttemptError(
-        mNumber, AttemptError::kBroken, "not a backend server's answer");
-    }
-  }
-
-  void OnBody(std::string aBytes) override
-  {
-    if (mKind == AnswerKind::kNotRun) {
-      return;
-    }
-    if (mKind == AnswerKind::kSuccess && mIsStream) {
-      TakeEvents(aBytes);
-      return;
-    }
-    mBody += aBytes;
-    if (mBody.size() > kMaxWholeBytes) {
-      mTask.OnAttemptError(
-        mNumber, AttemptError::kBroken, "answer larger than the bound");
-    }
-  }
-
-  void OnEnd() override
-  {
-    if (mPromptOnly && mKind != AnswerKind::kNotRun) {
-      mTask.OnPromptRead(mNumber, mHead, mBody, mBackend);
-    } else if (mKind == AnswerKind::kNotRun) {
-      mTask.OnAttemptError(mNumber,
-                           AttemptError::kRejected,
-                           "status " + std::to_string(mHead.status));
-    } else if (mKind == AnswerKind::kFailure) {
-      mTask.OnAttemptFailure(mNumber, { mHead, std::move(mBody) });
-    } else if (!mIsStream) {
-      mTask.OnPlainAnswer(mNumber, mHead, mBody);
-    } else if (mSplitter.Partial() > 0 || !mHadEvent) {
-      mTask.OnAttemptError(
-        mNumber, AttemptError::kBroken, "stream ended within an event");
-    } else {
-      mTask.OnStreamEnd(mNumber);
-    }
-  }
-
-  void OnFault(BackendCallFault aFault) override
-  {
-    auto error = AttemptError::kBroken;
-    if (aFault == BackendCallFault::kNotSent) {
-      error = AttemptError::kNotSent;
-    } else if (mKind == AnswerKind::kNotRun && mHead.status != 0) {
-      error = AttemptError::kRejected;
-    }
-    mTask.OnAttemptError(mNumber, error, Describe(aFault));
-  }
-
-private:
-  void TakeEvents(std::string_view aBytes)
-  {
-    for (const auto& event : mSplitter.Feed(aBytes)) {
-      if (!std::exchange(mHadEvent, true) &&
-          !mTask.OnFirstEvent(mNumber, mHead)) {
-        return;
-      }
-      mTask.OnEvent(mNumber, event);
-    }
-    if (mSplitter.Overflowed()) {
-      mTask.OnAttemptError(
-        mNumber, AttemptError::kBroken, "event larger than the bound");
-      return;
-    }
-    mTask.HoldBack(*this);
-  }
-
-  RelayTask& mTask;
-  AttemptNumber mNumber;
-  BackendId mBackend;
-  bool mPromptOnly;
-  std::optional<PromptMemory> mMemory;
-  bool mIsStream;
-  std::unique_ptr<BackendCall> mCall;
-  MessageHead mHead;
-  AnswerKind mKind = AnswerKind::kForeign;
-  EventSplitter mSplitter;
-  bool mHadEvent = false;
-  std::string mBody;
-};
-
 RelayTask::RelayTask(const RelayContext& aContext, Options aOptions)
   : mContext(aContext)
   , mOptions(std::move(aOptions))
@@ -245,9 +97,7 @@
 void
 RelayTask::Dispatch(const policy::DispatchOrder& aOrder)
 {
-  auto attempt = std::make_unique<Attempt>(*this, aOrder);
-  auto* started = attempt.get();
-  mAttempts[aOrder.attempt] = std::move(attempt);
+  const bool promptOnly = aOrder.phase == policy::WorkPhase::kPrompt;
   mAttemptsMade++;
   mBackends += (mBackends.empty() ? "" : ",") + aOrder.backend.Value();
   mContext.log->Info(
@@ -271,19 +121,29 @@
                       .enginePriority = static_cast<int>(
                         std::min(mOptions.route->rank, kLastEnginePriority)),
                       .resumeAfter = mLastEventId,
-                      .promptOnly = !started->CanRun(),
+                      .promptOnly = promptOnly,
                       .memory = {} };
   if (aOrder.phase == policy::WorkPhase::kOutput) {
     // Can be taken once only.
     terms.memory = std::exchange(mMemory, std::nullopt);
-    started->SetMemory(terms.memory);
   }
   call.bytes = mContext.dialect->ComposeRequest(mOptions.request, terms);
   call.noBody = mOptions.request.method == "HEAD";
-  if (!mOptions.route->MayRepeat() && started->CanRun()) {
+  if (!mOptions.route->MayRepeat() && !promptOnly) {
     call.freshWithin = kFreshForOnce;
   }
-  started->Start(std::move(call));
+  auto attempt = std::make_unique<RelayAttempt>(
+    RelayAttempt::Options{ .request = mOptions.request.id,
+                           .number = aOrder.attempt,
+                           .backend = aOrder.backend,
+                           .promptOnly = promptOnly,
+                           .isStream =
+                             mOptions.route->IsStream() && !promptOnly,
+                           .memory = std::move(terms.memory) },
+    *mContext.dialect,
+    static_cast<RelayAttemptListener&>(*this));
+  attempt->Start(*mContext.pool, std::move(call));
+  mAttempts[aOrder.attempt] = std::move(attempt);
 }
 
 void
@@ -295,7 +155,7 @@
     return;
   }
   mRanUnseen = mRanUnseen || it->second->CanRun();
-  std::shared_ptr<Attempt> ended(std::move(it->second));
+  std::shared_ptr<RelayAttempt> ended(std::move(it->second));
   mAttempts.erase(it);
   mContext.executor->Post([ended] {});
 }
@@ -309,7 +169,7 @@
   if (it == mAttempts.end() || mDone) {
     return;
   }
-  std::shared_ptr<Attempt> ended(std::move(it->second));
+  std::shared_ptr<RelayAttempt> ended(std::move(it->second));
   mAttempts.erase(it);
   mContext.executor->Post([ended] {});
   const bool unclear =
@@ -330,8 +190,7 @@
 
 void
 RelayTask::OnPromptRead(AttemptNumber aAttempt,
-                        const MessageHead& aHead,
-                        const std::string& aBody,
+                        const BackendAnswer& aAnswer,
                         const BackendId& aBackend)
 {
   const auto it = mAttempts.find(aAttempt);
@@ -344,14 +203,16 @@
                        { "ms", Millis(Now() - mArrival) } });
   const auto* record = mContext.directory->Find(aBackend);
   auto memory = mContext.dialect->ReadPromptAnswer(
-    aHead, aBody, record == nullptr ? "" : record->address.Value());
+    aAnswer.head,
+    aAnswer.body,
+    record == nullptr ? "" : record->address.Value());
   if (!memory || record == nullptr) {
     OnAttemptError(aAttempt,
                    AttemptError::kRejected,
                    memory ? "backend server gone" : memory.error().message);
     return;
   }
-  std::shared_ptr<Attempt> ended(std::move(it->second));
+  std::shared_ptr<RelayAttempt> ended(std::move(it->second));
   mAttempts.erase(it);
   mContext.executor->Post([ended] {});
   mMemory = std::move(*memory);
@@ -371,25 +232,23 @@
 }
 
 void
-RelayTask::OnAttemptFailure(AttemptNumber aAttempt, KeptFailure aFailure)
+RelayTask::OnAttemptFailure(AttemptNumber aAttempt, BackendAnswer aAnswer)
 {
   const bool mayRepeat = mOptions.route->MayRepeat() &&
-                         aFailure.head.status >= kFirstServerError && !mBegun;
+                         aAnswer.head.status >= kFirstServerError && !mBegun;
   if (mayRepeat || mBegun) {
-    const auto why = "status " + std::to_string(aFailure.head.status);
+    const auto why = "status " + std::to_string(aAnswer.head.status);
     if (!mBegun) {
-      mFailure = std::move(aFailure);
+      mFailure = std::move(aAnswer);
     }
     OnAttemptError(aAttempt, AttemptError::kFailed, why);
     return;
   }
-  OnPlainAnswer(aAttempt, aFailure.head, aFailure.body);
+  OnPlainAnswer(aAttempt, aAnswer);
 }
 
 void
-RelayTask::OnPlainAnswer(AttemptNumber aAttempt,
-                         const MessageHead& aHead,
-                         const std::string& aBody)
+RelayTask::OnPlainAnswer(AttemptNumber aAttempt, const BackendAnswer& aAnswer)
 {
   const auto now = Now();
   const auto& id = mOptions.request.id;
@@ -397,11 +256,13 @@
     return;
   }
   CountFirstAnswer();
-  mStatus = aHead.status;
-  mOptions.answer->Send(
-    aHead.status, aHead.reason, mContext.dialect->CallerHeaders(aHead), aBody);
+  mStatus = aAnswer.head.status;
+  mOptions.answer->Send(aAnswer.head.status,
+                        aAnswer.head.reason,
+                        mContext.dialect->CallerHeaders(aAnswer.head),
+                        aAnswer.body);
   mContext.router->OnFinish(id, aAttempt, now);
-  Done(aHead.status < kPastSuccess ? "answered" : "backend-failure");
+  Done(aAnswer.head.status < kPastSuccess ? "answered" : "backend-failure");
 }
 
 bool
@@ -457,7 +318,7 @@
 }
 
 void
-RelayTask::HoldBack(Attempt& aAttempt)
+RelayTask::OnEventsGiven(RelayAttempt& aAttempt)
 {
   if (!mDone && mOptions.answer->Unsent() > kMaxUnsent) {
     aAttempt.Pause();
@@ -548,7 +409,7 @@
 }
 
 void
-RelayTask::SendFailure(const KeptFailure& aFailure)
+RelayTask::SendFailure(const BackendAnswer& aFailure)
 {
   mStatus = aFailure.head.status;
   mOptions.answer->Send(aFailure.head.status,
--- a/servers/relay/relay_task.h
+++ b/servers/relay/relay_task.h
@@ -16,7 +16,7 @@
 #include "servers/log/log.h"
 #include "servers/relay/backend_directory.h"
 #include "servers/relay/dialect.h"
-#include "servers/relay/event_splitter.h"
+#include "servers/relay/relay_attempt.h"
 #include "servers/relay/relay_metrics.h"
 
 namespace firefly {
@@ -33,7 +33,9 @@
   const Log* log = nullptr;
 };
 
-class RelayTask : private CallerObserver
+class RelayTask
+  : private CallerObserver
+  , private RelayAttemptListener
 {
 public:
   struct Options
@@ -65,49 +67,36 @@
   void Fail(policy::FailureReason aReason);
 
 private:
-  class Attempt;
-  friend class Attempt;
-
-  // A failure that a backend server answered with, kept until it is known
-  // whether another one answers better.
-  struct KeptFailure
-  {
-    MessageHead head;
-    std::string body;
-  };
-
   void OnCallerGone() override;
   void OnCallerTookAll() override;
 
   void OnExpired();
-  // The attempt ended without an answer for the caller.
   void OnAttemptError(policy::AttemptNumber aAttempt,
                       policy::AttemptError aError,
-                      const std::string& aWhy);
-  // The prompt was read; its memory waits for an engine to go on from it.
+                      const std::string& aWhy) override;
   void OnPromptRead(policy::AttemptNumber aAttempt,
-                    const MessageHead& aHead,
-                    const std::string& aBody,
-                    const BackendId& aBackend);
-  void ReleaseMemory();
-  // A backend server answered with a failure of its own.
-  void OnAttemptFailure(policy::AttemptNumber aAttempt, KeptFailure aFailure);
+                    const BackendAnswer& aAnswer,
+                    const BackendId& aBackend) override;
+  void OnAttemptFailure(policy::AttemptNumber aAttempt,
+                        BackendAnswer aAnswer) override;
   void OnPlainAnswer(policy::AttemptNumber aAttempt,
-                     const MessageHead& aHead,
-                     const std::string& aBody);
-  // False if the attempt is not the one that answers.
-  bool OnFirstEvent(policy::AttemptNumber aAttempt, const MessageHead& aHead);
-  void OnEvent(policy::AttemptNumber aAttempt, const StreamEvent& aEvent);
-  void OnStreamEnd(policy::AttemptNumber aAttempt);
-  void HoldBack(Attempt& aAttempt);
-
+                     const BackendAnswer& aAnswer) override;
+  bool OnFirstEvent(policy::AttemptNumber aAttempt,
+                    const MessageHead& aHead) override;
+  void OnEvent(policy::AttemptNumber aAttempt,
+               const StreamEvent& aEvent) override;
+  void OnEventsGiven(RelayAttempt& aAttempt) override;
+  void OnStreamEnd(policy::AttemptNumber aAttempt) override;
+
+  // Frees a prompt's memory that no attempt takes any more.
+  void ReleaseMemory();
   [[nodiscard]] policy::RequestInfo MakeInfo() const;
   [[nodiscard]] Instant Now() const;
   [[nodiscard]] bool MayHaveRun() const;
   void SendOwn(OwnAnswerKind aKind,
                const std::string& aDetail,
                Duration aRetryAfter = {});
-  void SendFailure(const KeptFailure& aFailure);
+  void SendFailure(const BackendAnswer& aFailure);
   void CountFirstAnswer();
   // Ends the task; the outcome goes to the log and the metrics.
   void Done(const std::string& aOutcome, const std::string& aWhy = {});
@@ -117,14 +106,16 @@
   Instant mArrival{};
   Instant mExpires{};
   Timer mExpiry;
-  std::map<policy::AttemptNumber, std::unique_ptr<Attempt>> mAttempts;
+  std::map<policy::AttemptNumber, std::unique_ptr<RelayAttempt>> mAttempts;
   std::uint32_t mAttemptsMade = 0;
   // Kept at an engine that read the prompt, until an attempt takes it.
   std::optional<PromptMemory> mMemory;
   BackendId mMemoryAt;
   // An attempt ended that may have run.
   bool mRanUnseen = false;
-  std::optional<KeptFailure> mFailure;
+  // A backend server's failure, kept until it is known whether another one
+  // answers better.
+  std::optional<BackendAnswer> mFailure;
   // The head of the answer is out.
   bool mBegun = false;
   std::string mLastEventId;
