--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -1,7 +1,5 @@
 #include "servers/relay/relay_settings.h"
 
-#include <charconv>
-
 #include "servers/settings/section_reader.h"
 
 namespace firefly {
@@ -26,7 +24,6 @@
 constexpr std::int64_t kLogTimeout = 1'500;
 constexpr std::int64_t kStopGrace = 8'000;
 constexpr std::int64_t kUnreadyGrace = 3'000;
-constexpr std::int64_t kDrainBound = 2'000;
 constexpr std::int64_t kLease = 3'000;
 constexpr std::int64_t kMaxConnections = 3'000;
 constexpr std::int64_t kQueueBound = 256;
@@ -34,15 +31,7 @@
 SocketAddress
 ReadAddress(SectionReader& aReader, const std::string& aKey)
 {
-  const auto text = aReader.Endpoint(aKey);
-  SocketAddress address;
-  const auto colon = text.rfind(':');
-  if (colon != std::string::npos) {
-    address.host = text.substr(0, colon);
-    std::from_chars(
-      text.data() + colon + 1, text.data() + text.size(), address.port);
-  }
-  return address;
+  return ParseSocketAddress(aReader.Endpoint(aKey)).value_or(SocketAddress{});
 }
 
 policy::BackendCapacity
@@ -128,19 +117,11 @@
     aReader.Millis("stop_grace_ms", kShortMillis, kStopGrace);
   aSettings.unreadyGrace =
     aReader.Millis("unready_grace_ms", kShortMillis, kUnreadyGrace);
-  aSettings.drainBound =
-    aReader.Millis("drain_bound_ms", kShortMillis, kDrainBound);
   aReader.Finish();
 }
 
 } // namespace
 
-std::string
-SocketAddress::Text() const
-{
-  return host + ":" + std::to_string(port);
-}
-
 tl::expected<RelaySettings, SettingsError>
 LoadRelaySettings(const std::filesystem::path& aFile)
 {
--- a/servers/relay/relay_settings.h
+++ b/servers/relay/relay_settings.h
@@ -12,20 +12,11 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "policy/fleet_view.h"
+#include "servers/http/socket_address.h"
 #include "servers/settings/settings.h"
 
 namespace firefly {
 
-// An address to listen on or to connect to.
-struct SocketAddress
-{
-  std::string host; // an IP number
-  std::uint16_t port = 0;
-
-  // "10.0.0.1:8080"
-  [[nodiscard]] std::string Text() const;
-};
-
 struct RelaySettings
 {
   HostId host;
@@ -55,8 +46,6 @@
   Duration stopGrace{};
   // After the stop signal, for the balancer to notice.
   Duration unreadyGrace{};
-  // After which a leaving backend server gets no new work.
-  Duration drainBound{};
   policy::RoleCapacities capacities;
   // The part of engines of one kind that only read prompts; 0 leaves them.
   double promptShare = 0;
