Copy shared parts of prompts between engines; keep long prompts from running streams

Now a request placed away from the home has the part copied from there, once this relay has had a request with it, and a prompt that would stall streams waits for an engine that reads prompts.

Both tests fail with their mechanism switched off.

--- a/policy/backend_selector.cpp
+++ b/policy/backend_selector.cpp
@@ -27,6 +27,10 @@
 constexpr double kKeptPrefixWeight = 0.5;
 // The weight of a request's use of a backend server beside its own time.
 constexpr double kCostWeight = 1.0;
+// A prefix shorter than this is read again rather than copied.
+constexpr std::uint32_t kLeastCopy = 256; // tokens
+// Copies between failure domains take so many times as long.
+constexpr double kFarCopyFactor = 2.0;
 // Turns the upper bits of a hash into a number in (0, 1).
 constexpr double kHashUnit = 1.0 / 9007199254740994.0; // 2^53 + 2
 
@@ -402,7 +406,9 @@
   const auto& load = LoadAt(aSlot);
   const double speed = load.speed;
   const auto prompt = aRequest.promptTokens.Value();
-  const auto cached = CachedAt(aRequest, aQuery, aSlot);
+  const auto source = CopySource(aRequest, aQuery, aFleet, aSlot);
+  const auto cached =
+    source ? source->tokens : CachedAt(aRequest, aQuery, aSlot);
   // Engines that only read prompts make no output.
   const auto output =
     aQuery.phase == WorkPhase::kPrompt ? 0 : aQuery.size.usual.Value();
@@ -421,7 +427,8 @@
   const double slotWait =
     beyond * output * gap / std::max<std::uint32_t>(1, capacity.slots);
   const double queueing = backlog / rate + slotWait;
-  const double own = (prompt - cached) / rate + gap;
+  const double copy = source ? source->seconds : 0;
+  const double own = (prompt - cached) / rate + gap + copy;
   const double wait = queueing + own;
   Prediction prediction;
   prediction.choice = { .slot = aSlot,
@@ -430,6 +437,9 @@
                         .expectedGap = FromSeconds(capacity.tokenGapSeconds),
                         .cachedTokens = Tokens(cached),
                         .phase = aQuery.phase };
+  if (source) {
+    prediction.choice.copyFrom = source->backend;
+  }
   prediction.score = wait + output * gap +
                      kCostWeight * CostAt(aRequest, aQuery, capacity, cached);
   if (aQuery.phase == WorkPhase::kOutput && !Contains(mHomes, aSlot)) {
@@ -461,26 +471,47 @@
   return Contains(mHomes, aSlot) ? std::min(prompt, mPrefix.tokens) : 0;
 }
 
+std::optional<LearningSelector::Copy>
+LearningSelector::CopySource(const RequestInfo& aRequest,
+                             const SelectQuery& aQuery,
+                             const FleetView& aFleet,
+                             BackendSlot aSlot) const
+{
+  const auto& backend = aFleet.At(aSlot);
+  const double rate = backend.capacity.copyTokensPerSecond;
+  // The home holds the prefix only once a request for it was read there.
+  if (rate <= 0 || aQuery.phase == WorkPhase::kOutput || mHomes.empty() ||
+      Contains(mHomes, aSlot) || !mPrefix.seen || mPrefix.tokens < kLeastCopy) {
+    return std::nullopt;
+  }
+  const auto& home = aFleet.At(mHomes.front());
+  const double distance = home.domain == backend.domain ? 1.0 : kFarCopyFactor;
+  return Copy{ .backend = home.id,
+               .tokens =
+                 std::min(aRequest.promptTokens.Value(), mPrefix.tokens),
+               .seconds = distance * mPrefix.tokens / rate };
+}
+
 LearningSelector::KnownPrefix
 LearningSelector::FindPrefix(const RequestInfo& aRequest) const
 {
   // Until a part of it was seen, all of it may be what others share.
   const auto whole =
     aRequest.PrefixTokens(aRequest.prefixHashes.size()).Value();
-  KnownPrefix known{ .hash = aRequest.prefixHashes.back(),
-                     .length = whole,
-                     .tokens = 0 };
+  const auto last = aRequest.prefixHashes.back();
+  const bool seen = mPrefixPlaces.contains(last);
+  KnownPrefix known{ .hash = last, .length = whole, .tokens = 0, .seen = seen };
   ForRememberedDepths(aRequest.prefixHashes.size(), [&](std::size_t aDepth) {
     const auto hash = aRequest.prefixHashes[aDepth - 1];
     if (mPrefixPlaces.contains(hash)) {
       const auto tokens = aRequest.PrefixTokens(aDepth).Value();
-      known = { hash, tokens, tokens };
+      known = { hash, tokens, tokens, true };
     }
   });
   if (!aRequest.prefixEnds.empty()) {
     // All of it is shared: its home depends on nothing that was seen here, and
     // is likely to hold it since some entry's first request for it.
-    known = { aRequest.prefixHashes.back(), whole, whole };
+    known = { last, whole, whole, seen };
   }
   return known;
 }
--- a/policy/backend_selector.h
+++ b/policy/backend_selector.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <list>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -31,6 +32,9 @@
   Tokens cachedTokens;
   // What it was chosen for.
   WorkPhase phase = WorkPhase::kWhole;
+  // The engine to copy the shared part of the prompt's memory from, if that is
+  // sooner than reading it again.
+  std::optional<BackendId> copyFrom{};
 };
 
 enum class SelectFailure : std::uint8_t
@@ -251,6 +255,15 @@
     // Its tokens, and those of them that a cache is likely to hold.
     std::uint32_t length = 0;
     std::uint32_t tokens = 0;
+    // Whether this process has had a request with it before.
+    bool seen = false;
+  };
+  // A copy of a prefix's memory from another engine.
+  struct Copy
+  {
+    BackendId backend;
+    std::uint32_t tokens = 0;
+    double seconds = 0;
   };
   struct Prediction
   {
@@ -276,6 +289,11 @@
   [[nodiscard]] std::uint32_t CachedAt(const RequestInfo& aRequest,
                                        const SelectQuery& aQuery,
                                        BackendSlot aSlot) const;
+  // Where the prefix can be copied from, if that spares reading it there.
+  [[nodiscard]] std::optional<Copy> CopySource(const RequestInfo& aRequest,
+                                               const SelectQuery& aQuery,
+                                               const FleetView& aFleet,
+                                               BackendSlot aSlot) const;
   [[nodiscard]] KnownPrefix FindPrefix(const RequestInfo& aRequest) const;
   void AddHomes(const RequestInfo& aRequest,
                 const SelectQuery& aQuery,
--- a/policy/fleet_view.h
+++ b/policy/fleet_view.h
@@ -64,6 +64,9 @@
   std::uint32_t slots = 32;
   // Between a running request's tokens when all slots are taken.
   double tokenGapSeconds = 0.028;
+  // Tokens whose memory can be copied from another engine in a second; 0 if
+  // engines can't copy.
+  double copyTokensPerSecond = 0;
 
   // What a prompt and an output take of it, as seconds of all of it.
   [[nodiscard]] double SecondsOf(Tokens aPrompt, Tokens aOutput) const
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -498,7 +498,10 @@
   query.phase = WorkPhase::kPrompt;
   auto apart = selector.Select(aRequest.info, query, mFleet, aNow);
   if (!apart) {
-    return whole;
+    const bool harmless =
+      whole && StallOf(aRequest, *whole) <= Duration::zero();
+    const bool full = apart.error().failure == SelectFailure::kNoRoom;
+    return full && !harmless ? apart : whole;
   }
   query.phase = WorkPhase::kOutput;
   query.ignoreRoom = true;
@@ -604,6 +607,7 @@
                    .resumeFrom = aRequest.delivered,
                    .isHedge = aIsHedge,
                    .phase = aChoice.phase,
+                   .copyFrom = aChoice.copyFrom,
                    .expectedWait = aChoice.expectedWait,
                    .cachedTokens = aChoice.cachedTokens });
 }
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
   bool isHedge = false;
   // kPrompt: only have the prompt read, and keep the memory for kOutput.
   WorkPhase phase = WorkPhase::kWhole;
+  // The engine whose memory of the prompt's shared part is copied first.
+  std::optional<BackendId> copyFrom{};
   // What the choice was based on, for the log.
   Duration expectedWait{};
   Tokens cachedTokens;
--- a/servers/relay/dialect.h
+++ b/servers/relay/dialect.h
@@ -81,6 +81,9 @@
   bool promptOnly = false;
   // The memory of the prompt to go on from.
   std::optional<PromptMemory> memory;
+  // The address of an engine to copy the prompt's shared part from first; it
+  // is read where it can't be copied. Empty copies nothing.
+  std::string copyFrom{};
 };
 
 // An order that changes what an engine is used for.
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -47,6 +47,8 @@
     aReader.Real(
       "token_gap_ms", kGapMillis, aDefault.tokenGapSeconds * kMillisPerSecond) /
     kMillisPerSecond;
+  capacity.copyTokensPerSecond = aReader.Real(
+    "copy_tokens_per_s", kTokenRates, aDefault.copyTokensPerSecond);
   aReader.Finish();
   return capacity;
 }
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -108,6 +108,7 @@
       { "phase", std::string(ToString(aOrder.phase)) },
       { "expected_ms", Millis(aOrder.expectedWait) },
       { "cached", std::to_string(aOrder.cachedTokens.Value()) },
+      { "copy_from", aOrder.copyFrom ? aOrder.copyFrom->Value() : "" },
       { "ms", Millis(Now() - mArrival) } });
   const auto* record = mContext.directory->Find(aOrder.backend);
   BackendPool::Call call;
@@ -122,7 +123,8 @@
                         std::min(mOptions.route->rank, kLastEnginePriority)),
                       .resumeAfter = mLastEventId,
                       .promptOnly = promptOnly,
-                      .memory = {} };
+                      .memory = {},
+                      .copyFrom = AddressOf(aOrder.copyFrom) };
   if (aOrder.phase == policy::WorkPhase::kOutput) {
     // Can be taken once only.
     terms.memory = std::exchange(mMemory, std::nullopt);
@@ -146,6 +148,13 @@
   mAttempts[aOrder.attempt] = std::move(attempt);
 }
 
+std::string
+RelayTask::AddressOf(const std::optional<BackendId>& aBackend) const
+{
+  const auto* record = aBackend ? mContext.directory->Find(*aBackend) : nullptr;
+  return record == nullptr ? "" : record->address.Value();
+}
+
 void
 RelayTask::Cancel(AttemptNumber aAttempt)
 {
--- a/servers/relay/relay_task.h
+++ b/servers/relay/relay_task.h
@@ -90,6 +90,9 @@
 
   // Frees a prompt's memory that no attempt takes any more.
   void ReleaseMemory();
+  // Where the backend server is reached; empty if it is none or is gone.
+  [[nodiscard]] std::string AddressOf(
+    const std::optional<BackendId>& aBackend) const;
   [[nodiscard]] policy::RequestInfo MakeInfo() const;
   [[nodiscard]] Instant Now() const;
   [[nodiscard]] bool MayHaveRun() const;
--- a/tests/policy/backend_selector_test.cpp
+++ b/tests/policy/backend_selector_test.cpp
@@ -21,6 +21,7 @@
 using firefly::policy::LeastReportedLoadSelector;
 using firefly::policy::SelectFailure;
 using firefly::policy::SelectQuery;
+using firefly::policy::Tokens;
 using firefly::policy::test::MakeEngine;
 using firefly::policy::test::MakeRequest;
 
@@ -199,3 +200,32 @@
     selector.OnDispatch(request, *choice, Lane::kNormal, Instant{}), Instant{});
   CHECK_TRUE(selector.Select(request, {}, fleet, Instant(1ms)).has_value());
 }
+
+// Load: prompts whose shared part is much longer than their own. When its home
+// is busy, another engine copies the part instead of reading it again.
+TEST(BackendSelectorTest, ASharedPrefixIsCopiedFromItsBusyHome)
+{
+  FleetView fleet;
+  for (int i = 0; i < 4; ++i) {
+    auto engine = MakeEngine("e" + std::to_string(i));
+    engine.capacity.copyTokensPerSecond = 1e6;
+    fleet.Upsert(engine);
+  }
+  LearningSelector selector({ .randomCandidates = 4, .homes = 1 });
+  auto request = MakeRequest("r");
+  request.promptTokens = Tokens(12000);
+  request.prefixHashes = { 7 };
+  request.prefixEnds = { Tokens(10000) };
+  // Nobody can hold what no request had.
+  const auto home = *selector.Select(request, {}, fleet, Instant{});
+  CHECK_FALSE(home.copyFrom.has_value());
+  selector.OnArrival(request);
+  // It reads the whole prompt.
+  auto dispatched = home;
+  dispatched.cachedTokens = Tokens(0);
+  selector.OnDispatch(request, dispatched, Lane::kNormal, Instant{});
+  const auto other = *selector.Select(request, {}, fleet, Instant(1ms));
+  CHECK(other.slot != home.slot);
+  CHECK(other.copyFrom == fleet.At(home.slot).id);
+  LONGS_EQUAL(10000, other.cachedTokens.Value());
+}
--- a/tests/policy/request_router_test.cpp
+++ b/tests/policy/request_router_test.cpp
@@ -349,3 +349,30 @@
   CHECK(sink.orders[0].phase == firefly::policy::WorkPhase::kOutput);
   CHECK(sink.orders[0].backend.Value() != "reader");
 }
+
+// Load: peaks of long prompts, when every engine that reads them is full. A
+// long prompt between the tokens of running streams would stall all of them,
+// so it waits; a short one does no harm there.
+TEST(RequestRouterTest, ALongPromptWaitsRatherThanStallRunningStreams)
+{
+  auto router = MakeRouter(2);
+  auto reader = MakeEngine("reader", firefly::policy::EngineRole::kPrefill);
+  reader.promptsOnly = true;
+  reader.capacity.slots = 1;
+  fleet.Upsert(reader);
+  auto first = MakeRequest("first");
+  first.promptTokens = Tokens(9000);
+  router.OnArrival(first, Instant{});
+  auto next = MakeRequest("next");
+  next.promptTokens = Tokens(9000);
+  next.lateAfter = 5s;
+  router.OnArrival(next, Instant(1ms));
+  LONGS_EQUAL(0, sink.Dispatched(RequestId("next")));
+  auto little = MakeRequest("little");
+  little.promptTokens = Tokens(100);
+  router.OnArrival(little, Instant(2ms));
+  LONGS_EQUAL(1, sink.Dispatched(RequestId("little")));
+  router.OnPromptRead(RequestId("first"), AttemptNumber(1), Instant(200ms));
+  LONGS_EQUAL(1, sink.Dispatched(RequestId("next")));
+  CHECK(sink.orders.back().phase == firefly::policy::WorkPhase::kPrompt);
+}
