Tell peers at once of prompts, prefixes and silent engines; learn the engines' pace

Now a relay tells its peers (all of up to 24, else those of its failure domain) of each prompt as it sends it, with the prefixes that the engine then holds. PromptQueues keeps each engine's queue and learns its pace, PrefixHolders who holds what. A connection that acknowledges nothing for 0.7 s counts as silence, which peers are told. A process takes its own former lease at once, and a role change must be wanted for 1 s, not 4.

--- a/coord/lease.cpp
+++ b/coord/lease.cpp
@@ -107,6 +107,11 @@
   if (!lease || lease->released) {
     return read;
   }
+  // An earlier candidacy of this process is over with the object that had it.
+  if (lease->holder == mOptions.host &&
+      lease->incarnation == mOptions.incarnation) {
+    return read;
+  }
   return read + mOptions.duration + mOptions.grace;
 }
 
--- a/policy/backend_selector.cpp
+++ b/policy/backend_selector.cpp
@@ -102,7 +102,7 @@
   bool found = false;
   auto leastWait = Duration::max();
   for (const auto slot : mCandidates) {
-    const auto prediction = Predict(aRequest, aQuery, aFleet, slot);
+    const auto prediction = Predict(aRequest, aQuery, aFleet, slot, aNow);
     leastWait = std::min(leastWait, prediction.choice.expectedWait);
     const bool usable = prediction.hasRoom || aQuery.ignoreRoom;
     if (usable && prediction.score < best.score) {
@@ -131,7 +131,7 @@
 LearningSelector::OnDispatch(const RequestInfo& aRequest,
                              const Choice& aChoice,
                              Lane aLane,
-                             Instant /*aNow*/)
+                             Instant aNow)
 {
   auto& load = LoadAt(aChoice.slot);
   const auto prompt = aRequest.promptTokens.Value();
@@ -139,23 +139,37 @@
   load.requests++;
   load.stragglers += aLane == Lane::kStraggler ? 1 : 0;
   load.prefillTokens += prompt - cached;
-  return { .slot = aChoice.slot,
-           .prefillTokens = Tokens(prompt - cached),
-           .expectedWait = aChoice.expectedWait,
-           .expectedGap = aChoice.expectedGap,
-           .lane = aLane,
-           .hadFirstToken = false };
+  AttemptInfo attempt{ .slot = aChoice.slot,
+                       .prefillTokens = Tokens(prompt - cached),
+                       .expectedWait = aChoice.expectedWait,
+                       .expectedGap = aChoice.expectedGap,
+                       .lane = aLane,
+                       .hadFirstToken = false };
+  if (IsQueued(aRequest, aChoice.phase)) {
+    attempt.place =
+      mQueues.Add(aChoice.slot, ToSeconds(aChoice.promptTime), aNow);
+  }
+  if (mOptions.hearsPlaced) {
+    attempt.prefixes = aRequest.prefixHashes;
+    NoteHolder(
+      attempt.prefixes, aChoice.slot, aNow + aChoice.expectedWait, aNow);
+  }
+  return attempt;
 }
 
 void
 LearningSelector::OnFirstToken(AttemptInfo& aAttempt,
                                Duration aWait,
-                               Instant /*aNow*/)
+                               Instant aNow)
 {
   if (aAttempt.hadFirstToken) {
     return;
   }
   aAttempt.hadFirstToken = true;
+  LoadAt(aAttempt.slot).heard = aNow;
+  if (aAttempt.place) {
+    mQueues.OnRead(aAttempt.slot, *aAttempt.place, aNow);
+  }
   LoadAt(aAttempt.slot).prefillTokens -= aAttempt.prefillTokens.Value();
   const double expected = ToSeconds(aAttempt.expectedWait) + kWaitNoiseSeconds;
   const double wait = ToSeconds(aWait);
@@ -166,8 +180,9 @@
 void
 LearningSelector::OnTokens(const AttemptInfo& aAttempt,
                            Duration aMeanGap,
-                           Instant /*aNow*/)
+                           Instant aNow)
 {
+  LoadAt(aAttempt.slot).heard = aNow;
   const double full = ToSeconds(aAttempt.expectedGap);
   const double gap = ToSeconds(aMeanGap);
   if (gap > 0 && full > 0) {
@@ -176,13 +191,17 @@
 }
 
 void
-LearningSelector::OnFinish(const AttemptInfo& aAttempt, Instant /*aNow*/)
+LearningSelector::OnFinish(const AttemptInfo& aAttempt, Instant aNow)
 {
   auto& load = LoadAt(aAttempt.slot);
   load.requests--;
   load.stragglers -= aAttempt.lane == Lane::kStraggler ? 1 : 0;
-  if (!aAttempt.hadFirstToken) {
-    load.prefillTokens -= aAttempt.prefillTokens.Value();
+  if (aAttempt.hadFirstToken) {
+    return;
+  }
+  load.prefillTokens -= aAttempt.prefillTokens.Value();
+  if (aAttempt.place) {
+    mQueues.Remove(aAttempt.slot, *aAttempt.place, aNow);
   }
 }
 
@@ -190,6 +209,7 @@
 LearningSelector::OnError(const AttemptInfo& aAttempt, Instant aNow)
 {
   OnFinish(aAttempt, aNow);
+  ForgetHolder(aAttempt);
   TakeSample(aAttempt.slot, kLeastSpeed);
 }
 
@@ -197,6 +217,7 @@
 LearningSelector::OnUnreachable(const AttemptInfo& aAttempt, Instant aNow)
 {
   OnFinish(aAttempt, aNow);
+  ForgetHolder(aAttempt);
   LoadAt(aAttempt.slot).notBefore = aNow + mOptions.unreachableFor;
 }
 
@@ -243,6 +264,29 @@
   }
 }
 
+void
+LearningSelector::OnPeerPlaced(BackendSlot aSlot,
+                               const BackendNotice& aNotice,
+                               const FleetView& aFleet,
+                               Instant aNow)
+{
+  if (!mOptions.hearsPlaced) {
+    return;
+  }
+  const double rate = aFleet.At(aSlot).capacity.prefillTokensPerSecond;
+  mQueues.Add(aSlot, aNotice.uncached.Value() / rate, aNow);
+  NoteHolder(aNotice.prefixes, aSlot, aNow + mQueues.WaitAt(aSlot, aNow), aNow);
+}
+
+void
+LearningSelector::OnPeerSilent(BackendSlot aSlot, Instant aNow)
+{
+  auto& load = LoadAt(aSlot);
+  if (aNow - load.heard > mOptions.trustOwn) {
+    load.notBefore = aNow + mOptions.unreachableFor;
+  }
+}
+
 void
 LearningSelector::FillDigest(Digest& aDigest,
                              const FleetView& aFleet,
@@ -356,14 +400,15 @@
     AddCandidate(mOpen[i]);
   }
   if (mOptions.useAffinity && !aRequest.prefixHashes.empty()) {
-    AddHomes(aRequest, aQuery, aFleet);
+    AddHomes(aRequest, aQuery, aFleet, aNow);
   }
 }
 
 void
 LearningSelector::AddHomes(const RequestInfo& aRequest,
                            const SelectQuery& aQuery,
-                           const FleetView& aFleet)
+                           const FleetView& aFleet,
+                           Instant aNow)
 {
   mPrefix = FindPrefix(aRequest);
   // Rendezvous hashing with weights: backend servers that suit the request
@@ -385,6 +430,11 @@
     AddCandidate(mRanked[i].second);
     mHomes.push_back(mRanked[i].second);
   }
+  for (const auto& it : mHolders.HoldersOf(mPrefix.hash, aNow)) {
+    if (Contains(mOpen, it.slot)) {
+      AddCandidate(it.slot);
+    }
+  }
 }
 
 void
@@ -399,21 +449,20 @@
 LearningSelector::Predict(const RequestInfo& aRequest,
                           const SelectQuery& aQuery,
                           const FleetView& aFleet,
-                          BackendSlot aSlot)
+                          BackendSlot aSlot,
+                          Instant aNow)
 {
   const auto& backend = aFleet.At(aSlot);
   const auto& capacity = backend.capacity;
   const auto& load = LoadAt(aSlot);
   const double speed = load.speed;
   const auto prompt = aRequest.promptTokens.Value();
-  const auto source = CopySource(aRequest, aQuery, aFleet, aSlot);
+  const auto source = CopySource(aRequest, aQuery, aFleet, aSlot, aNow);
   const auto cached =
-    source ? source->tokens : CachedAt(aRequest, aQuery, aSlot);
+    source ? source->tokens : CachedAt(aRequest, aQuery, aSlot, aNow);
   // Engines that only read prompts make no output.
   const auto output =
     aQuery.phase == WorkPhase::kPrompt ? 0 : aQuery.size.usual.Value();
-  const double backlog =
-    static_cast<double>(load.prefillTokens) + load.peers.prefillTokens;
   const double requests =
     static_cast<double>(load.requests) + load.peers.requests;
   const double rate = capacity.prefillTokensPerSecond * speed;
@@ -426,9 +475,14 @@
   const double beyond = std::max(0.0, requests + 1 - capacity.slots);
   const double slotWait =
     beyond * output * gap / std::max<std::uint32_t>(1, capacity.slots);
-  const double queueing = backlog / rate + slotWait;
+  const bool queued = IsQueued(aRequest, aQuery.phase);
+  const double before =
+    queued || !mOptions.hearsPlaced ? PromptWait(load, aSlot, rate, aNow) : 0;
+  const double queueing = before + slotWait;
   const double copy = source ? source->seconds : 0;
-  const double own = (prompt - cached) / rate + gap + copy;
+  const double rated = (prompt - cached) / capacity.prefillTokensPerSecond;
+  const double reading = queued ? rated * mQueues.PaceOf(aSlot) : rated / speed;
+  const double own = reading + gap + copy;
   const double wait = queueing + own;
   Prediction prediction;
   prediction.choice = { .slot = aSlot,
@@ -436,17 +490,24 @@
                         .expectedWait = FromSeconds(wait),
                         .expectedGap = FromSeconds(capacity.tokenGapSeconds),
                         .cachedTokens = Tokens(cached),
+                        .promptTime = FromSeconds(rated),
                         .phase = aQuery.phase };
   if (source) {
     prediction.choice.copyFrom = source->backend;
   }
   prediction.score = wait + output * gap +
                      kCostWeight * CostAt(aRequest, aQuery, capacity, cached);
-  if (aQuery.phase == WorkPhase::kOutput && !Contains(mHomes, aSlot)) {
+  const bool unknown =
+    queued && !mHomes.empty() && !mHolders.Knows(mPrefix.hash);
+  if ((aQuery.phase == WorkPhase::kOutput || unknown) &&
+      !Contains(mHomes, aSlot)) {
     // The memory that is handed over stays cached; at its home, later requests
     // find it.
     prediction.score += kKeptPrefixWeight * mPrefix.length / rate;
   }
+  if (!mOptions.domain.Value().empty() && backend.domain != mOptions.domain) {
+    prediction.score += ToSeconds(mOptions.farCost);
+  }
   double slots = capacity.slots * speed;
   if (mOptions.useLanes && aQuery.lane != Lane::kShort) {
     slots *= 1 - mOptions.shortReserve;
@@ -459,15 +520,45 @@
   return prediction;
 }
 
+bool
+LearningSelector::IsQueued(const RequestInfo& aRequest, WorkPhase aPhase) const
+{
+  return mOptions.hearsPlaced && aRequest.NeedsEngine() &&
+         aPhase != WorkPhase::kOutput;
+}
+
+double
+LearningSelector::PromptWait(const Load& aLoad,
+                             BackendSlot aSlot,
+                             double aRate,
+                             Instant aNow) const
+{
+  if (mOptions.hearsPlaced) {
+    return ToSeconds(mQueues.WaitAt(aSlot, aNow));
+  }
+  const double backlog =
+    static_cast<double>(aLoad.prefillTokens) + aLoad.peers.prefillTokens;
+  return backlog / aRate;
+}
+
 std::uint32_t
 LearningSelector::CachedAt(const RequestInfo& aRequest,
                            const SelectQuery& aQuery,
-                           BackendSlot aSlot) const
+                           BackendSlot aSlot,
+                           Instant aNow) const
 {
   const auto prompt = aRequest.promptTokens.Value();
   if (aQuery.phase == WorkPhase::kOutput) {
     return prompt; // it comes with the memory that is handed over
   }
+  if (mOptions.hearsPlaced) {
+    for (auto depth = aRequest.prefixHashes.size(); depth > 0; --depth) {
+      if (mHolders.Holds(aRequest.prefixHashes[depth - 1], aSlot, aNow)) {
+        return std::min(prompt, aRequest.PrefixTokens(depth).Value());
+      }
+    }
+    return 0;
+  }
   return Contains(mHomes, aSlot) ? std::min(prompt, mPrefix.tokens) : 0;
 }
 
@@ -475,21 +566,57 @@
 LearningSelector::CopySource(const RequestInfo& aRequest,
                              const SelectQuery& aQuery,
                              const FleetView& aFleet,
-                             BackendSlot aSlot) const
+                             BackendSlot aSlot,
+                             Instant aNow) const
 {
   const auto& backend = aFleet.At(aSlot);
   const double rate = backend.capacity.copyTokensPerSecond;
-  // The home holds the prefix only once a request for it was read there.
-  if (rate <= 0 || aQuery.phase == WorkPhase::kOutput || mHomes.empty() ||
-      Contains(mHomes, aSlot) || !mPrefix.seen || mPrefix.tokens < kLeastCopy) {
+  if (rate <= 0 || aQuery.phase == WorkPhase::kOutput ||
+      aRequest.prefixHashes.empty()) {
+    return std::nullopt;
+  }
+  const auto held = CachedAt(aRequest, aQuery, aSlot, aNow);
+  const auto whole =
+    std::min(aRequest.promptTokens.Value(),
+             aRequest.PrefixTokens(aRequest.prefixHashes.size()).Value());
+  if (whole < held + kLeastCopy) {
     return std::nullopt;
   }
-  const auto& home = aFleet.At(mHomes.front());
-  const double distance = home.domain == backend.domain ? 1.0 : kFarCopyFactor;
-  return Copy{ .backend = home.id,
-               .tokens =
-                 std::min(aRequest.promptTokens.Value(), mPrefix.tokens),
-               .seconds = distance * mPrefix.tokens / rate };
+  std::optional<Copy> best;
+  for (const auto& it :
+       mHolders.HoldersOf(aRequest.prefixHashes.back(), aNow)) {
+    const auto& holder = aFleet.At(it.slot);
+    if (it.slot == aSlot || aNow < it.readyAt ||
+        holder.state != BackendState::kOpen) {
+      continue;
+    }
+    const double distance =
+      holder.domain == backend.domain ? 1.0 : kFarCopyFactor;
+    const double seconds = distance * (whole - held) / rate;
+    if (!best || seconds < best->seconds) {
+      best = Copy{ .backend = holder.id, .tokens = whole, .seconds = seconds };
+    }
+  }
+  return best;
+}
+
+void
+LearningSelector::NoteHolder(const std::vector<std::uint64_t>& aPrefixes,
+                             BackendSlot aSlot,
+                             Instant aReadyAt,
+                             Instant aNow)
+{
+  for (const auto prefix : aPrefixes) {
+    mHolders.Note(prefix, aSlot, aReadyAt, aNow);
+  }
+}
+
+void
+LearningSelector::ForgetHolder(const AttemptInfo& aAttempt)
+{
+  for (const auto prefix : aAttempt.prefixes) {
+    mHolders.Forget(prefix, aAttempt.slot);
+  }
 }
 
 LearningSelector::KnownPrefix
@@ -498,20 +625,20 @@
   // Until a part of it was seen, all of it may be what others share.
   const auto whole =
     aRequest.PrefixTokens(aRequest.prefixHashes.size()).Value();
-  const auto last = aRequest.prefixHashes.back();
-  const bool seen = mPrefixPlaces.contains(last);
-  KnownPrefix known{ .hash = last, .length = whole, .tokens = 0, .seen = seen };
+  KnownPrefix known{ .hash = aRequest.prefixHashes.back(),
+                     .length = whole,
+                     .tokens = 0 };
   ForRememberedDepths(aRequest.prefixHashes.size(), [&](std::size_t aDepth) {
     const auto hash = aRequest.prefixHashes[aDepth - 1];
     if (mPrefixPlaces.contains(hash)) {
       const auto tokens = aRequest.PrefixTokens(aDepth).Value();
-      known = { hash, tokens, tokens, true };
+      known = { hash, tokens, tokens };
     }
   });
   if (!aRequest.prefixEnds.empty()) {
     // All of it is shared: its home depends on nothing that was seen here, and
     // is likely to hold it since some entry's first request for it.
-    known = { last, whole, whole, seen };
+    known = { aRequest.prefixHashes.back(), whole, whole };
   }
   return known;
 }
--- a/policy/backend_selector.h
+++ b/policy/backend_selector.h
@@ -14,6 +14,8 @@
 #include "core/random.h"
 #include "policy/digest.h"
 #include "policy/fleet_view.h"
+#include "policy/prefix_holders.h"
+#include "policy/prompt_queues.h"
 #include "policy/request_info.h"
 #include "policy/size_estimator.h"
 
@@ -30,6 +32,8 @@
   Duration expectedGap{};
   // Prompt tokens that its prefix cache is expected to hold.
   Tokens cachedTokens;
+  // Of reading the rest of the prompt at the engine's rated speed.
+  Duration promptTime{};
   // What it was chosen for.
   WorkPhase phase = WorkPhase::kWhole;
   // The engine to copy the shared part of the prompt's memory from, if that is
@@ -75,6 +79,25 @@
   std::uint32_t prefillTokens = 0;
 };
 
+// What a process tells the others at once of a backend server.
+struct BackendNotice
+{
+  enum class Kind : std::uint8_t
+  {
+    // It was sent a prompt to read.
+    kPlaced,
+    // Its host acknowledges nothing any more.
+    kSilent,
+  };
+  Kind kind = Kind::kPlaced;
+  // FleetView::HashAt of the backend server.
+  std::uint64_t backend = 0;
+  // With kPlaced: what it is expected to read, and the hashes of the prompt's
+  // prefixes (RequestInfo::prefixHashes), which it holds then.
+  Tokens uncached{};
+  std::vector<std::uint64_t> prefixes{};
+};
+
 // One dispatched attempt, told to the selector's feedback calls.
 struct AttemptInfo
 {
@@ -85,6 +108,10 @@
   Duration expectedGap{};
   Lane lane = Lane::kNormal;
   bool hadFirstToken = false;
+  // Its prompt's place in the engine's queue; none for other work.
+  std::optional<PromptQueues::Place> place{};
+  // The prefixes that its engine holds once the prompt is read.
+  std::vector<std::uint64_t> prefixes{};
 };
 
 class BackendSelector
@@ -146,6 +173,17 @@
                             const FleetView& aFleet,
                             Instant aNow) = 0;
 
+  // A peer sent a prompt to an engine just now.
+  virtual void OnPeerPlaced(BackendSlot /*aSlot*/,
+                            const BackendNotice& /*aNotice*/,
+                            const FleetView& /*aFleet*/,
+                            Instant /*aNow*/)
+  {
+  }
+
+  // A peer found that the backend server's host acknowledges nothing.
+  virtual void OnPeerSilent(BackendSlot /*aSlot*/, Instant /*aNow*/) {}
+
   // Adds this process's own outstanding work to its digest.
   virtual void FillDigest(Digest& aDigest,
                           const FleetView& aFleet,
@@ -175,10 +213,19 @@
     // A backend server that could not be reached is not tried for so long,
     // unless there is no other.
     Duration unreachableFor = std::chrono::milliseconds(1500);
+    // A peer's word that it can't be reached counts for nothing against an
+    // answer as young as this.
+    Duration trustOwn = std::chrono::milliseconds(300);
     // A peer whose digest is older no longer counts.
     Duration peerMemory = std::chrono::seconds(3);
     // Prefix blocks remembered.
     std::size_t prefixMemory = 16384;
+    // Where this process is; empty if that doesn't matter.
+    DomainId domain{};
+    // What it is worth to stay within the failure domain, as a longer wait.
+    Duration farCost{};
+    // Whether peers tell of each prompt as they send it.
+    bool hearsPlaced = false;
     // Switches for ablations.
     bool usePeers = true;
     bool useSpeed = true;
@@ -218,6 +265,11 @@
   void OnPeerDigest(const Digest& aDigest,
                     const FleetView& aFleet,
                     Instant aNow) override;
+  void OnPeerPlaced(BackendSlot aSlot,
+                    const BackendNotice& aNotice,
+                    const FleetView& aFleet,
+                    Instant aNow) override;
+  void OnPeerSilent(BackendSlot aSlot, Instant aNow) override;
   void FillDigest(Digest& aDigest,
                   const FleetView& aFleet,
                   Instant aNow) const override;
@@ -240,6 +292,8 @@
     PeerWork peers;
     double speed = 1.0;
     Instant notBefore{};
+    // When it last answered something.
+    Instant heard{};
   };
   struct Peer
   {
@@ -255,8 +309,6 @@
     // Its tokens, and those of them that a cache is likely to hold.
     std::uint32_t length = 0;
     std::uint32_t tokens = 0;
-    // Whether this process has had a request with it before.
-    bool seen = false;
   };
   // A copy of a prefix's memory from another engine.
   struct Copy
@@ -284,24 +336,43 @@
   Prediction Predict(const RequestInfo& aRequest,
                      const SelectQuery& aQuery,
                      const FleetView& aFleet,
-                     BackendSlot aSlot);
+                     BackendSlot aSlot,
+                     Instant aNow);
+  // Whether the part of the work has a prompt read, in the order of a queue.
+  [[nodiscard]] bool IsQueued(const RequestInfo& aRequest,
+                              WorkPhase aPhase) const;
+  // What is before a prompt that is sent there now.
+  [[nodiscard]] double PromptWait(const Load& aLoad,
+                                  BackendSlot aSlot,
+                                  double aRate,
+                                  Instant aNow) const;
   // Prompt tokens that need not be read there.
   [[nodiscard]] std::uint32_t CachedAt(const RequestInfo& aRequest,
                                        const SelectQuery& aQuery,
-                                       BackendSlot aSlot) const;
+                                       BackendSlot aSlot,
+                                       Instant aNow) const;
   // Where the prefix can be copied from, if that spares reading it there.
   [[nodiscard]] std::optional<Copy> CopySource(const RequestInfo& aRequest,
                                                const SelectQuery& aQuery,
                                                const FleetView& aFleet,
-                                               BackendSlot aSlot) const;
+                                               BackendSlot aSlot,
+                                               Instant aNow) const;
+  void NoteHolder(const std::vector<std::uint64_t>& aPrefixes,
+                  BackendSlot aSlot,
+                  Instant aReadyAt,
+                  Instant aNow);
+  void ForgetHolder(const AttemptInfo& aAttempt);
   [[nodiscard]] KnownPrefix FindPrefix(const RequestInfo& aRequest) const;
   void AddHomes(const RequestInfo& aRequest,
                 const SelectQuery& aQuery,
-                const FleetView& aFleet);
+                const FleetView& aFleet,
+                Instant aNow);
 
   Options mOptions;
   Random mRandom{ mOptions.seed };
   std::vector<Load> mLoads;
+  PromptQueues mQueues;
+  PrefixHolders mHolders;
   std::unordered_map<HostId, Peer> mPeers;
   Instant mPeersChecked{};
   // Scratch space of Select, kept to save allocations.
--- a/policy/policy_set.h
+++ b/policy/policy_set.h
@@ -47,6 +47,14 @@
   // weighed for each request.
   std::uint32_t homes = 2;
   std::uint32_t randomCandidates = 3;
+  // Where this entry is, and what it is worth to stay within that failure
+  // domain, as a longer wait.
+  DomainId domain{};
+  Duration farCost{};
+  // Whether entries tell each other of each prompt as they send it.
+  bool hearsPlaced = false;
+  // A backend server with this much predicted wait has no room.
+  Duration fullAt = std::chrono::milliseconds(1000);
   // Requests that may wait at this entry.
   std::size_t queueBound = 256;
   // Parts of "firefly" to replace by the plain ones: "admission", "queue",
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -288,8 +288,11 @@
   if (aError == AttemptError::kFailed) {
     // An answer, even if it is a failure, says nothing of its speed.
     mPolicies.selector->OnFinish(attempt.info, aNow);
-  } else if (aError == AttemptError::kNotSent) {
+  } else if (aError == AttemptError::kNotSent ||
+             aError == AttemptError::kSilent) {
     mPolicies.selector->OnUnreachable(attempt.info, aNow);
+    mSink.Announce({ .kind = BackendNotice::Kind::kSilent,
+                     .backend = mFleet.HashAt(attempt.info.slot) });
   } else {
     mPolicies.selector->OnError(attempt.info, aNow);
   }
@@ -302,9 +305,9 @@
     aRequest.runsMade--;
     aRequest.hasMemory = attempt.phase == WorkPhase::kOutput;
   }
-  aRequest.mayHaveRun = aRequest.mayHaveRun ||
-                        aError == AttemptError::kBroken ||
-                        aError == AttemptError::kFailed;
+  const bool notRun =
+    aError == AttemptError::kNotSent || aError == AttemptError::kRejected;
+  aRequest.mayHaveRun = aRequest.mayHaveRun || !notRun;
   if (aError != AttemptError::kBroken) {
     return;
   }
@@ -433,6 +436,23 @@
   mPolicies.poison->OnPeer(aDigest.quarantined, aDigest.suspects, aNow);
 }
 
+void
+RequestRouter::OnPeerNotice(const BackendNotice& aNotice, Instant aNow)
+{
+  const auto slot = mFleet.SlotOfHash(aNotice.backend);
+  if (!slot) {
+    return;
+  }
+  switch (aNotice.kind) {
+    case BackendNotice::Kind::kPlaced:
+      mPolicies.selector->OnPeerPlaced(*slot, aNotice, mFleet, aNow);
+      break;
+    case BackendNotice::Kind::kSilent:
+      mPolicies.selector->OnPeerSilent(*slot, aNow);
+      break;
+  }
+}
+
 Digest
 RequestRouter::MakeDigest(Instant aNow)
 {
@@ -600,6 +620,12 @@
   if (number.Value() == 1) {
     aRequest.dispatchedFirst = aNow;
   }
+  if (attempt.info.place) {
+    mSink.Announce({ .kind = BackendNotice::Kind::kPlaced,
+                     .backend = mFleet.HashAt(aChoice.slot),
+                     .uncached = attempt.info.prefillTokens,
+                     .prefixes = aRequest.info.prefixHashes });
+  }
   mSink.Dispatch({ .requestId = aRequest.info.requestId,
                    .attempt = number,
                    .backend = aChoice.backend,
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -78,6 +78,9 @@
 
   // Answers the caller that the request failed after it was sent.
   virtual void Fail(const RequestId& aId, FailureReason aReason) = 0;
+
+  // Tells peers at once; may be lost.
+  virtual void Announce(const BackendNotice& /*aNotice*/) {}
 };
 
 // How an attempt ended without an answer.
@@ -91,6 +94,8 @@
   kBroken,
   // The backend server ran the request and answered with an error of its own.
   kFailed,
+  // Its host acknowledges nothing any more; it may have run.
+  kSilent,
 };
 
 class RequestRouter
@@ -161,6 +166,9 @@
   // A peer's digest came; older ones than those known are ignored.
   void OnPeerDigest(const Digest& aDigest, Instant aNow);
 
+  // A peer tells of a backend server; unknown ones are ignored.
+  void OnPeerNotice(const BackendNotice& aNotice, Instant aNow);
+
   // This entry's digest for its peers; call it a few times a second.
   Digest MakeDigest(Instant aNow);
 
--- a/servers/http1/backend_connection.cpp
+++ b/servers/http1/backend_connection.cpp
@@ -201,6 +201,10 @@
 void
 BackendConnection::OnEnded(const asio::error_code& aCode)
 {
+  if (aCode == asio::error::timed_out) {
+    Fail(BackendCallFault::kSilent);
+    return;
+  }
   // A body without a length is whole only if the connection ended in order.
   if (aCode != asio::error::eof || !mReader.FeedEnd() || mSkipping) {
     Fail(BackendCallFault::kCut);
--- a/servers/http1/backend_pool.h
+++ b/servers/http1/backend_pool.h
@@ -27,6 +27,8 @@
   kNotSent,
   // The connection ended before the answer was whole.
   kCut,
+  // The other host acknowledged nothing for too long.
+  kSilent,
   // What came is no answer in the protocol.
   kMalformed,
 };
--- a/servers/relay/fact_exchange.cpp
+++ b/servers/relay/fact_exchange.cpp
@@ -1,5 +1,6 @@
 #include "servers/relay/fact_exchange.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "coord/codec.h"
@@ -10,7 +11,14 @@
 
 // A datagram that fits into one Ethernet frame.
 constexpr std::size_t kMaxBytes = 1400;
-constexpr std::uint64_t kFormat = 1;
+// The deepest prefixes of a prompt that are told; the others are shared by most
+// prompts.
+constexpr std::size_t kMaxPrefixes = 4;
+// The first field of a datagram: what it tells.
+constexpr std::uint64_t kProgress = 1;
+constexpr std::uint64_t kNotice = 2;
+constexpr auto kLastNoticeKind =
+  static_cast<std::uint64_t>(policy::BackendNotice::Kind::kSilent);
 
 } // namespace
 
@@ -18,7 +26,7 @@
 EncodeProgress(const coord::FeedProgress& aProgress)
 {
   coord::FieldWriter writer;
-  writer.Number(kFormat)
+  writer.Number(kProgress)
     .Number(aProgress.from.Value())
     .Number(aProgress.next.Value())
     .Number(aProgress.news.size());
@@ -39,7 +47,7 @@
 DecodeProgress(std::string_view aBytes)
 {
   coord::FieldReader reader(aBytes);
-  if (reader.Number() != kFormat) {
+  if (reader.Number() != kProgress) {
     return std::nullopt;
   }
   coord::FeedProgress progress;
@@ -63,12 +71,48 @@
   return progress;
 }
 
+std::string
+EncodeNotice(const policy::BackendNotice& aNotice)
+{
+  coord::FieldWriter writer;
+  writer.Number(kNotice)
+    .Number(static_cast<std::uint64_t>(aNotice.kind))
+    .Number(aNotice.backend)
+    .Number(aNotice.uncached.Value());
+  const auto n = std::min(aNotice.prefixes.size(), kMaxPrefixes);
+  for (auto i = aNotice.prefixes.size() - n; i < aNotice.prefixes.size(); ++i) {
+    writer.Number(aNotice.prefixes[i]);
+  }
+  return writer.Take();
+}
+
+std::optional<policy::BackendNotice>
+DecodeNotice(std::string_view aBytes)
+{
+  coord::FieldReader reader(aBytes);
+  if (reader.Number() != kNotice) {
+    return std::nullopt;
+  }
+  const auto kind = reader.Number();
+  policy::BackendNotice notice;
+  notice.backend = reader.Number();
+  notice.uncached = policy::Tokens(static_cast<std::uint32_t>(reader.Number()));
+  while (reader.Ok() && !reader.AtEnd()) {
+    notice.prefixes.push_back(reader.Number());
+  }
+  if (!reader.Ok() || kind > kLastNoticeKind) {
+    return std::nullopt;
+  }
+  notice.kind = static_cast<policy::BackendNotice::Kind>(kind);
+  return notice;
+}
+
 FactExchange::FactExchange(Options aOptions,
                            AsioExecutor& aExecutor,
-                           Handler aHandler)
+                           Handlers aHandlers)
   : mOptions(std::move(aOptions))
   , mSocket(aExecutor)
-  , mHandler(std::move(aHandler))
+  , mHandlers(std::move(aHandlers))
 {
 }
 
@@ -77,8 +121,10 @@
 {
   return mSocket.Open(
     mOptions.address, mOptions.port, [this](std::string_view aBytes) {
-      if (const auto progress = DecodeProgress(aBytes)) {
-        mHandler(*progress);
+      if (const auto notice = DecodeNotice(aBytes)) {
+        mHandlers.onNotice(*notice);
+      } else if (const auto progress = DecodeProgress(aBytes)) {
+        mHandlers.onProgress(*progress);
       }
     });
 }
@@ -87,12 +133,24 @@
 FactExchange::Tell(const coord::FeedProgress& aProgress,
                    const std::vector<std::string>& aHosts)
 {
-  const auto bytes = EncodeProgress(aProgress);
-  if (!bytes) {
-    return;
+  if (const auto bytes = EncodeProgress(aProgress)) {
+    SendAll(*bytes, aHosts);
   }
+}
+
+void
+FactExchange::Tell(const policy::BackendNotice& aNotice,
+                   const std::vector<std::string>& aHosts)
+{
+  SendAll(EncodeNotice(aNotice), aHosts);
+}
+
+void
+FactExchange::SendAll(const std::string& aBytes,
+                      const std::vector<std::string>& aHosts)
+{
   for (const auto& it : aHosts) {
-    mSocket.Send(MakePeerAddress(it, mOptions.port), *bytes);
+    mSocket.Send(MakePeerAddress(it, mOptions.port), aBytes);
   }
 }
 
--- a/servers/relay/peer_group.cpp
+++ b/servers/relay/peer_group.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t kMaxMessageBytes = 1400;
 constexpr std::size_t kMaxDigestBytes = 640;
 constexpr std::size_t kFanOut = 3;
+// Relays beyond the own failure domain are told of each prompt only while there
+// are at most so many: the bytes grow with their square.
+constexpr std::size_t kMaxConfidants = 24;
 // A silent relay's work counts until it is called dead.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
 constexpr Duration kSuspicion = std::chrono::seconds(3);
@@ -121,6 +124,26 @@
     }
   }
   mRouter.SetEntries(hosts);
+  ChooseConfidants();
+}
+
+void
+PeerGroup::ChooseConfidants()
+{
+  std::vector<std::string> others;
+  mConfidants.clear();
+  for (const auto& it : mMembership.Members()) {
+    if (!IsLive(it) || it.host == mOptions.host) {
+      continue;
+    }
+    const auto& address = it.address.Value();
+    auto& list = it.domain == mOptions.domain ? mConfidants : others;
+    list.push_back(address.substr(0, address.rfind(':')));
+  }
+  // All of them or none: those of other domains send the same engines work.
+  if (mConfidants.size() + others.size() <= kMaxConfidants) {
+    mConfidants.insert(mConfidants.end(), others.begin(), others.end());
+  }
 }
 
 void
--- a/servers/relay/peer_group.h
+++ b/servers/relay/peer_group.h
@@ -56,6 +56,13 @@
   // The IP numbers of the other live relays.
   [[nodiscard]] std::vector<std::string> Others() const;
 
+  // The IP numbers of the live relays that are told of each prompt: a bounded
+  // number of them, those of the own failure domain first.
+  [[nodiscard]] const std::vector<std::string>& Confidants() const
+  {
+    return mConfidants;
+  }
+
   // Live relays, this one included.
   [[nodiscard]] std::size_t Live() const { return mMembership.LiveCount(); }
   [[nodiscard]] std::uint64_t BytesSent() const
@@ -67,6 +74,7 @@
   void OnMember(const coord::Member& aMember) override;
   void OnDigest(const coord::Member& aMember) override;
   void Tell();
+  void ChooseConfidants();
 
   Options mOptions;
   AsioExecutor& mExecutor;
@@ -74,6 +82,7 @@
   GossipSocket mSocket;
   coord::Membership mMembership;
   RoutingHandler mOnRouting;
+  std::vector<std::string> mConfidants;
   std::uint64_t mRouting = 0;
   bool mReady = false;
   Timer mTimer;
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -13,6 +13,8 @@
 // Engines that hold a shared part of prompts: a second copy of all parts would
 // cost more reading than it spreads load.
 constexpr std::uint32_t kHomes = 1;
+// An engine with this much before it has no room.
+constexpr Duration kFullAt = std::chrono::milliseconds(1000);
 // Beside the home; with more of them, relays that know of the same load a
 // moment ago all take the same engine.
 constexpr std::uint32_t kCandidates = 2;
@@ -26,6 +28,10 @@
                             .seed = aOptions.seed,
                             .homes = kHomes,
                             .randomCandidates = kCandidates,
+                            .domain = aOptions.domain,
+                            .farCost = aOptions.farCost,
+                            .hearsPlaced = true,
+                            .fullAt = kFullAt,
                             .queueBound = aOptions.queueBound,
                             .without = { "admission", "hedge" } });
   return std::move(policies.value());
@@ -161,4 +167,12 @@
   mTasks.at(aId)->Fail(aReason);
 }
 
+void
+Relay::Announce(const policy::BackendNotice& aNotice)
+{
+  if (mParts.announce) {
+    mParts.announce(aNotice);
+  }
+}
+
 } // namespace firefly
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -3,6 +3,7 @@
 // Takes requests from callers, has the router decide on them, and keeps their
 // tasks.
 
+#include <functional>
 #include <memory>
 #include <unordered_map>
 
@@ -23,6 +24,9 @@
     HostId self;
     Incarnation incarnation;
     std::uint64_t seed = 1;
+    DomainId domain{};
+    // What it is worth to stay within the failure domain, as a longer wait.
+    Duration farCost{};
     // Requests that may wait for room.
     std::size_t queueBound = 256;
     // What a caller is told to wait where nothing better is known.
@@ -39,6 +43,8 @@
     const policy::FleetView* fleet = nullptr;
     const RoutingKeeper* routing = nullptr;
     RelayMetrics* metrics = nullptr;
+    // Tells the other relays of a backend server.
+    std::function<void(const policy::BackendNotice&)> announce{};
   };
 
   Relay(Options aOptions, const Parts& aParts);
@@ -65,6 +71,7 @@
   void Cancel(const RequestId& aId, policy::AttemptNumber aAttempt) override;
   void Refuse(const RequestId& aId, const policy::Refusal& aRefusal) override;
   void Fail(const RequestId& aId, policy::FailureReason aReason) override;
+  void Announce(const policy::BackendNotice& aNotice) override;
 
   void Answer(CallerAnswer& aAnswer,
               OwnAnswerKind aKind,
--- a/servers/relay/relay_attempt.cpp
+++ b/servers/relay/relay_attempt.cpp
@@ -19,6 +19,8 @@
       return "not connected";
     case BackendCallFault::kCut:
       return "connection cut";
+    case BackendCallFault::kSilent:
+      return "nothing acknowledged";
     case BackendCallFault::kMalformed:
       return "malformed answer";
   }
@@ -121,6 +123,8 @@
     error = AttemptError::kNotSent;
   } else if (mKind == AnswerKind::kNotRun) {
     error = AttemptError::kRejected;
+  } else if (aFault == BackendCallFault::kSilent) {
+    error = AttemptError::kSilent;
   }
   mListener.OnAttemptError(mOptions.number, error, Describe(aFault));
 }
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -19,8 +19,11 @@
 constexpr Duration kStopMargin = std::chrono::milliseconds(400);
 // Between two reads of the routing table's stream.
 constexpr Duration kRoutingPause = std::chrono::milliseconds(50);
-// A backend server or caller that acknowledges nothing for so long is gone.
-constexpr Duration kUnacknowledged = std::chrono::milliseconds(2000);
+// A caller that acknowledges nothing for so long is gone.
+constexpr Duration kCallerSilence = std::chrono::milliseconds(2000);
+// A backend server that does is; shorter, since what was sent to it can be read
+// elsewhere. Two lost packets in a row are resent within 600 ms.
+constexpr Duration kBackendSilence = std::chrono::milliseconds(700);
 constexpr std::chrono::seconds kProbeAfter{ 1 };
 // Between two reads that peers' versions cause.
 constexpr Duration kRefreshPause = std::chrono::milliseconds(300);
@@ -33,9 +36,9 @@
 }
 
 LivenessOptions
-Liveness()
+Liveness(Duration aSilence)
 {
-  return { .unacknowledged = kUnacknowledged, .probeAfter = kProbeAfter };
+  return { .unacknowledged = aSilence, .probeAfter = kProbeAfter };
 }
 
 // Passes the records of one stream on, and says when the log is away.
@@ -101,7 +104,7 @@
     , mSeed(policy::MixHash(policy::StableHash(aSettings.host.Value()),
                             mIncarnation.Value()))
     , mMetrics(mRegistry)
-    , mPool(mExecutor, { .liveness = Liveness() })
+    , mPool(mExecutor, { .liveness = Liveness(kBackendSilence) })
     , mDirectory({ .capacities = aSettings.capacities },
                  mExecutor,
                  mFleet,
@@ -109,6 +112,8 @@
     , mRelay({ .self = aSettings.host,
                .incarnation = mIncarnation,
                .seed = mSeed,
+               .domain = aSettings.domain,
+               .farCost = aSettings.farCost,
                .queueBound = aSettings.queueBound },
              { .executor = &mExecutor,
                .dialect = aParts.dialect,
@@ -116,7 +121,11 @@
                .directory = &mDirectory,
                .fleet = &mFleet,
                .routing = &mRouting,
-               .metrics = &mMetrics })
+               .metrics = &mMetrics,
+               .announce =
+                 [this](const policy::BackendNotice& aNotice) {
+                   mFacts.Tell(aNotice, mPeers.Confidants());
+                 } })
     , mPeers({ .host = aSettings.host,
                .domain = aSettings.domain,
                .address = aSettings.callers.host,
@@ -136,9 +145,14 @@
                 })
     , mFacts({ .address = aSettings.callers.host, .port = aSettings.factPort },
              mExecutor,
-             [this](const coord::FeedProgress& aProgress) {
-               mBackendFeed.Offer(aProgress);
-             })
+             { .onProgress =
+                 [this](const coord::FeedProgress& aProgress) {
+                   mBackendFeed.Offer(aProgress);
+                 },
+               .onNotice =
+                 [this](const policy::BackendNotice& aNotice) {
+                   mRelay.Router().OnPeerNotice(aNotice, mExecutor.Now());
+                 } })
     , mRoles({ .host = aSettings.host,
                .incarnation = mIncarnation,
                .plan = { .promptShare = aSettings.promptShare },
@@ -158,7 +172,7 @@
                { .address = aSettings.callers.host,
                  .port = aSettings.callers.port,
                  .maxConnections = aSettings.maxConnections,
-                 .liveness = Liveness(),
+                 .liveness = Liveness(kCallerSilence),
                  .limits = {} },
                mRelay)
     , mStatus(mExecutor,
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -25,6 +25,7 @@
 constexpr std::int64_t kStopGrace = 8'000;
 constexpr std::int64_t kUnreadyGrace = 3'000;
 constexpr std::int64_t kLease = 3'000;
+constexpr std::int64_t kFarCost = 10;
 constexpr std::int64_t kMaxConnections = 3'000;
 constexpr std::int64_t kQueueBound = 256;
 
@@ -117,6 +118,7 @@
     aReader.Integer("queue_bound", kCounts, kQueueBound));
   aSettings.stopGrace =
     aReader.Millis("stop_grace_ms", kShortMillis, kStopGrace);
+  aSettings.farCost = aReader.Millis("far_cost_ms", kShortMillis, kFarCost);
   aSettings.unreadyGrace =
     aReader.Millis("unready_grace_ms", kShortMillis, kUnreadyGrace);
   aReader.Finish();
--- a/servers/relay/relay_settings.h
+++ b/servers/relay/relay_settings.h
@@ -49,6 +49,9 @@
   policy::RoleCapacities capacities;
   // The part of engines of one kind that only read prompts; 0 leaves them.
   double promptShare = 0;
+  // What it is worth to keep a request's work within the failure domain, as a
+  // longer wait.
+  Duration farCost{};
   // For which one relay's orders to engines exclude those of others.
   Duration lease{};
   // Of the state charts.
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -182,7 +182,7 @@
   mAttempts.erase(it);
   mContext.executor->Post([ended] {});
   const bool unclear =
-    aError == AttemptError::kBroken || aError == AttemptError::kFailed;
+    aError != AttemptError::kNotSent && aError != AttemptError::kRejected;
   mRanUnseen = mRanUnseen || (ended->CanRun() && unclear);
   if (aError == AttemptError::kNotSent && ended->Memory()) {
     mMemory = ended->Memory();
--- a/servers/relay/role_keeper.cpp
+++ b/servers/relay/role_keeper.cpp
@@ -10,7 +10,7 @@
 // A change must have been wanted for so long, so that the records of a fresh
 // fleet have come.
 constexpr Duration kHoldFresh = std::chrono::milliseconds(1500);
-constexpr Duration kHold = std::chrono::seconds(4);
+constexpr Duration kHold = std::chrono::milliseconds(1000);
 // Between the candidacies of two relays.
 constexpr Duration kRankStep = std::chrono::seconds(6);
 // A candidacy ends when nothing was wanted for so long.
--- a/tests/coord/authority_test.cpp
+++ b/tests/coord/authority_test.cpp
@@ -323,6 +323,26 @@
   CHECK(cluster.Holder() != nullptr && cluster.Holder() != &holder);
 }
 
+// Found on macaskill-rota scale-1: a process that was no candidate for a while
+// waited for its own old lease, and engines kept their roles for 6 s.
+TEST(LeaseTest, AProcessNeedNotWaitForItsOwnFormerLease)
+{
+  VirtualExecutor executor;
+  FakeLog log({}, executor);
+  auto first = std::make_unique<Candidate>(executor, log, 0, "1");
+  executor.RunFor(10s);
+  LONGS_EQUAL(1, first->acquired);
+  const auto fence = *first->lease.Held();
+  first.reset();
+  Candidate again(executor, log, 0, "2");
+  Candidate other(executor, log, 1, "1");
+  // The stagger and one tick, but not the lease.
+  executor.RunFor(4s);
+  LONGS_EQUAL(1, again.acquired);
+  LONGS_EQUAL(0, other.acquired);
+  CHECK(again.lease.Held()->Value() > fence.Value());
+}
+
 TEST(LeaseTest, FewOf370CandidatesClaim)
 {
   constexpr int kDaemons = 370;
--- a/tests/policy/request_router_test.cpp
+++ b/tests/policy/request_router_test.cpp
@@ -20,6 +20,7 @@
 using firefly::ServiceId;
 using firefly::policy::AttemptError;
 using firefly::policy::AttemptNumber;
+using firefly::policy::BackendNotice;
 using firefly::policy::BackendState;
 using firefly::policy::DispatchOrder;
 using firefly::policy::FailureReason;
@@ -57,6 +58,10 @@
   {
     failed[aId] = aReason;
   }
+  void Announce(const BackendNotice& aNotice) override
+  {
+    notices.push_back(aNotice);
+  }
 
   [[nodiscard]] int Dispatched(const RequestId& aId) const
   {
@@ -70,6 +75,7 @@
   std::set<std::pair<RequestId, AttemptNumber>> live;
   std::map<RequestId, RefusalReason> refused;
   std::map<RequestId, FailureReason> failed;
+  std::vector<BackendNotice> notices;
 };
 
 } // namespace
@@ -376,3 +382,68 @@
   LONGS_EQUAL(1, sink.Dispatched(RequestId("next")));
   CHECK(sink.orders.back().phase == firefly::policy::WorkPhase::kPrompt);
 }
+
+// Found on strapline-hub scale-2: two engines went dark and were sent prompts
+// for four seconds more, since their records still stood.
+TEST(RequestRouterTest, ASilentEngineIsAvoidedHereAndAtPeers)
+{
+  auto router = MakeRouter(0);
+  for (const auto* id : { "reader-1", "reader-2" }) {
+    auto reader = MakeEngine(id, firefly::policy::EngineRole::kPrefill);
+    reader.promptsOnly = true;
+    fleet.Upsert(reader);
+  }
+  fleet.Upsert(MakeEngine("writer", firefly::policy::EngineRole::kDecode));
+  auto request = MakeRequest("r1");
+  request.idempotent = false;
+  request.maxAttempts = 1;
+  request.promptTokens = Tokens(9000);
+  router.OnArrival(request, Instant{});
+  const auto dark = sink.orders.back().backend;
+  router.OnError(
+    RequestId("r1"), AttemptNumber(1), AttemptError::kSilent, Instant(700ms));
+  // A prompt that was sent into the dark has not run.
+  LONGS_EQUAL(2, sink.orders.size());
+  CHECK(sink.orders.back().backend != dark);
+  LONGS_EQUAL(1, sink.notices.size());
+  const auto notice = sink.notices.back();
+  CHECK(notice.kind == BackendNotice::Kind::kSilent);
+  for (int i = 0; i < 20; ++i) {
+    auto next = MakeRequest("next" + std::to_string(i), Instant(800ms));
+    next.promptTokens = Tokens(9000);
+    next.lateAfter = 20s;
+    router.OnArrival(next, Instant(800ms));
+    CHECK(sink.orders.back().backend != dark);
+  }
+  // A peer that is told avoids it as well.
+  FakeSink peerSink;
+  auto policies = MakePolicySet("firefly", { .self = HostId("peer") });
+  RequestRouter peer({ .self = HostId("peer"), .incarnation = Incarnation(1) },
+                     std::move(*policies),
+                     fleet,
+                     peerSink);
+  peer.OnPeerNotice(notice, Instant(700ms));
+  for (int i = 0; i < 20; ++i) {
+    auto next = MakeRequest("peer" + std::to_string(i), Instant(800ms));
+    next.promptTokens = Tokens(9000);
+    next.lateAfter = 20s;
+    peer.OnArrival(next, Instant(800ms));
+    CHECK(peerSink.orders.back().backend != dark);
+  }
+}
+
+// What was sent to a host that went silent may have run there.
+TEST(RequestRouterTest, ASilentBackendServerMayHaveRunTheRequest)
+{
+  auto router = MakeRouter(2);
+  auto request = MakeRequest("booking");
+  request.idempotent = false;
+  router.OnArrival(request, Instant{});
+  router.OnError(RequestId("booking"),
+                 AttemptNumber(1),
+                 AttemptError::kSilent,
+                 Instant(700ms));
+  LONGS_EQUAL(1, sink.orders.size());
+  LONGS_EQUAL(0, sink.refused.count(RequestId("booking")));
+  CHECK(sink.failed.at(RequestId("booking")) == FailureReason::kOutcomeUnknown);
+}
--- a/tests/servers/relay/fact_exchange_test.cpp
+++ b/tests/servers/relay/fact_exchange_test.cpp
@@ -6,11 +6,15 @@
 
 #include <CppUTest/TestHarness.h>
 
+using firefly::DecodeNotice;
 using firefly::DecodeProgress;
+using firefly::EncodeNotice;
 using firefly::EncodeProgress;
 using firefly::Random;
 using firefly::coord::FeedProgress;
 using firefly::coord::LogOffset;
+using firefly::policy::BackendNotice;
+using firefly::policy::Tokens;
 
 TEST_GROUP(FactExchangeTest)
 {
@@ -46,5 +50,23 @@
       bytes[random.Below(bytes.size())] = static_cast<char>(random.Below(256));
     }
     (void)DecodeProgress(bytes);
+    (void)DecodeNotice(bytes);
   }
 }
+
+TEST(FactExchangeTest, ANoticeComesThroughWithItsDeepestPrefixes)
+{
+  const BackendNotice sent{ .kind = BackendNotice::Kind::kPlaced,
+                            .backend = ~0ULL,
+                            .uncached = Tokens(3720),
+                            .prefixes = { 1, 2, 3, 4, 5, 6 } };
+  const auto bytes = EncodeNotice(sent);
+  CHECK_FALSE(DecodeProgress(bytes).has_value());
+  const auto notice = DecodeNotice(bytes);
+  CHECK(notice->kind == BackendNotice::Kind::kPlaced);
+  CHECK(notice->backend == ~0ULL);
+  LONGS_EQUAL(3720, notice->uncached.Value());
+  LONGS_EQUAL(4, notice->prefixes.size());
+  CHECK(notice->prefixes.back() == 6);
+  CHECK_FALSE(DecodeNotice(*EncodeProgress(progress)).has_value());
+}
