Read the routing table for each other; suppress reads of the log; gossip less often

Gossip each 100 ms made half of the bytes between failure domains.

Now timers are drawn as in feedback suppression, so that about one of N reads in each pause; the routing table's stream is shared like the other one, the record is fetched from the relay that read it; reads that fit no datagram are told in several; relays share from the moment that they know of peers. Gossip each 300 ms: prompts are told at once. All relays are told of prompts up to 100 of them: documents of the grown sites are held once in all domains.

--- a/coord/keyed_feed.cpp
+++ b/coord/keyed_feed.cpp
@@ -1,6 +1,7 @@
 #include "coord/keyed_feed.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace firefly::coord {
@@ -31,7 +32,6 @@
   }
   mFollowing = false;
   mReading = true;
-  mReads++;
   mLog.ReadNewest(
     mOptions.stream,
     mPageKeys.empty() ? std::string() : mPageKeys.back(),
@@ -89,7 +89,6 @@
 {
   mFollowing = true;
   mReading = true;
-  mReads++;
   mLog.ReadFrom(
     mOptions.stream,
     mNext,
@@ -158,10 +157,16 @@
   }
 }
 
+void
+KeyedFeed::Skip(LogOffset aNext)
+{
+  Offer({ .from = mNext, .next = aNext, .news = {} });
+}
+
 bool
 KeyedFeed::IsShared() const
 {
-  return mShared && mOptions.sharedPause > mOptions.pause;
+  return mOthers > 0 && mOptions.sharedPause > mOptions.pause;
 }
 
 Duration
@@ -170,8 +175,13 @@
   if (!IsShared()) {
     return mOptions.pause;
   }
-  const auto spread = mOptions.sharedPause - mOptions.pause;
-  return mOptions.pause + FromSeconds(ToSeconds(spread) * mRandom.Uniform());
+  // Feedback suppression with exponentially weighted timers: however many
+  // follow, about one of them reads before the others hear of it.
+  const double spread = ToSeconds(mOptions.sharedPause - mOptions.pause);
+  const double steepness = std::log(static_cast<double>(mOthers) + 1) + 1;
+  const double part =
+    std::log1p(mRandom.Uniform() * std::expm1(steepness)) / steepness;
+  return mOptions.pause + FromSeconds(spread * part);
 }
 
 bool
--- a/coord/keyed_feed.h
+++ b/coord/keyed_feed.h
@@ -52,7 +52,8 @@
     // Between two reads, so that one call brings several records.
     Duration pause{};
     // The longest pause while others tell of their reads; each picks one at
-    // random, and whoever hears of a read waits afresh.
+    // random, few of them a short one, and whoever hears of a read waits
+    // afresh.
     Duration sharedPause{};
     // How long the log may hold a read until a record comes.
     Duration wait{};
@@ -75,12 +76,15 @@
   // hang on a connection that is dead, or there may be news.
   void Refresh();
 
-  // Others follow the same stream and tell of their reads, or none does.
-  void Share(bool aShared) { mShared = aShared; }
+  // So many others follow the same stream and tell of their reads.
+  void Share(std::size_t aOthers) { mOthers = aOthers; }
 
   // Another process read the stream.
   void Offer(const FeedProgress& aProgress);
 
+  // What stands before that offset is known from elsewhere.
+  void Skip(LogOffset aNext);
+
   // Whether all keys were read at least once.
   [[nodiscard]] bool Loaded() const { return mLoaded; }
 
@@ -90,9 +94,6 @@
   // When the log last said what is newest; the epoch if never.
   [[nodiscard]] Instant Heard() const { return mHeard; }
 
-  // Reads so far.
-  [[nodiscard]] std::uint64_t Reads() const { return mReads; }
-
 private:
   void Load();
   void OnPage(tl::expected<NewestPage, LogError> aPage);
@@ -118,14 +119,13 @@
   bool mFirstPage = true;
   bool mLoaded = false;
   bool mFollowing = false;
-  bool mShared = false;
+  std::size_t mOthers = 0;
   // A read is under way.
   bool mReading = false;
   Instant mHeard{};
   Instant mLostAt{};
   bool mLost = false;
   Duration mRetry{};
-  std::uint64_t mReads = 0;
   // Of the newest call; answers to older ones are dropped.
   std::uint64_t mCall = 0;
   Timer mTimer;
--- a/servers/relay/fact_exchange.cpp
+++ b/servers/relay/fact_exchange.cpp
@@ -17,16 +17,17 @@
 // The first field of a datagram: what it tells.
 constexpr std::uint64_t kProgress = 1;
 constexpr std::uint64_t kNotice = 2;
+constexpr std::uint64_t kRoutingNews = 3;
+constexpr auto kLastFeed = static_cast<std::uint64_t>(SharedFeed::kRouting);
 constexpr auto kLastNoticeKind =
   static_cast<std::uint64_t>(policy::BackendNotice::Kind::kSilent);
 
-} // namespace
-
-std::optional<std::string>
-EncodeProgress(const coord::FeedProgress& aProgress)
+std::string
+EncodePiece(SharedFeed aFeed, const coord::FeedProgress& aProgress)
 {
   coord::FieldWriter writer;
   writer.Number(kProgress)
+    .Number(static_cast<std::uint64_t>(aFeed))
     .Number(aProgress.from.Value())
     .Number(aProgress.next.Value())
     .Number(aProgress.news.size());
@@ -36,21 +37,62 @@
       .Flag(it.value.has_value())
       .Text(it.value.value_or(""));
   }
-  auto bytes = writer.Take();
-  if (bytes.size() > kMaxBytes) {
-    return std::nullopt;
-  }
-  return bytes;
+  return writer.Take();
+}
+
+} // namespace
+
+std::vector<std::string>
+EncodeProgress(const SharedProgress& aProgress)
+{
+  const auto& news = aProgress.progress.news;
+  std::vector<std::string> datagrams;
+  auto from = aProgress.progress.from;
+  std::size_t first = 0;
+  do {
+    // As many records as fit.
+    std::string bytes;
+    auto end = first;
+    auto next = aProgress.progress.next;
+    for (auto n = first; n <= news.size(); ++n) {
+      const auto until =
+        n < news.size() ? news[n].offset : aProgress.progress.next;
+      auto longer = EncodePiece(
+        aProgress.feed,
+        { .from = from,
+          .next = until,
+          .news = { news.begin() + static_cast<std::ptrdiff_t>(first),
+                    news.begin() + static_cast<std::ptrdiff_t>(n) } });
+      if (longer.size() > kMaxBytes) {
+        break;
+      }
+      bytes = std::move(longer);
+      end = n;
+      next = until;
+    }
+    if (end < news.size() && end == first && first > 0) {
+      break; // the record fits into none, and what is before it was told
+    }
+    datagrams.push_back(std::move(bytes));
+    if (end < news.size() && end == first) {
+      break;
+    }
+    first = end;
+    from = next;
+  } while (first < news.size());
+  return datagrams;
 }
 
-std::optional<coord::FeedProgress>
+std::optional<SharedProgress>
 DecodeProgress(std::string_view aBytes)
 {
   coord::FieldReader reader(aBytes);
   if (reader.Number() != kProgress) {
     return std::nullopt;
   }
-  coord::FeedProgress progress;
+  const auto feed = reader.Number();
+  SharedProgress shared;
+  auto& progress = shared.progress;
   progress.from = coord::LogOffset(reader.Number());
   progress.next = coord::LogOffset(reader.Number());
   const auto n = reader.Number();
@@ -65,10 +107,39 @@
     }
     progress.news.push_back(std::move(record));
   }
+  if (!reader.Ok() || !reader.AtEnd() || feed > kLastFeed) {
+    return std::nullopt;
+  }
+  shared.feed = static_cast<SharedFeed>(feed);
+  return shared;
+}
+
+std::string
+EncodeRoutingNews(const RoutingNews& aNews)
+{
+  return coord::FieldWriter()
+    .Number(kRoutingNews)
+    .Number(aNews.version)
+    .Number(aNews.next.Value())
+    .Text(aNews.host)
+    .Take();
+}
+
+std::optional<RoutingNews>
+DecodeRoutingNews(std::string_view aBytes)
+{
+  coord::FieldReader reader(aBytes);
+  if (reader.Number() != kRoutingNews) {
+    return std::nullopt;
+  }
+  RoutingNews news;
+  news.version = reader.Number();
+  news.next = coord::LogOffset(reader.Number());
+  news.host = reader.Text();
   if (!reader.Ok() || !reader.AtEnd()) {
     return std::nullopt;
   }
-  return progress;
+  return news;
 }
 
 std::string
@@ -123,6 +194,8 @@
     mOptions.address, mOptions.port, [this](std::string_view aBytes) {
       if (const auto notice = DecodeNotice(aBytes)) {
         mHandlers.onNotice(*notice);
+      } else if (const auto news = DecodeRoutingNews(aBytes)) {
+        mHandlers.onRouting(*news);
       } else if (const auto progress = DecodeProgress(aBytes)) {
         mHandlers.onProgress(*progress);
       }
@@ -130,14 +203,21 @@
 }
 
 void
-FactExchange::Tell(const coord::FeedProgress& aProgress,
+FactExchange::Tell(const SharedProgress& aProgress,
                    const std::vector<std::string>& aHosts)
 {
-  if (const auto bytes = EncodeProgress(aProgress)) {
-    SendAll(*bytes, aHosts);
+  for (const auto& it : EncodeProgress(aProgress)) {
+    SendAll(it, aHosts);
   }
 }
 
+void
+FactExchange::Tell(RoutingNews aNews, const std::vector<std::string>& aHosts)
+{
+  aNews.host = mOptions.address;
+  SendAll(EncodeRoutingNews(aNews), aHosts);
+}
+
 void
 FactExchange::Tell(const policy::BackendNotice& aNotice,
                    const std::vector<std::string>& aHosts)
--- a/servers/relay/fact_exchange.h
+++ b/servers/relay/fact_exchange.h
@@ -5,6 +5,7 @@
 // busy these are. A datagram that is lost costs its receiver a read of its own,
 // or a worse guess.
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -17,15 +18,46 @@
 
 namespace firefly {
 
-// The bytes of a read's progress, or nothing if they are too long for one
-// datagram; then the others read themselves.
-std::optional<std::string>
-EncodeProgress(const coord::FeedProgress& aProgress);
+// A stream that relays read for each other.
+enum class SharedFeed : std::uint8_t
+{
+  kBackends,
+  kRouting,
+};
+
+// What a relay read of a stream.
+struct SharedProgress
+{
+  SharedFeed feed = SharedFeed::kBackends;
+  coord::FeedProgress progress;
+};
+
+// A relay has that routing table, whose record ends before that offset.
+struct RoutingNews
+{
+  std::uint64_t version = 0;
+  coord::LogOffset next;
+  // The relay's IP number.
+  std::string host;
+};
+
+// The datagrams that tell of a read, in order. A record that fits into none
+// ends them; the others miss what follows and read it themselves.
+std::vector<std::string>
+EncodeProgress(const SharedProgress& aProgress);
 
 // The progress of such bytes, or nothing if they are none.
-std::optional<coord::FeedProgress>
+std::optional<SharedProgress>
 DecodeProgress(std::string_view aBytes);
 
+// The bytes of news of the routing table.
+std::string
+EncodeRoutingNews(const RoutingNews& aNews);
+
+// The news of such bytes, or nothing if they are none.
+std::optional<RoutingNews>
+DecodeRoutingNews(std::string_view aBytes);
+
 // The bytes of what is told of a backend server.
 std::string
 EncodeNotice(const policy::BackendNotice& aNotice);
@@ -45,7 +77,8 @@
   // What the other relays tell.
   struct Handlers
   {
-    std::function<void(const coord::FeedProgress&)> onProgress;
+    std::function<void(const SharedProgress&)> onProgress;
+    std::function<void(const RoutingNews&)> onRouting;
     std::function<void(const policy::BackendNotice&)> onNotice;
   };
 
@@ -55,8 +88,10 @@
   tl::expected<void, GossipError> Start();
 
   // Tells the hosts of these IP numbers.
-  void Tell(const coord::FeedProgress& aProgress,
+  void Tell(const SharedProgress& aProgress,
             const std::vector<std::string>& aHosts);
+  // The news' host is filled in.
+  void Tell(RoutingNews aNews, const std::vector<std::string>& aHosts);
   void Tell(const policy::BackendNotice& aNotice,
             const std::vector<std::string>& aHosts);
 
--- a/servers/relay/peer_group.cpp
+++ b/servers/relay/peer_group.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t kFanOut = 3;
 // Relays beyond the own failure domain are told of each prompt only while there
 // are at most so many: the bytes grow with their square.
-constexpr std::size_t kMaxConfidants = 24;
+constexpr std::size_t kMaxConfidants = 100;
 // A silent relay's work counts until it is called dead.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
 constexpr Duration kSuspicion = std::chrono::seconds(3);
@@ -51,13 +51,15 @@
 PeerGroup::PeerGroup(Options aOptions,
                      AsioExecutor& aExecutor,
                      policy::RequestRouter& aRouter,
-                     RoutingHandler aOnRouting)
+                     RoutingHandler aOnRouting,
+                     LiveHandler aOnLive)
   : mOptions(std::move(aOptions))
   , mExecutor(aExecutor)
   , mRouter(aRouter)
   , mSocket(aExecutor)
   , mMembership(MembershipOptions(mOptions), aExecutor, mSocket, this)
   , mOnRouting(std::move(aOnRouting))
+  , mOnLive(std::move(aOnLive))
 {
 }
 
@@ -125,6 +127,7 @@
   }
   mRouter.SetEntries(hosts);
   ChooseConfidants();
+  mOnLive(Others().size());
 }
 
 void
--- a/servers/relay/peer_group.h
+++ b/servers/relay/peer_group.h
@@ -33,12 +33,15 @@
   // number.
   using RoutingHandler =
     std::function<void(std::uint64_t aVersion, const std::string& aHost)>;
+  // Hears how many other relays live.
+  using LiveHandler = std::function<void(std::size_t aOthers)>;
 
   // The router must outlive the group.
   PeerGroup(Options aOptions,
             AsioExecutor& aExecutor,
             policy::RequestRouter& aRouter,
-            RoutingHandler aOnRouting);
+            RoutingHandler aOnRouting,
+            LiveHandler aOnLive);
 
   // Opens the UDP port and begins to tell.
   tl::expected<void, GossipError> Start();
@@ -82,6 +85,7 @@
   GossipSocket mSocket;
   coord::Membership mMembership;
   RoutingHandler mOnRouting;
+  LiveHandler mOnLive;
   std::vector<std::string> mConfidants;
   std::uint64_t mRouting = 0;
   bool mReady = false;
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -17,8 +17,10 @@
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
 // Left at the end of the stop's grace for the process to end by itself.
 constexpr Duration kStopMargin = std::chrono::milliseconds(400);
-// Between two reads of the routing table's stream.
-constexpr Duration kRoutingPause = std::chrono::milliseconds(50);
+// Between two reads of the routing table's stream, and the longest time while
+// other relays tell of their reads. A change has to be in force within 2 s.
+constexpr Duration kRoutingPause = std::chrono::milliseconds(700);
+constexpr Duration kSharedRoutingPause = std::chrono::milliseconds(1100);
 // A caller that acknowledges nothing for so long is gone.
 constexpr Duration kCallerSilence = std::chrono::milliseconds(2000);
 // A backend server that does is; shorter, since what was sent to it can be read
@@ -126,28 +128,42 @@
                  [this](const policy::BackendNotice& aNotice) {
                    mFacts.Tell(aNotice, mPeers.Confidants());
                  } })
-    , mPeers({ .host = aSettings.host,
-               .domain = aSettings.domain,
-               .address = aSettings.callers.host,
-               .port = aSettings.peerPort,
-               .seeds = aSettings.peerSeeds,
-               .incarnation = mIncarnation,
-               .interval = aSettings.peerInterval,
-               .seed = mSeed },
-             mExecutor,
-             mRelay.Router(),
-             [this](std::uint64_t aVersion, const std::string& aHost) {
-               HearOfRouting(aVersion, aHost);
-             })
+    , mPeers(
+        { .host = aSettings.host,
+          .domain = aSettings.domain,
+          .address = aSettings.callers.host,
+          .port = aSettings.peerPort,
+          .seeds = aSettings.peerSeeds,
+          .incarnation = mIncarnation,
+          .interval = aSettings.peerInterval,
+          .seed = mSeed },
+        mExecutor,
+        mRelay.Router(),
+        [this](std::uint64_t aVersion, const std::string& aHost) {
+          HearOfRouting(aVersion, aHost, coord::LogOffset(0));
+        },
+        [this](std::size_t aOthers) {
+          mRoutingFeed.Share(aOthers);
+          mBackendFeed.Share(aOthers);
+        })
     , mBorrower(*aParts.client,
                 [this](const std::string& aRecord) {
-                  TakeRoutingRecord(aRecord, "peer");
+                  if (TakeRoutingRecord(aRecord, "peer")) {
+                    mRoutingFeed.Skip(mRoutingNext);
+                  }
                 })
     , mFacts({ .address = aSettings.callers.host, .port = aSettings.factPort },
              mExecutor,
              { .onProgress =
-                 [this](const coord::FeedProgress& aProgress) {
-                   mBackendFeed.Offer(aProgress);
+                 [this](const SharedProgress& aShared) {
+                   auto& feed = aShared.feed == SharedFeed::kRouting
+                                  ? mRoutingFeed
+                                  : mBackendFeed;
+                   feed.Offer(aShared.progress);
+                 },
+               .onRouting =
+                 [this](const RoutingNews& aNews) {
+                   HearOfRouting(aNews.version, aNews.host, aNews.next);
                  },
                .onNotice =
                  [this](const policy::BackendNotice& aNotice) {
@@ -189,6 +205,7 @@
     , mBackendListener("backends", BackendHandlers())
     , mRoutingFeed({ .stream = aParts.decoder->RoutingStream(),
                      .pause = kRoutingPause,
+                     .sharedPause = kSharedRoutingPause,
                      .wait = aSettings.routingWait,
                      .seed = mSeed },
                    mExecutor,
@@ -267,7 +284,18 @@
         [this](const coord::KeyedRecord& aRecord) {
           return TakeRouting(aRecord);
         },
-      .onProgress = [](const coord::FeedProgress&) {},
+      .onProgress =
+        [this](const coord::FeedProgress& aProgress) {
+          const auto others = mPeers.Others();
+          mFacts.Tell({ .feed = SharedFeed::kRouting, .progress = aProgress },
+                      others);
+          if (!aProgress.news.empty()) {
+            mFacts.Tell({ .version = mRouting.Current()->Version().Value(),
+                          .next = aProgress.next,
+                          .host = {} },
+                        mPeers.Others());
+          }
+        },
       .onSnapshot = [](const std::vector<std::string>&) {},
       .onRegained = [] {},
     };
@@ -282,9 +310,8 @@
         },
       .onProgress =
         [this](const coord::FeedProgress& aProgress) {
-          const auto others = mPeers.Others();
-          mBackendFeed.Share(!others.empty());
-          mFacts.Tell(aProgress, others);
+          mFacts.Tell({ .feed = SharedFeed::kBackends, .progress = aProgress },
+                      mPeers.Others());
         },
       .onSnapshot =
         [this](const std::vector<std::string>& aKeys) {
@@ -299,9 +326,12 @@
     };
   }
 
-  // A peer has a table of that version: a newer one must be in the log, but
-  // the log may not answer this process.
-  void HearOfRouting(std::uint64_t aVersion, const std::string& aHost)
+  // A peer has a table of that version, whose record ends before that offset
+  // (0 if that was not told). It is fetched from the peer: the log may not
+  // answer this process, and each call to it is paid for.
+  void HearOfRouting(std::uint64_t aVersion,
+                     const std::string& aHost,
+                     coord::LogOffset aNext)
   {
     const auto& table = mRouting.Current();
     const auto here = table ? table->Version().Value() : 0;
@@ -310,15 +340,12 @@
       return;
     }
     mNextRefresh = now + kRefreshPause;
+    mRoutingNext = aNext;
     mLog.Info("a peer has a newer routing table",
               { { "version", std::to_string(aVersion) },
                 { "here", std::to_string(here) },
                 { "peer", aHost } });
-    if (mRoutingFeed.Lost() || !mRoutingFeed.Loaded()) {
-      mBorrower.Ask(aHost + ":" + std::to_string(mSettings.status.port));
-    } else {
-      mRoutingFeed.Refresh();
-    }
+    mBorrower.Ask(aHost + ":" + std::to_string(mSettings.status.port));
   }
 
   // What peers ask of the status port.
@@ -445,6 +472,8 @@
   coord::KeyedFeed mRoutingFeed;
   coord::KeyedFeed mBackendFeed;
   Instant mNextRefresh{};
+  // Where the record ends that is being fetched from a peer.
+  coord::LogOffset mRoutingNext;
   bool mDraining = false;
   Instant mDrainStart{};
   std::function<void()> mDrained;
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -17,8 +17,8 @@
 constexpr Fraction kShares{ 0, 1 };
 
 // Defaults of the sections that need not be given; milliseconds.
-constexpr std::int64_t kPeerInterval = 100;
-constexpr std::int64_t kBackendPoll = 400;
+constexpr std::int64_t kPeerInterval = 300;
+constexpr std::int64_t kBackendPoll = 500;
 constexpr std::int64_t kSharedPoll = 1'100;
 constexpr std::int64_t kRoutingWait = 20'000;
 constexpr std::int64_t kLogTimeout = 1'500;
--- a/tests/coord/keyed_feed_test.cpp
+++ b/tests/coord/keyed_feed_test.cpp
@@ -276,7 +276,7 @@
         aExecutor,
         aLog,
         mSeen[i]);
-      mFeeds.back().Share(true);
+      mFeeds.back().Share(static_cast<std::size_t>(aCount - 1));
       mSeen[i].onProgress = [this, i](const FeedProgress& aProgress) {
         Tell(i, aProgress);
       };
@@ -345,6 +345,38 @@
   CHECK_TRUE(readers.AllHave("a", "2"));
 }
 
+// Load: a call to the log costs the grown sites as much as a third of a
+// request. About one of all the processes may read in each pause of 400 ms,
+// however many there are; 25 reads in ten seconds, and some that overlap.
+TEST(KeyedFeedTest, SharedReadsCostTheSameFor300Processes)
+{
+  log.Put("a", "1");
+  Readers readers(300, executor, log);
+  executor.RunFor(3s);
+  const int before = log.calls;
+  executor.RunFor(10s);
+  CHECK_TRUE(log.calls - before < 40);
+  log.Put("a", "2");
+  executor.RunFor(1500ms);
+  CHECK_TRUE(readers.AllHave("a", "2"));
+}
+
+// The record was fetched from a peer; what stands after it is still read.
+TEST(KeyedFeedTest, WhatIsKnownFromElsewhereIsNotRead)
+{
+  log.Put("a", "1");
+  feed.Start();
+  executor.RunFor(1s);
+  const int taken = seen.taken;
+  log.Put("a", "2");
+  feed.Skip(LogOffset(2));
+  executor.RunFor(1s);
+  LONGS_EQUAL(taken, seen.taken);
+  log.Put("b", "1");
+  executor.RunFor(1s);
+  LONGS_EQUAL(1, seen.values.count("b"));
+}
+
 TEST(KeyedFeedTest, WhatWasMissedIsRead)
 {
   log.Put("a", "1");
