Order prompts at engines by rank, size and whether they can still be in time

All prompts of a type had the same priority, so that at peaks those that were late already delayed those that could be in time.

Now the urgency of a prompt follows from its operators' rank, how long its reading takes, and a last place for what is late. PromptQueues simulates that order.

--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -413,7 +413,7 @@
     .outputTokens =
       arrival.outputTokens - std::min(resumed, arrival.outputTokens),
     .prefixHashes = arrival.info.prefixHashes,
-    .priority = aOrder.priority,
+    .priority = aOrder.urgency.Value(),
     .poison = arrival.poison,
   };
   After(mDeployment.oneWay, [this, key, request = std::move(request)] {
--- a/policy/backend_selector.cpp
+++ b/policy/backend_selector.cpp
@@ -31,6 +31,16 @@
 constexpr std::uint32_t kLeastCopy = 256; // tokens
 // Copies between failure domains take so many times as long.
 constexpr double kFarCopyFactor = 2.0;
+// Urgencies of prompts: three for each of the operators' ranks, by how long the
+// reading takes, and a last one for what is late already, so that it delays
+// nothing that can still be in time.
+constexpr std::uint32_t kRankSteps = 3;
+constexpr std::uint32_t kLastRank = 2;
+constexpr double kShortReading = 0.06; // seconds; half of the usual prompts
+constexpr double kLongReading = 0.2;   // seconds; one in ten of them
+constexpr EngineUrgency kLateUrgency{ 9 };
+// From the end of reading to the first output, at another engine.
+constexpr Duration kAfterPrompt = std::chrono::milliseconds(80);
 // Turns the upper bits of a hash into a number in (0, 1).
 constexpr double kHashUnit = 1.0 / 9007199254740994.0; // 2^53 + 2
 
@@ -79,6 +89,15 @@
   }
 }
 
+EngineUrgency
+UrgencyFor(const RequestInfo& aRequest, double aReadingSeconds)
+{
+  const auto rank = std::min(aRequest.rank.value_or(0), kLastRank);
+  std::uint32_t step = aReadingSeconds > kShortReading ? 1 : 0;
+  step += aReadingSeconds > kLongReading ? 1 : 0;
+  return EngineUrgency(static_cast<std::uint8_t>(rank * kRankSteps + step));
+}
+
 } // namespace
 
 LearningSelector::LearningSelector(Options aOptions)
@@ -146,8 +165,8 @@
                        .lane = aLane,
                        .hadFirstToken = false };
   if (IsQueued(aRequest, aChoice.phase)) {
-    attempt.place =
-      mQueues.Add(aChoice.slot, ToSeconds(aChoice.promptTime), aNow);
+    attempt.prompt = mQueues.Add(
+      aChoice.slot, aChoice.urgency, ToSeconds(aChoice.promptTime), aNow);
   }
   if (mOptions.hearsPlaced) {
     attempt.prefixes = aRequest.prefixHashes;
@@ -167,8 +186,8 @@
   }
   aAttempt.hadFirstToken = true;
   LoadAt(aAttempt.slot).heard = aNow;
-  if (aAttempt.place) {
-    mQueues.OnRead(aAttempt.slot, *aAttempt.place, aNow);
+  if (aAttempt.prompt) {
+    mQueues.OnRead(aAttempt.slot, *aAttempt.prompt, aNow);
   }
   LoadAt(aAttempt.slot).prefillTokens -= aAttempt.prefillTokens.Value();
   const double expected = ToSeconds(aAttempt.expectedWait) + kWaitNoiseSeconds;
@@ -200,8 +219,8 @@
     return;
   }
   load.prefillTokens -= aAttempt.prefillTokens.Value();
-  if (aAttempt.place) {
-    mQueues.Remove(aAttempt.slot, *aAttempt.place, aNow);
+  if (aAttempt.prompt) {
+    mQueues.Remove(aAttempt.slot, *aAttempt.prompt, aNow);
   }
 }
 
@@ -274,8 +293,12 @@
     return;
   }
   const double rate = aFleet.At(aSlot).capacity.prefillTokensPerSecond;
-  mQueues.Add(aSlot, aNotice.uncached.Value() / rate, aNow);
-  NoteHolder(aNotice.prefixes, aSlot, aNow + mQueues.WaitAt(aSlot, aNow), aNow);
+  mQueues.AddOfPeer(
+    aSlot, aNotice.urgency, aNotice.uncached.Value() / rate, aNow);
+  NoteHolder(aNotice.prefixes,
+             aSlot,
+             aNow + mQueues.WaitAt(aSlot, aNotice.urgency, aNow),
+             aNow);
 }
 
 void
@@ -476,13 +499,28 @@
   const double slotWait =
     beyond * output * gap / std::max<std::uint32_t>(1, capacity.slots);
   const bool queued = IsQueued(aRequest, aQuery.phase);
-  const double before =
-    queued || !mOptions.hearsPlaced ? PromptWait(load, aSlot, rate, aNow) : 0;
-  const double queueing = before + slotWait;
-  const double copy = source ? source->seconds : 0;
   const double rated = (prompt - cached) / capacity.prefillTokensPerSecond;
   const double reading = queued ? rated * mQueues.PaceOf(aSlot) : rated / speed;
+  const double copy = source ? source->seconds : 0;
   const double own = reading + gap + copy;
+  double before = 0;
+  auto urgency = UrgencyOf(aQuery.lane);
+  if (queued) {
+    urgency = UrgencyFor(aRequest, reading);
+    before = ToSeconds(mQueues.WaitAt(aSlot, urgency, aNow));
+    if (aNow + FromSeconds(before + slotWait + own) >
+        aRequest.FirstTokenDeadline() - kAfterPrompt) {
+      urgency = kLateUrgency;
+      before = ToSeconds(mQueues.WaitAt(aSlot, urgency, aNow));
+    }
+  } else if (!mOptions.hearsPlaced) {
+    before =
+      (static_cast<double>(load.prefillTokens) + load.peers.prefillTokens) /
+      rate;
+  } else if (aRequest.NeedsEngine()) {
+    urgency = UrgencyFor(aRequest, 0);
+  }
+  const double queueing = before + slotWait;
   const double wait = queueing + own;
   Prediction prediction;
   prediction.choice = { .slot = aSlot,
@@ -491,6 +529,7 @@
                         .expectedGap = FromSeconds(capacity.tokenGapSeconds),
                         .cachedTokens = Tokens(cached),
                         .promptTime = FromSeconds(rated),
+                        .urgency = urgency,
                         .phase = aQuery.phase };
   if (source) {
     prediction.choice.copyFrom = source->backend;
@@ -527,20 +566,6 @@
          aPhase != WorkPhase::kOutput;
 }
 
-double
-LearningSelector::PromptWait(const Load& aLoad,
-                             BackendSlot aSlot,
-                             double aRate,
-                             Instant aNow) const
-{
-  if (mOptions.hearsPlaced) {
-    return ToSeconds(mQueues.WaitAt(aSlot, aNow));
-  }
-  const double backlog =
-    static_cast<double>(aLoad.prefillTokens) + aLoad.peers.prefillTokens;
-  return backlog / aRate;
-}
-
 std::uint32_t
 LearningSelector::CachedAt(const RequestInfo& aRequest,
                            const SelectQuery& aQuery,
--- a/policy/backend_selector.h
+++ b/policy/backend_selector.h
@@ -34,6 +34,8 @@
   Tokens cachedTokens;
   // Of reading the rest of the prompt at the engine's rated speed.
   Duration promptTime{};
+  // The engine's order of work.
+  EngineUrgency urgency{};
   // What it was chosen for.
   WorkPhase phase = WorkPhase::kWhole;
   // The engine to copy the shared part of the prompt's memory from, if that is
@@ -95,6 +97,7 @@
   // With kPlaced: what it is expected to read, and the hashes of the prompt's
   // prefixes (RequestInfo::prefixHashes), which it holds then.
   Tokens uncached{};
+  EngineUrgency urgency{};
   std::vector<std::uint64_t> prefixes{};
 };
 
@@ -108,8 +111,8 @@
   Duration expectedGap{};
   Lane lane = Lane::kNormal;
   bool hadFirstToken = false;
-  // Its prompt's place in the engine's queue; none for other work.
-  std::optional<PromptQueues::Place> place{};
+  // Its prompt in the engine's queue; none for other work.
+  std::optional<PromptQueues::Ticket> prompt{};
   // The prefixes that its engine holds once the prompt is read.
   std::vector<std::uint64_t> prefixes{};
 };
@@ -341,11 +344,6 @@
   // Whether the part of the work has a prompt read, in the order of a queue.
   [[nodiscard]] bool IsQueued(const RequestInfo& aRequest,
                               WorkPhase aPhase) const;
-  // What is before a prompt that is sent there now.
-  [[nodiscard]] double PromptWait(const Load& aLoad,
-                                  BackendSlot aSlot,
-                                  double aRate,
-                                  Instant aNow) const;
   // Prompt tokens that need not be read there.
   [[nodiscard]] std::uint32_t CachedAt(const RequestInfo& aRequest,
                                        const SelectQuery& aQuery,
--- a/policy/request_info.cpp
+++ b/policy/request_info.cpp
@@ -2,10 +2,10 @@
 
 namespace firefly::policy {
 
-int
-EnginePriority(Lane aLane)
+EngineUrgency
+UrgencyOf(Lane aLane)
 {
-  return static_cast<int>(aLane);
+  return EngineUrgency(static_cast<std::uint8_t>(aLane));
 }
 
 Tokens
--- a/policy/request_info.h
+++ b/policy/request_info.h
@@ -3,6 +3,7 @@
 // What the decision classes know of a request before it runs.
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "core/clock.h"
@@ -31,9 +32,12 @@
   kStraggler,
 };
 
-// The engine's priority for a lane: smaller runs first.
-int
-EnginePriority(Lane aLane);
+// An engine's order of work; smaller runs first.
+using EngineUrgency = StrongType<struct EngineUrgencyTag, std::uint8_t>;
+
+// The engine's order for a lane.
+EngineUrgency
+UrgencyOf(Lane aLane);
 
 // One request, as the entry parsed it. The model is empty for plain services.
 struct RequestInfo
@@ -58,6 +62,9 @@
   Duration lateAfter = std::chrono::seconds(1);
   // Whether a second run does no harm.
   bool idempotent = true;
+  // The operators' order among the types of a service, 0 the most urgent; none
+  // leaves it to the lanes.
+  std::optional<std::uint32_t> rank{};
   // Attempts at most, the first one included; 0 leaves it to the router.
   std::uint32_t maxAttempts = 0;
   // The operators' weight of the request's row; 1 is usual.
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -620,16 +620,17 @@
   if (number.Value() == 1) {
     aRequest.dispatchedFirst = aNow;
   }
-  if (attempt.info.place) {
+  if (attempt.info.prompt) {
     mSink.Announce({ .kind = BackendNotice::Kind::kPlaced,
                      .backend = mFleet.HashAt(aChoice.slot),
                      .uncached = attempt.info.prefillTokens,
+                     .urgency = aChoice.urgency,
                      .prefixes = aRequest.info.prefixHashes });
   }
   mSink.Dispatch({ .requestId = aRequest.info.requestId,
                    .attempt = number,
                    .backend = aChoice.backend,
-                   .priority = EnginePriority(aRequest.lane),
+                   .urgency = aChoice.urgency,
                    .resumeFrom = aRequest.delivered,
                    .isHedge = aIsHedge,
                    .phase = aChoice.phase,
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -24,8 +24,8 @@
   RequestId requestId;
   AttemptNumber attempt;
   BackendId backend;
-  // The engine's priority; smaller runs first.
-  int priority = 1;
+  // The engine's order of work; smaller runs first.
+  EngineUrgency urgency{};
   // Output tokens that the caller has already; the answer goes on after them.
   Tokens resumeFrom;
   // A second attempt while the first may still answer.
--- a/servers/entry/model_request_task.cpp
+++ b/servers/entry/model_request_task.cpp
@@ -91,7 +91,7 @@
   mLife.OnDispatch(aOrder);
   const EngineExtension extension{ .requestId = mId.Value() + "-" +
                                                 std::to_string(number.Value()),
-                                   .priority = aOrder.priority,
+                                   .priority = aOrder.urgency.Value(),
                                    .resumeFrom = aOrder.resumeFrom.Value() };
   auto& attempt =
     mAttempts
--- a/servers/relay/fact_exchange.cpp
+++ b/servers/relay/fact_exchange.cpp
@@ -149,7 +149,8 @@
   writer.Number(kNotice)
     .Number(static_cast<std::uint64_t>(aNotice.kind))
     .Number(aNotice.backend)
-    .Number(aNotice.uncached.Value());
+    .Number(aNotice.uncached.Value())
+    .Number(aNotice.urgency.Value());
   const auto n = std::min(aNotice.prefixes.size(), kMaxPrefixes);
   for (auto i = aNotice.prefixes.size() - n; i < aNotice.prefixes.size(); ++i) {
     writer.Number(aNotice.prefixes[i]);
@@ -168,6 +169,8 @@
   policy::BackendNotice notice;
   notice.backend = reader.Number();
   notice.uncached = policy::Tokens(static_cast<std::uint32_t>(reader.Number()));
+  notice.urgency =
+    policy::EngineUrgency(static_cast<std::uint8_t>(reader.Number()));
   while (reader.Ok() && !reader.AtEnd()) {
     notice.prefixes.push_back(reader.Number());
   }
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -17,8 +17,6 @@
 // A request that runs at most once takes a kept connection only if it carried
 // an answer within this: a reset on an older one would leave it unknown.
 constexpr Duration kFreshForOnce = std::chrono::milliseconds(1500);
-// Engines know the priorities 0 to 9.
-constexpr std::uint32_t kLastEnginePriority = 9;
 constexpr Duration kLeastTimeLeft = std::chrono::milliseconds(1);
 
 std::string
@@ -68,6 +66,7 @@
   info.arrival = mArrival;
   info.lateAfter = std::min(route.lateAfter, mExpires - mArrival);
   info.idempotent = route.MayRepeat();
+  info.rank = route.rank;
   info.maxAttempts = route.maxAttempts;
   info.fingerprint = request.fingerprint;
   if (!request.prompt) {
@@ -106,6 +105,7 @@
       { "attempt", std::to_string(aOrder.attempt.Value()) },
       { "backend", aOrder.backend.Value() },
       { "phase", std::string(ToString(aOrder.phase)) },
+      { "urgency", std::to_string(aOrder.urgency.Value()) },
       { "expected_ms", Millis(aOrder.expectedWait) },
       { "cached", std::to_string(aOrder.cachedTokens.Value()) },
       { "copy_from", aOrder.copyFrom ? aOrder.copyFrom->Value() : "" },
@@ -119,8 +119,7 @@
   AttemptTerms terms{ .backend = aOrder.backend,
                       .address = call.address.Value(),
                       .timeLeft = std::max(kLeastTimeLeft, mExpires - Now()),
-                      .enginePriority = static_cast<int>(
-                        std::min(mOptions.route->rank, kLastEnginePriority)),
+                      .enginePriority = aOrder.urgency.Value(),
                       .resumeAfter = mLastEventId,
                       .promptOnly = promptOnly,
                       .memory = {},
