Add a fault soak: real relays, faults from outside, promises checked

firefly-soak starts the relay program several times on loopback, with stand-ins for the users' store, engines, plain services, operators and callers, a proxy on each way, and faults that a seed draws: kills, stops in series, freezes, reloads, delays, resets, silent ways and connections, a store that is busy, slow, loses answers, applies late, forgets or holds garbage, engines that crash, go dark, leave, fail or slow down, and changes of the configuration in storms. A witness hears only what callers, backend servers and operators see, and checks eleven promises; each has a test that it is found broken.

--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,87 @@
+// firefly-soak: plays the users' deployment in small with the real relay
+// program, faults drawn from a seed, and checks the system's promises.
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+
+#include "servers/settings/command_line.h"
+#include "tests/process/process_harness.h"
+#include "tests/soak/report.h"
+
+namespace {
+
+constexpr const char* kUsage =
+  R"(firefly-soak: random faults around real relays, with the promises checked.
+
+Usage:
+  firefly-soak [--seed N] [--seeds N] [--faults-for S] [--fault-gap-ms N]
+               [--relays N] [--engines N] [--services N] [--callers N]
+               [--logs DIR] [--json FILE] [--html FILE]
+  firefly-soak --help
+  firefly-soak --version
+
+Options:
+  --seed N          The first seed [default: 1].
+  --seeds N         How many seeds, one after the other [default: 1].
+  --faults-for S    Seconds in which faults begin [default: 12].
+  --fault-gap-ms N  Between two faults, on average [default: 900].
+  --relays N        Relay processes [default: 4].
+  --engines N       Model engines [default: 5].
+  --services N      Plain backend servers [default: 3].
+  --callers N       Callers [default: 40].
+  --logs DIR        Keep settings and logs of the processes there.
+  --json FILE       Write the report as JSON.
+  --html FILE       Write the report as a page with a timeline.
+  --help            Show this text.
+  --version         Show the version.
+
+Exit codes:
+  0  no promise was broken
+  1  a promise was broken, or a soak could not be played
+  2  wrong command line
+)";
+
+} // namespace
+
+int
+main(int aCount, char** aWords)
+{
+  using namespace firefly;
+  const auto parsed = ParseArguments(
+    kUsage, std::string("firefly-soak ") + FIREFLY_VERSION, aCount, aWords);
+  if (!parsed) {
+    return static_cast<int>(parsed.error());
+  }
+  const auto number = [&](const char* aName) {
+    return static_cast<std::uint64_t>(std::stoull(parsed->Text(aName)));
+  };
+  std::signal(SIGPIPE, SIG_IGN);
+  const testing::TemporaryDirectory temporary;
+  const std::filesystem::path logs =
+    parsed->Has("--logs") ? parsed->Text("--logs") : temporary.Path().string();
+  std::vector<soak::SoakResult> results;
+  bool good = true;
+  for (std::uint64_t i = 0; i < number("--seeds"); ++i) {
+    const auto seed = number("--seed") + i;
+    const auto result = soak::RunSoak(
+      { .seed = seed,
+        .relays = number("--relays"),
+        .engines = number("--engines"),
+        .services = number("--services"),
+        .callers = number("--callers"),
+        .faultsFor = std::chrono::seconds(number("--faults-for")),
+        .faultGap = std::chrono::milliseconds(number("--fault-gap-ms")),
+        .directory = logs / ("seed-" + std::to_string(seed)) });
+    std::cout << soak::FormatText(result) << std::flush;
+    good = good && result.error.empty() && result.violations.empty();
+    results.push_back(result);
+  }
+  if (parsed->Has("--json")) {
+    std::ofstream(parsed->Text("--json")) << soak::FormatJson(results);
+  }
+  if (parsed->Has("--html")) {
+    std::ofstream(parsed->Text("--html")) << soak::FormatHtml(results);
+  }
+  return static_cast<int>(good ? ExitCode::kOk : ExitCode::kFailed);
+}
