--- a/tests/soak/runner.cpp
+++ b/tests/soak/runner.cpp
@@ -181,12 +181,12 @@
 Runner::Begin()
 {
   mId = mOptions.service + "-" + std::to_string(mRandom.Below(1'000'000'000));
-  mBorn =
-    static_cast<std::uint64_t>(mExecutor.WallNow().time_since_epoch().count());
   if (IsEngine() && mBorn > 0) {
     // One that comes back may do either part, so that orders are needed.
     mOptions.stage = mRandom.Chance(0.5) ? "prefill" : "decode";
   }
+  mBorn =
+    static_cast<std::uint64_t>(mExecutor.WallNow().time_since_epoch().count());
   mUp = true;
   mLeaving = false;
   mFence = 0;
