Tell peers of a record that is back within the grace after an outage

Cause, found by modelling how relays share their reads: a relay that reads for the others passes on only what is news to itself. Within 1.5 s of the log's return a removal is only noted; a record of the same backend server that comes back then says nothing new to that relay, so that it was not passed on, though its removal had been. The others dropped the backend server when their grace ended, until they happened to read one of its heartbeats themselves: some 7 s with 9 relays, a minute with 75 (worked out from the suppression of reads).

Ruled out: passing on every record (heartbeats are most of them, and the sharing is there to save them); a grace of their own for peers (they were told of a removal, which holds).

Now a record that was noted as gone is news. The test fails without it.

--- a/servers/relay/backend_directory.cpp
+++ b/servers/relay/backend_directory.cpp
@@ -43,7 +43,7 @@
 bool
 BackendDirectory::Apply(const BackendRecord& aRecord)
 {
-  std::erase(mLapsed, aRecord.id);
+  const bool lapsed = std::erase(mLapsed, aRecord.id) > 0;
   const auto it = mRecords.find(aRecord.id);
   const bool known = it != mRecords.end();
   const bool changed = !known || it->second.slots != aRecord.slots ||
@@ -82,7 +82,7 @@
                 { "address", aRecord.address.Value() },
                 { "state", DescribeState(aRecord) } });
   }
-  return changed;
+  return changed || lapsed;
 }
 
 bool
--- a/servers/relay/backend_directory.h
+++ b/servers/relay/backend_directory.h
@@ -55,7 +55,8 @@
                    policy::FleetView& aFleet,
                    BackendPool& aPool);
 
-  // Returns whether the record says something new.
+  // Returns whether the record says something new, also to those who believed
+  // an earlier one to be gone.
   bool Apply(const BackendRecord& aRecord);
 
   // The record is gone, and the backend server with it. Returns whether it was
--- a/tests/servers/relay/backend_directory_test.cpp
+++ b/tests/servers/relay/backend_directory_test.cpp
@@ -72,6 +72,17 @@
   CHECK(StateOf("b2") == BackendState::kClosed);
 }
 
+// Peers are told only of news, and may have dropped the backend server.
+TEST(BackendDirectoryTest, ThatALapsedRecordIsBackIsNews)
+{
+  directory.Apply(Record("b1"));
+  CHECK_FALSE(directory.Apply(Record("b1")));
+  directory.OnLogRegained();
+  CHECK_TRUE(directory.Remove(BackendId("b1")));
+  CHECK_TRUE(directory.Apply(Record("b1")));
+  CHECK_FALSE(directory.Apply(Record("b1")));
+}
+
 TEST(BackendDirectoryTest, OnlyWhatASnapshotNamesIsKept)
 {
   directory.Apply(Record("b1"));
