--- a/tests/process/process_harness.cpp
+++ b/tests/process/process_harness.cpp
@@ -113,6 +113,7 @@
 
   auto settings = aOptions.environment;
   std::vector<char*> environment;
+  environment.reserve(settings.size());
   for (std::string& it : settings) {
     environment.push_back(it.data());
   }
