Give selectors defaults for what they don't learn from; share the recent map

Found by reading the change again. The split of the selectors had kept ten empty overrides in the plain ones and a second copy of their choice; the holders of prefixes were a second map with a list of recent use beside the selector's own; what an engine holds of a prompt was looked up twice for each candidate without a copy; peers' incarnations and sequences were kept and never read, here and in the limits.

The interface's feedback calls do nothing by default, the two plain selectors differ in one Pick, RecentMap serves both memories, the look-up is done once. Ruled out: splitting Predict, whose parts share most of their values.

--- a/policy/backend_selector.h
+++ b/policy/backend_selector.h
@@ -123,6 +123,8 @@
           const SelectQuery& aQuery,
           const Backend& aBackend);
 
+// Chooses backend servers. What it hears of their work goes to the calls that
+// begin with On; a selector overrides those that it learns from.
 class BackendSelector
 {
 public:
@@ -135,11 +137,14 @@
                                                    Instant aNow) = 0;
 
   // A request arrived, whether it will run or not.
-  virtual void OnArrival(const RequestInfo& aRequest) = 0;
+  virtual void OnArrival(const RequestInfo& /*aRequest*/) {}
 
   // Prompt tokens of the request that some prefix cache is likely to hold.
   [[nodiscard]] virtual Tokens ExpectedCached(
-    const RequestInfo& aRequest) const = 0;
+    const RequestInfo& /*aRequest*/) const
+  {
+    return Tokens(0);
+  }
 
   // The chosen backend server gets the request now. The result goes to the
   // calls below.
@@ -154,33 +159,43 @@
                             Instant aNow) = 0;
 
   // More tokens came, with that mean gap.
-  virtual void OnTokens(const AttemptInfo& aAttempt,
-                        Duration aMeanGap,
-                        Instant aNow) = 0;
+  virtual void OnTokens(const AttemptInfo& /*aAttempt*/,
+                        Duration /*aMeanGap*/,
+                        Instant /*aNow*/)
+  {
+  }
 
   // The attempt is over: finished or cancelled.
-  virtual void OnFinish(const AttemptInfo& aAttempt, Instant aNow) = 0;
+  virtual void OnFinish(const AttemptInfo& /*aAttempt*/, Instant /*aNow*/) {}
 
   // The attempt is over by an error of the backend server.
-  virtual void OnError(const AttemptInfo& aAttempt, Instant aNow) = 0;
+  virtual void OnError(const AttemptInfo& /*aAttempt*/, Instant /*aNow*/) {}
 
   // The attempt is over: its backend server could not be reached.
-  virtual void OnUnreachable(const AttemptInfo& aAttempt, Instant aNow) = 0;
+  virtual void OnUnreachable(const AttemptInfo& /*aAttempt*/, Instant /*aNow*/)
+  {
+  }
 
   // No token has come for longer than expected, and still none has.
-  virtual void OnOverdue(const AttemptInfo& aAttempt,
-                         Duration aWaited,
-                         Instant aNow) = 0;
+  virtual void OnOverdue(const AttemptInfo& /*aAttempt*/,
+                         Duration /*aWaited*/,
+                         Instant /*aNow*/)
+  {
+  }
 
   // A load report came; it is as old as the reports' lag.
-  virtual void OnReport(const LoadReport& aReport,
-                        const FleetView& aFleet,
-                        Instant aNow) = 0;
+  virtual void OnReport(const LoadReport& /*aReport*/,
+                        const FleetView& /*aFleet*/,
+                        Instant /*aNow*/)
+  {
+  }
 
   // A peer told of its own outstanding work.
-  virtual void OnPeerDigest(const Digest& aDigest,
-                            const FleetView& aFleet,
-                            Instant aNow) = 0;
+  virtual void OnPeerDigest(const Digest& /*aDigest*/,
+                            const FleetView& /*aFleet*/,
+                            Instant /*aNow*/)
+  {
+  }
 
   // A peer sent a prompt to an engine just now.
   virtual void OnPeerPlaced(BackendSlot /*aSlot*/,
@@ -194,9 +209,11 @@
   virtual void OnPeerSilent(BackendSlot /*aSlot*/, Instant /*aNow*/) {}
 
   // Adds this process's own outstanding work to its digest.
-  virtual void FillDigest(Digest& aDigest,
-                          const FleetView& aFleet,
-                          Instant aNow) const = 0;
+  virtual void FillDigest(Digest& /*aDigest*/,
+                          const FleetView& /*aFleet*/,
+                          Instant /*aNow*/) const
+  {
+  }
 };
 
 } // namespace firefly::policy
--- a/policy/learning_selector.cpp
+++ b/policy/learning_selector.cpp
@@ -236,14 +236,6 @@
   TakeSample(aAttempt.slot, expected / waited);
 }
 
-void
-LearningSelector::OnReport(const LoadReport& /*aReport*/,
-                           const FleetView& /*aFleet*/,
-                           Instant /*aNow*/)
-{
-  // Own work and the peers' digests are both newer than any report.
-}
-
 void
 LearningSelector::OnPeerDigest(const Digest& aDigest,
                                const FleetView& aFleet,
@@ -254,8 +246,6 @@
   }
   auto& peer = mPeers[aDigest.host];
   Forget(peer);
-  peer.incarnation = aDigest.incarnation;
-  peer.sequence = aDigest.sequence;
   peer.heard = aNow;
   for (const auto& it : aDigest.work) {
     const auto slot = aFleet.SlotOfHash(it.backend);
@@ -466,9 +456,9 @@
   const auto& load = LoadAt(aSlot);
   const double speed = load.speed;
   const auto prompt = aRequest.promptTokens.Value();
-  const auto source = CopySource(aRequest, aQuery, aFleet, aSlot, aNow);
-  const auto cached =
-    source ? source->tokens : CachedAt(aRequest, aQuery, aSlot, aNow);
+  const auto held = CachedAt(aRequest, aQuery, aSlot, aNow);
+  const auto source = CopySource(aRequest, aQuery, aFleet, aSlot, held, aNow);
+  const auto cached = source ? source->tokens : held;
   // Engines that only read prompts make no output.
   const auto output =
     aQuery.phase == WorkPhase::kPrompt ? 0 : aQuery.size.usual.Value();
@@ -578,6 +568,7 @@
                              const SelectQuery& aQuery,
                              const FleetView& aFleet,
                              BackendSlot aSlot,
+                             std::uint32_t aHeld,
                              Instant aNow) const
 {
   const auto& backend = aFleet.At(aSlot);
@@ -586,11 +577,10 @@
       aRequest.prefixHashes.empty()) {
     return std::nullopt;
   }
-  const auto held = CachedAt(aRequest, aQuery, aSlot, aNow);
   const auto whole =
     std::min(aRequest.promptTokens.Value(),
              aRequest.PrefixTokens(aRequest.prefixHashes.size()).Value());
-  if (whole < held + kLeastCopy) {
+  if (whole < aHeld + kLeastCopy) {
     return std::nullopt;
   }
   std::optional<Copy> best;
@@ -603,7 +593,7 @@
     }
     const double distance =
       holder.domain == backend.domain ? 1.0 : kFarCopyFactor;
-    const double seconds = distance * (whole - held) / rate;
+    const double seconds = distance * (whole - aHeld) / rate;
     if (!best || seconds < best->seconds) {
       best = Copy{ .backend = holder.id, .tokens = whole, .seconds = seconds };
     }
@@ -641,7 +631,7 @@
                      .tokens = 0 };
   ForRememberedDepths(aRequest.prefixHashes.size(), [&](std::size_t aDepth) {
     const auto hash = aRequest.prefixHashes[aDepth - 1];
-    if (mPrefixPlaces.contains(hash)) {
+    if (mPrefixes.Find(hash) != nullptr) {
       const auto tokens = aRequest.PrefixTokens(aDepth).Value();
       known = { hash, tokens, tokens };
     }
@@ -658,18 +648,7 @@
 LearningSelector::OnArrival(const RequestInfo& aRequest)
 {
   ForRememberedDepths(aRequest.prefixHashes.size(), [&](std::size_t aDepth) {
-    const auto hash = aRequest.prefixHashes[aDepth - 1];
-    const auto it = mPrefixPlaces.find(hash);
-    if (it != mPrefixPlaces.end()) {
-      mPrefixes.splice(mPrefixes.begin(), mPrefixes, it->second);
-      return;
-    }
-    mPrefixes.push_front(hash);
-    mPrefixPlaces[hash] = mPrefixes.begin();
-    if (mPrefixes.size() > mOptions.prefixMemory) {
-      mPrefixPlaces.erase(mPrefixes.back());
-      mPrefixes.pop_back();
-    }
+    mPrefixes.Use(aRequest.prefixHashes[aDepth - 1]);
   });
 }
 
--- a/policy/learning_selector.h
+++ b/policy/learning_selector.h
@@ -4,7 +4,6 @@
 // servers show, and who holds which prefix.
 
 #include <cstdint>
-#include <list>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -14,13 +13,15 @@
 #include "policy/backend_selector.h"
 #include "policy/prefix_holders.h"
 #include "policy/prompt_queues.h"
+#include "policy/recent_map.h"
 
 namespace firefly::policy {
 
 // Predicts each candidate's time from own and peers' outstanding work, the
 // speed it has shown and the prefix it is likely to hold, and takes the best of
 // a few candidates. A prefix that was seen before has its homes: the backend
-// servers that a hash names, the same ones in all entries.
+// servers that a hash names, the same ones in all entries. Load reports say
+// nothing that own work and the peers' digests don't say sooner.
 class LearningSelector : public BackendSelector
 {
 public:
@@ -86,9 +87,6 @@
   void OnOverdue(const AttemptInfo& aAttempt,
                  Duration aWaited,
                  Instant aNow) override;
-  void OnReport(const LoadReport& aReport,
-                const FleetView& aFleet,
-                Instant aNow) override;
   void OnPeerDigest(const Digest& aDigest,
                     const FleetView& aFleet,
                     Instant aNow) override;
@@ -124,11 +122,12 @@
   };
   struct Peer
   {
-    Incarnation incarnation;
-    std::uint64_t sequence = 0;
     Instant heard{};
     std::vector<std::pair<BackendSlot, PeerWork>> work;
   };
+  // All that is kept of a prefix block.
+  struct Seen
+  {};
   // The part of a prompt's prefix that was seen before.
   struct KnownPrefix
   {
@@ -173,11 +172,13 @@
                                        const SelectQuery& aQuery,
                                        BackendSlot aSlot,
                                        Instant aNow) const;
-  // Where the prefix can be copied from, if that spares reading it there.
+  // Where the prefix can be copied from, if that spares reading it there; the
+  // engine itself holds so many tokens.
   [[nodiscard]] std::optional<Copy> CopySource(const RequestInfo& aRequest,
                                                const SelectQuery& aQuery,
                                                const FleetView& aFleet,
                                                BackendSlot aSlot,
+                                               std::uint32_t aHeld,
                                                Instant aNow) const;
   void NoteHolder(const std::vector<std::uint64_t>& aPrefixes,
                   BackendSlot aSlot,
@@ -204,10 +205,8 @@
   // The backend servers that hold the request's prefix.
   std::vector<BackendSlot> mHomes;
   KnownPrefix mPrefix;
-  // Prefix blocks seen, the newest first.
-  std::list<std::uint64_t> mPrefixes;
-  std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator>
-    mPrefixPlaces;
+  // Prefix blocks that were seen.
+  RecentMap<Seen> mPrefixes{ mOptions.prefixMemory };
   // Hashes of the slots' ids, learned from the fleet view.
   std::vector<std::uint64_t> mSlotHashes;
 };
--- a/policy/limits.cpp
+++ b/policy/limits.cpp
@@ -145,8 +145,6 @@
   }
   auto& peer = mPeers[aDigest.host];
   peer.heard = aNow;
-  peer.incarnation = aDigest.incarnation;
-  peer.sequence = aDigest.sequence;
   peer.demand.clear();
   for (const auto& it : aDigest.rows) {
     peer.demand[it.row] = it.permillePerSecond / 1000.0;
--- a/policy/limits.h
+++ b/policy/limits.h
@@ -163,8 +163,6 @@
   struct Peer
   {
     Instant heard{};
-    Incarnation incarnation;
-    std::uint64_t sequence = 0;
     std::unordered_map<std::uint64_t, double> demand;
   };
   // One entry's part in a row.
--- a/policy/plain_selectors.cpp
+++ b/policy/plain_selectors.cpp
@@ -1,13 +1,15 @@
 #include "policy/plain_selectors.h"
 
-#include <algorithm>
-
 namespace firefly::policy {
 
+namespace {
+
+// The open backend servers that serve the request and aren't excluded; with
+// static roles, those whose role suits its shape, if there are any.
 std::vector<BackendSlot>
-RoundRobinSelector::Eligible(const RequestInfo& aRequest,
-                             const SelectQuery& aQuery,
-                             const FleetView& aFleet)
+Eligible(const RequestInfo& aRequest,
+         const SelectQuery& aQuery,
+         const FleetView& aFleet)
 {
   // Prompts longer than so many times the expected output are prefill work.
   constexpr double kPrefillRatio = 10;
@@ -31,6 +33,8 @@
   return suited.empty() ? open : suited;
 }
 
+} // namespace
+
 tl::expected<Choice, SelectError>
 RoundRobinSelector::Select(const RequestInfo& aRequest,
                            const SelectQuery& aQuery,
@@ -41,7 +45,7 @@
   if (slots.empty()) {
     return tl::make_unexpected(SelectError{ SelectFailure::kNoBackend, {} });
   }
-  const auto slot = slots[mTurn++ % slots.size()];
+  const auto slot = Pick(slots);
   return Choice{ .slot = slot,
                  .backend = aFleet.At(slot).id,
                  .expectedWait = {},
@@ -50,10 +54,10 @@
                  .phase = aQuery.phase };
 }
 
-Tokens
-RoundRobinSelector::ExpectedCached(const RequestInfo& /*aRequest*/) const
+BackendSlot
+RoundRobinSelector::Pick(const std::vector<BackendSlot>& aSlots)
 {
-  return Tokens(0);
+  return aSlots[mTurn++ % aSlots.size()];
 }
 
 AttemptInfo
@@ -70,11 +74,6 @@
            .hadFirstToken = false };
 }
 
-void
-RoundRobinSelector::OnArrival(const RequestInfo& /*aRequest*/)
-{
-}
-
 void
 RoundRobinSelector::OnFirstToken(AttemptInfo& aAttempt,
                                  Duration /*aWait*/,
@@ -83,83 +82,20 @@
   aAttempt.hadFirstToken = true;
 }
 
-void
-RoundRobinSelector::OnTokens(const AttemptInfo& /*aAttempt*/,
-                             Duration /*aMeanGap*/,
-                             Instant /*aNow*/)
-{
-}
-
-void
-RoundRobinSelector::OnFinish(const AttemptInfo& /*aAttempt*/, Instant /*aNow*/)
+BackendSlot
+LeastReportedLoadSelector::Pick(const std::vector<BackendSlot>& aSlots)
 {
-}
-
-void
-RoundRobinSelector::OnError(const AttemptInfo& /*aAttempt*/, Instant /*aNow*/)
-{
-}
-
-void
-RoundRobinSelector::OnUnreachable(const AttemptInfo& /*aAttempt*/,
-                                  Instant /*aNow*/)
-{
-}
-
-void
-RoundRobinSelector::OnOverdue(const AttemptInfo& /*aAttempt*/,
-                              Duration /*aWaited*/,
-                              Instant /*aNow*/)
-{
-}
-
-void
-RoundRobinSelector::OnReport(const LoadReport& /*aReport*/,
-                             const FleetView& /*aFleet*/,
-                             Instant /*aNow*/)
-{
-}
-
-void
-RoundRobinSelector::OnPeerDigest(const Digest& /*aDigest*/,
-                                 const FleetView& /*aFleet*/,
-                                 Instant /*aNow*/)
-{
-}
-
-void
-RoundRobinSelector::FillDigest(Digest& /*aDigest*/,
-                               const FleetView& /*aFleet*/,
-                               Instant /*aNow*/) const
-{
-}
-
-tl::expected<Choice, SelectError>
-LeastReportedLoadSelector::Select(const RequestInfo& aRequest,
-                                  const SelectQuery& aQuery,
-                                  const FleetView& aFleet,
-                                  Instant /*aNow*/)
-{
-  const auto slots = Eligible(aRequest, aQuery, aFleet);
-  if (slots.empty()) {
-    return tl::make_unexpected(SelectError{ SelectFailure::kNoBackend, {} });
-  }
   const auto loadOf = [&](BackendSlot aSlot) {
     return aSlot.Value() < mReported.size() ? mReported[aSlot.Value()] : 0;
   };
   // Ties go round, so that fresh processes don't all start with the first.
-  auto best = slots[mTurn++ % slots.size()];
-  for (const auto slot : slots) {
+  auto best = RoundRobinSelector::Pick(aSlots);
+  for (const auto slot : aSlots) {
     if (loadOf(slot) < loadOf(best)) {
       best = slot;
     }
   }
-  return Choice{ .slot = best,
-                 .backend = aFleet.At(best).id,
-                 .expectedWait = {},
-                 .expectedGap = {},
-                 .cachedTokens = {},
-                 .phase = aQuery.phase };
+  return best;
 }
 
 void
--- a/policy/plain_selectors.h
+++ b/policy/plain_selectors.h
@@ -17,9 +17,6 @@
                                            const SelectQuery& aQuery,
                                            const FleetView& aFleet,
                                            Instant aNow) override;
-  void OnArrival(const RequestInfo& aRequest) override;
-  [[nodiscard]] Tokens ExpectedCached(
-    const RequestInfo& aRequest) const override;
   AttemptInfo OnDispatch(const RequestInfo& aRequest,
                          const Choice& aChoice,
                          Lane aLane,
@@ -27,31 +24,10 @@
   void OnFirstToken(AttemptInfo& aAttempt,
                     Duration aWait,
                     Instant aNow) override;
-  void OnTokens(const AttemptInfo& aAttempt,
-                Duration aMeanGap,
-                Instant aNow) override;
-  void OnFinish(const AttemptInfo& aAttempt, Instant aNow) override;
-  void OnError(const AttemptInfo& aAttempt, Instant aNow) override;
-  void OnUnreachable(const AttemptInfo& aAttempt, Instant aNow) override;
-  void OnOverdue(const AttemptInfo& aAttempt,
-                 Duration aWaited,
-                 Instant aNow) override;
-  void OnReport(const LoadReport& aReport,
-                const FleetView& aFleet,
-                Instant aNow) override;
-  void OnPeerDigest(const Digest& aDigest,
-                    const FleetView& aFleet,
-                    Instant aNow) override;
-  void FillDigest(Digest& aDigest,
-                  const FleetView& aFleet,
-                  Instant aNow) const override;
 
 protected:
-  // The open backend servers that serve the request and aren't excluded; with
-  // static roles, those whose role suits its shape, if there are any.
-  static std::vector<BackendSlot> Eligible(const RequestInfo& aRequest,
-                                           const SelectQuery& aQuery,
-                                           const FleetView& aFleet);
+  // One of the slots, of which there is at least one.
+  virtual BackendSlot Pick(const std::vector<BackendSlot>& aSlots);
 
 private:
   std::uint64_t mTurn = 0;
@@ -61,17 +37,15 @@
 class LeastReportedLoadSelector : public RoundRobinSelector
 {
 public:
-  tl::expected<Choice, SelectError> Select(const RequestInfo& aRequest,
-                                           const SelectQuery& aQuery,
-                                           const FleetView& aFleet,
-                                           Instant aNow) override;
   void OnReport(const LoadReport& aReport,
                 const FleetView& aFleet,
                 Instant aNow) override;
 
+protected:
+  BackendSlot Pick(const std::vector<BackendSlot>& aSlots) override;
+
 private:
   std::vector<double> mReported;
-  std::uint64_t mTurn = 0;
 };
 
 } // namespace firefly::policy
--- a/policy/prefix_holders.cpp
+++ b/policy/prefix_holders.cpp
@@ -15,15 +15,7 @@
                     Instant aReadyAt,
                     Instant aNow)
 {
-  const auto [it, isNew] = mPrefixes.try_emplace(aPrefix);
-  auto& entry = it->second;
-  if (isNew) {
-    mOrder.push_front(aPrefix);
-    entry.place = mOrder.begin();
-  } else {
-    mOrder.splice(mOrder.begin(), mOrder, entry.place);
-  }
-  auto& holders = entry.holders;
+  auto& holders = mPrefixes.Use(aPrefix);
   const auto known =
     std::ranges::find(holders, aSlot, [](const auto& aIt) { return aIt.slot; });
   Holder holder{ .slot = aSlot, .readyAt = aReadyAt, .used = aNow };
@@ -38,19 +30,13 @@
   if (holders.size() > mOptions.mostHolders) {
     holders.pop_back();
   }
-  if (mPrefixes.size() > mOptions.mostPrefixes) {
-    mPrefixes.erase(mOrder.back());
-    mOrder.pop_back();
-  }
 }
 
 void
 PrefixHolders::Forget(std::uint64_t aPrefix, BackendSlot aSlot)
 {
-  const auto it = mPrefixes.find(aPrefix);
-  if (it != mPrefixes.end()) {
-    std::erase_if(it->second.holders,
-                  [&](const auto& aIt) { return aIt.slot == aSlot; });
+  if (auto* const holders = mPrefixes.Find(aPrefix)) {
+    std::erase_if(*holders, [&](const auto& aIt) { return aIt.slot == aSlot; });
   }
 }
 
@@ -59,9 +45,9 @@
                      BackendSlot aSlot,
                      Instant aNow) const
 {
-  const auto it = mPrefixes.find(aPrefix);
-  return it != mPrefixes.end() &&
-         std::ranges::any_of(it->second.holders, [&](const auto& aIt) {
+  const auto* const holders = mPrefixes.Find(aPrefix);
+  return holders != nullptr &&
+         std::ranges::any_of(*holders, [&](const auto& aIt) {
            return aIt.slot == aSlot && aNow - aIt.used < mOptions.believeFor;
          });
 }
@@ -70,12 +56,12 @@
 PrefixHolders::HoldersOf(std::uint64_t aPrefix, Instant aNow) const
 {
   std::vector<Holder> found;
-  const auto it = mPrefixes.find(aPrefix);
-  if (it == mPrefixes.end()) {
+  const auto* const holders = mPrefixes.Find(aPrefix);
+  if (holders == nullptr) {
     return found;
   }
   std::ranges::copy_if(
-    it->second.holders, std::back_inserter(found), [&](const auto& aIt) {
+    *holders, std::back_inserter(found), [&](const auto& aIt) {
       return aNow - aIt.used < mOptions.believeFor;
     });
   return found;
--- a/policy/prefix_holders.h
+++ b/policy/prefix_holders.h
@@ -5,13 +5,11 @@
 // share long parts: such a part is read once and then found or copied.
 
 #include <cstdint>
-#include <list>
-#include <optional>
-#include <unordered_map>
 #include <vector>
 
 #include "core/clock.h"
 #include "policy/fleet_view.h"
+#include "policy/recent_map.h"
 
 namespace firefly::policy {
 
@@ -57,7 +55,7 @@
   // Whether the prefix was ever noted.
   [[nodiscard]] bool Knows(std::uint64_t aPrefix) const
   {
-    return mPrefixes.contains(aPrefix);
+    return mPrefixes.Find(aPrefix) != nullptr;
   }
 
   // The engines that are believed to hold it, the last used ones first.
@@ -65,16 +63,9 @@
                                               Instant aNow) const;
 
 private:
-  struct Entry
-  {
-    std::vector<Holder> holders; // the last used ones first
-    std::list<std::uint64_t>::iterator place;
-  };
-
   Options mOptions;
-  std::unordered_map<std::uint64_t, Entry> mPrefixes;
-  // The last used ones first.
-  std::list<std::uint64_t> mOrder;
+  // By prefix, the last used holders first.
+  RecentMap<std::vector<Holder>> mPrefixes{ mOptions.mostPrefixes };
 };
 
 } // namespace firefly::policy
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -301,9 +301,7 @@
     aRequest.runsMade--;
     aRequest.hasMemory = attempt.phase == WorkPhase::kOutput;
   }
-  const bool notRun =
-    aError == AttemptError::kNotSent || aError == AttemptError::kRejected;
-  aRequest.mayHaveRun = aRequest.mayHaveRun || !notRun;
+  aRequest.mayHaveRun = aRequest.mayHaveRun || !MeansNotRun(aError);
   if (aError != AttemptError::kBroken) {
     return;
   }
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -98,6 +98,13 @@
   kSilent,
 };
 
+// Whether the backend server can't have run the request.
+[[nodiscard]] constexpr bool
+MeansNotRun(AttemptError aError)
+{
+  return aError == AttemptError::kNotSent || aError == AttemptError::kRejected;
+}
+
 class RequestRouter
 {
 public:
