Say once which errors mean not run; fill datagrams record by record

Found by reading the change again. The rule that decides whether 'not run' may be said stood in the router and in the relay's task; both call MeansNotRun now. The task looked addresses up by hand beside its own AddressOf, the peers' IP numbers were cut out twice, a count of live relays had no reader, a list of peers was copied for one call. EncodeProgress encoded all records of a datagram again for each one that it added, with three ways out of a loop; it encodes each once now. Datagrams hold the same records up to the same size.

FactExchangeTest and RelayTest pass unchanged.

--- a/servers/relay/fact_exchange.cpp
+++ b/servers/relay/fact_exchange.cpp
@@ -23,63 +23,67 @@
   static_cast<std::uint64_t>(policy::BackendNotice::Kind::kSilent);
 
 std::string
-EncodePiece(SharedFeed aFeed, const coord::FeedProgress& aProgress)
+EncodeRecord(const coord::KeyedRecord& aRecord)
 {
-  coord::FieldWriter writer;
-  writer.Number(kProgress)
-    .Number(static_cast<std::uint64_t>(aFeed))
-    .Number(aProgress.from.Value())
-    .Number(aProgress.next.Value())
-    .Number(aProgress.news.size());
-  for (const auto& it : aProgress.news) {
-    writer.Text(it.key)
-      .Number(it.offset.Value())
-      .Flag(it.value.has_value())
-      .Text(it.value.value_or(""));
-  }
-  return writer.Take();
+  return coord::FieldWriter()
+    .Text(aRecord.key)
+    .Number(aRecord.offset.Value())
+    .Flag(aRecord.value.has_value())
+    .Text(aRecord.value.value_or(""))
+    .Take();
 }
 
+// One datagram; the records are encoded already.
+struct Piece
+{
+  SharedFeed feed = SharedFeed::kBackends;
+  coord::LogOffset from;
+  std::uint64_t count = 0;
+  std::string records{};
+
+  [[nodiscard]] std::string Encode(coord::LogOffset aNext) const
+  {
+    return coord::FieldWriter()
+             .Number(kProgress)
+             .Number(static_cast<std::uint64_t>(feed))
+             .Number(from.Value())
+             .Number(aNext.Value())
+             .Number(count)
+             .Take() +
+           records;
+  }
+};
+
 } // namespace
 
 std::vector<std::string>
 EncodeProgress(const SharedProgress& aProgress)
 {
-  const auto& news = aProgress.progress.news;
   std::vector<std::string> datagrams;
-  auto from = aProgress.progress.from;
-  std::size_t first = 0;
-  do {
-    // As many records as fit.
-    std::string bytes;
-    auto end = first;
-    auto next = aProgress.progress.next;
-    for (auto n = first; n <= news.size(); ++n) {
-      const auto until =
-        n < news.size() ? news[n].offset : aProgress.progress.next;
-      auto longer = EncodePiece(
-        aProgress.feed,
-        { .from = from,
-          .next = until,
-          .news = { news.begin() + static_cast<std::ptrdiff_t>(first),
-                    news.begin() + static_cast<std::ptrdiff_t>(n) } });
-      if (longer.size() > kMaxBytes) {
-        break;
-      }
-      bytes = std::move(longer);
-      end = n;
-      next = until;
+  Piece piece{ .feed = aProgress.feed, .from = aProgress.progress.from };
+  const auto hasRoomFor = [&](const std::string& aRecord) {
+    const auto bytes = piece.Encode(aProgress.progress.next);
+    return bytes.size() + aRecord.size() <= kMaxBytes;
+  };
+  const auto end = [&](coord::LogOffset aNext) {
+    datagrams.push_back(piece.Encode(aNext));
+    piece = { .feed = aProgress.feed, .from = aNext };
+  };
+  for (const auto& it : aProgress.progress.news) {
+    const auto record = EncodeRecord(it);
+    if (piece.count > 0 && !hasRoomFor(record)) {
+      end(it.offset);
     }
-    if (end < news.size() && end == first && first > 0) {
-      break; // the record fits into none, and what is before it was told
-    }
-    datagrams.push_back(std::move(bytes));
-    if (end < news.size() && end == first) {
-      break;
+    if (!hasRoomFor(record)) {
+      if (datagrams.empty()) {
+        end(it.offset);
+      }
+      return datagrams;
     }
-    first = end;
-    from = next;
-  } while (first < news.size());
+    piece.records += record;
+    piece.count++;
+  }
+  end(aProgress.progress.next);
   return datagrams;
 }
 
--- a/servers/relay/peer_group.cpp
+++ b/servers/relay/peer_group.cpp
@@ -29,6 +29,13 @@
          aMember.status == MemberStatus::kSuspect;
 }
 
+std::string
+IpOf(const coord::Member& aMember)
+{
+  const auto& address = aMember.address.Value();
+  return address.substr(0, address.rfind(':'));
+}
+
 coord::Membership::Options
 MembershipOptions(const PeerGroup::Options& aOptions)
 {
@@ -133,8 +140,7 @@
     if (!IsLive(it) || it.host == mOptions.host) {
       continue;
     }
-    const auto& address = it.address.Value();
-    mOthers.push_back(address.substr(0, address.rfind(':')));
+    mOthers.push_back(IpOf(it));
     if (it.domain == mOptions.domain) {
       mConfidants.push_back(mOthers.back());
     }
@@ -150,8 +156,7 @@
   const auto digest = DecodeEntryDigest(aMember.digest);
   if (digest && aMember.host != mOptions.host) {
     mRouter.OnPeerDigest(digest->work, mExecutor.Now());
-    const auto& address = aMember.address.Value();
-    mOnRouting(digest->table.Value(), address.substr(0, address.rfind(':')));
+    mOnRouting(digest->table.Value(), IpOf(aMember));
   }
 }
 
--- a/servers/relay/peer_group.h
+++ b/servers/relay/peer_group.h
@@ -69,9 +69,6 @@
     return mConfidants;
   }
 
-  // Live relays, this one included.
-  [[nodiscard]] std::size_t Live() const { return mMembership.LiveCount(); }
-
 private:
   void OnMember(const coord::Member& aMember) override;
   void OnDigest(const coord::Member& aMember) override;
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -291,9 +291,8 @@
         },
       .onProgress =
         [this](const coord::FeedProgress& aProgress) {
-          const auto others = mPeers.Others();
           mFacts.Tell({ .feed = SharedFeed::kRouting, .progress = aProgress },
-                      others);
+                      mPeers.Others());
           if (!aProgress.news.empty()) {
             mFacts.Tell({ .version = mRouting.Current()->Version().Value(),
                           .next = aProgress.next,
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -110,12 +110,9 @@
       { "cached", std::to_string(aOrder.cachedTokens.Value()) },
       { "copy_from", aOrder.copyFrom ? aOrder.copyFrom->Value() : "" },
       { "ms", Millis(Now() - mArrival) } });
-  const auto* record = mContext.directory->Find(aOrder.backend);
   BackendPool::Call call;
   call.backend = aOrder.backend;
-  if (record != nullptr) {
-    call.address = record->address;
-  }
+  call.address = BackendAddress(AddressOf(aOrder.backend));
   AttemptTerms terms{ .backend = aOrder.backend,
                       .address = call.address.Value(),
                       .timeLeft = std::max(kLeastTimeLeft, mExpires - Now()),
@@ -184,9 +181,7 @@
   if (!ended) {
     return;
   }
-  const bool unclear =
-    aError != AttemptError::kNotSent && aError != AttemptError::kRejected;
-  mRanUnseen = mRanUnseen || (ended->CanRun() && unclear);
+  mRanUnseen = mRanUnseen || (ended->CanRun() && !MeansNotRun(aError));
   if (aError == AttemptError::kNotSent && ended->Memory()) {
     mMemory = ended->Memory();
   }
@@ -212,12 +207,10 @@
                      { { "request", mOptions.request.id.Value() },
                        { "backend", aBackend.Value() },
                        { "ms", Millis(Now() - mArrival) } });
-  const auto* record = mContext.directory->Find(aBackend);
-  auto memory = mContext.dialect->ReadPromptAnswer(
-    aAnswer.head,
-    aAnswer.body,
-    record == nullptr ? "" : record->address.Value());
-  if (!memory || record == nullptr) {
+  const auto address = AddressOf(aBackend);
+  auto memory =
+    mContext.dialect->ReadPromptAnswer(aAnswer.head, aAnswer.body, address);
+  if (!memory || address.empty()) {
     OnAttemptError(aAttempt,
                    AttemptError::kRejected,
                    memory ? "backend server gone" : memory.error().message);
