Share the escaping of HTML between the burn report and the soak's

The soak's report had brought a second copy, without quotes. Also takes out a flag of the soak's hosts that nothing reads. No page shows other text but for quotes in the soak's, which are now escaped.

--- a/servers/burn/burn_html.cpp
+++ b/servers/burn/burn_html.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <sstream>
 
+#include "servers/http/html_text.h"
+
 namespace firefly {
 
 namespace {
@@ -31,31 +33,6 @@
 .key span { margin-right: 1rem; }
 )";
 
-std::string
-Escape(const std::string& aText)
-{
-  std::string escaped;
-  for (const char it : aText) {
-    switch (it) {
-      case '&':
-        escaped += "&amp;";
-        break;
-      case '<':
-        escaped += "&lt;";
-        break;
-      case '>':
-        escaped += "&gt;";
-        break;
-      case '"':
-        escaped += "&quot;";
-        break;
-      default:
-        escaped += it;
-    }
-  }
-  return escaped;
-}
-
 void
 WriteRow(std::ostream& aOut,
          const char* aTag,
@@ -63,7 +40,7 @@
 {
   aOut << "<tr>";
   for (const auto& it : aCells) {
-    aOut << '<' << aTag << '>' << Escape(it) << "</" << aTag << '>';
+    aOut << '<' << aTag << '>' << EscapeHtml(it) << "</" << aTag << '>';
   }
   aOut << "</tr>\n";
 }
@@ -201,8 +178,8 @@
 void
 WriteSection(std::ostream& aOut, const BurnReport& aReport, const BurnRow& aRow)
 {
-  aOut << "<h2>" << Escape(aRow.key.service.Value()) << " &middot; "
-       << Escape(aRow.key.type.Value()) << "</h2>\n<table>\n";
+  aOut << "<h2>" << EscapeHtml(aRow.key.service.Value()) << " &middot; "
+       << EscapeHtml(aRow.key.type.Value()) << "</h2>\n<table>\n";
   WriteRow(aOut,
            "th",
            { "Objective",
@@ -237,18 +214,19 @@
 {
   for (const auto& it : aReport.entries) {
     if (!it.state.error.empty()) {
-      aOut << "<p><span class='away'>away</span> " << Escape(it.url) << ": "
-           << Escape(it.state.error) << ", "
+      aOut << "<p><span class='away'>away</span> " << EscapeHtml(it.url) << ": "
+           << EscapeHtml(it.state.error) << ", "
            << (it.state.lastSeen ? "last seen " + FormatTime(*it.state.lastSeen)
                                  : "never seen")
            << "</p>\n";
     }
   }
   for (const auto& it : aReport.alerts) {
-    aOut << "<p><span class='" << Escape(it.severity) << "'>"
-         << Escape(it.severity) << "</span> " << Escape(it.key.service.Value())
-         << ' ' << Escape(it.key.type.Value()) << ' ' << Escape(it.text) << "; "
-         << Escape(it.action) << "</p>\n";
+    aOut << "<p><span class='" << EscapeHtml(it.severity) << "'>"
+         << EscapeHtml(it.severity) << "</span> "
+         << EscapeHtml(it.key.service.Value()) << ' '
+         << EscapeHtml(it.key.type.Value()) << ' ' << EscapeHtml(it.text)
+         << "; " << EscapeHtml(it.action) << "</p>\n";
   }
 }
 
--- a/tests/soak/relay_host.cpp
+++ b/tests/soak/relay_host.cpp
@@ -99,7 +99,6 @@
       .output = mOptions.directory / "relay.log",
       .environment = mClock.Environment() });
   mEnding = false;
-  mStopping = false;
   mWitness.OnRelayStarted(mOptions.index, mExecutor.Now());
 }
 
@@ -120,7 +119,6 @@
     return;
   }
   mEnding = true;
-  mStopping = true;
   mWitness.OnStopSignal(mOptions.index, mExecutor.Now());
   mProcess->Terminate();
   mKillTimer = mExecutor.RunAfter(kStopGrace, [this] { Kill(); });
--- a/tests/soak/relay_host.h
+++ b/tests/soak/relay_host.h
@@ -64,7 +64,6 @@
   void Reload();
 
   [[nodiscard]] bool IsReady() const { return mReady; }
-  [[nodiscard]] bool IsStopping() const { return mStopping; }
   [[nodiscard]] RelayIndex Index() const { return mOptions.index; }
   // Where callers reach it.
   [[nodiscard]] std::uint16_t CallersPort() const { return mCallers.Port(); }
@@ -93,7 +92,6 @@
   std::unique_ptr<testing::ChildProcess> mProcess;
   // The process was asked to end, or was killed.
   bool mEnding = false;
-  bool mStopping = false;
   bool mReady = false;
   bool mShutDown = false;
   int mMisses = 0;
--- a/tests/soak/report.cpp
+++ b/tests/soak/report.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "servers/http/html_text.h"
+
 namespace firefly::soak {
 
 namespace {
@@ -21,29 +23,6 @@
   return ToSeconds(aAt - aResult.began);
 }
 
-std::string
-Escape(const std::string& aText)
-{
-  std::string escaped;
-  for (const char it : aText) {
-    switch (it) {
-      case '<':
-        escaped += "&lt;";
-        break;
-      case '>':
-        escaped += "&gt;";
-        break;
-      case '&':
-        escaped += "&amp;";
-        break;
-      default:
-        escaped += it;
-        break;
-    }
-  }
-  return escaped;
-}
-
 void
 WriteBar(std::ostream& aOut,
          double aSecond,
@@ -170,7 +149,7 @@
          "line.</p>";
   for (const auto& result : aResults) {
     out << "<h2>Seed " << result.options.seed << "</h2><pre>"
-        << Escape(FormatText(result)) << "</pre>";
+        << EscapeHtml(FormatText(result)) << "</pre>";
     WriteTimeline(out, result);
   }
   return out.str();
