Log what ran on a backend server when it crashed

The router reports each attempt that ran at a crash; the relay logs its fingerprint, the shared parts of its prompt and the tokens that it had written, and counts it. Decisions are the same.

--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -238,6 +238,8 @@
   mPolicies.selector->OnTokens(attempt->second.info, gap, aNow);
   mPolicies.hedger->OnTokenGap(gap);
   attempt->second.lastTokens = aNow;
+  attempt->second.produced =
+    Tokens(attempt->second.produced.Value() + aCount.Value());
   request.deliveredTokens =
     Tokens(request.deliveredTokens.Value() + aCount.Value());
   const auto fingerprint = request.info.fingerprint;
@@ -343,6 +345,15 @@
   } else {
     mPolicies.selector->OnError(attempt.info, aNow);
   }
+  const bool isCrash =
+    aError == AttemptError::kBroken && attempt.phase != WorkPhase::kPrefill &&
+    mCrashes.OnCrash(attempt.info.slot, attempt.dispatched, aNow);
+  if (isCrash) {
+    mSink.OnCrashedAttempt({ .requestId = aRequest.info.requestId,
+                             .attempt = aAttempt,
+                             .phase = attempt.phase,
+                             .produced = attempt.produced });
+  }
   if (attempt.phase == WorkPhase::kPrefill) {
     return; // prefilling a prompt doesn't run the request
   }
@@ -353,12 +364,9 @@
     aRequest.hasKvCache = attempt.phase == WorkPhase::kDecode;
   }
   aRequest.mayHaveRun = aRequest.mayHaveRun || !MeansNotRun(aError);
-  if (aError != AttemptError::kBroken) {
+  if (!isCrash) {
     return;
   }
-  if (!mCrashes.OnCrash(attempt.info.slot, attempt.dispatched, aNow)) {
-    return; // the backend server had crashed before the attempt was sent
-  }
   // The request may have caused the crash. Another attempt that is still
   // running could crash a second backend server together with suspects of other
   // entries, so it is cancelled; the request is repeated in isolation.
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -71,6 +71,16 @@
 std::string_view
 ToString(FailureReason aReason);
 
+// An attempt that ran on a backend server when it crashed.
+struct CrashedAttempt
+{
+  RequestId requestId;
+  AttemptNumber attempt;
+  WorkPhase phase = WorkPhase::kWhole;
+  // Output tokens that the attempt had produced.
+  Tokens produced;
+};
+
 // Carries out the router's decisions. It is called from within the router's
 // methods and must not call the router back.
 class RouterSink
@@ -92,6 +102,9 @@
   // Answers the caller that the request failed; it may have run.
   virtual void Fail(const RequestId& aId, FailureReason aReason) = 0;
 
+  // Reports an attempt that may have caused a crash, for the log.
+  virtual void OnCrashedAttempt(const CrashedAttempt& /*aAttempt*/) {}
+
   // Sends the notice to the peers immediately, without a guarantee of delivery.
   virtual void Announce(const BackendNotice& /*aNotice*/) {}
 };
@@ -238,6 +251,7 @@
     Instant firstToken{};
     Instant lastTokens{};
     Instant overdueAt{};
+    Tokens produced;
     bool isHedge = false;
     WorkPhase phase = WorkPhase::kWhole;
   };
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -172,6 +172,12 @@
   mTasks.at(aId)->Fail(aReason);
 }
 
+void
+Relay::OnCrashedAttempt(const policy::CrashedAttempt& aAttempt)
+{
+  mTasks.at(aAttempt.requestId)->OnCrashedAttempt(aAttempt);
+}
+
 void
 Relay::Announce(const policy::BackendNotice& aNotice)
 {
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -71,6 +71,7 @@
   void Cancel(const RequestId& aId, policy::AttemptNumber aAttempt) override;
   void Refuse(const RequestId& aId, const policy::Refusal& aRefusal) override;
   void Fail(const RequestId& aId, policy::FailureReason aReason) override;
+  void OnCrashedAttempt(const policy::CrashedAttempt& aAttempt) override;
   void Announce(const policy::BackendNotice& aNotice) override;
 
   void RejectRequest(CallerAnswer& aAnswer,
--- a/servers/relay/relay_metrics.cpp
+++ b/servers/relay/relay_metrics.cpp
@@ -12,6 +12,10 @@
   , attempts(aRegistry.Counters({ .name = "firefly_relay_attempts_total",
                                   .help = "Sends to backend servers",
                                   .labelNames = { "service", "outcome" } }))
+  , crashedAttempts(aRegistry.Counters(
+      { .name = "firefly_relay_crashed_attempts_total",
+        .help = "Attempts that ran on a backend server when it crashed",
+        .labelNames = { "service", "has_output" } }))
   , rejectedInput(
       aRegistry.Counters({ .name = "firefly_relay_rejected_input_total",
                            .help = "Bytes that are no request",
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -13,6 +13,7 @@
   MetricFamily<Counter>& requests;
   MetricFamily<Counter>& refusals;
   MetricFamily<Counter>& attempts;
+  MetricFamily<Counter>& crashedAttempts;
   MetricFamily<Counter>& rejectedInput;
   MetricFamily<Histogram>& firstAnswer;
   MetricFamily<Summary>& requestSeconds;
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -1,6 +1,8 @@
 #include "servers/relay/relay_task.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <utility>
 
 namespace firefly {
@@ -28,6 +30,16 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
 }
 
+std::string
+Hex(std::uint64_t aValue)
+{
+  std::array<char, 16> text{};
+  constexpr int kBase = 16;
+  const auto [end, ec] =
+    std::to_chars(text.data(), text.data() + text.size(), aValue, kBase);
+  return { text.data(), end };
+}
+
 } // namespace
 
 RelayTask::RelayTask(const RelayContext& aContext, Options aOptions)
@@ -420,6 +432,32 @@
   EndTask("failed", reason);
 }
 
+void
+RelayTask::OnCrashedAttempt(const policy::CrashedAttempt& aAttempt)
+{
+  const auto& request = mOptions.request;
+  const bool hasBegun = aAttempt.produced.Value() > 0;
+  std::string parts;
+  if (request.prompt) {
+    for (const auto& it : request.prompt->sharedParts) {
+      parts += (parts.empty() ? "" : ",") + Hex(it.hash);
+    }
+  }
+  mContext.metrics->crashedAttempts
+    .With({ mOptions.service.Value(), hasBegun ? "yes" : "no" })
+    .Add();
+  mContext.log->Info(
+    "ran at a crash",
+    { { "request", request.id.Value() },
+      { "attempt", std::to_string(aAttempt.attempt.Value()) },
+      { "backends", mTriedBackends },
+      { "phase", std::string(ToString(aAttempt.phase)) },
+      { "route", mOptions.route->name },
+      { "fingerprint", Hex(request.fingerprint.Value()) },
+      { "parts", parts },
+      { "tokens", std::to_string(aAttempt.produced.Value()) } });
+}
+
 void
 RelayTask::SendOwnAnswer(OwnAnswerKind aKind,
                          const std::string& aDetail,
--- a/servers/relay/relay_task.h
+++ b/servers/relay/relay_task.h
@@ -68,6 +68,9 @@
   void Refuse(const policy::Refusal& aRefusal);
   void Fail(policy::FailureReason aReason);
 
+  // Logs what ran when a backend server crashed.
+  void OnCrashedAttempt(const policy::CrashedAttempt& aAttempt);
+
 private:
   void OnCallerGone() override;
   void OnOutputAccepted() override;
