--- a/tests/servers/relay/relay_trouble_test.cpp
+++ b/tests/servers/relay/relay_trouble_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -15,13 +16,16 @@
 
 using namespace std::chrono_literals;
 using firefly::Duration;
+using firefly::FindHeader;
 using firefly::ToSeconds;
 using firefly::policy::EngineRole;
+using firefly::testing::AfterReply;
 using firefly::testing::kStamp;
 using firefly::testing::MakeAnswer;
 using firefly::testing::MakeGet;
 using firefly::testing::MakePromptRequest;
 using firefly::testing::RawTcpClient;
+using firefly::testing::ScriptedBackend;
 using firefly::testing::ScriptedReply;
 using firefly::testing::ScriptedRequest;
 
@@ -300,3 +304,44 @@
   CHECK(text.find("outcome=\"invalid prefill answer\"") != std::string::npos);
   CHECK(text.find("parse") == std::string::npos);
 }
+
+// The requests differ in path and id, and sound ones have the same first part.
+TEST(RelayTroubleTest, APromptPartThatCrashesEnginesStopsReachingThem)
+{
+  constexpr int kRounds = 20;
+  constexpr int kMaxCrashes = 8; // five to notice it, three more
+  int crashes = 0;
+  const auto script =
+    [&crashes](const ScriptedRequest& aRequest) -> ScriptedReply {
+    const auto parts =
+      FindHeader(aRequest.head.headers, "Fireflyrouter-Prompt-Prefix");
+    if (parts.find("bad:") != std::string_view::npos) {
+      crashes++;
+      return { "", AfterReply::kReset };
+    }
+    return { firefly::testing::MakeStream("id: 1\ndata: a\n\n", true) };
+  };
+  std::vector<std::unique_ptr<ScriptedBackend>> engines;
+  for (int i = 0; i < 6; ++i) {
+    engines.push_back(StartBackend(script));
+    Register("e" + std::to_string(i), *engines.back(), EngineRole::kDecode);
+  }
+  SetRoutingTable();
+  const auto ask = [&](int aRound, const std::string& aParts) {
+    const auto n = std::to_string(aRound);
+    return firefly::testing::MakeGet("/ask/" + n,
+                                     "Fireflyrouter-Model: m\r\n"
+                                     "Fireflyrouter-Token-Count: 900,80\r\n"
+                                     "Fireflyrouter-Prompt-Prefix: a1:600," +
+                                       aParts + "c" + n + ":100\r\n");
+  };
+  for (int i = 0; i < kRounds; ++i) {
+    RawTcpClient deadly(executor, callers.Port());
+    deadly.Send(ask(i, "bad:200,"));
+    Await([&] { return deadly.HasReceived("HTTP/1.1 50"); });
+    RawTcpClient sound(executor, callers.Port());
+    sound.Send(ask(kRounds + i, ""));
+    Await([&] { return sound.HasReceived(firefly::LastChunk()); });
+  }
+  CHECK(crashes <= kMaxCrashes);
+}
