Hold back what requests that crash engines have in common

Cause: a request that crashes servers was known by the hash of its path and body alone. Requests that share one part of a prompt and nothing else are each new to that quarantine, so that nothing ever added up, on one machine or on several. It is a fault of naming: evidence was kept by whole requests, while the harm belongs to something that they have in common.

Change: each request has traits (fingerprint, service, model, type, team, path, parts of its prompt). TraitCrashCorrelator intersects the traits of attempts that ran at crashes and had not shown to be harmless. A set of traits is held back after three crashes one after the other with no harmless request of that set in between. Relays tell each other at once, and by digests; the numbers of a suspicion only grow, so that old news never wins. One request at a time tests a held set, after 10 s and twice as long after each failure; an answer frees it everywhere.

Why it works: a sound request has some of the traits and not all, and each sound answer disproves the sets that it covers, so that the part before the bad one is not held with it. Servers that fail together count once, since an attempt counts only if it was sent after the crash before was known. A relay that gets no answer at all holds nothing.

Ruled out: holding single parts by count (the first part of all these requests is at each crash as well, and sound ones come with it too seldom to clear it in time); a threshold of two (too many sound parts are at two crashes in a row).

--- a/policy/digest.cpp
+++ b/policy/digest.cpp
@@ -18,7 +18,12 @@
                               std::uint32_t,
                               std::uint32_t,
                               std::uint32_t>;
-// Digests of older versions end before the stages.
+using SuspicionTuple = std::tuple<std::vector<std::uint64_t>,
+                                  std::uint32_t,
+                                  std::uint32_t,
+                                  std::uint32_t>;
+// Digests of older versions end before the stages or before the crash
+// suspicions.
 using DigestTupleWithoutStages = std::tuple<std::string,
                                             std::uint64_t,
                                             std::uint64_t,
@@ -27,15 +32,12 @@
                                             std::vector<ModelTuple>,
                                             std::vector<std::uint64_t>,
                                             std::vector<std::uint64_t>>;
-using DigestTuple = std::tuple<std::string,
-                               std::uint64_t,
-                               std::uint64_t,
-                               std::vector<WorkTuple>,
-                               std::vector<RowTuple>,
-                               std::vector<ModelTuple>,
-                               std::vector<std::uint64_t>,
-                               std::vector<std::uint64_t>,
-                               std::vector<StageTuple>>;
+using DigestTupleWithoutSuspicions =
+  decltype(std::tuple_cat(std::declval<DigestTupleWithoutStages>(),
+                          std::declval<std::tuple<std::vector<StageTuple>>>()));
+using DigestTuple = decltype(std::tuple_cat(
+  std::declval<DigestTupleWithoutSuspicions>(),
+  std::declval<std::tuple<std::vector<SuspicionTuple>>>()));
 
 DigestTuple
 ToTuple(const Digest& aDigest)
@@ -62,11 +64,20 @@
                         it.decodeWork,
                         it.decodeWaiting);
   }
+  std::vector<SuspicionTuple> suspicions;
+  for (const auto& it : aDigest.crashSuspicions) {
+    std::vector<std::uint64_t> traits;
+    for (const auto& trait : it.traits) {
+      traits.push_back(trait.Value());
+    }
+    suspicions.emplace_back(
+      std::move(traits), it.clearances, it.crashes, it.trials);
+  }
   return { aDigest.host.Value(), aDigest.incarnation.Value(),
            aDigest.sequence,     std::move(work),
            std::move(rows),      std::move(models),
            aDigest.quarantined,  aDigest.suspects,
-           std::move(stages) };
+           std::move(stages),    std::move(suspicions) };
 }
 
 Digest
@@ -80,7 +91,8 @@
                models,
                quarantined,
                suspects,
-               stages] = aTuple;
+               stages,
+               suspicions] = aTuple;
   Digest digest{ .host = HostId(host),
                  .incarnation = Incarnation(incarnation),
                  .sequence = sequence,
@@ -89,7 +101,8 @@
                  .models = {},
                  .quarantined = quarantined,
                  .suspects = suspects,
-                 .stages = {} };
+                 .stages = {},
+                 .crashSuspicions = {} };
   for (const auto& [backend, requests, prefill, speed] : work) {
     digest.work.push_back({ backend, requests, prefill, speed });
   }
@@ -103,6 +116,16 @@
     digest.stages.push_back(
       { model, prefill, prefillWait, decode, decodeWait });
   }
+  for (const auto& [traits, clearances, crashes, trials] : suspicions) {
+    CrashSuspicion suspicion{ .traits = {},
+                              .clearances = clearances,
+                              .crashes = crashes,
+                              .trials = trials };
+    for (const auto trait : traits) {
+      suspicion.traits.emplace_back(trait);
+    }
+    digest.crashSuspicions.push_back(std::move(suspicion));
+  }
   return digest;
 }
 
@@ -122,10 +145,17 @@
   try {
     const auto handle = msgpack::unpack(aBytes.data(), aBytes.size());
     const auto& fields = handle.get();
-    if (fields.type == msgpack::type::ARRAY &&
-        fields.via.array.size == std::tuple_size_v<DigestTupleWithoutStages>) {
-      return FromTuple(std::tuple_cat(fields.as<DigestTupleWithoutStages>(),
-                                      std::tuple(std::vector<StageTuple>{})));
+    const auto size =
+      fields.type == msgpack::type::ARRAY ? fields.via.array.size : 0;
+    const std::tuple noStages(std::vector<StageTuple>{});
+    const std::tuple noSuspicions(std::vector<SuspicionTuple>{});
+    if (size == std::tuple_size_v<DigestTupleWithoutStages>) {
+      return FromTuple(std::tuple_cat(
+        fields.as<DigestTupleWithoutStages>(), noStages, noSuspicions));
+    }
+    if (size == std::tuple_size_v<DigestTupleWithoutSuspicions>) {
+      return FromTuple(std::tuple_cat(fields.as<DigestTupleWithoutSuspicions>(),
+                                      noSuspicions));
     }
     return FromTuple(fields.as<DigestTuple>());
   } catch (const std::exception& error) {
--- a/policy/digest.h
+++ b/policy/digest.h
@@ -10,6 +10,7 @@
 #include <tl/expected.hpp>
 
 #include "core/ids.h"
+#include "policy/crash_correlator.h"
 #include "policy/fleet_view.h"
 
 namespace firefly::policy {
@@ -83,12 +84,15 @@
   std::vector<std::uint64_t> quarantined;
   std::vector<std::uint64_t> suspects;
   std::vector<StageDemand> stages;
+  // What requests that crash backend servers are suspected to have in common;
+  // the list is bounded.
+  std::vector<CrashSuspicion> crashSuspicions;
 
   // Encodes the digest as MessagePack.
   [[nodiscard]] std::string Encode() const;
 
-  // Decodes a digest from MessagePack. Digests of older versions, which have no
-  // stages, are accepted.
+  // Decodes a digest from MessagePack. Digests of older versions, which end
+  // before the stages or the crash suspicions, are accepted.
   static tl::expected<Digest, DigestError> Decode(const std::string& aBytes);
 };
 
--- a/policy/policy_set.cpp
+++ b/policy/policy_set.cpp
@@ -77,8 +77,11 @@
   }
   if (has("poison")) {
     set.poisonQuarantine = std::make_unique<SuspectPoisonQuarantine>();
+    set.crashCorrelator = std::make_unique<TraitCrashCorrelator>(
+      TraitCrashCorrelator::Options{ .seed = aOptions.seed });
   } else {
     set.poisonQuarantine = std::make_unique<NoPoisonQuarantine>();
+    set.crashCorrelator = std::make_unique<NoCrashCorrelator>();
   }
   return set;
 }
@@ -100,6 +103,7 @@
   set.retries = std::make_unique<UnboundedRetryBudget>();
   set.hedger = std::make_unique<NoHedger>();
   set.poisonQuarantine = std::make_unique<NoPoisonQuarantine>();
+  set.crashCorrelator = std::make_unique<NoCrashCorrelator>();
   return set;
 }
 
--- a/policy/policy_set.h
+++ b/policy/policy_set.h
@@ -11,6 +11,7 @@
 
 #include "policy/admission.h"
 #include "policy/backend_selector.h"
+#include "policy/crash_correlator.h"
 #include "policy/hedger.h"
 #include "policy/poison_quarantine.h"
 #include "policy/request_limiter.h"
@@ -36,6 +37,7 @@
   std::unique_ptr<RetryBudget> hedges;
   std::unique_ptr<Hedger> hedger;
   std::unique_ptr<PoisonQuarantine> poisonQuarantine;
+  std::unique_ptr<CrashCorrelator> crashCorrelator;
 };
 
 struct PolicyOptions
--- a/policy/request_info.h
+++ b/policy/request_info.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "core/clock.h"
@@ -22,6 +23,31 @@
 // fingerprint.
 using Fingerprint = StrongType<struct FingerprintTag, std::uint64_t>;
 
+// A hash of something that a request has in common with others and that may be
+// why they crash backend servers, such as a part of its prompt or its model.
+using CrashTrait = StrongType<struct CrashTraitTag, std::uint64_t>;
+
+// Sorted and without duplicates.
+using CrashTraits = std::vector<CrashTrait>;
+
+// Maximum number of traits of one request.
+constexpr std::size_t kMaxCrashTraits = 16;
+
+// What a value of a request means.
+enum class CrashTraitKind : std::uint8_t
+{
+  kFingerprint,
+  kService,
+  kModel,
+  kRequestType,
+  kCustomer,
+  kPath,
+  kPromptPart,
+};
+
+CrashTrait
+MakeCrashTrait(CrashTraitKind aKind, std::uint64_t aValue);
+
 // The number of an attempt of a request, starting at 1. Hedges are attempts
 // too.
 using AttemptNumber = StrongType<struct AttemptNumberTag, std::uint32_t>;
@@ -83,6 +109,7 @@
   // The weight that operators gave the request's row; the default is 1.
   double weight = 1.0;
   Fingerprint fingerprint;
+  CrashTraits crashTraits{};
 
   // The time by which the first token is due.
   [[nodiscard]] Instant FirstTokenDeadline() const
@@ -104,6 +131,12 @@
   // Tokens in the first aBlocks prefix blocks of the prompt.
   [[nodiscard]] Tokens PrefixTokens(std::size_t aBlocks) const;
 
+  // Sets the traits: the request's own values that name something, the path
+  // unless it is empty, and the last of the shared parts of its prompt, as the
+  // first ones are shared most.
+  void SetCrashTraits(const std::string& aPath,
+                      const std::vector<std::uint64_t>& aPromptParts);
+
   // Whether the request needs a model engine rather than a plain service.
   [[nodiscard]] bool NeedsEngine() const { return !model.Value().empty(); }
 };
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -19,6 +19,9 @@
 constexpr Duration kMinServiceTime = std::chrono::milliseconds(40);
 // Weight of a new answer in the average time of a plain service.
 constexpr double kPlainTimeWeight = 0.1;
+// An attempt that has produced this much output is not why its backend server
+// crashes.
+constexpr Tokens kHarmlessOutput(16);
 constexpr std::size_t kRoleCount = 3;
 // Maximum number of separate prefills of one request; after that it runs as a
 // whole.
@@ -72,6 +75,9 @@
     Refuse(id, RefusalReason::kQuarantined, {});
     return;
   }
+  if (EndIfHeld(id, aNow)) {
+    return;
+  }
   if (info.NeedsEngine()) {
     request.size = mPolicies.estimator->Estimate(info);
     const auto cached = mPolicies.selector->ExpectedCached(info);
@@ -87,6 +93,12 @@
     return;
   }
   request.permit = std::move(*permit);
+  const auto& crashes = mPolicies.crashCorrelator;
+  if (crashes->Decide(info, aNow).verdict == CrashVerdict::kTrial) {
+    request.isTrial = true;
+    crashes->OnTrial(info, aNow);
+    AnnounceCrashChanges();
+  }
   if (verdict == PoisonVerdict::kSuspect) {
     QueueSuspect(id, aNow);
     return;
@@ -128,6 +140,76 @@
   Start(aRequest, *choice, false, aNow);
 }
 
+bool
+RequestRouter::EndIfHeld(const RequestId& aId, Instant aNow)
+{
+  const auto& request = mRequests.at(aId);
+  const auto decision = mPolicies.crashCorrelator->Decide(request.info, aNow);
+  if (request.isTrial || decision.verdict != CrashVerdict::kHeld) {
+    return false;
+  }
+  if (request.mayHaveRun) {
+    Fail(aId, FailureReason::kQuarantined);
+  } else {
+    Refuse(aId, RefusalReason::kQuarantined, decision.retryAfter);
+  }
+  return true;
+}
+
+void
+RequestRouter::EndHeldRequests(Instant aNow)
+{
+  if (!mPolicies.crashCorrelator->HoldsAny(aNow)) {
+    return;
+  }
+  std::vector<RequestId> waiting;
+  for (const auto& [id, request] : mRequests) {
+    if (request.answeringAttempt.Value() == 0 && !request.isTrial) {
+      waiting.push_back(id);
+    }
+  }
+  for (const auto& id : waiting) {
+    const auto it = mRequests.find(id);
+    if (it == mRequests.end() ||
+        mPolicies.crashCorrelator->Decide(it->second.info, aNow).verdict !=
+          CrashVerdict::kHeld) {
+      continue;
+    }
+    auto& request = it->second;
+    request.mayHaveRun =
+      request.mayHaveRun ||
+      std::ranges::any_of(request.attempts, [](const auto& aAttempt) {
+        return aAttempt.second.phase != WorkPhase::kPrefill;
+      });
+    CancelOthers(request, AttemptNumber(0), aNow);
+    EndIfHeld(id, aNow);
+    EndSuspectRun(id, aNow);
+  }
+}
+
+void
+RequestRouter::ReportHarmless(const Request& aRequest,
+                              Attempt& aAttempt,
+                              Instant aNow)
+{
+  if (aAttempt.isHarmless) {
+    return;
+  }
+  aAttempt.isHarmless = true;
+  mPolicies.crashCorrelator->OnHarmless(
+    aRequest.info, aAttempt.firstToken, aNow);
+  AnnounceCrashChanges();
+}
+
+void
+RequestRouter::AnnounceCrashChanges()
+{
+  const auto changes = mPolicies.crashCorrelator->TakeChanges();
+  if (!changes.empty()) {
+    mSink.AnnounceCrashSuspicions(changes);
+  }
+}
+
 bool
 RequestRouter::OnFirstToken(const RequestId& aId,
                             AttemptNumber aAttempt,
@@ -192,6 +274,10 @@
   request.hasKvCache = true;
   request.kvCacheDomain = mFleet.At(info.slot).domain;
   request.attempts.erase(attempt);
+  if (EndIfHeld(aId, aNow)) {
+    DispatchQueued(aNow);
+    return;
+  }
   const auto choice = Choose(request, QueryFor(request), aNow);
   if (choice) {
     Start(request, *choice, false, aNow);
@@ -240,6 +326,9 @@
   attempt->second.lastTokens = aNow;
   attempt->second.produced =
     Tokens(attempt->second.produced.Value() + aCount.Value());
+  if (attempt->second.produced >= kHarmlessOutput) {
+    ReportHarmless(request, attempt->second, aNow);
+  }
   request.deliveredTokens =
     Tokens(request.deliveredTokens.Value() + aCount.Value());
   const auto fingerprint = request.info.fingerprint;
@@ -287,6 +376,7 @@
                           backend.capacity.slots,
                           aNow);
   }
+  ReportHarmless(request, attempt->second, aNow);
   request.attempts.erase(attempt);
   CancelOthers(request, aAttempt, aNow);
   if (request.info.NeedsEngine()) {
@@ -346,13 +436,19 @@
     mPolicies.selector->OnError(attempt.info, aNow);
   }
   const bool isCrash =
-    aError == AttemptError::kBroken && attempt.phase != WorkPhase::kPrefill &&
+    aError == AttemptError::kBroken &&
     mCrashes.OnCrash(attempt.info.slot, attempt.dispatched, aNow);
   if (isCrash) {
     mSink.OnCrashedAttempt({ .requestId = aRequest.info.requestId,
                              .attempt = aAttempt,
                              .phase = attempt.phase,
                              .produced = attempt.produced });
+    aRequest.isTrial = false;
+    if (!attempt.isHarmless) {
+      mPolicies.crashCorrelator->OnCrash(
+        aRequest.info, attempt.dispatched, aNow);
+      AnnounceCrashChanges();
+    }
   }
   if (attempt.phase == WorkPhase::kPrefill) {
     return; // prefilling a prompt doesn't run the request
@@ -396,6 +492,9 @@
     Fail(aId, FailureReason::kQuarantined);
     return;
   }
+  if (EndIfHeld(aId, aNow)) {
+    return;
+  }
   // A retry after a crash needs no budget; all other retries do.
   if (!broken && !mPolicies.retries->TrySpend()) {
     RefuseOrFail(aId, RefusalReason::kRetryBudget);
@@ -455,6 +554,7 @@
 RequestRouter::Tick(Instant aNow)
 {
   HandleExpired(aNow);
+  EndHeldRequests(aNow);
   for (auto& [id, request] : mRequests) {
     if (!request.attempts.empty()) {
       HedgeOrResume(request, aNow);
@@ -496,6 +596,7 @@
   mPolicies.selector->OnPeerDigest(aDigest, mFleet, aNow);
   mPolicies.poisonQuarantine->OnPeerReport(
     aDigest.quarantined, aDigest.suspects, aNow);
+  OnPeerCrashSuspicions(aDigest.crashSuspicions, aNow);
 }
 
 void
@@ -515,6 +616,15 @@
   }
 }
 
+void
+RequestRouter::OnPeerCrashSuspicions(
+  const std::vector<CrashSuspicion>& aSuspicions,
+  Instant aNow)
+{
+  mPolicies.crashCorrelator->OnPeerReport(aSuspicions, aNow);
+  EndHeldRequests(aNow);
+}
+
 Digest
 RequestRouter::MakeDigest(Instant aNow)
 {
@@ -528,6 +638,7 @@
   mStageLoads.FillDigest(digest, aNow);
   digest.quarantined = mPolicies.poisonQuarantine->Quarantined(aNow);
   digest.suspects = mPolicies.poisonQuarantine->Suspects(aNow);
+  digest.crashSuspicions = mPolicies.crashCorrelator->Strongest(aNow);
   return digest;
 }
 
@@ -865,7 +976,7 @@
 void
 RequestRouter::HedgeOrResume(Request& aRequest, Instant aNow)
 {
-  if (mRunningSuspect == aRequest.info.requestId) {
+  if (mRunningSuspect == aRequest.info.requestId || aRequest.isTrial) {
     return;
   }
   const auto [number, attempt] = *aRequest.attempts.begin();
@@ -946,6 +1057,9 @@
     return choice.has_value();
   };
   while (const auto next = mPolicies.queue->Pop(canRun)) {
+    if (EndIfHeld(next->requestId, aNow)) {
+      continue;
+    }
     // A request that would be late anyway must not take engine time.
     const auto& info = mRequests.at(next->requestId).info;
     if (!mPolicies.admission->CanMeetDeadline(
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -63,7 +63,8 @@
   // The request was sent, and no further attempt is allowed or possible; or it
   // is a suspect and there is no backend server to run it on.
   kAttemptsExhausted,
-  // The request crashed backend servers and is not repeated anywhere.
+  // The request, or what it has in common with others, crashed backend servers
+  // and is not run anywhere.
   kQuarantined,
 };
 
@@ -107,6 +108,12 @@
 
   // Sends the notice to the peers immediately, without a guarantee of delivery.
   virtual void Announce(const BackendNotice& /*aNotice*/) {}
+
+  // Sends changed crash suspicions to the peers in the same way.
+  virtual void AnnounceCrashSuspicions(
+    const std::vector<CrashSuspicion>& /*aChanges*/)
+  {
+  }
 };
 
 // Why an attempt ended without a complete answer.
@@ -214,6 +221,10 @@
   // about unknown backend servers.
   void OnPeerNotice(const BackendNotice& aNotice, Instant aNow);
 
+  // Called when a peer's crash suspicions arrive.
+  void OnPeerCrashSuspicions(const std::vector<CrashSuspicion>& aSuspicions,
+                             Instant aNow);
+
   // Builds this entry's digest for its peers; call it a few times a second.
   Digest MakeDigest(Instant aNow);
 
@@ -252,6 +263,8 @@
     Instant lastTokens{};
     Instant overdueAt{};
     Tokens produced;
+    // Whether its output was reported as harmless.
+    bool isHarmless = false;
     bool isHedge = false;
     WorkPhase phase = WorkPhase::kWhole;
   };
@@ -282,6 +295,8 @@
     // Expected processing time, in seconds of one whole engine.
     double engineSeconds = 0;
     bool wasHedged = false;
+    // Whether it runs as a test of a crash suspicion.
+    bool isTrial = false;
     // Whether a backend server may have run an attempt.
     bool mayHaveRun = false;
   };
@@ -297,6 +312,13 @@
   [[nodiscard]] Duration StallPenalty(const Request& aRequest,
                                       const Choice& aChoice) const;
   void Admit(Request& aRequest, Instant aNow);
+  // Refuses or fails the request if it may crash the backend server that would
+  // run it. Returns whether it did.
+  bool EndIfHeld(const RequestId& aId, Instant aNow);
+  // Does this for all requests that no backend server answers yet.
+  void EndHeldRequests(Instant aNow);
+  void ReportHarmless(const Request& aRequest, Attempt& aAttempt, Instant aNow);
+  void AnnounceCrashChanges();
   [[nodiscard]] SelectQuery QueryFor(const Request& aRequest) const;
   // Chooses a backend server and how to start there: with a whole run, or with
   // a separate prefill.
--- a/servers/entry/request_profile.cpp
+++ b/servers/entry/request_profile.cpp
@@ -81,6 +81,7 @@
   info.prefixHashes = PrefixHashes(aCall.prompt);
   info.prefixBlockTokens = policy::Tokens(kBlockTokens);
   info.fingerprint = FingerprintOf(aCall.path, aCall.body);
+  info.SetCrashTraits("", {});
   return info;
 }
 
@@ -95,6 +96,7 @@
   const auto target =
     info.service.Value() + '/' + info.requestType.Value() + '?' + aCall.query;
   info.fingerprint = FingerprintOf(target, aCall.body);
+  info.SetCrashTraits("", {});
   return info;
 }
 
--- a/servers/gossip/member_digest.cpp
+++ b/servers/gossip/member_digest.cpp
@@ -50,7 +50,9 @@
     bytes = Encode(aDigest);
   }
   while (bytes.size() > aMaxBytes &&
-         !(work.suspects.empty() && work.quarantined.empty())) {
+         !(work.suspects.empty() && work.quarantined.empty() &&
+           work.crashSuspicions.empty())) {
+    work.crashSuspicions.resize(work.crashSuspicions.size() / 2);
     work.suspects.resize(work.suspects.size() / 2);
     work.quarantined.resize(work.quarantined.size() / 2);
     bytes = Encode(aDigest);
--- a/servers/gossip/member_digest.h
+++ b/servers/gossip/member_digest.h
@@ -19,9 +19,9 @@
 };
 
 // Encodes a digest. If it exceeds aMaxBytes, the entries with the least work
-// are left out first, then the fingerprints of quarantined and suspected
-// requests. The result is longer than aMaxBytes only if the rest alone does not
-// fit.
+// are left out first, then the crash suspicions and the fingerprints of
+// quarantined and suspected requests. The result is longer than aMaxBytes only
+// if the rest alone does not fit.
 std::string
 EncodeMemberDigest(MemberDigest aDigest, std::size_t aMaxBytes);
 
--- a/servers/relay/peer_update_channel.cpp
+++ b/servers/relay/peer_update_channel.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint64_t kRoutingUpdate = 3;
 constexpr std::uint64_t kForwarded = 4;
 constexpr std::uint64_t kReadFailure = 5;
+constexpr std::uint64_t kCrashSuspicions = 6;
 constexpr auto kLastFeed = static_cast<std::uint64_t>(SharedFeed::kRouting);
 constexpr auto kLastNoticeKind =
   static_cast<std::uint64_t>(policy::BackendNotice::Kind::kSilent);
@@ -216,6 +217,55 @@
   return notice;
 }
 
+std::vector<std::string>
+EncodeCrashSuspicions(const std::vector<policy::CrashSuspicion>& aSuspicions)
+{
+  const auto head = coord::FieldWriter().Number(kCrashSuspicions).Take();
+  std::vector<std::string> datagrams;
+  for (const auto& it : aSuspicions) {
+    coord::FieldWriter writer;
+    writer.Number(it.clearances)
+      .Number(it.crashes)
+      .Number(it.trials)
+      .Number(it.traits.size());
+    for (const auto& trait : it.traits) {
+      writer.Number(trait.Value());
+    }
+    const auto bytes = writer.Take();
+    if (datagrams.empty() ||
+        datagrams.back().size() + bytes.size() > kMaxDatagramBytes) {
+      datagrams.push_back(head);
+    }
+    datagrams.back() += bytes;
+  }
+  return datagrams;
+}
+
+std::optional<std::vector<policy::CrashSuspicion>>
+DecodeCrashSuspicions(std::string_view aBytes)
+{
+  coord::FieldReader reader(aBytes);
+  if (reader.Number() != kCrashSuspicions) {
+    return std::nullopt;
+  }
+  std::vector<policy::CrashSuspicion> suspicions;
+  while (reader.Ok() && !reader.AtEnd()) {
+    policy::CrashSuspicion suspicion;
+    suspicion.clearances = static_cast<std::uint32_t>(reader.Number());
+    suspicion.crashes = static_cast<std::uint32_t>(reader.Number());
+    suspicion.trials = static_cast<std::uint32_t>(reader.Number());
+    const auto n = reader.Number();
+    for (std::uint64_t i = 0; i < n && reader.Ok(); ++i) {
+      suspicion.traits.emplace_back(reader.Number());
+    }
+    suspicions.push_back(std::move(suspicion));
+  }
+  if (!reader.Ok()) {
+    return std::nullopt;
+  }
+  return suspicions;
+}
+
 std::string
 EncodeForwarded(const std::string& aBytes)
 {
@@ -275,6 +325,10 @@
     mHandlers.onFeedUpdate(*progress);
     return true;
   }
+  if (const auto suspicions = DecodeCrashSuspicions(aBytes)) {
+    mHandlers.onCrashSuspicions(*suspicions);
+    return true;
+  }
   if (const auto failure = DecodeReadFailure(aBytes)) {
     mHandlers.onReadFailure(*failure);
     return true;
@@ -307,6 +361,15 @@
   SendTo(EncodeNotice(aNotice), aTargets);
 }
 
+void
+PeerUpdateChannel::Send(const std::vector<policy::CrashSuspicion>& aSuspicions,
+                        const PeerTargets& aTargets)
+{
+  for (const auto& it : EncodeCrashSuspicions(aSuspicions)) {
+    SendTo(it, aTargets);
+  }
+}
+
 void
 PeerUpdateChannel::Send(ReadFailure aFailure, const PeerTargets& aTargets)
 {
--- a/servers/relay/peer_update_channel.h
+++ b/servers/relay/peer_update_channel.h
@@ -3,8 +3,9 @@
 // Exchanges updates between the relays over UDP: records that one of them read
 // from the log, so that few relays need to read it, and notices of the prompts
 // that it sends to engines and of backend servers that stopped responding, so
-// that all can estimate the engines' load. A relay that a datagram does not
-// reach reads the log itself or has a less accurate estimate.
+// that all can estimate the engines' load, and what requests that crash backend
+// servers have in common. A relay that a datagram does not reach reads the log
+// itself, has a less accurate estimate, or learns it from the digests.
 
 #include <cstdint>
 #include <functional>
@@ -15,6 +16,7 @@
 
 #include "coord/keyed_feed.h"
 #include "policy/backend_selector.h"
+#include "policy/crash_correlator.h"
 #include "servers/gossip/gossip_socket.h"
 
 namespace firefly {
@@ -85,6 +87,14 @@
 std::optional<policy::BackendNotice>
 DecodeNotice(std::string_view aBytes);
 
+// Encodes suspicions as datagrams, each with as many as fit.
+std::vector<std::string>
+EncodeCrashSuspicions(const std::vector<policy::CrashSuspicion>& aSuspicions);
+
+// Returns nothing if the bytes are not valid crash suspicions.
+std::optional<std::vector<policy::CrashSuspicion>>
+DecodeCrashSuspicions(std::string_view aBytes);
+
 // Encodes a datagram whose receiver is asked to forward aBytes to the other
 // relays in its failure domain.
 std::string
@@ -122,6 +132,8 @@
     std::function<void(const RoutingUpdate&, bool aIsForwarder)>
       onRoutingUpdate;
     std::function<void(const policy::BackendNotice&)> onNotice;
+    std::function<void(const std::vector<policy::CrashSuspicion>&)>
+      onCrashSuspicions;
     // Returns the IP addresses to which a forwarded message is sent on.
     std::function<std::vector<std::string>()> domainPeers;
   };
@@ -137,6 +149,8 @@
   // Sets the host of the update to this relay's address.
   void Send(RoutingUpdate aUpdate, const PeerTargets& aTargets);
   void Send(const policy::BackendNotice& aNotice, const PeerTargets& aTargets);
+  void Send(const std::vector<policy::CrashSuspicion>& aSuspicions,
+            const PeerTargets& aTargets);
   // Sets the host of the failure to this relay's address.
   void Send(ReadFailure aFailure, const PeerTargets& aTargets);
 
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -186,4 +186,13 @@
   }
 }
 
+void
+Relay::AnnounceCrashSuspicions(
+  const std::vector<policy::CrashSuspicion>& aChanges)
+{
+  if (mParts.announceCrashSuspicions) {
+    mParts.announceCrashSuspicions(aChanges);
+  }
+}
+
 } // namespace firefly
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -45,6 +45,9 @@
     RelayMetrics* metrics = nullptr;
     // Sends a notice about a backend server to the other relays.
     std::function<void(const policy::BackendNotice&)> announce{};
+    // Sends changed crash suspicions to the other relays.
+    std::function<void(const std::vector<policy::CrashSuspicion>&)>
+      announceCrashSuspicions{};
   };
 
   Relay(Options aOptions, const Parts& aParts);
@@ -73,6 +76,8 @@
   void Fail(const RequestId& aId, policy::FailureReason aReason) override;
   void OnCrashedAttempt(const policy::CrashedAttempt& aAttempt) override;
   void Announce(const policy::BackendNotice& aNotice) override;
+  void AnnounceCrashSuspicions(
+    const std::vector<policy::CrashSuspicion>& aChanges) override;
 
   void RejectRequest(CallerAnswer& aAnswer,
                      OwnAnswerKind aKind,
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -139,6 +139,11 @@
                .announce =
                  [this](const policy::BackendNotice& aNotice) {
                    mPeerUpdates.Send(aNotice, AllPeers());
+                 },
+               .announceCrashSuspicions =
+                 [this](const std::vector<policy::CrashSuspicion>& aChanges) {
+                   LogCrashSuspicions(aChanges);
+                   mPeerUpdates.Send(aChanges, AllPeers());
                  } })
     , mPeers(
         { .host = aSettings.host,
@@ -181,6 +186,11 @@
             [this](const policy::BackendNotice& aNotice) {
               HandlePeerNotice(aNotice);
             },
+          .onCrashSuspicions =
+            [this](const std::vector<policy::CrashSuspicion>& aSuspicions) {
+              mRelay.Router().OnPeerCrashSuspicions(aSuspicions,
+                                                    mExecutor.Now());
+            },
           .domainPeers = [this] { return mPeers.DomainPeerAddresses(); } })
     , mRoleOrderIssuer(
         { .host = aSettings.host,
@@ -441,6 +451,26 @@
     mRelay.Router().OnPeerNotice(aNotice, mExecutor.Now());
   }
 
+  // Logs what more than one crash has in common, and what was disproved.
+  void LogCrashSuspicions(const std::vector<policy::CrashSuspicion>& aChanges)
+  {
+    for (const auto& it : aChanges) {
+      if (it.crashes == 1 || (it.crashes == 0 && it.clearances == 0)) {
+        continue;
+      }
+      std::string traits;
+      for (const auto& trait : it.traits) {
+        traits += (traits.empty() ? "" : ",") + std::to_string(trait.Value());
+      }
+      mLog.Info(it.crashes == 0 ? "crash suspicion disproved"
+                                : "crash suspicion",
+                { { "traits", traits },
+                  { "crashes", std::to_string(it.crashes) },
+                  { "trials", std::to_string(it.trials) },
+                  { "disproved", std::to_string(it.clearances) } });
+    }
+  }
+
   // Serves the record of the routing table to peers, on the status port.
   void ServeRoutingTable(const HttpRequest& aRequest,
                          HttpResponder& aResponder) const
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -87,6 +87,7 @@
   info.maxAttempts = route.maxAttempts;
   info.fingerprint = request.fingerprint;
   if (!request.prompt) {
+    info.SetCrashTraits(request.host + request.path, {});
     return info;
   }
   const auto& prompt = *request.prompt;
@@ -95,12 +96,15 @@
   info.maxOutputTokens = prompt.maxOutputTokens;
   std::uint64_t hash = policy::StableHash(info.model.Value());
   std::uint32_t end = 0;
+  std::vector<std::uint64_t> parts;
   for (const auto& it : prompt.sharedParts) {
     hash = policy::MixHash(hash, it.hash);
     end += it.tokens.Value();
     info.prefixHashes.push_back(hash);
     info.prefixEnds.emplace_back(end);
+    parts.push_back(it.hash);
   }
+  info.SetCrashTraits(request.host + request.path, parts);
   return info;
 }
 
--- a/tests/servers/relay/peer_update_channel_test.cpp
+++ b/tests/servers/relay/peer_update_channel_test.cpp
@@ -11,11 +11,13 @@
 #include <CppUTest/TestHarness.h>
 
 using firefly::AsioExecutor;
+using firefly::DecodeCrashSuspicions;
 using firefly::DecodeFeedUpdate;
 using firefly::DecodeForwarded;
 using firefly::DecodeNotice;
 using firefly::DecodeReadFailure;
 using firefly::DecodeRoutingUpdate;
+using firefly::EncodeCrashSuspicions;
 using firefly::EncodeFeedUpdate;
 using firefly::EncodeForwarded;
 using firefly::EncodeNotice;
@@ -29,6 +31,8 @@
 using firefly::coord::FeedProgress;
 using firefly::coord::LogOffset;
 using firefly::policy::BackendNotice;
+using firefly::policy::CrashSuspicion;
+using firefly::policy::CrashTrait;
 using firefly::policy::Tokens;
 using firefly::testing::RunUntil;
 
@@ -156,6 +160,41 @@
   CHECK_FALSE(DecodeNotice(EncodeFeedUpdate(update).at(0)).has_value());
 }
 
+TEST(PeerUpdateChannelTest, DecodesCrashSuspicionsOfSeveralDatagrams)
+{
+  std::vector<CrashSuspicion> sent;
+  for (std::uint32_t i = 0; i < 100; ++i) {
+    sent.push_back({ .traits = { CrashTrait(i), CrashTrait(~0ULL) },
+                     .clearances = i,
+                     .crashes = 2,
+                     .trials = 3 });
+  }
+  const auto datagrams = EncodeCrashSuspicions(sent);
+  CHECK(datagrams.size() > 1);
+  std::vector<CrashSuspicion> received;
+  for (const auto& it : datagrams) {
+    CHECK(it.size() <= 1400);
+    const auto decoded = DecodeCrashSuspicions(it);
+    received.insert(received.end(), decoded->begin(), decoded->end());
+  }
+  LONGS_EQUAL(sent.size(), received.size());
+  CHECK(received[99].traits == sent[99].traits);
+  LONGS_EQUAL(99, received[99].clearances);
+  LONGS_EQUAL(2, received[99].crashes);
+  LONGS_EQUAL(3, received[99].trials);
+}
+
+TEST(PeerUpdateChannelTest, IgnoresDamagedCrashSuspicions)
+{
+  const auto bytes = EncodeCrashSuspicions(
+    { { .traits = { CrashTrait(1), CrashTrait(2) }, .crashes = 1 } })[0];
+  for (std::size_t n = 1; n < bytes.size(); ++n) {
+    const auto decoded = DecodeCrashSuspicions(bytes.substr(0, n));
+    CHECK(!decoded || decoded->empty());
+  }
+  CHECK_FALSE(DecodeCrashSuspicions(EncodeNotice({})).has_value());
+}
+
 TEST(PeerUpdateChannelTest, DecodesAForwardedDatagram)
 {
   STRCMP_EQUAL("bytes", DecodeForwarded(EncodeForwarded("bytes"))->c_str());
@@ -187,6 +226,7 @@
             announced[host] += aIsForwarder ? 1 : 100;
           },
         .onNotice = count,
+        .onCrashSuspicions = count,
         .domainPeers =
           [host] {
             return host == "127.0.1.2"
