Spend no retry budget on attempts that reach no backend server

Cause: an attempt whose connection is refused was followed by the next one against the shared budget, up to ten within some milliseconds, although it put no load on any server. The budget was spent where it protects nothing and was missing where a retry helps.

Change: a retry after an attempt that was not sent needs no budget; after more such attempts than the router allows for a request it is refused as no-backend, which is true, instead of as retry-budget.

Evidence: RequestRouterTest.AttemptsThatReachNoBackendServerSpendNoRetryBudget failed before at the eleventh request (1 dispatch instead of 2).

--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -457,6 +457,7 @@
     // Nothing was sent, so the attempt does not count as a run and a KV cache
     // that it was to continue from is still unused.
     aRequest.runAttempts--;
+    aRequest.unsentAttempts++;
     aRequest.hasKvCache = attempt.phase == WorkPhase::kDecode;
   }
   aRequest.mayHaveRun = aRequest.mayHaveRun || !MeansNotRun(aError);
@@ -495,8 +496,14 @@
   if (EndIfHeld(aId, aNow)) {
     return;
   }
-  // A retry after a crash needs no budget; all other retries do.
-  if (!broken && !mPolicies.retries->TrySpend()) {
+  const bool isUnsent = aError == AttemptError::kNotSent;
+  if (isUnsent && request.unsentAttempts > mOptions.maxAttempts) {
+    RefuseOrFail(aId, RefusalReason::kNoBackend);
+    return;
+  }
+  // A retry after a crash needs no budget, and neither does one after an
+  // attempt that added no load to any backend server. All others do.
+  if (!broken && !isUnsent && !mPolicies.retries->TrySpend()) {
     RefuseOrFail(aId, RefusalReason::kRetryBudget);
     return;
   }
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -279,6 +279,8 @@
     // Attempts that could run the request, unlike prefill-only ones; attempts
     // that were not sent are subtracted.
     std::uint32_t runAttempts = 0;
+    // Attempts that did not reach their backend server.
+    std::uint32_t unsentAttempts = 0;
     // Attempts that only prefilled the prompt.
     std::uint32_t prefillAttempts = 0;
     // Whether an engine keeps the KV cache of the prompt and no attempt has
--- a/tests/policy/request_router_test.cpp
+++ b/tests/policy/request_router_test.cpp
@@ -635,3 +635,27 @@
                  Instant(40ms));
   LONGS_EQUAL(2, router.MakeDigest(Instant(50ms)).suspects.size());
 }
+
+TEST(RequestRouterTest, AttemptsThatReachNoBackendServerSpendNoRetryBudget)
+{
+  auto router = MakeRouter();
+  for (int i = 0; i < 30; ++i) {
+    const RequestId id("r" + std::to_string(i));
+    router.OnArrival(MakeRequest(id.Value()), Instant{});
+    router.OnError(id, AttemptNumber(1), AttemptError::kNotSent, Instant(1ms));
+    LONGS_EQUAL(2, sink.Dispatched(id));
+    router.OnCallerGone(id, Instant(2ms));
+  }
+}
+
+TEST(RequestRouterTest, RequestsThatReachNoBackendServerAreRefusedSoon)
+{
+  auto router = MakeRouter(1);
+  const RequestId id("r");
+  router.OnArrival(MakeRequest("r"), Instant{});
+  for (std::uint32_t n = 1; n <= 100 && sink.refused.empty(); ++n) {
+    router.OnError(id, AttemptNumber(n), AttemptError::kNotSent, Instant(1ms));
+  }
+  CHECK(sink.refused.at(id) == RefusalReason::kNoBackend);
+  LONGS_EQUAL(5, sink.Dispatched(id));
+}
