Reject backend records with values out of range or nested too deeply

What callers would see: requests sent to a server that does not exist, or a relay that counts on billions of slots.

Error messages quote the record, so that one log line had 200 kB.

--- a/tests/platform/platform_records_test.cpp
+++ b/tests/platform/platform_records_test.cpp
@@ -93,6 +93,54 @@
   CHECK_FALSE(records.DecodeBackend("i", other).has_value());
 }
 
+// Another writer may leave such entries beside those of the backend servers.
+TEST(PlatformRecordsTest, RejectsBackendRecordsWithValuesOutOfRange)
+{
+  const auto decodes = [&](const std::string& aOld, const std::string& aNew) {
+    auto odd = kEngine;
+    odd.replace(odd.find(aOld), aOld.size(), aNew);
+    return records.DecodeBackend("i", odd).has_value();
+  };
+  for (const auto* slots :
+       { "-1", "0", "1.5", "4294967360", "1e400", "1e30" }) {
+    CHECK_FALSE(decodes("\"slots\":64", std::string("\"slots\":") + slots));
+  }
+  for (const auto* born : { "-1", "1.5", "1e30", "99999999999999999999" }) {
+    CHECK_FALSE(decodes("\"born\":17", std::string("\"born\":") + born));
+  }
+  const std::string address = "10.128.0.9:8080";
+  for (const auto* odd : { "10.128.0.9:65536",
+                           "10.128.0.9:99999999999999999999",
+                           "10.128.0.9:-1",
+                           "10.128.0.9:0",
+                           "10.128.0.9",
+                           "host:8080",
+                           "" }) {
+    CHECK_FALSE(decodes(address, odd));
+  }
+  CHECK_TRUE(decodes(address, "10.128.0.9:65535"));
+}
+
+TEST(PlatformRecordsTest, RejectsDeeplyNestedRecords)
+{
+  constexpr std::size_t kDepth = 100'000;
+  const std::string open(kDepth, '[');
+  const std::string close(kDepth, ']');
+  auto odd = kEngine;
+  odd.insert(1, "\"more\":" + open + close + ",");
+  CHECK_FALSE(records.DecodeBackend("i", odd).has_value());
+  CHECK_FALSE(records.DecodeBackend("i", open).has_value());
+  CHECK_FALSE(records.DecodeRouting(open + close).has_value());
+}
+
+// The text goes into a log line.
+TEST(PlatformRecordsTest, ErrorsOfLongRecordsAreShort)
+{
+  const auto odd = records.DecodeBackend("i", std::string(200'000, '9'));
+  CHECK_FALSE(odd.has_value());
+  CHECK(odd.error().message.size() <= 512);
+}
+
 // Damaged records must be decoded or rejected without a crash. The seed makes a
 // failure reproducible.
 TEST(PlatformRecordsTest, SurvivesDamagedRecords)
