Answer requests that outlast a planned stop instead of cutting them

What callers saw: a request that was taken before the load balancer noticed the stop and lasted longer than the rest of the grace, lost its connection without an answer when the process ended.

Cause: at the end of the grace the relay exited with its live requests. Change: half a second before that each of them gets its final answer, 503 if it has not run and 504 if it may have; a stream that has begun is broken off. Evidence: RelayTest.AnswersRequestsThatOutlastAStop (the booking's connection stayed without an answer before, there was nothing to call).

--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -123,6 +123,14 @@
   mLog.Info("input rejected", { { "status", status }, { "peer", aPeer } });
 }
 
+void
+Relay::EndRequests()
+{
+  for (const auto& [id, task] : mTasks) {
+    task->EndUnanswered("before the stop");
+  }
+}
+
 void
 Relay::RejectRequest(CallerAnswer& aAnswer,
                      OwnAnswerKind aKind,
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -62,6 +62,9 @@
   // Accepts no further requests; live requests continue.
   void Close() { mIsClosed = true; }
 
+  // Answers all live requests, because the process ends.
+  void EndRequests();
+
   // Returns true once a request has been routed.
   [[nodiscard]] bool HasRoutedRequest() const { return mHasRoutedRequest; }
 
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -16,8 +16,11 @@
 namespace {
 
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
+// Requests that are live at this time before the end of the stop grace are
+// answered without their backend servers.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(500);
 // Reserved at the end of the stop grace for the process to exit by itself.
-constexpr Duration kStopMargin = std::chrono::milliseconds(400);
+constexpr Duration kStopMargin = std::chrono::milliseconds(300);
 // Time between two reads of the routing table's stream, and the maximum time
 // while other relays share their reads. A change has to be in force within 2 s.
 constexpr Duration kRoutingReadInterval = std::chrono::milliseconds(700);
@@ -540,6 +543,9 @@
       mRelay.Close();
       mCallers.CloseIdle();
     }
+    if (passed >= mSettings.stopGrace - kAnswerMargin) {
+      mRelay.EndRequests();
+    }
     const bool ended =
       mCallers.BusyConnections() == 0 && mRelay.LiveRequests() == 0;
     if ((ended && passed >= mSettings.unreadyGrace) ||
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -62,8 +62,8 @@
 void
 RelayTask::Start()
 {
-  mDeadlineTimer =
-    mContext.executor->RunAfter(mDeadline - mArrival, [this] { OnDeadline(); });
+  mDeadlineTimer = mContext.executor->RunAfter(
+    mDeadline - mArrival, [this] { EndUnanswered("in time"); });
   mContext.router->OnArrival(MakeInfo(), mArrival);
 }
 
@@ -382,7 +382,7 @@
 }
 
 void
-RelayTask::OnDeadline()
+RelayTask::EndUnanswered(const std::string& aWhy)
 {
   if (mDone) {
     return;
@@ -391,16 +391,16 @@
   mContext.router->OnCallerGone(mOptions.request.id, Now());
   if (mHasBegun) {
     mOptions.answer->Abort();
-    EndTask("timed-out", "stream not whole in time");
+    EndTask("timed-out", "stream not whole " + aWhy);
   } else if (mBackendFailure) {
     SendFailure(*mBackendFailure);
-    EndTask("backend-failure", "timed out");
+    EndTask("backend-failure", "no other answer " + aWhy);
   } else if (mayHaveRun) {
-    SendOwnAnswer(OwnAnswerKind::kTimedOut, "no answer in time");
-    EndTask("timed-out", "no answer in time");
+    SendOwnAnswer(OwnAnswerKind::kTimedOut, "no answer " + aWhy);
+    EndTask("timed-out", "no answer " + aWhy);
   } else {
-    SendOwnAnswer(OwnAnswerKind::kRefused, "no room in time");
-    EndTask("refused", "no room in time");
+    SendOwnAnswer(OwnAnswerKind::kRefused, "no room " + aWhy);
+    EndTask("refused", "no room " + aWhy);
   }
 }
 
--- a/servers/relay/relay_task.h
+++ b/servers/relay/relay_task.h
@@ -68,6 +68,9 @@
   void Refuse(const policy::Refusal& aRefusal);
   void Fail(policy::FailureReason aReason);
 
+  // Answers a request that has no complete answer by now.
+  void EndUnanswered(const std::string& aWhy);
+
   // Logs what ran when a backend server crashed.
   void OnCrashedAttempt(const policy::CrashedAttempt& aAttempt);
 
@@ -75,7 +78,6 @@
   void OnCallerGone() override;
   void OnOutputAccepted() override;
 
-  void OnDeadline();
   void OnAttemptError(policy::AttemptNumber aAttempt,
                       policy::AttemptError aError,
                       const std::string& aWhy) override;
--- a/tests/servers/relay/relay_test.cpp
+++ b/tests/servers/relay/relay_test.cpp
@@ -235,6 +235,20 @@
   CHECK_TRUE(caller.HasReceived("Connection: close"));
 }
 
+TEST(RelayTest, AnswersRequestsThatOutlastAStop)
+{
+  StartDeskBackend({}); // never answers
+  RawTcpClient booking(executor, callers.Port());
+  booking.Send(MakeGet("/book/7"));
+  Await([&] { return first->Requests().size() == 1; });
+  relay.Close();
+  callers.CloseAfterAnswers();
+  relay.EndRequests();
+  Await([&] { return booking.IsClosed(); });
+  CHECK_TRUE(booking.HasReceived("HTTP/1.1 504"));
+  LONGS_EQUAL(0, relay.LiveRequests());
+}
+
 TEST(RelayTest, ClosesAnIdleConnectionWithoutSendingAnything)
 {
   RawTcpClient idle(executor, callers.Port());
