Heed what backend servers say in their answers about further requests

What callers would see: requests sent to a server that has said that it is leaving are cut when it ends, and a server that asks to be left alone is pressed on.

Cause: whether a server takes requests was learned from its record alone, which comes later, or never while the store is away. Change: the platform's Server-Leaving header, and Retry-After beside a 503 (seconds, with a fraction, or a date beside a Date header), are decoded in platform/ and servers/http1. BackendHoldoff keeps them by run of the server, so that news of an earlier run can not close the next one. If no other server is left, callers are refused at once with the time of the first return, spread over a second.

Evidence: RelayTest.SendsNothingToAServerWhoseAnswerSaidThatItLeaves and .LeavesAServerAloneForTheTimeThatItAskedFor fail with the notices ignored. Not covered: peers are not told, answers to releases of KV caches and to orders are not read, interim answers are not looked at, and the soak does not play it.

--- a/policy/fleet_view.h
+++ b/policy/fleet_view.h
@@ -106,6 +106,9 @@
   BackendKind kind = BackendKind::kEngine;
   EngineRole role = EngineRole::kMixed;
   BackendState state = BackendState::kOpen;
+  // When it is expected to be open again, if it asked for no requests until
+  // then.
+  std::optional<Instant> reopensAt{};
   // Models that an engine has loaded.
   std::vector<ModelId> models;
   // Services that a plain backend server provides.
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -22,6 +22,9 @@
 // An attempt that has produced this much output is not why its backend server
 // crashes.
 constexpr Tokens kHarmlessOutput(16);
+// Callers that are refused until a backend server is open again are asked to
+// return within this time after that.
+constexpr Duration kReturnSpread = std::chrono::seconds(1);
 constexpr std::size_t kRoleCount = 3;
 // Maximum number of separate prefills of one request; after that it runs as a
 // whole.
@@ -112,7 +115,8 @@
   const auto id = aRequest.info.requestId;
   const auto choice = Choose(aRequest, QueryFor(aRequest), aNow);
   if (!choice && choice.error().failure == SelectFailure::kNoBackend) {
-    Refuse(id, RefusalReason::kNoBackend, {});
+    Refuse(
+      id, RefusalReason::kNoBackend, TimeUntilReopened(aRequest.info, aNow));
     return;
   }
   const auto cached = mPolicies.selector->ExpectedCached(aRequest.info);
@@ -282,7 +286,7 @@
   if (choice) {
     Start(request, *choice, false, aNow);
   } else {
-    RefuseOrFail(aId, RefusalReason::kNoBackend);
+    RefuseOrFail(aId, RefusalReason::kNoBackend, aNow);
   }
   DispatchQueued(aNow);
 }
@@ -484,7 +488,7 @@
     return;
   }
   if (request.runAttempts >= MaxAttempts(request)) {
-    RefuseOrFail(aId, RefusalReason::kNoBackend);
+    RefuseOrFail(aId, RefusalReason::kNoBackend, aNow);
     return;
   }
   const auto verdict =
@@ -498,13 +502,13 @@
   }
   const bool isUnsent = aError == AttemptError::kNotSent;
   if (isUnsent && request.unsentAttempts > mOptions.maxAttempts) {
-    RefuseOrFail(aId, RefusalReason::kNoBackend);
+    RefuseOrFail(aId, RefusalReason::kNoBackend, aNow);
     return;
   }
   // A retry after a crash needs no budget, and neither does one after an
   // attempt that added no load to any backend server. All others do.
   if (!broken && !isUnsent && !mPolicies.retries->TrySpend()) {
-    RefuseOrFail(aId, RefusalReason::kRetryBudget);
+    RefuseOrFail(aId, RefusalReason::kRetryBudget, aNow);
     return;
   }
   mCounters.retries++;
@@ -522,19 +526,41 @@
   if (choice) {
     Start(request, *choice, false, aNow);
   } else {
-    RefuseOrFail(aId, RefusalReason::kNoBackend);
+    RefuseOrFail(aId, RefusalReason::kNoBackend, aNow);
   }
 }
 
 void
-RequestRouter::RefuseOrFail(const RequestId& aId, RefusalReason aReason)
+RequestRouter::RefuseOrFail(const RequestId& aId,
+                            RefusalReason aReason,
+                            Instant aNow)
 {
+  const auto& request = mRequests.at(aId);
   // A refusal guarantees that no backend server ran the request.
-  if (mRequests.at(aId).mayHaveRun) {
+  if (request.mayHaveRun) {
     Fail(aId, FailureReason::kAttemptsExhausted);
   } else {
-    Refuse(aId, aReason, {});
+    Refuse(aId, aReason, TimeUntilReopened(request.info, aNow));
+  }
+}
+
+Duration
+RequestRouter::TimeUntilReopened(const RequestInfo& aInfo, Instant aNow) const
+{
+  std::optional<Instant> first;
+  for (const auto& backend : mFleet.All()) {
+    if (backend.reopensAt > aNow && backend.Serves(aInfo)) {
+      first = std::min(first.value_or(*backend.reopensAt), *backend.reopensAt);
+    }
+  }
+  if (!first) {
+    return Duration::zero();
   }
+  constexpr std::uint64_t kSteps = 64;
+  const auto step = StableHash(aInfo.requestId.Value()) % kSteps;
+  const Duration wait = *first - aNow;
+  return wait + kReturnSpread * static_cast<Duration::rep>(step) /
+                  static_cast<Duration::rep>(kSteps);
 }
 
 std::uint32_t
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -350,7 +350,12 @@
                   AttemptError aError,
                   Instant aNow);
   void Retry(const RequestId& aId, AttemptError aError, Instant aNow);
-  void RefuseOrFail(const RequestId& aId, RefusalReason aReason);
+  void RefuseOrFail(const RequestId& aId, RefusalReason aReason, Instant aNow);
+  // The time until the first of the backend servers that asked for no requests
+  // takes this one, a little longer for some requests so that their callers do
+  // not return together. Zero if none of them did.
+  [[nodiscard]] Duration TimeUntilReopened(const RequestInfo& aInfo,
+                                           Instant aNow) const;
   [[nodiscard]] std::uint32_t MaxAttempts(const Request& aRequest) const;
   void QueueSuspect(const RequestId& aId, Instant aNow);
   void EndSuspectRun(const RequestId& aId, Instant aNow);
--- a/servers/relay/backend_registry.cpp
+++ b/servers/relay/backend_registry.cpp
@@ -58,10 +58,38 @@
                 it->second.startedAt != aRecord.startedAt)) {
     mPool.CloseIdle(aRecord.id);
   }
+  if (known && it->second.startedAt != aRecord.startedAt) {
+    mHoldoff.Forget(aRecord.id);
+  }
+  mRecords[aRecord.id] = aRecord;
+  Publish(aRecord);
+  if (changed) {
+    mLog.Info("backend server changed",
+              { { "backend", aRecord.id.Value() },
+                { "service", aRecord.service.Value() },
+                { "address", aRecord.address.Value() },
+                { "state", DescribeState(aRecord) } });
+  }
+  return changed || lapsed;
+}
+
+void
+BackendRegistry::Publish(const BackendRecord& aRecord)
+{
   policy::Backend backend;
   backend.id = aRecord.id;
   backend.domain = aRecord.domain;
   backend.state = StateOf(aRecord);
+  const policy::BackendRun run{ .id = aRecord.id,
+                                .startedAt = aRecord.startedAt };
+  const auto holdoff = mHoldoff.StateOf(run, mExecutor.Now());
+  if (holdoff == policy::HoldoffState::kLeaving ||
+      holdoff == policy::HoldoffState::kWaiting) {
+    backend.state = policy::BackendState::kDraining;
+  }
+  if (holdoff == policy::HoldoffState::kWaiting && !aRecord.isLeaving) {
+    backend.reopensAt = mHoldoff.WaitsUntil(run);
+  }
   if (aRecord.role) {
     backend.kind = policy::BackendKind::kEngine;
     backend.role = *aRecord.role;
@@ -74,17 +102,69 @@
     backend.kind = policy::BackendKind::kPlain;
     backend.services = { aRecord.service };
   }
-  backend.capacity.slots = aRecord.slots;
+  const bool isOnProbation = holdoff == policy::HoldoffState::kProbation;
+  backend.capacity.slots = isOnProbation ? 1 : aRecord.slots;
   mFleet.Upsert(std::move(backend));
-  mRecords[aRecord.id] = aRecord;
-  if (changed) {
-    mLog.Info("backend server changed",
-              { { "backend", aRecord.id.Value() },
-                { "service", aRecord.service.Value() },
-                { "address", aRecord.address.Value() },
-                { "state", DescribeState(aRecord) } });
+}
+
+void
+BackendRegistry::PublishIfKnown(const policy::BackendRun& aRun)
+{
+  const auto it = mRecords.find(aRun.id);
+  if (it != mRecords.end() && it->second.startedAt == aRun.startedAt) {
+    Publish(it->second);
   }
-  return changed || lapsed;
+}
+
+void
+BackendRegistry::OnLeaving(const policy::BackendRun& aRun)
+{
+  const auto now = mExecutor.Now();
+  if (mHoldoff.StateOf(aRun, now) == policy::HoldoffState::kLeaving) {
+    return;
+  }
+  mHoldoff.OnLeaving(aRun, now);
+  PublishIfKnown(aRun);
+  mLog.Info("backend server says that it is leaving",
+            { { "backend", aRun.id.Value() } });
+}
+
+void
+BackendRegistry::OnAskedToWait(const policy::BackendRun& aRun, Duration aWait)
+{
+  const auto now = mExecutor.Now();
+  const bool isNew =
+    mHoldoff.StateOf(aRun, now) != policy::HoldoffState::kWaiting;
+  mHoldoff.OnAskedToWait(aRun, aWait, now);
+  const auto until = mHoldoff.WaitsUntil(aRun);
+  if (!until || *until <= now) {
+    return;
+  }
+  PublishIfKnown(aRun);
+  mReopenTimers[aRun.id] =
+    mExecutor.RunAfter(*until - now, [this, aRun] { PublishIfKnown(aRun); });
+  if (isNew) {
+    mLog.Info("backend server asks for no requests",
+              { { "backend", aRun.id.Value() },
+                { "seconds", std::to_string(ToSeconds(*until - now)) } });
+  }
+}
+
+void
+BackendRegistry::OnAccepted(const policy::BackendRun& aRun)
+{
+  if (mHoldoff.StateOf(aRun, mExecutor.Now()) ==
+      policy::HoldoffState::kProbation) {
+    mHoldoff.OnAccepted(aRun, mExecutor.Now());
+    PublishIfKnown(aRun);
+  }
+}
+
+policy::BackendRun
+BackendRegistry::RunOf(const BackendId& aId) const
+{
+  const auto* record = Find(aId);
+  return { .id = aId, .startedAt = record == nullptr ? 0 : record->startedAt };
 }
 
 bool
@@ -135,9 +215,15 @@
 void
 BackendRegistry::RemoveNow(const BackendId& aId, const std::string& aWhy)
 {
-  if (mRecords.erase(aId) == 0) {
+  const auto it = mRecords.find(aId);
+  if (it == mRecords.end()) {
     return;
   }
+  if (it->second.startedAt == 0) {
+    mHoldoff.Forget(aId); // another run could not be told from this one
+  }
+  mRecords.erase(it);
+  mReopenTimers.erase(aId);
   mFleet.Remove(aId);
   mPool.CloseIdle(aId);
   mLog.Info("backend server gone",
--- a/servers/relay/backend_registry.h
+++ b/servers/relay/backend_registry.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/executor.h"
+#include "policy/backend_holdoff.h"
 #include "policy/fleet_view.h"
 #include "servers/http1/backend_pool.h"
 #include "servers/log/log.h"
@@ -75,6 +76,18 @@
   // records is reachable again.
   void OnLogRegained();
 
+  // A backend server said in an answer that it is leaving.
+  void OnLeaving(const policy::BackendRun& aRun);
+
+  // A backend server rejected a request and asked for no others for this time.
+  void OnAskedToWait(const policy::BackendRun& aRun, Duration aWait);
+
+  // A backend server took a request.
+  void OnAccepted(const policy::BackendRun& aRun);
+
+  // The run of the backend server that is known now.
+  [[nodiscard]] policy::BackendRun RunOf(const BackendId& aId) const;
+
   // Returns null if the backend server is unknown or was removed.
   [[nodiscard]] const BackendRecord* Find(const BackendId& aId) const;
   [[nodiscard]] std::size_t Size() const { return mRecords.size(); }
@@ -82,6 +95,10 @@
 private:
   void RemoveNow(const BackendId& aId, const std::string& aWhy);
   void RemovePending();
+  // Updates the fleet view from the record and from what the backend server
+  // said in its answers.
+  void Publish(const BackendRecord& aRecord);
+  void PublishIfKnown(const policy::BackendRun& aRun);
 
   Options mOptions;
   Executor& mExecutor;
@@ -89,6 +106,9 @@
   BackendPool& mPool;
   Log mLog{ "directory" };
   std::map<BackendId, BackendRecord> mRecords;
+  policy::BackendHoldoff mHoldoff;
+  // End the time that a backend server asked for.
+  std::map<BackendId, Timer> mReopenTimers;
   // Backend servers whose records were deleted within the grace period.
   std::vector<BackendId> mPendingRemovals;
   Instant mGraceEnd{};
--- a/servers/relay/dialect.h
+++ b/servers/relay/dialect.h
@@ -133,6 +133,16 @@
   kFailed,
 };
 
+// What a backend server says in an answer about taking further requests.
+struct AvailabilityNotice
+{
+  bool isLeaving = false;
+  // It rejected the request and wants no others for this time.
+  std::optional<Duration> wait{};
+  // It took the request.
+  bool hasAccepted = false;
+};
+
 struct OwnAnswer
 {
   int status = 0;
@@ -166,6 +176,9 @@
                                         const RequestId& aId) const = 0;
   [[nodiscard]] virtual AnswerKind Classify(const MessageHead& aHead) const = 0;
 
+  [[nodiscard]] virtual AvailabilityNotice ReadAvailability(
+    const MessageHead& aHead) const = 0;
+
   // Decodes an engine's answer to a prefill request into a reference to the KV
   // cache at the engine with this address; fails if the prefill failed or the
   // answer is invalid.
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -39,7 +39,7 @@
     Executor* executor = nullptr;
     const Dialect* dialect = nullptr;
     BackendPool* pool = nullptr;
-    const BackendRegistry* backendRegistry = nullptr;
+    BackendRegistry* backendRegistry = nullptr;
     const policy::FleetView* fleet = nullptr;
     const RoutingTableReplica* routing = nullptr;
     RelayMetrics* metrics = nullptr;
--- a/servers/relay/relay_attempt.cpp
+++ b/servers/relay/relay_attempt.cpp
@@ -58,6 +58,7 @@
 {
   mAnswer.head = aHead;
   mAnswerKind = mDialect.Classify(aHead);
+  mListener.OnAvailability(mOptions.backend, mDialect.ReadAvailability(aHead));
   // Engines do not sign the answer to a prefill request.
   if (!mOptions.promptOnly && mAnswerKind == AnswerKind::kForeign) {
     FailAttempt("not a backend server's answer");
@@ -112,7 +113,7 @@
                              AttemptError::kRejected,
                              "status " + std::to_string(mAnswer.head.status));
   } else if (mOptions.promptOnly) {
-    mListener.OnPrefillAnswer(number, mAnswer, mOptions.backend);
+    mListener.OnPrefillAnswer(number, mAnswer, mOptions.backend.id);
   } else if (mAnswerKind == AnswerKind::kFailure) {
     mListener.OnAttemptFailure(number, std::move(mAnswer));
   } else if (!mOptions.isStream) {
--- a/servers/relay/relay_attempt.h
+++ b/servers/relay/relay_attempt.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "policy/backend_holdoff.h"
 #include "policy/request_router.h"
 #include "servers/http1/backend_pool.h"
 #include "servers/relay/dialect.h"
@@ -29,6 +30,9 @@
 public:
   virtual ~RelayAttemptListener() = default;
 
+  // The head of an answer arrived.
+  virtual void OnAvailability(const policy::BackendRun& aBackend,
+                              const AvailabilityNotice& aNotice) = 0;
   // The attempt ended without an answer for the caller.
   virtual void OnAttemptError(policy::AttemptNumber aAttempt,
                               policy::AttemptError aError,
@@ -63,7 +67,7 @@
   {
     RequestId request;
     policy::AttemptNumber number;
-    BackendId backend;
+    policy::BackendRun backend;
     // The engine only prefills the prompt.
     bool promptOnly = false;
     // The answer is a stream of server-sent events.
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -153,13 +153,13 @@
     call.maxIdleAge = kMaxReuseIdleForOnce;
   }
   auto attempt = std::make_unique<RelayAttempt>(
-    RelayAttempt::Options{ .request = mOptions.request.id,
-                           .number = aOrder.attempt,
-                           .backend = aOrder.backend,
-                           .promptOnly = promptOnly,
-                           .isStream =
-                             mOptions.route->IsStream() && !promptOnly,
-                           .kvCache = std::move(terms.kvCache) },
+    RelayAttempt::Options{
+      .request = mOptions.request.id,
+      .number = aOrder.attempt,
+      .backend = mContext.backendRegistry->RunOf(aOrder.backend),
+      .promptOnly = promptOnly,
+      .isStream = mOptions.route->IsStream() && !promptOnly,
+      .kvCache = std::move(terms.kvCache) },
     *mContext.dialect,
     static_cast<RelayAttemptListener&>(*this));
   attempt->Start(*mContext.pool, std::move(call));
@@ -197,6 +197,22 @@
   return taken;
 }
 
+void
+RelayTask::OnAvailability(const policy::BackendRun& aBackend,
+                          const AvailabilityNotice& aNotice)
+{
+  auto& registry = *mContext.backendRegistry;
+  if (aNotice.isLeaving) {
+    registry.OnLeaving(aBackend);
+  }
+  if (aNotice.wait) {
+    registry.OnAskedToWait(aBackend, *aNotice.wait);
+  }
+  if (aNotice.hasAccepted) {
+    registry.OnAccepted(aBackend);
+  }
+}
+
 void
 RelayTask::OnAttemptError(AttemptNumber aAttempt,
                           AttemptError aError,
--- a/servers/relay/relay_task.h
+++ b/servers/relay/relay_task.h
@@ -27,7 +27,7 @@
   Executor* executor = nullptr;
   const Dialect* dialect = nullptr;
   BackendPool* pool = nullptr;
-  const BackendRegistry* backendRegistry = nullptr;
+  BackendRegistry* backendRegistry = nullptr;
   policy::RequestRouter* router = nullptr;
   RelayMetrics* metrics = nullptr;
   const Log* log = nullptr;
@@ -78,6 +78,8 @@
   void OnCallerGone() override;
   void OnOutputAccepted() override;
 
+  void OnAvailability(const policy::BackendRun& aBackend,
+                      const AvailabilityNotice& aNotice) override;
   void OnAttemptError(policy::AttemptNumber aAttempt,
                       policy::AttemptError aError,
                       const std::string& aWhy) override;
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -272,3 +272,35 @@
     }
   }
 }
+
+TEST(PlatformDialectTest, ReadsWhatAServerSaysOfItsAvailability)
+{
+  const auto read = [&](int aStatus, firefly::HttpHeaders aHeaders) {
+    firefly::MessageHead head;
+    head.status = aStatus;
+    head.headers = std::move(aHeaders);
+    return dialect.ReadAvailability(head);
+  };
+  CHECK_TRUE(read(200, { { "Server-Leaving", "1" } }).isLeaving);
+  CHECK_FALSE(read(200, {}).isLeaving);
+  CHECK(read(503, { { "Retry-After", "2" } }).wait == 2s);
+  CHECK(read(503, { { "Retry-After", "0.25" } }).wait == 250ms);
+  CHECK(read(503,
+             { { "Retry-After", "Sun, 06 Nov 1994 08:49:40 GMT" },
+               { "Date", "Sun, 06 Nov 1994 08:49:37 GMT" } })
+          .wait == 3s);
+  CHECK_FALSE(read(200, { { "Retry-After", "2" } }).wait.has_value());
+  for (const auto* odd : { "",
+                           "-1",
+                           "soon",
+                           "2s",
+                           "nan",
+                           "inf",
+                           "1e5",
+                           "Sun, 06 Nov 1994 08:49:37 GMT" }) {
+    CHECK_FALSE(read(503, { { "Retry-After", odd } }).wait.has_value());
+  }
+  CHECK(
+    read(503, { { "Retry-After", std::string(300, '9') } }).wait.value_or(0s) >=
+    0s);
+}
--- a/tests/servers/relay/backend_registry_test.cpp
+++ b/tests/servers/relay/backend_registry_test.cpp
@@ -105,3 +105,51 @@
   CHECK(StateOf("b1") == BackendState::kClosed);
   CHECK(StateOf("b2") == BackendState::kOpen);
 }
+
+TEST(BackendRegistryTest, ALeavingServerStaysClosedUntilItsNextRun)
+{
+  auto record = MakeRecord("b1");
+  record.startedAt = 1;
+  backendRegistry.Apply(record);
+  backendRegistry.OnLeaving(backendRegistry.RunOf(record.id));
+  CHECK(StateOf("b1") == BackendState::kDraining);
+  backendRegistry.Apply(record);
+  backendRegistry.Remove(record.id);
+  backendRegistry.Apply(record);
+  CHECK(StateOf("b1") == BackendState::kDraining);
+  record.startedAt = 2;
+  backendRegistry.Apply(record);
+  CHECK(StateOf("b1") == BackendState::kOpen);
+}
+
+TEST(BackendRegistryTest, LateNewsOfAnEarlierRunDoesNotCloseTheNextOne)
+{
+  auto record = MakeRecord("b1");
+  record.startedAt = 1;
+  backendRegistry.Apply(record);
+  const auto earlier = backendRegistry.RunOf(record.id);
+  record.startedAt = 2;
+  backendRegistry.Apply(record);
+  backendRegistry.OnLeaving(earlier);
+  backendRegistry.OnAskedToWait(earlier, 10s);
+  CHECK(StateOf("b1") == BackendState::kOpen);
+}
+
+TEST(BackendRegistryTest, OpensAServerByOneRequestAfterTheTimeThatItAskedFor)
+{
+  auto record = MakeRecord("b1");
+  record.slots = 8;
+  backendRegistry.Apply(record);
+  const auto run = backendRegistry.RunOf(record.id);
+  backendRegistry.OnAskedToWait(run, 2s);
+  CHECK(StateOf("b1") == BackendState::kDraining);
+  CHECK(fleet.Find(record.id)->reopensAt.has_value());
+  executor.RunFor(1900ms);
+  CHECK(StateOf("b1") == BackendState::kDraining);
+  executor.RunFor(200ms);
+  CHECK(StateOf("b1") == BackendState::kOpen);
+  CHECK_FALSE(fleet.Find(record.id)->reopensAt.has_value());
+  LONGS_EQUAL(1, fleet.Find(record.id)->capacity.slots);
+  backendRegistry.OnAccepted(run);
+  LONGS_EQUAL(8, fleet.Find(record.id)->capacity.slots);
+}
--- a/tests/servers/relay/relay_test.cpp
+++ b/tests/servers/relay/relay_test.cpp
@@ -347,3 +347,57 @@
   STRCMP_EQUAL("/-/kv-handle/ab12", first->Requests()[1].head.target.c_str());
   Await([&] { return caller.HasReceived("HTTP/1.1 503"); });
 }
+
+// The records still say that both are open.
+TEST(RelayTest, SendsNothingToAServerWhoseAnswerSaidThatItLeaves)
+{
+  const auto script = [](const std::string& aHeaders) {
+    return [aHeaders](const ScriptedRequest&) -> ScriptedReply {
+      return { MakeAnswer(200, "whole", kStamp + aHeaders) };
+    };
+  };
+  first = StartBackend(script("Server-Leaving: 1\r\n"));
+  second = StartBackend(script(""));
+  Register("b1", *first);
+  Register("b2", *second);
+  SetRoutingTable();
+  for (int i = 0; i < 20; ++i) {
+    RawTcpClient caller(executor, callers.Port());
+    caller.Send(MakeGet("/look/" + std::to_string(i)));
+    Await([&] { return caller.HasReceived("whole"); });
+    Register("b1", *first);
+  }
+  LONGS_EQUAL(1, first->Requests().size());
+  LONGS_EQUAL(19, second->Requests().size());
+}
+
+TEST(RelayTest, LeavesAServerAloneForTheTimeThatItAskedFor)
+{
+  int rejected = 0;
+  first = StartBackend([&rejected](const ScriptedRequest&) -> ScriptedReply {
+    if (rejected++ == 0) {
+      return { MakeAnswer(
+        503, "", "Fireflyrouter-Not-Run: 1\r\nRetry-After: 1.5\r\n") };
+    }
+    return { MakeAnswer(200, "whole", kStamp) };
+  });
+  Register("b1", *first);
+  SetRoutingTable();
+  const auto ask = [&](const std::string& aTarget) {
+    RawTcpClient caller(executor, callers.Port());
+    caller.Send(MakeGet(aTarget));
+    Await([&] { return caller.HasReceived("HTTP/1.1"); });
+    return caller.Received();
+  };
+  ask("/book/0");
+  const auto asked = executor.Now();
+  const auto refused = ask("/book/1");
+  STRCMP_CONTAINS("HTTP/1.1 503", refused.c_str());
+  const auto at = refused.find("Retry-After: ");
+  CHECK(at != std::string::npos);
+  const double wait = std::stod(refused.substr(at + 13));
+  CHECK(wait >= 1.4 && wait <= 2.6);
+  LONGS_EQUAL(1, first->Requests().size());
+  Await([&] { return executor.Now() - asked > 1600ms; });
+  STRCMP_CONTAINS("HTTP/1.1 200", ask("/book/2").c_str());
+}
