Tell peers that a crash suspicion was contrasted

Evidence of contrast was kept by each relay for itself.

Change: whether another request was harmless since the first crash is part of the suspicion and is told to the peers, also when it becomes known after the last crash. A relay that is cut off still holds nothing by itself.

Evidence: CrashLoadTest.RoutersThatServeLittleHoldBackWhatOthersFound fails without it. ManyRoutersThatSeeLittleEachAddUpWhatTheySee missed it, as each of its routers hears of an engine twice a second.

--- a/policy/crash_correlator.cpp
+++ b/policy/crash_correlator.cpp
@@ -50,7 +50,7 @@
   const auto& suspicion = aRecord.suspicion;
   const auto needed = suspicion.clearances == 0 ? mOptions.crashesToHold
                                                 : mOptions.crashesToHoldAgain;
-  return suspicion.crashes >= needed && aRecord.hasContrast &&
+  return suspicion.crashes >= needed && suspicion.isContrasted &&
          aRecord.lastProof < aNow - mOptions.proofValidFor &&
          aNow - aRecord.lastCrash < mOptions.holdTime;
 }
@@ -195,7 +195,7 @@
   }
   if (suspicion.crashes == 0) {
     record.firstCrash = aNow;
-    record.hasContrast = false;
+    suspicion.isContrasted = false;
   }
   suspicion.crashes += 1 + inherited;
   suspicion.trials = 0;
@@ -216,14 +216,21 @@
     }
     auto common = Intersect(traits, aRequest.crashTraits);
     if (common != traits) {
-      record.hasContrast =
-        record.hasContrast || !common.empty() || traits.size() == 1;
+      const bool isContrast = !common.empty() || traits.size() == 1;
+      if (isContrast && !suspicion.isContrasted) {
+        suspicion.isContrasted = true;
+        // Peers that serve few requests may see none of their own.
+        if (suspicion.crashes > 1) {
+          mChanged.insert(traits);
+        }
+      }
       shared.insert(std::move(common));
       continue;
     }
     suspicion.clearances++;
     suspicion.crashes = 0;
     suspicion.trials = 0;
+    suspicion.isContrasted = false;
     record.lastProof = aNow;
     record.changed = aNow;
     mChanged.insert(traits);
@@ -242,21 +249,29 @@
   Instant aNow)
 {
   for (const auto& it : aSuspicions) {
-    const auto known = mRecords.find(it.traits);
     if (it.traits.empty() || it.traits.size() > kMaxCrashTraits ||
-        !std::ranges::is_sorted(it.traits) ||
-        (known != mRecords.end() && !it.IsNewerThan(known->second.suspicion))) {
+        !std::ranges::is_sorted(it.traits)) {
+      continue;
+    }
+    const auto known = mRecords.find(it.traits);
+    const auto old =
+      known == mRecords.end() ? CrashSuspicion{} : known->second.suspicion;
+    const bool isSameSeries =
+      old.crashes > 0 && old.clearances == it.clearances;
+    if (known != mRecords.end() && !it.IsNewerThan(old)) {
+      known->second.suspicion.isContrasted =
+        old.isContrasted || (isSameSeries && it.isContrasted);
       continue;
     }
     auto& record = Insert(it.traits, aNow);
-    const auto old = record.suspicion;
     record.suspicion = it;
+    record.suspicion.isContrasted =
+      it.isContrasted || (isSameSeries && old.isContrasted);
     if (it.crashes == 0) {
       record.lastProof = aNow;
-    } else if (old.crashes == 0 || old.clearances != it.clearances) {
+    } else if (!isSameSeries) {
       record.firstCrash = aNow;
       record.lastCrash = aNow;
-      record.hasContrast = false;
     } else if (old.crashes != it.crashes) {
       record.lastCrash = aNow;
     }
--- a/policy/crash_correlator.h
+++ b/policy/crash_correlator.h
@@ -24,6 +24,9 @@
   std::uint32_t crashes = 0;
   // Requests that were let through since the last crash to test it.
   std::uint32_t trials = 0;
+  // Whether a request with only some of the traits was harmless since the first
+  // crash. If none was, the traits tell nothing.
+  bool isContrasted = false;
 
   // Whether it is newer than a record with the same traits.
   [[nodiscard]] bool IsNewerThan(const CrashSuspicion& aOther) const;
@@ -152,9 +155,6 @@
     Instant lastTrial = Instant::min();
     // When a request with all of the traits was last harmless.
     Instant lastProof = Instant::min();
-    // Whether a request with only some of the traits was harmless since the
-    // first crash. If none was, the traits tell nothing.
-    bool hasContrast = false;
     // The last change of any kind.
     Instant changed{};
   };
--- a/policy/digest.cpp
+++ b/policy/digest.cpp
@@ -21,7 +21,8 @@
 using SuspicionTuple = std::tuple<std::vector<std::uint64_t>,
                                   std::uint32_t,
                                   std::uint32_t,
-                                  std::uint32_t>;
+                                  std::uint32_t,
+                                  bool>;
 // Digests of older versions end before the stages or before the crash
 // suspicions.
 using DigestTupleWithoutStages = std::tuple<std::string,
@@ -71,7 +72,7 @@
       traits.push_back(trait.Value());
     }
     suspicions.emplace_back(
-      std::move(traits), it.clearances, it.crashes, it.trials);
+      std::move(traits), it.clearances, it.crashes, it.trials, it.isContrasted);
   }
   return { aDigest.host.Value(), aDigest.incarnation.Value(),
            aDigest.sequence,     std::move(work),
@@ -116,11 +117,13 @@
     digest.stages.push_back(
       { model, prefill, prefillWait, decode, decodeWait });
   }
-  for (const auto& [traits, clearances, crashes, trials] : suspicions) {
+  for (const auto& [traits, clearances, crashes, trials, contrasted] :
+       suspicions) {
     CrashSuspicion suspicion{ .traits = {},
                               .clearances = clearances,
                               .crashes = crashes,
-                              .trials = trials };
+                              .trials = trials,
+                              .isContrasted = contrasted };
     for (const auto trait : traits) {
       suspicion.traits.emplace_back(trait);
     }
--- a/servers/relay/peer_update_channel.cpp
+++ b/servers/relay/peer_update_channel.cpp
@@ -227,6 +227,7 @@
     writer.Number(it.clearances)
       .Number(it.crashes)
       .Number(it.trials)
+      .Flag(it.isContrasted)
       .Number(it.traits.size());
     for (const auto& trait : it.traits) {
       writer.Number(trait.Value());
@@ -254,6 +255,7 @@
     suspicion.clearances = static_cast<std::uint32_t>(reader.Number());
     suspicion.crashes = static_cast<std::uint32_t>(reader.Number());
     suspicion.trials = static_cast<std::uint32_t>(reader.Number());
+    suspicion.isContrasted = reader.Flag();
     const auto n = reader.Number();
     for (std::uint64_t i = 0; i < n && reader.Ok(); ++i) {
       suspicion.traits.emplace_back(reader.Number());
--- a/tests/policy/crash_correlator_test.cpp
+++ b/tests/policy/crash_correlator_test.cpp
@@ -198,6 +198,30 @@
   }
 }
 
+TEST(CrashCorrelatorTest, AProcessWithoutAnswersOfItsOwnHoldsWhatPeersHold)
+{
+  CrashRepeatedly({ kDeadly }, 3);
+  TraitCrashCorrelator peer;
+  peer.OnPeerReport(correlator.TakeChanges(), now);
+  CHECK(peer.Decide(MakeWithParts({ kDeadly }), now).verdict ==
+        CrashVerdict::kHeld);
+  CHECK(peer.Decide(MakeWithParts({ kOther }), now).verdict ==
+        CrashVerdict::kClear);
+}
+
+TEST(CrashCorrelatorTest, AnAnswerAfterTheLastCrashIsToldToPeers)
+{
+  TraitCrashCorrelator peer;
+  for (int i = 0; i < 3; ++i) {
+    Crash(MakeWithParts({ kDeadly }));
+  }
+  peer.OnPeerReport(correlator.TakeChanges(), now);
+  CHECK_FALSE(peer.HoldsAny(now));
+  Finish(MakeWithParts({ kOther }));
+  peer.OnPeerReport(correlator.TakeChanges(), now);
+  CHECK_TRUE(peer.HoldsAny(now));
+}
+
 TEST(CrashCorrelatorTest, TheSameCrashSeenByTwoProcessesCountsOnce)
 {
   TraitCrashCorrelator peer;
--- a/tests/policy/crash_load_test.cpp
+++ b/tests/policy/crash_load_test.cpp
@@ -366,6 +366,21 @@
   CHECK(result.sentLate <= 3);
 }
 
+// Most routers have no answer of an engine between two crashes.
+TEST(CrashLoadTest, RoutersThatServeLittleHoldBackWhatOthersFound)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    const auto result = CrashLoad({ .seed = seed,
+                                    .routers = 100,
+                                    .engines = 60,
+                                    .soundPerSecond = 20,
+                                    .deadlyPerSecond = 2 })
+                          .Play();
+    CHECK(result.sentLate <= 3);
+    CHECK(result.crashes <= 8);
+  }
+}
+
 TEST(CrashLoadTest, SoundRequestsWithTheSameFirstPartAreServed)
 {
   int neighbours = 0;
--- a/tests/policy/digest_test.cpp
+++ b/tests/policy/digest_test.cpp
@@ -23,7 +23,8 @@
   digest.crashSuspicions = { { .traits = { CrashTrait(14), CrashTrait(15) },
                                .clearances = 16,
                                .crashes = 17,
-                               .trials = 18 } };
+                               .trials = 18,
+                               .isContrasted = true } };
   const auto decoded = Digest::Decode(digest.Encode());
   CHECK_TRUE(decoded.has_value());
   CHECK(decoded->host == digest.host);
@@ -39,6 +40,7 @@
   LONGS_EQUAL(16, suspicion.clearances);
   LONGS_EQUAL(17, suspicion.crashes);
   LONGS_EQUAL(18, suspicion.trials);
+  CHECK_TRUE(suspicion.isContrasted);
 }
 
 TEST(DigestTest, DecodesDigestsOfOlderVersions)
--- a/tests/servers/relay/peer_update_channel_test.cpp
+++ b/tests/servers/relay/peer_update_channel_test.cpp
@@ -167,7 +167,8 @@
     sent.push_back({ .traits = { CrashTrait(i), CrashTrait(~0ULL) },
                      .clearances = i,
                      .crashes = 2,
-                     .trials = 3 });
+                     .trials = 3,
+                     .isContrasted = true });
   }
   const auto datagrams = EncodeCrashSuspicions(sent);
   CHECK(datagrams.size() > 1);
@@ -182,6 +183,7 @@
   LONGS_EQUAL(99, received[99].clearances);
   LONGS_EQUAL(2, received[99].crashes);
   LONGS_EQUAL(3, received[99].trials);
+  CHECK_TRUE(received[99].isContrasted);
 }
 
 TEST(PeerUpdateChannelTest, IgnoresDamagedCrashSuspicions)
