Know the parts of requests that go to plain services

What callers would see: a part that crashes plain servers crashes one after the other, while the same part before engines is held back.

Cause: parts were read only of requests with a model and token counts, and dropped for services without engines, so that such a request had no trait that tells it from sound ones. Change: the shared parts belong to the request, not to its prompt. Evidence: RelayTroubleTest.APartThatCrashesPlainServersStopsReachingThem failed before (more than 8 of 20 reached servers).

--- a/servers/relay/dialect.h
+++ b/servers/relay/dialect.h
@@ -34,7 +34,6 @@
   policy::Tokens promptTokens;
   // The caller's limit on the output.
   policy::Tokens maxOutputTokens;
-  std::vector<PromptPart> sharedParts;
 };
 
 // A caller's request, independent of the wire format.
@@ -55,6 +54,9 @@
   // new stream.
   std::string lastEventId;
   std::optional<PromptInfo> prompt;
+  // The parts that other requests may share, also of a request that has no
+  // prompt for an engine.
+  std::vector<PromptPart> sharedParts;
   // Hash that a caller's repeat of the same request shares.
   policy::Fingerprint fingerprint;
 };
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -86,8 +86,12 @@
   info.rank = route.rank;
   info.maxAttempts = route.maxAttempts;
   info.fingerprint = request.fingerprint;
+  std::vector<std::uint64_t> parts;
+  for (const auto& it : request.sharedParts) {
+    parts.push_back(it.hash);
+  }
   if (!request.prompt) {
-    info.SetCrashTraits(request.host + request.path, {});
+    info.SetCrashTraits(request.host + request.path, parts);
     return info;
   }
   const auto& prompt = *request.prompt;
@@ -96,13 +100,11 @@
   info.maxOutputTokens = prompt.maxOutputTokens;
   std::uint64_t hash = policy::StableHash(info.model.Value());
   std::uint32_t end = 0;
-  std::vector<std::uint64_t> parts;
-  for (const auto& it : prompt.sharedParts) {
+  for (const auto& it : request.sharedParts) {
     hash = policy::MixHash(hash, it.hash);
     end += it.tokens.Value();
     info.prefixHashes.push_back(hash);
     info.prefixEnds.emplace_back(end);
-    parts.push_back(it.hash);
   }
   info.SetCrashTraits(request.host + request.path, parts);
   return info;
@@ -458,10 +460,8 @@
   const auto& request = mOptions.request;
   const bool hasBegun = aAttempt.produced.Value() > 0;
   std::string parts;
-  if (request.prompt) {
-    for (const auto& it : request.prompt->sharedParts) {
-      parts += (parts.empty() ? "" : ",") + Hex(it.hash);
-    }
+  for (const auto& it : request.sharedParts) {
+    parts += (parts.empty() ? "" : ",") + Hex(it.hash);
   }
   mContext.metrics->crashedAttempts
     .With({ mOptions.service.Value(), hasBegun ? "yes" : "no" })
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -91,9 +91,9 @@
   LONGS_EQUAL(900, request.prompt->promptTokens.Value());
   LONGS_EQUAL(40, request.prompt->maxOutputTokens.Value());
   // The last part belongs to this request alone and is not shared.
-  LONGS_EQUAL(2, request.prompt->sharedParts.size());
-  LONGS_EQUAL(0xff, request.prompt->sharedParts[1].hash);
-  LONGS_EQUAL(300, request.prompt->sharedParts[1].tokens.Value());
+  LONGS_EQUAL(2, request.sharedParts.size());
+  LONGS_EQUAL(0xff, request.sharedParts[1].hash);
+  LONGS_EQUAL(300, request.sharedParts[1].tokens.Value());
 }
 
 TEST(PlatformDialectTest, RejectsUnusableIdsAndTargets)
--- a/tests/servers/relay/relay_trouble_test.cpp
+++ b/tests/servers/relay/relay_trouble_test.cpp
@@ -345,3 +345,37 @@
   }
   CHECK(crashes <= kMaxCrashes);
 }
+
+// Requests to plain services name parts too, without a model or token counts.
+TEST(RelayTroubleTest, APartThatCrashesPlainServersStopsReachingThem)
+{
+  constexpr int kRounds = 20;
+  constexpr int kMaxCrashes = 8; // five to notice it, three more
+  int crashes = 0;
+  const auto script =
+    [&crashes](const ScriptedRequest& aRequest) -> ScriptedReply {
+    const auto parts =
+      FindHeader(aRequest.head.headers, "Fireflyrouter-Prompt-Prefix");
+    if (parts.find("bad:") != std::string_view::npos) {
+      crashes++;
+      return { "", AfterReply::kReset };
+    }
+    return { MakeAnswer(200, "whole", kStamp) };
+  };
+  first = StartBackend(script);
+  second = StartBackend(script);
+  Register("b1", *first);
+  Register("b2", *second);
+  SetRoutingTable();
+  for (int i = 0; i < kRounds; ++i) {
+    const auto n = std::to_string(i);
+    const auto header = "Fireflyrouter-Prompt-Prefix: a1:600,";
+    RawTcpClient deadly(executor, callers.Port());
+    deadly.Send(MakeGet("/book/" + n, header + ("bad:200,c" + n + ":1\r\n")));
+    Await([&] { return deadly.HasReceived("HTTP/1.1 50"); });
+    RawTcpClient sound(executor, callers.Port());
+    sound.Send(MakeGet("/book/s" + n, header + ("d" + n + ":1\r\n")));
+    Await([&] { return sound.HasReceived("whole"); });
+  }
+  CHECK(crashes <= kMaxCrashes);
+}
