--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -19,6 +19,12 @@
 constexpr Duration kMinServiceTime = std::chrono::milliseconds(40);
 // Weight of a new answer in the average time of a plain service.
 constexpr double kPlainTimeWeight = 0.1;
+// An attempt that has produced this much output is not why its backend server
+// crashes.
+constexpr Tokens kHarmlessOutput(16);
+// Callers that are refused until a backend server is open again are asked to
+// return within this time after that.
+constexpr Duration kReturnSpread = std::chrono::seconds(1);
 constexpr std::size_t kRoleCount = 3;
 // Maximum number of separate prefills of one request; after that it runs as a
 // whole.
@@ -72,6 +78,9 @@
     Refuse(id, RefusalReason::kQuarantined, {});
     return;
   }
+  if (EndIfHeld(id, aNow)) {
+    return;
+  }
   if (info.NeedsEngine()) {
     request.size = mPolicies.estimator->Estimate(info);
     const auto cached = mPolicies.selector->ExpectedCached(info);
@@ -87,6 +96,12 @@
     return;
   }
   request.permit = std::move(*permit);
+  const auto& crashes = mPolicies.crashCorrelator;
+  if (crashes->Decide(info, aNow).verdict == CrashVerdict::kTrial) {
+    request.isTrial = true;
+    crashes->OnTrial(info, aNow);
+    AnnounceCrashChanges();
+  }
   if (verdict == PoisonVerdict::kSuspect) {
     QueueSuspect(id, aNow);
     return;
@@ -100,7 +115,8 @@
   const auto id = aRequest.info.requestId;
   const auto choice = Choose(aRequest, QueryFor(aRequest), aNow);
   if (!choice && choice.error().failure == SelectFailure::kNoBackend) {
-    Refuse(id, RefusalReason::kNoBackend, {});
+    Refuse(
+      id, RefusalReason::kNoBackend, TimeUntilReopened(aRequest.info, aNow));
     return;
   }
   const auto cached = mPolicies.selector->ExpectedCached(aRequest.info);
@@ -128,6 +144,76 @@
   Start(aRequest, *choice, false, aNow);
 }
 
+bool
+RequestRouter::EndIfHeld(const RequestId& aId, Instant aNow)
+{
+  const auto& request = mRequests.at(aId);
+  const auto decision = mPolicies.crashCorrelator->Decide(request.info, aNow);
+  if (request.isTrial || decision.verdict != CrashVerdict::kHeld) {
+    return false;
+  }
+  if (request.mayHaveRun) {
+    Fail(aId, FailureReason::kQuarantined);
+  } else {
+    Refuse(aId, RefusalReason::kQuarantined, decision.retryAfter);
+  }
+  return true;
+}
+
+void
+RequestRouter::EndHeldRequests(Instant aNow)
+{
+  if (!mPolicies.crashCorrelator->HoldsAny(aNow)) {
+    return;
+  }
+  std::vector<RequestId> waiting;
+  for (const auto& [id, request] : mRequests) {
+    if (request.answeringAttempt.Value() == 0 && !request.isTrial) {
+      waiting.push_back(id);
+    }
+  }
+  for (const auto& id : waiting) {
+    const auto it = mRequests.find(id);
+    if (it == mRequests.end() ||
+        mPolicies.crashCorrelator->Decide(it->second.info, aNow).verdict !=
+          CrashVerdict::kHeld) {
+      continue;
+    }
+    auto& request = it->second;
+    request.mayHaveRun =
+      request.mayHaveRun ||
+      std::ranges::any_of(request.attempts, [](const auto& aAttempt) {
+        return aAttempt.second.phase != WorkPhase::kPrefill;
+      });
+    CancelOthers(request, AttemptNumber(0), aNow);
+    EndIfHeld(id, aNow);
+    EndSuspectRun(id, aNow);
+  }
+}
+
+void
+RequestRouter::ReportHarmless(const Request& aRequest,
+                              Attempt& aAttempt,
+                              Instant aNow)
+{
+  if (aAttempt.isHarmless) {
+    return;
+  }
+  aAttempt.isHarmless = true;
+  mPolicies.crashCorrelator->OnHarmless(
+    aRequest.info, aAttempt.firstToken, aNow);
+  AnnounceCrashChanges();
+}
+
+void
+RequestRouter::AnnounceCrashChanges()
+{
+  const auto changes = mPolicies.crashCorrelator->TakeChanges();
+  if (!changes.empty()) {
+    mSink.AnnounceCrashSuspicions(changes);
+  }
+}
+
 bool
 RequestRouter::OnFirstToken(const RequestId& aId,
                             AttemptNumber aAttempt,
@@ -192,11 +278,15 @@
   request.hasKvCache = true;
   request.kvCacheDomain = mFleet.At(info.slot).domain;
   request.attempts.erase(attempt);
+  if (EndIfHeld(aId, aNow)) {
+    DispatchQueued(aNow);
+    return;
+  }
   const auto choice = Choose(request, QueryFor(request), aNow);
   if (choice) {
     Start(request, *choice, false, aNow);
   } else {
-    RefuseOrFail(aId, RefusalReason::kNoBackend);
+    RefuseOrFail(aId, RefusalReason::kNoBackend, aNow);
   }
   DispatchQueued(aNow);
 }
@@ -238,6 +328,11 @@
   mPolicies.selector->OnTokens(attempt->second.info, gap, aNow);
   mPolicies.hedger->OnTokenGap(gap);
   attempt->second.lastTokens = aNow;
+  attempt->second.produced =
+    Tokens(attempt->second.produced.Value() + aCount.Value());
+  if (attempt->second.produced >= kHarmlessOutput) {
+    ReportHarmless(request, attempt->second, aNow);
+  }
   request.deliveredTokens =
     Tokens(request.deliveredTokens.Value() + aCount.Value());
   const auto fingerprint = request.info.fingerprint;
@@ -285,6 +380,7 @@
                           backend.capacity.slots,
                           aNow);
   }
+  ReportHarmless(request, attempt->second, aNow);
   request.attempts.erase(attempt);
   CancelOthers(request, aAttempt, aNow);
   if (request.info.NeedsEngine()) {
@@ -343,6 +439,21 @@
   } else {
     mPolicies.selector->OnError(attempt.info, aNow);
   }
+  const bool isCrash =
+    aError == AttemptError::kBroken &&
+    mCrashes.OnCrash(attempt.info.slot, attempt.dispatched, aNow);
+  if (isCrash) {
+    mSink.OnCrashedAttempt({ .requestId = aRequest.info.requestId,
+                             .attempt = aAttempt,
+                             .phase = attempt.phase,
+                             .produced = attempt.produced });
+    aRequest.isTrial = false;
+    if (!attempt.isHarmless) {
+      mPolicies.crashCorrelator->OnCrash(
+        aRequest.info, attempt.dispatched, aNow);
+      AnnounceCrashChanges();
+    }
+  }
   if (attempt.phase == WorkPhase::kPrefill) {
     return; // prefilling a prompt doesn't run the request
   }
@@ -350,15 +461,13 @@
     // Nothing was sent, so the attempt does not count as a run and a KV cache
     // that it was to continue from is still unused.
     aRequest.runAttempts--;
+    aRequest.unsentAttempts++;
     aRequest.hasKvCache = attempt.phase == WorkPhase::kDecode;
   }
   aRequest.mayHaveRun = aRequest.mayHaveRun || !MeansNotRun(aError);
-  if (aError != AttemptError::kBroken) {
+  if (!isCrash) {
     return;
   }
-  if (!mCrashes.OnCrash(attempt.info.slot, attempt.dispatched, aNow)) {
-    return; // the backend server had crashed before the attempt was sent
-  }
   // The request may have caused the crash. Another attempt that is still
   // running could crash a second backend server together with suspects of other
   // entries, so it is cancelled; the request is repeated in isolation.
@@ -379,7 +488,7 @@
     return;
   }
   if (request.runAttempts >= MaxAttempts(request)) {
-    RefuseOrFail(aId, RefusalReason::kNoBackend);
+    RefuseOrFail(aId, RefusalReason::kNoBackend, aNow);
     return;
   }
   const auto verdict =
@@ -388,9 +497,18 @@
     Fail(aId, FailureReason::kQuarantined);
     return;
   }
-  // A retry after a crash needs no budget; all other retries do.
-  if (!broken && !mPolicies.retries->TrySpend()) {
-    RefuseOrFail(aId, RefusalReason::kRetryBudget);
+  if (EndIfHeld(aId, aNow)) {
+    return;
+  }
+  const bool isUnsent = aError == AttemptError::kNotSent;
+  if (isUnsent && request.unsentAttempts > mOptions.maxAttempts) {
+    RefuseOrFail(aId, RefusalReason::kNoBackend, aNow);
+    return;
+  }
+  // A retry after a crash needs no budget, and neither does one after an
+  // attempt that added no load to any backend server. All others do.
+  if (!broken && !isUnsent && !mPolicies.retries->TrySpend()) {
+    RefuseOrFail(aId, RefusalReason::kRetryBudget, aNow);
     return;
   }
   mCounters.retries++;
@@ -408,21 +526,43 @@
   if (choice) {
     Start(request, *choice, false, aNow);
   } else {
-    RefuseOrFail(aId, RefusalReason::kNoBackend);
+    RefuseOrFail(aId, RefusalReason::kNoBackend, aNow);
   }
 }
 
 void
-RequestRouter::RefuseOrFail(const RequestId& aId, RefusalReason aReason)
+RequestRouter::RefuseOrFail(const RequestId& aId,
+                            RefusalReason aReason,
+                            Instant aNow)
 {
+  const auto& request = mRequests.at(aId);
   // A refusal guarantees that no backend server ran the request.
-  if (mRequests.at(aId).mayHaveRun) {
+  if (request.mayHaveRun) {
     Fail(aId, FailureReason::kAttemptsExhausted);
   } else {
-    Refuse(aId, aReason, {});
+    Refuse(aId, aReason, TimeUntilReopened(request.info, aNow));
   }
 }
 
+Duration
+RequestRouter::TimeUntilReopened(const RequestInfo& aInfo, Instant aNow) const
+{
+  std::optional<Instant> first;
+  for (const auto& backend : mFleet.All()) {
+    if (backend.reopensAt > aNow && backend.Serves(aInfo)) {
+      first = std::min(first.value_or(*backend.reopensAt), *backend.reopensAt);
+    }
+  }
+  if (!first) {
+    return Duration::zero();
+  }
+  constexpr std::uint64_t kSteps = 64;
+  const auto step = StableHash(aInfo.requestId.Value()) % kSteps;
+  const Duration wait = *first - aNow;
+  return wait + kReturnSpread * static_cast<Duration::rep>(step) /
+                  static_cast<Duration::rep>(kSteps);
+}
+
 std::uint32_t
 RequestRouter::MaxAttempts(const Request& aRequest) const
 {
@@ -447,6 +587,7 @@
 RequestRouter::Tick(Instant aNow)
 {
   HandleExpired(aNow);
+  EndHeldRequests(aNow);
   for (auto& [id, request] : mRequests) {
     if (!request.attempts.empty()) {
       HedgeOrResume(request, aNow);
@@ -488,6 +629,7 @@
   mPolicies.selector->OnPeerDigest(aDigest, mFleet, aNow);
   mPolicies.poisonQuarantine->OnPeerReport(
     aDigest.quarantined, aDigest.suspects, aNow);
+  OnPeerCrashSuspicions(aDigest.crashSuspicions, aNow);
 }
 
 void
@@ -507,6 +649,15 @@
   }
 }
 
+void
+RequestRouter::OnPeerCrashSuspicions(
+  const std::vector<CrashSuspicion>& aSuspicions,
+  Instant aNow)
+{
+  mPolicies.crashCorrelator->OnPeerReport(aSuspicions, aNow);
+  EndHeldRequests(aNow);
+}
+
 Digest
 RequestRouter::MakeDigest(Instant aNow)
 {
@@ -520,6 +671,7 @@
   mStageLoads.FillDigest(digest, aNow);
   digest.quarantined = mPolicies.poisonQuarantine->Quarantined(aNow);
   digest.suspects = mPolicies.poisonQuarantine->Suspects(aNow);
+  digest.crashSuspicions = mPolicies.crashCorrelator->Strongest(aNow);
   return digest;
 }
 
@@ -857,7 +1009,7 @@
 void
 RequestRouter::HedgeOrResume(Request& aRequest, Instant aNow)
 {
-  if (mRunningSuspect == aRequest.info.requestId) {
+  if (mRunningSuspect == aRequest.info.requestId || aRequest.isTrial) {
     return;
   }
   const auto [number, attempt] = *aRequest.attempts.begin();
@@ -938,6 +1090,9 @@
     return choice.has_value();
   };
   while (const auto next = mPolicies.queue->Pop(canRun)) {
+    if (EndIfHeld(next->requestId, aNow)) {
+      continue;
+    }
     // A request that would be late anyway must not take engine time.
     const auto& info = mRequests.at(next->requestId).info;
     if (!mPolicies.admission->CanMeetDeadline(
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -63,7 +63,8 @@
   // The request was sent, and no further attempt is allowed or possible; or it
   // is a suspect and there is no backend server to run it on.
   kAttemptsExhausted,
-  // The request crashed backend servers and is not repeated anywhere.
+  // The request, or what it has in common with others, crashed backend servers
+  // and is not run anywhere.
   kQuarantined,
 };
 
@@ -71,6 +72,16 @@
 std::string_view
 ToString(FailureReason aReason);
 
+// An attempt that ran on a backend server when it crashed.
+struct CrashedAttempt
+{
+  RequestId requestId;
+  AttemptNumber attempt;
+  WorkPhase phase = WorkPhase::kWhole;
+  // Output tokens that the attempt had produced.
+  Tokens produced;
+};
+
 // Carries out the router's decisions. It is called from within the router's
 // methods and must not call the router back.
 class RouterSink
@@ -92,8 +103,17 @@
   // Answers the caller that the request failed; it may have run.
   virtual void Fail(const RequestId& aId, FailureReason aReason) = 0;
 
+  // Reports an attempt that may have caused a crash, for the log.
+  virtual void OnCrashedAttempt(const CrashedAttempt& /*aAttempt*/) {}
+
   // Sends the notice to the peers immediately, without a guarantee of delivery.
   virtual void Announce(const BackendNotice& /*aNotice*/) {}
+
+  // Sends changed crash suspicions to the peers in the same way.
+  virtual void AnnounceCrashSuspicions(
+    const std::vector<CrashSuspicion>& /*aChanges*/)
+  {
+  }
 };
 
 // Why an attempt ended without a complete answer.
@@ -201,6 +221,10 @@
   // about unknown backend servers.
   void OnPeerNotice(const BackendNotice& aNotice, Instant aNow);
 
+  // Called when a peer's crash suspicions arrive.
+  void OnPeerCrashSuspicions(const std::vector<CrashSuspicion>& aSuspicions,
+                             Instant aNow);
+
   // Builds this entry's digest for its peers; call it a few times a second.
   Digest MakeDigest(Instant aNow);
 
@@ -238,6 +262,9 @@
     Instant firstToken{};
     Instant lastTokens{};
     Instant overdueAt{};
+    Tokens produced;
+    // Whether its output was reported as harmless.
+    bool isHarmless = false;
     bool isHedge = false;
     WorkPhase phase = WorkPhase::kWhole;
   };
@@ -252,6 +279,8 @@
     // Attempts that could run the request, unlike prefill-only ones; attempts
     // that were not sent are subtracted.
     std::uint32_t runAttempts = 0;
+    // Attempts that did not reach their backend server.
+    std::uint32_t unsentAttempts = 0;
     // Attempts that only prefilled the prompt.
     std::uint32_t prefillAttempts = 0;
     // Whether an engine keeps the KV cache of the prompt and no attempt has
@@ -268,6 +297,8 @@
     // Expected processing time, in seconds of one whole engine.
     double engineSeconds = 0;
     bool wasHedged = false;
+    // Whether it runs as a test of a crash suspicion.
+    bool isTrial = false;
     // Whether a backend server may have run an attempt.
     bool mayHaveRun = false;
   };
@@ -283,6 +314,13 @@
   [[nodiscard]] Duration StallPenalty(const Request& aRequest,
                                       const Choice& aChoice) const;
   void Admit(Request& aRequest, Instant aNow);
+  // Refuses or fails the request if it may crash the backend server that would
+  // run it. Returns whether it did.
+  bool EndIfHeld(const RequestId& aId, Instant aNow);
+  // Does this for all requests that no backend server answers yet.
+  void EndHeldRequests(Instant aNow);
+  void ReportHarmless(const Request& aRequest, Attempt& aAttempt, Instant aNow);
+  void AnnounceCrashChanges();
   [[nodiscard]] SelectQuery QueryFor(const Request& aRequest) const;
   // Chooses a backend server and how to start there: with a whole run, or with
   // a separate prefill.
@@ -312,7 +350,12 @@
                   AttemptError aError,
                   Instant aNow);
   void Retry(const RequestId& aId, AttemptError aError, Instant aNow);
-  void RefuseOrFail(const RequestId& aId, RefusalReason aReason);
+  void RefuseOrFail(const RequestId& aId, RefusalReason aReason, Instant aNow);
+  // The time until the first of the backend servers that asked for no requests
+  // takes this one, a little longer for some requests so that their callers do
+  // not return together. Zero if none of them did.
+  [[nodiscard]] Duration TimeUntilReopened(const RequestInfo& aInfo,
+                                           Instant aNow) const;
   [[nodiscard]] std::uint32_t MaxAttempts(const Request& aRequest) const;
   void QueueSuspect(const RequestId& aId, Instant aNow);
   void EndSuspectRun(const RequestId& aId, Instant aNow);
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -123,6 +123,14 @@
   mLog.Info("input rejected", { { "status", status }, { "peer", aPeer } });
 }
 
+void
+Relay::EndRequests()
+{
+  for (const auto& [id, task] : mTasks) {
+    task->EndUnanswered("before the stop");
+  }
+}
+
 void
 Relay::RejectRequest(CallerAnswer& aAnswer,
                      OwnAnswerKind aKind,
@@ -172,6 +180,12 @@
   mTasks.at(aId)->Fail(aReason);
 }
 
+void
+Relay::OnCrashedAttempt(const policy::CrashedAttempt& aAttempt)
+{
+  mTasks.at(aAttempt.requestId)->OnCrashedAttempt(aAttempt);
+}
+
 void
 Relay::Announce(const policy::BackendNotice& aNotice)
 {
@@ -180,4 +194,13 @@
   }
 }
 
+void
+Relay::AnnounceCrashSuspicions(
+  const std::vector<policy::CrashSuspicion>& aChanges)
+{
+  if (mParts.announceCrashSuspicions) {
+    mParts.announceCrashSuspicions(aChanges);
+  }
+}
+
 } // namespace firefly
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -39,12 +39,15 @@
     Executor* executor = nullptr;
     const Dialect* dialect = nullptr;
     BackendPool* pool = nullptr;
-    const BackendRegistry* backendRegistry = nullptr;
+    BackendRegistry* backendRegistry = nullptr;
     const policy::FleetView* fleet = nullptr;
     const RoutingTableReplica* routing = nullptr;
     RelayMetrics* metrics = nullptr;
     // Sends a notice about a backend server to the other relays.
     std::function<void(const policy::BackendNotice&)> announce{};
+    // Sends changed crash suspicions to the other relays.
+    std::function<void(const std::vector<policy::CrashSuspicion>&)>
+      announceCrashSuspicions{};
   };
 
   Relay(Options aOptions, const Parts& aParts);
@@ -59,6 +62,9 @@
   // Accepts no further requests; live requests continue.
   void Close() { mIsClosed = true; }
 
+  // Answers all live requests, because the process ends.
+  void EndRequests();
+
   // Returns true once a request has been routed.
   [[nodiscard]] bool HasRoutedRequest() const { return mHasRoutedRequest; }
 
@@ -71,7 +77,10 @@
   void Cancel(const RequestId& aId, policy::AttemptNumber aAttempt) override;
   void Refuse(const RequestId& aId, const policy::Refusal& aRefusal) override;
   void Fail(const RequestId& aId, policy::FailureReason aReason) override;
+  void OnCrashedAttempt(const policy::CrashedAttempt& aAttempt) override;
   void Announce(const policy::BackendNotice& aNotice) override;
+  void AnnounceCrashSuspicions(
+    const std::vector<policy::CrashSuspicion>& aChanges) override;
 
   void RejectRequest(CallerAnswer& aAnswer,
                      OwnAnswerKind aKind,
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -16,8 +16,11 @@
 namespace {
 
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
+// Requests that are live at this time before the end of the stop grace are
+// answered without their backend servers.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(500);
 // Reserved at the end of the stop grace for the process to exit by itself.
-constexpr Duration kStopMargin = std::chrono::milliseconds(400);
+constexpr Duration kStopMargin = std::chrono::milliseconds(300);
 // Time between two reads of the routing table's stream, and the maximum time
 // while other relays share their reads. A change has to be in force within 2 s.
 constexpr Duration kRoutingReadInterval = std::chrono::milliseconds(700);
@@ -139,6 +142,11 @@
                .announce =
                  [this](const policy::BackendNotice& aNotice) {
                    mPeerUpdates.Send(aNotice, AllPeers());
+                 },
+               .announceCrashSuspicions =
+                 [this](const std::vector<policy::CrashSuspicion>& aChanges) {
+                   LogCrashSuspicions(aChanges);
+                   mPeerUpdates.Send(aChanges, AllPeers());
                  } })
     , mPeers(
         { .host = aSettings.host,
@@ -181,6 +189,11 @@
             [this](const policy::BackendNotice& aNotice) {
               HandlePeerNotice(aNotice);
             },
+          .onCrashSuspicions =
+            [this](const std::vector<policy::CrashSuspicion>& aSuspicions) {
+              mRelay.Router().OnPeerCrashSuspicions(aSuspicions,
+                                                    mExecutor.Now());
+            },
           .domainPeers = [this] { return mPeers.DomainPeerAddresses(); } })
     , mRoleOrderIssuer(
         { .host = aSettings.host,
@@ -441,6 +454,26 @@
     mRelay.Router().OnPeerNotice(aNotice, mExecutor.Now());
   }
 
+  // Logs what more than one crash has in common, and what was disproved.
+  void LogCrashSuspicions(const std::vector<policy::CrashSuspicion>& aChanges)
+  {
+    for (const auto& it : aChanges) {
+      if (it.crashes == 1 || (it.crashes == 0 && it.clearances == 0)) {
+        continue;
+      }
+      std::string traits;
+      for (const auto& trait : it.traits) {
+        traits += (traits.empty() ? "" : ",") + std::to_string(trait.Value());
+      }
+      mLog.Info(it.crashes == 0 ? "crash suspicion disproved"
+                                : "crash suspicion",
+                { { "traits", traits },
+                  { "crashes", std::to_string(it.crashes) },
+                  { "trials", std::to_string(it.trials) },
+                  { "disproved", std::to_string(it.clearances) } });
+    }
+  }
+
   // Serves the record of the routing table to peers, on the status port.
   void ServeRoutingTable(const HttpRequest& aRequest,
                          HttpResponder& aResponder) const
@@ -510,6 +543,9 @@
       mRelay.Close();
       mCallers.CloseIdle();
     }
+    if (passed >= mSettings.stopGrace - kAnswerMargin) {
+      mRelay.EndRequests();
+    }
     const bool ended =
       mCallers.BusyConnections() == 0 && mRelay.LiveRequests() == 0;
     if ((ended && passed >= mSettings.unreadyGrace) ||
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -1,6 +1,8 @@
 #include "servers/relay/relay_task.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <utility>
 
 namespace firefly {
@@ -28,6 +30,16 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
 }
 
+std::string
+Hex(std::uint64_t aValue)
+{
+  std::array<char, 16> text{};
+  constexpr int kBase = 16;
+  const auto [end, ec] =
+    std::to_chars(text.data(), text.data() + text.size(), aValue, kBase);
+  return { text.data(), end };
+}
+
 } // namespace
 
 RelayTask::RelayTask(const RelayContext& aContext, Options aOptions)
@@ -50,8 +62,8 @@
 void
 RelayTask::Start()
 {
-  mDeadlineTimer =
-    mContext.executor->RunAfter(mDeadline - mArrival, [this] { OnDeadline(); });
+  mDeadlineTimer = mContext.executor->RunAfter(
+    mDeadline - mArrival, [this] { EndUnanswered("in time"); });
   mContext.router->OnArrival(MakeInfo(), mArrival);
 }
 
@@ -74,7 +86,12 @@
   info.rank = route.rank;
   info.maxAttempts = route.maxAttempts;
   info.fingerprint = request.fingerprint;
+  std::vector<std::uint64_t> parts;
+  for (const auto& it : request.sharedParts) {
+    parts.push_back(it.hash);
+  }
   if (!request.prompt) {
+    info.SetCrashTraits(request.host + request.path, parts);
     return info;
   }
   const auto& prompt = *request.prompt;
@@ -83,12 +100,13 @@
   info.maxOutputTokens = prompt.maxOutputTokens;
   std::uint64_t hash = policy::StableHash(info.model.Value());
   std::uint32_t end = 0;
-  for (const auto& it : prompt.sharedParts) {
+  for (const auto& it : request.sharedParts) {
     hash = policy::MixHash(hash, it.hash);
     end += it.tokens.Value();
     info.prefixHashes.push_back(hash);
     info.prefixEnds.emplace_back(end);
   }
+  info.SetCrashTraits(request.host + request.path, parts);
   return info;
 }
 
@@ -137,13 +155,13 @@
     call.maxIdleAge = kMaxReuseIdleForOnce;
   }
   auto attempt = std::make_unique<RelayAttempt>(
-    RelayAttempt::Options{ .request = mOptions.request.id,
-                           .number = aOrder.attempt,
-                           .backend = aOrder.backend,
-                           .promptOnly = promptOnly,
-                           .isStream =
-                             mOptions.route->IsStream() && !promptOnly,
-                           .kvCache = std::move(terms.kvCache) },
+    RelayAttempt::Options{
+      .request = mOptions.request.id,
+      .number = aOrder.attempt,
+      .backend = mContext.backendRegistry->RunOf(aOrder.backend),
+      .promptOnly = promptOnly,
+      .isStream = mOptions.route->IsStream() && !promptOnly,
+      .kvCache = std::move(terms.kvCache) },
     *mContext.dialect,
     static_cast<RelayAttemptListener&>(*this));
   attempt->Start(*mContext.pool, std::move(call));
@@ -181,6 +199,22 @@
   return taken;
 }
 
+void
+RelayTask::OnAvailability(const policy::BackendRun& aBackend,
+                          const AvailabilityNotice& aNotice)
+{
+  auto& registry = *mContext.backendRegistry;
+  if (aNotice.isLeaving) {
+    registry.OnLeaving(aBackend);
+  }
+  if (aNotice.wait) {
+    registry.OnAskedToWait(aBackend, *aNotice.wait);
+  }
+  if (aNotice.hasAccepted) {
+    registry.OnAccepted(aBackend);
+  }
+}
+
 void
 RelayTask::OnAttemptError(AttemptNumber aAttempt,
                           AttemptError aError,
@@ -366,7 +400,7 @@
 }
 
 void
-RelayTask::OnDeadline()
+RelayTask::EndUnanswered(const std::string& aWhy)
 {
   if (mDone) {
     return;
@@ -375,16 +409,16 @@
   mContext.router->OnCallerGone(mOptions.request.id, Now());
   if (mHasBegun) {
     mOptions.answer->Abort();
-    EndTask("timed-out", "stream not whole in time");
+    EndTask("timed-out", "stream not whole " + aWhy);
   } else if (mBackendFailure) {
     SendFailure(*mBackendFailure);
-    EndTask("backend-failure", "timed out");
+    EndTask("backend-failure", "no other answer " + aWhy);
   } else if (mayHaveRun) {
-    SendOwnAnswer(OwnAnswerKind::kTimedOut, "no answer in time");
-    EndTask("timed-out", "no answer in time");
+    SendOwnAnswer(OwnAnswerKind::kTimedOut, "no answer " + aWhy);
+    EndTask("timed-out", "no answer " + aWhy);
   } else {
-    SendOwnAnswer(OwnAnswerKind::kRefused, "no room in time");
-    EndTask("refused", "no room in time");
+    SendOwnAnswer(OwnAnswerKind::kRefused, "no room " + aWhy);
+    EndTask("refused", "no room " + aWhy);
   }
 }
 
@@ -420,6 +454,30 @@
   EndTask("failed", reason);
 }
 
+void
+RelayTask::OnCrashedAttempt(const policy::CrashedAttempt& aAttempt)
+{
+  const auto& request = mOptions.request;
+  const bool hasBegun = aAttempt.produced.Value() > 0;
+  std::string parts;
+  for (const auto& it : request.sharedParts) {
+    parts += (parts.empty() ? "" : ",") + Hex(it.hash);
+  }
+  mContext.metrics->crashedAttempts
+    .With({ mOptions.service.Value(), hasBegun ? "yes" : "no" })
+    .Add();
+  mContext.log->Info(
+    "ran at a crash",
+    { { "request", request.id.Value() },
+      { "attempt", std::to_string(aAttempt.attempt.Value()) },
+      { "backends", mTriedBackends },
+      { "phase", std::string(ToString(aAttempt.phase)) },
+      { "route", mOptions.route->name },
+      { "fingerprint", Hex(request.fingerprint.Value()) },
+      { "parts", parts },
+      { "tokens", std::to_string(aAttempt.produced.Value()) } });
+}
+
 void
 RelayTask::SendOwnAnswer(OwnAnswerKind aKind,
                          const std::string& aDetail,
--- a/servers/relay/relay_task.h
+++ b/servers/relay/relay_task.h
@@ -27,7 +27,7 @@
   Executor* executor = nullptr;
   const Dialect* dialect = nullptr;
   BackendPool* pool = nullptr;
-  const BackendRegistry* backendRegistry = nullptr;
+  BackendRegistry* backendRegistry = nullptr;
   policy::RequestRouter* router = nullptr;
   RelayMetrics* metrics = nullptr;
   const Log* log = nullptr;
@@ -68,11 +68,18 @@
   void Refuse(const policy::Refusal& aRefusal);
   void Fail(policy::FailureReason aReason);
 
+  // Answers a request that has no complete answer by now.
+  void EndUnanswered(const std::string& aWhy);
+
+  // Logs what ran when a backend server crashed.
+  void OnCrashedAttempt(const policy::CrashedAttempt& aAttempt);
+
 private:
   void OnCallerGone() override;
   void OnOutputAccepted() override;
 
-  void OnDeadline();
+  void OnAvailability(const policy::BackendRun& aBackend,
+                      const AvailabilityNotice& aNotice) override;
   void OnAttemptError(policy::AttemptNumber aAttempt,
                       policy::AttemptError aError,
                       const std::string& aWhy) override;
