--- a/tests/servers/relay/relay_test.cpp
+++ b/tests/servers/relay/relay_test.cpp
@@ -401,3 +401,63 @@
   Await([&] { return executor.Now() - asked > 1600ms; });
   STRCMP_CONTAINS("HTTP/1.1 200", ask("/book/2").c_str());
 }
+
+namespace {
+
+// An answer with neither a length nor chunks, which ends with its connection.
+std::string
+MakeUnframed(const std::string& aType, const std::string& aBody)
+{
+  return "HTTP/1.1 200 OK\r\n" + kStamp + "Content-Type: " + aType +
+         "\r\n\r\n" + aBody;
+}
+
+} // namespace
+
+TEST(RelayTest, AnswersWithoutLengthEndWithTheirConnection)
+{
+  first = StartBackend([](const ScriptedRequest&) -> ScriptedReply {
+    return { MakeUnframed("text/plain", "whole"), AfterReply::kClose };
+  });
+  second = StartBackend([](const ScriptedRequest&) -> ScriptedReply {
+    return { MakeUnframed("text/event-stream", "id: 1\ndata: a\n\n"),
+             AfterReply::kClose };
+  });
+  Register("b1", *first);
+  Register("e1", *second, EngineRole::kDecode);
+  SetRoutingTable();
+  RawTcpClient plain(executor, callers.Port());
+  plain.Send(MakeGet("/book/1"));
+  Await([&] { return plain.HasReceived("whole"); });
+  RawTcpClient stream(executor, callers.Port());
+  stream.Send(MakePromptRequest("/ask/1"));
+  Await([&] { return stream.HasReceived(firefly::LastChunk()); });
+  CHECK_TRUE(stream.HasReceived("data: a\n\n"));
+}
+
+TEST(RelayTest, AStreamWithoutLengthThatEndsInsideAnEventIsBrokenOff)
+{
+  first = StartBackend([](const ScriptedRequest&) -> ScriptedReply {
+    return { MakeUnframed("text/event-stream", "id: 1\ndata: a\n\nid: 2\nd"),
+             AfterReply::kClose };
+  });
+  Register("e1", *first, EngineRole::kDecode);
+  SetRoutingTable();
+  RawTcpClient caller(executor, callers.Port());
+  caller.Send(MakePromptRequest("/ask/1"));
+  Await([&] { return caller.IsClosed(); });
+  CHECK_TRUE(caller.HasReceived("data: a\n\n"));
+  CHECK_FALSE(caller.HasReceived("id: 2"));
+  CHECK_FALSE(caller.HasReceived(firefly::LastChunk()));
+}
+
+TEST(RelayTest, APlainAnswerWithoutLengthThatIsResetIsNotWhole)
+{
+  StartDeskBackend(
+    { MakeUnframed("text/plain", "not whole"), AfterReply::kReset });
+  RawTcpClient caller(executor, callers.Port());
+  caller.Send(MakeGet("/book/1"));
+  Await([&] { return caller.HasReceived("HTTP/1.1"); });
+  CHECK_TRUE(caller.HasReceived("HTTP/1.1 502"));
+  CHECK_FALSE(caller.HasReceived("not whole"));
+}
