--- a/servers/relay/relay_metrics.cpp
+++ b/servers/relay/relay_metrics.cpp
@@ -34,6 +34,9 @@
                             .help = "Requests that have not ended" }))
   , queued(aRegistry.Gauges({ .name = "firefly_relay_queued_requests",
                               .help = "Requests that wait for room" }))
+  , heldSuspicions(aRegistry.Gauges(
+      { .name = "firefly_relay_held_crash_suspicions",
+        .help = "Crash suspicions for which requests are held back" }))
   , connections(
       aRegistry.Gauges({ .name = "firefly_relay_connections",
                          .help = "Connections to callers and backend servers",
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -19,6 +19,7 @@
   MetricFamily<Summary>& requestSeconds;
   MetricFamily<Gauge>& live;
   MetricFamily<Gauge>& queued;
+  MetricFamily<Gauge>& heldSuspicions;
   MetricFamily<Gauge>& connections;
   MetricFamily<Gauge>& backends;
   MetricFamily<Gauge>& routingVersion;
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -567,6 +567,8 @@
     };
     mMetrics.live.With({}).Set(static_cast<double>(mRelay.LiveRequests()));
     mMetrics.queued.With({}).Set(static_cast<double>(mRelay.Router().Queued()));
+    mMetrics.heldSuspicions.With({}).Set(static_cast<double>(
+      mRelay.Router().Policies().crashCorrelator->HeldCount(now)));
     mMetrics.connections.With({ "callers" })
       .Set(static_cast<double>(mCallers.Connections()));
     mMetrics.connections.With({ "backends-idle" })
