--- a/policy/crash_correlator.h
+++ b/policy/crash_correlator.h
@@ -115,8 +115,10 @@
     // each further crash.
     Duration trialAfter = std::chrono::seconds(10);
     Duration maxTrialAfter = std::chrono::minutes(10);
-    // Suspicions without a crash for this long are forgotten.
+    // Records that did not change for this long are forgotten, unless requests
+    // are held back because of them.
     Duration suspicionTime = std::chrono::minutes(5);
+    // Requests are held back for this long after the last crash at most.
     Duration holdTime = std::chrono::minutes(60);
     // Maximum number of sets of traits that are remembered.
     std::size_t maxRecords = 512;
