--- a/policy/request_info.cpp
+++ b/policy/request_info.cpp
@@ -54,8 +54,8 @@
       MakeCrashTrait(CrashTraitKind::kPromptPart, aPromptParts[i]));
   }
   std::ranges::sort(crashTraits);
-  const auto repeated = std::ranges::unique(crashTraits);
-  crashTraits.erase(repeated.begin(), repeated.end());
+  crashTraits.erase(std::unique(crashTraits.begin(), crashTraits.end()),
+                    crashTraits.end());
 }
 
 } // namespace firefly::policy
