--- a/tests/policy/crash_correlator_test.cpp
+++ b/tests/policy/crash_correlator_test.cpp
@@ -15,7 +15,6 @@
 using firefly::policy::CrashVerdict;
 using firefly::policy::Fingerprint;
 using firefly::policy::RequestInfo;
-using firefly::policy::StableHash;
 using firefly::policy::TraitCrashCorrelator;
 using firefly::policy::test::MakeRequest;
 
