--- a/policy/backend_holdoff.h
+++ b/policy/backend_holdoff.h
@@ -18,6 +18,7 @@
   BackendId id;
   std::uint64_t startedAt = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on a default
   auto operator<=>(const BackendRun&) const = default;
 };
 
