Lint all headers of the project, whatever the checkout's folder is called

Class: a check whose verdict depends on something other than the code.

Causes: the filter of headers in .clang-tidy was not anchored, so that a folder main above the project took in every header; it did not name policy and platform, nor match the digits of http1, http2 and base64, so that 44 headers were linted in no other checkout; the cache's key held neither the filter nor the linter's version, so that a clean run in one folder hid the finding in another.

Now tools/lint_files.py makes the filter from the checkout's physical path and the top-level folders of the build, and passes it to the linter; a new folder is in at once. Ruled out: a list of folders in .clang-tidy, which can't be anchored there and which nobody extended when policy and platform came.

--- a/tools/lint_files.py
+++ b/tools/lint_files.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import re
 import shlex
 import subprocess
 import sys
@@ -14,14 +15,33 @@
 WORKERS = max(1, (os.cpu_count() or 2) - 1)
 
 
-def entries(wanted):
-    """The compilation database's entries, or only those of the wanted files."""
-    database = json.loads((ROOT / "build/compile_commands.json").read_text())
-    names = {str((ROOT / name).resolve()) for name in wanted}
-    return [e for e in database if not names or e["file"] in names]
+def escape(name):
+    """Escapes a file name for clang-tidy's POSIX regular expressions."""
+    return re.sub(r"([][(){}.*+?^$|\\])", r"\\\1", name)
+
+
+def built_folders(database):
+    """The top-level folders that hold the sources of the build."""
+    return sorted(
+        {pathlib.Path(e["file"]).relative_to(ROOT).parts[0] for e in database}
+    )
+
 
+def header_filter(folders):
+    """Matches the headers in these folders of this checkout, and no others."""
+    return f"^{escape(str(ROOT))}/({'|'.join(map(escape, folders))})/"
 
-def cache_key(entry):
+
+def rules(folders):
+    """What a verdict depends on besides the code: checks, filter, linter."""
+    version = subprocess.run(
+        ["clang-tidy", "--version"], capture_output=True, check=True
+    ).stdout
+    files = (ROOT / ".clang-tidy", pathlib.Path(__file__))
+    return b"".join(f.read_bytes() for f in files) + repr(folders).encode() + version
+
+
+def cache_key(entry, rules_used):
     """Hash of everything that affects the result, independent of the checkout's path."""
     words = shlex.split(entry["command"])
     if words and words[0].endswith("ccache"):
@@ -37,19 +57,27 @@
     text = subprocess.run(
         kept + ["-E", "-P"], cwd=entry["directory"], capture_output=True
     ).stdout
-    digest = hashlib.sha256(text.replace(str(ROOT).encode(), b"ROOT"))
-    digest.update(pathlib.Path(entry["file"]).read_bytes())
-    digest.update((ROOT / ".clang-tidy").read_bytes())
+    source = pathlib.Path(entry["file"]).read_bytes()
+    digest = hashlib.sha256()
+    for part in (text, source, rules_used):
+        digest.update(part.replace(str(ROOT).encode(), b"ROOT"))
     return digest.hexdigest()
 
 
-def check(entry):
+def check(entry, headers, rules_used):
     """Lints one file. Returns its output, empty when it is clean."""
-    mark = CACHE / cache_key(entry)
+    mark = CACHE / cache_key(entry, rules_used)
     if mark.exists():
         return ""
     done = subprocess.run(
-        ["clang-tidy", "-quiet", "-p", str(ROOT / "build"), entry["file"]],
+        [
+            "clang-tidy",
+            "-quiet",
+            f"-header-filter={headers}",
+            "-p",
+            str(ROOT / "build"),
+            entry["file"],
+        ],
         capture_output=True,
         text=True,
     )
@@ -60,14 +88,18 @@
 
 
 def main():
+    database = json.loads((ROOT / "build/compile_commands.json").read_text())
+    folders = built_folders(database)
+    headers, rules_used = header_filter(folders), rules(folders)
+    names = {str((ROOT / name).resolve()) for name in sys.argv[1:]}
+    entries = [e for e in database if not names or e["file"] in names]
     failed = 0
-    found = entries(sys.argv[1:])
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
-        for output in pool.map(check, found):
+        for output in pool.map(lambda e: check(e, headers, rules_used), entries):
             if output:
                 failed += 1
                 print(output)
-    print(f"lint: {len(found)} files, {failed} with findings")
+    print(f"lint: {len(entries)} files, {failed} with findings")
     return 1 if failed else 0
 
 
