Keep comments and compiler options in the key of the linter's cache

The key was made from preprocessed text without comments, so that a NOLINT that is taken out of a header left the clean run of before in force; the options that preprocessing doesn't show, such as the language standard, were not in it either.

The text keeps its comments now, and the options, with the checkout's path replaced, are part of the key. They are joined without quoting, as quotes depend on the characters of the path. The test's check cached_run_with_an_excuse_in_a_header_does_not_hide_its_removal fails without the change; the options have no check of their own.

--- a/tools/lint_files.py
+++ b/tools/lint_files.py
@@ -54,12 +54,13 @@
             skip = word == "-o"
         else:
             kept.append(word)
+    # -C keeps comments, as a NOLINT in a header affects the result.
     text = subprocess.run(
-        kept + ["-E", "-P"], cwd=entry["directory"], capture_output=True
+        kept + ["-E", "-P", "-C"], cwd=entry["directory"], capture_output=True
     ).stdout
     source = pathlib.Path(entry["file"]).read_bytes()
     digest = hashlib.sha256()
-    for part in (text, source, rules_used):
+    for part in (text, source, rules_used, "\0".join(kept).encode()):
         digest.update(part.replace(str(ROOT).encode(), b"ROOT"))
     return digest.hexdigest()
 
