Carry each request id at most once on a connection to a backend server

Cause: a backend server may send a second copy of a rejection late, where the next response is expected. The relay retried on the same server, the pool handed out the connection that had just carried the rejection, and the copy names the id of the request that waits. The id tells requests apart, not attempts, and nothing kept one id from being sent twice on a connection.

Ruled out: that the check of the id misses copies. It skips those of other requests in all forms (whole, half, split, after 204, 304 and HEAD).

Change: ConnectionReuse decides which calls a connection may carry, and the pool asks it. A copy therefore never meets a call that it could answer.

The same cause elsewhere: releases and orders took any response for theirs.

Changed tests: KeepsConnectionsOpenOnBothSides gets an answer that names its request, as backend servers send it, since one without an id now ends its connection. RecognizesAnAnswerToAnotherRequest also checks an answer without id.

--- a/servers/http1/backend_connection.cpp
+++ b/servers/http1/backend_connection.cpp
@@ -60,11 +60,13 @@
 }
 
 BackendCallNumber
-BackendConnection::StartCall(std::string aBytes,
+BackendConnection::StartCall(const RequestId& aRequest,
+                             std::string aBytes,
                              bool aNoBody,
                              BackendCallObserver& aObserver)
 {
   mObserver = &aObserver;
+  mReuse.OnCall(aRequest, aNoBody);
   mRequestBytes = std::move(aBytes);
   mNoBody = aNoBody;
   mRequestSent = false;
@@ -229,11 +231,12 @@
   const auto self = shared_from_this();
   while (mState == State::kBusy && mReader.HasHead()) {
     if (!mHeadDelivered && !mSkippingResponse) {
-      const bool isResponse = mObserver->IsResponseToCall(mReader.Head());
+      const auto match = mObserver->MatchResponse(mReader.Head());
       if (mState != State::kBusy) {
         return;
       }
-      if (!isResponse) {
+      mReuse.OnResponse(match);
+      if (match == ResponseMatch::kOtherCall) {
         mSkippingResponse = true;
       } else {
         mHeadDelivered = true;
@@ -290,9 +293,9 @@
   // A request that was answered early may not have been sent completely. Its
   // connection is not reused, because the backend server would read the next
   // request as the rest of this one.
-  const bool reusable = head.keepAlive && !head.endsWithConnection &&
-                        mRequestSent && mReader.BufferedBytes() == 0 &&
-                        !mPoolAlive.expired();
+  const bool reusable = mReuse.MayCarryMore() && head.keepAlive &&
+                        !head.endsWithConnection && mRequestSent &&
+                        mReader.BufferedBytes() == 0 && !mPoolAlive.expired();
   auto idleTimeout = mOptions.idleTimeout;
   if (const auto serverTimeout =
         ParseKeepAliveTimeout(FindHeader(head.headers, "Keep-Alive"))) {
@@ -349,6 +352,13 @@
   }
 }
 
+bool
+BackendConnection::IsQuiet() const
+{
+  asio::error_code ec;
+  return mSocket.available(ec) == 0 && !ec;
+}
+
 void
 BackendConnection::Close()
 {
--- a/servers/http1/backend_connection.h
+++ b/servers/http1/backend_connection.h
@@ -34,7 +34,8 @@
 
   // Starts a call. Connects first if the connection is new. Returns the call's
   // number on this connection.
-  BackendCallNumber StartCall(std::string aBytes,
+  BackendCallNumber StartCall(const RequestId& aRequest,
+                              std::string aBytes,
                               bool aNoBody,
                               BackendCallObserver& aObserver);
 
@@ -46,6 +47,15 @@
   void Resume(BackendCallNumber aCall);
   void Close();
 
+  // Whether an idle connection may carry a call of this request.
+  [[nodiscard]] bool MayCarry(const RequestId& aRequest, bool aNoBody) const
+  {
+    return mReuse.MayCarry(aRequest, aNoBody);
+  }
+
+  // Whether no byte has arrived since the last call ended.
+  [[nodiscard]] bool IsQuiet() const;
+
   [[nodiscard]] const Options& Settings() const { return mOptions; }
 
 private:
@@ -77,6 +87,7 @@
   std::weak_ptr<bool> mPoolAlive;
   asio::ip::tcp::socket mSocket;
   MessageReader mReader;
+  ConnectionReuse mReuse;
   State mState = State::kNew;
   BackendCallObserver* mObserver = nullptr;
   std::string mRequestBytes;
--- a/servers/http1/backend_pool.cpp
+++ b/servers/http1/backend_pool.cpp
@@ -54,7 +54,10 @@
     return mFinished || aNow >= mDeadline;
   }
 
-  bool IsResponseToCall(const MessageHead& /*aHead*/) override { return true; }
+  ResponseMatch MatchResponse(const MessageHead& /*aHead*/) override
+  {
+    return ResponseMatch::kUnidentified;
+  }
   void OnHead(const MessageHead& /*aHead*/) override {}
   void OnBody(std::string /*aBytes*/) override {}
   void OnEnd() override { mFinished = true; }
@@ -102,8 +105,8 @@
       *this,
       mAlive);
   }
-  const auto number =
-    connection->StartCall(std::move(aCall.bytes), aCall.noBody, aObserver);
+  const auto number = connection->StartCall(
+    aCall.request, std::move(aCall.bytes), aCall.noBody, aObserver);
   return std::make_unique<BackendCall>(std::move(connection), number);
 }
 
@@ -117,15 +120,20 @@
   const auto now = mExecutor.Now();
   auto& idle = it->second;
   // Reuses the newest connection first, so that surplus ones expire.
-  while (!idle.empty()) {
-    auto last = std::move(idle.back());
-    idle.pop_back();
-    const bool usable = last.address == aCall.address && now < last.expires &&
-                        now - last.idleSince <= aCall.maxIdleAge;
+  for (auto last = idle.end(); last != idle.begin();) {
+    --last;
+    if (!last->connection->MayCarry(aCall.request, aCall.noBody)) {
+      continue;
+    }
+    const auto connection = last->connection;
+    const bool usable = last->address == aCall.address && now < last->expires &&
+                        now - last->idleSince <= aCall.maxIdleAge &&
+                        connection->IsQuiet();
+    last = idle.erase(last);
     if (usable) {
-      return last.connection;
+      return connection;
     }
-    last.connection->Close();
+    connection->Close();
   }
   return nullptr;
 }
--- a/servers/http1/backend_pool.h
+++ b/servers/http1/backend_pool.h
@@ -12,6 +12,7 @@
 
 #include "core/ids.h"
 #include "servers/http/asio_executor.h"
+#include "servers/http1/connection_reuse.h"
 #include "servers/http1/message_reader.h"
 #include "servers/http1/socket_options.h"
 
@@ -46,9 +47,8 @@
 public:
   virtual ~BackendCallObserver() = default;
 
-  // Whether the response belongs to this call. If it does not, such as a late
-  // response to an earlier call on the connection, it is skipped.
-  virtual bool IsResponseToCall(const MessageHead& aHead) = 0;
+  // Which call the response belongs to. A response to another call is skipped.
+  virtual ResponseMatch MatchResponse(const MessageHead& aHead) = 0;
   virtual void OnHead(const MessageHead& aHead) = 0;
   virtual void OnBody(std::string aBytes) = 0;
   // The response is complete.
@@ -101,6 +101,8 @@
   {
     BackendId backend;
     BackendAddress address;
+    // The id that the response names; empty if it names none.
+    RequestId request{};
     // The complete request, head and body.
     std::string bytes;
     // The response has no body, as to a HEAD request.
--- /dev/null
+++ b/servers/http1/connection_reuse.cpp
@@ -0,0 +1,54 @@
+#include "servers/http1/connection_reuse.h"
+
+#include <algorithm>
+#include <functional>
+#include <string>
+
+namespace firefly {
+
+namespace {
+
+bool
+NeedsOwnConnection(const RequestId& aRequest, bool aNoBody)
+{
+  return aNoBody || aRequest.Value().empty();
+}
+
+std::size_t
+HashOf(const RequestId& aRequest)
+{
+  return std::hash<std::string>{}(aRequest.Value());
+}
+
+} // namespace
+
+bool
+ConnectionReuse::MayCarry(const RequestId& aRequest, bool aNoBody) const
+{
+  if (mCarried.empty() && !mIsExclusive) {
+    return true;
+  }
+  return MayCarryMore() && !NeedsOwnConnection(aRequest, aNoBody) &&
+         std::ranges::find(mCarried, HashOf(aRequest)) == mCarried.end();
+}
+
+void
+ConnectionReuse::OnCall(const RequestId& aRequest, bool aNoBody)
+{
+  mIsExclusive = mIsExclusive || NeedsOwnConnection(aRequest, aNoBody);
+  mCarried.push_back(HashOf(aRequest));
+}
+
+void
+ConnectionReuse::OnResponse(ResponseMatch aMatch)
+{
+  mIsExclusive = mIsExclusive || aMatch == ResponseMatch::kUnidentified;
+}
+
+bool
+ConnectionReuse::MayCarryMore() const
+{
+  return !mIsExclusive && mCarried.size() < kMaxCalls;
+}
+
+} // namespace firefly
--- a/servers/relay/dialect.h
+++ b/servers/relay/dialect.h
@@ -17,6 +17,7 @@
 #include "policy/fleet_view.h"
 #include "policy/request_info.h"
 #include "servers/http1/caller_server.h"
+#include "servers/http1/connection_reuse.h"
 
 namespace firefly {
 
@@ -172,10 +173,10 @@
     const RelayRequest& aRequest,
     const AttemptTerms& aTerms) const = 0;
 
-  // Returns false if the answer names another request: it is then a late answer
-  // to an earlier request on the same connection.
-  [[nodiscard]] virtual bool IsAnswerTo(const MessageHead& aHead,
-                                        const RequestId& aId) const = 0;
+  // Which request the answer names.
+  [[nodiscard]] virtual ResponseMatch MatchAnswer(
+    const MessageHead& aHead,
+    const RequestId& aId) const = 0;
   [[nodiscard]] virtual AnswerKind Classify(const MessageHead& aHead) const = 0;
 
   [[nodiscard]] virtual AvailabilityNotice ReadAvailability(
--- a/servers/relay/relay_attempt.cpp
+++ b/servers/relay/relay_attempt.cpp
@@ -47,10 +47,10 @@
   mCall = aPool.Start(std::move(aCall), *this);
 }
 
-bool
-RelayAttempt::IsResponseToCall(const MessageHead& aHead)
+ResponseMatch
+RelayAttempt::MatchResponse(const MessageHead& aHead)
 {
-  return mDialect.IsAnswerTo(aHead, mOptions.request);
+  return mDialect.MatchAnswer(aHead, mOptions.request);
 }
 
 void
--- a/servers/relay/relay_attempt.h
+++ b/servers/relay/relay_attempt.h
@@ -96,7 +96,7 @@
   [[nodiscard]] bool CanRun() const { return !mOptions.promptOnly; }
 
 private:
-  bool IsResponseToCall(const MessageHead& aHead) override;
+  ResponseMatch MatchResponse(const MessageHead& aHead) override;
   void OnHead(const MessageHead& aHead) override;
   void OnBody(std::string aBytes) override;
   void OnEnd() override;
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -137,6 +137,7 @@
   BackendPool::Call call;
   call.backend = aOrder.backend;
   call.address = BackendAddress(AddressOf(aOrder.backend));
+  call.request = mOptions.request.id;
   AttemptTerms terms{ .backend = aOrder.backend,
                       .address = call.address.Value(),
                       .timeLeft = std::max(kMinTimeLeft, mDeadline - Now()),
--- a/servers/relay/role_order_issuer.cpp
+++ b/servers/relay/role_order_issuer.cpp
@@ -63,7 +63,10 @@
                                                [this] { End("no answer"); });
   }
 
-  bool IsResponseToCall(const MessageHead& /*aHead*/) override { return true; }
+  ResponseMatch MatchResponse(const MessageHead& /*aHead*/) override
+  {
+    return ResponseMatch::kUnidentified;
+  }
   void OnHead(const MessageHead& aHead) override { mStatus = aHead.status; }
   void OnBody(std::string /*aBytes*/) override {}
   void OnEnd() override { End("status " + std::to_string(mStatus)); }
--- a/tests/helpers/scripted_backend.cpp
+++ b/tests/helpers/scripted_backend.cpp
@@ -54,6 +54,7 @@
     Connection(std::shared_ptr<Impl> aOwner, tcp::socket aSocket)
       : mOwner(std::move(aOwner))
       , mSocket(std::move(aSocket))
+      , mNumber(mOwner->connections)
     {
     }
 
@@ -81,7 +82,8 @@
         Read();
         return;
       }
-      mOwner->requests.push_back({ mReader.Head(), mReader.TakeBody() });
+      mOwner->requests.push_back(
+        { mReader.Head(), mReader.TakeBody(), mNumber });
       mReader.Next();
       mReply = mOwner->script(mOwner->requests.back());
       // Not a blocking write: the peer may be read on the same thread.
@@ -130,6 +132,7 @@
 
     std::shared_ptr<Impl> mOwner;
     tcp::socket mSocket;
+    std::size_t mNumber;
     MessageReader mReader{ { .side = MessageReader::Side::kRequests } };
     ScriptedReply mReply;
     Timer mTrickleTimer;
--- a/tests/helpers/scripted_backend.h
+++ b/tests/helpers/scripted_backend.h
@@ -37,6 +37,8 @@
 {
   MessageHead head;
   std::string body;
+  // The connection's number, in the order of acceptance from 1.
+  std::size_t connection = 0;
 };
 
 class ScriptedBackend
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -22,6 +22,7 @@
 using firefly::Random;
 using firefly::RelayRequest;
 using firefly::RequestId;
+using firefly::ResponseMatch;
 using firefly::platform::PlatformDialect;
 
 namespace {
@@ -186,8 +187,12 @@
 {
   const MessageHead late{ .headers = {
                             { "Fireflyrouter-Request-Id", "r-16" } } };
-  CHECK_FALSE(dialect.IsAnswerTo(late, RequestId("r-17")));
-  CHECK_TRUE(dialect.IsAnswerTo(late, RequestId("r-16")));
+  CHECK_TRUE(dialect.MatchAnswer(late, RequestId("r-17")) ==
+             ResponseMatch::kOtherCall);
+  CHECK_TRUE(dialect.MatchAnswer(late, RequestId("r-16")) ==
+             ResponseMatch::kThisCall);
+  CHECK_TRUE(dialect.MatchAnswer({}, RequestId("r-16")) ==
+             ResponseMatch::kUnidentified);
 }
 
 TEST(PlatformDialectTest, DecodesAndReleasesAKvCacheReference)
--- a/tests/servers/http1/backend_pool_test.cpp
+++ b/tests/servers/http1/backend_pool_test.cpp
@@ -22,6 +22,9 @@
 using firefly::BackendId;
 using firefly::BackendPool;
 using firefly::MessageHead;
+using firefly::RequestId;
+using firefly::ResponseMatch;
+using firefly::testing::AfterReply;
 using firefly::testing::RunUntil;
 using firefly::testing::ScriptedBackend;
 using firefly::testing::ScriptedReply;
@@ -32,9 +35,9 @@
 class RecordingObserver : public BackendCallObserver
 {
 public:
-  bool IsResponseToCall(const MessageHead& /*aHead*/) override
+  ResponseMatch MatchResponse(const MessageHead& /*aHead*/) override
   {
-    return acceptsResponse;
+    return match;
   }
   void OnHead(const MessageHead& /*aHead*/) override {}
   void OnBody(std::string aBytes) override
@@ -53,7 +56,7 @@
   }
   void OnFault(BackendCallFault aFault) override { fault = aFault; }
 
-  bool acceptsResponse = true;
+  ResponseMatch match = ResponseMatch::kThisCall;
   std::function<void()> onBody;
   std::function<void()> onEnd;
   std::string body;
@@ -81,6 +84,7 @@
   {
     return { .backend = BackendId("b1"),
              .address = BackendAddress(backend.Address()),
+             .request = RequestId(aTarget),
              .bytes = "GET " + aTarget + " HTTP/1.1\r\nHost: h\r\n\r\n" };
   }
 
@@ -152,6 +156,70 @@
   CHECK_FALSE(first.ended);
 }
 
+// The response to the repeat could not be told from a late copy of the first.
+TEST(BackendPoolTest, ARepeatedRequestTakesAnotherConnection)
+{
+  RecordingObserver first;
+  RecordingObserver second;
+  const auto firstCall = pool.Start(MakeCall("/1"), first);
+  Await([&] { return first.ended; });
+  const auto secondCall = pool.Start(MakeCall("/1"), second);
+  Await([&] { return second.ended; });
+  UNSIGNED_LONGS_EQUAL(2, backend.AcceptedConnections());
+  // The first connection stays in the pool for other requests.
+  UNSIGNED_LONGS_EQUAL(2, pool.IdleCount());
+}
+
+TEST(BackendPoolTest, AConnectionEndsAfterAnUnidentifiedResponse)
+{
+  RecordingObserver observer;
+  observer.match = ResponseMatch::kUnidentified;
+  const auto call = pool.Start(MakeCall("/1"), observer);
+  Await([&] { return observer.ended; });
+  UNSIGNED_LONGS_EQUAL(0, pool.IdleCount());
+}
+
+// Guards against a release or an order that is answered by a late response to
+// an earlier request, which would leave its own response to the next one.
+TEST(BackendPoolTest, ACallWithoutAnIdTakesAConnectionOfItsOwn)
+{
+  RecordingObserver first;
+  const auto firstCall = pool.Start(MakeCall("/1"), first);
+  Await([&] { return first.ended; });
+  auto release = MakeCall("/2");
+  release.request = RequestId();
+  pool.Send(std::move(release));
+  Await([&] { return backend.ClosedConnections() == 1; });
+  UNSIGNED_LONGS_EQUAL(2, backend.AcceptedConnections());
+  UNSIGNED_LONGS_EQUAL(1, pool.IdleCount());
+}
+
+// Bytes that reached the socket since the last response belong to no call. The
+// executor does not run in between, so that only the check on reuse sees them.
+TEST(BackendPoolTest, AConnectionWithUnreadBytesIsNotReused)
+{
+  ScriptedBackend noisy(executor, [](const ScriptedRequest& aRequest) {
+    return ScriptedReply{ .bytes = AnswerWithTarget(aRequest).bytes,
+                          .after = AfterReply::kKeep,
+                          .trickle = "x",
+                          .trickleInterval = 1ms };
+  });
+  RecordingObserver first;
+  RecordingObserver second;
+  auto request = MakeCall("/1");
+  request.address = BackendAddress(noisy.Address());
+  std::unique_ptr<BackendCall> secondCall;
+  const auto firstCall = pool.Start(std::move(request), first);
+  Await([&] { return first.ended; });
+  Await([&] { return noisy.TrickledBytes() > 0; });
+  auto next = MakeCall("/2");
+  next.address = BackendAddress(noisy.Address());
+  secondCall = pool.Start(std::move(next), second);
+  Await([&] { return second.ended || second.fault; });
+  STRCMP_EQUAL("/2", second.body.c_str());
+  UNSIGNED_LONGS_EQUAL(2, noisy.AcceptedConnections());
+}
+
 // A response to another call may come without end. It must not hold up the call
 // until its caller gives up.
 TEST(BackendPoolTest, AnEndlessResponseToAnotherCallFailsTheCall)
@@ -163,7 +231,7 @@
     };
   });
   RecordingObserver observer;
-  observer.acceptsResponse = false;
+  observer.match = ResponseMatch::kOtherCall;
   auto request = MakeCall("/1");
   request.address = BackendAddress(endless.Address());
   const auto call = pool.Start(std::move(request), observer);
--- a/tests/servers/relay/relay_fixture.h
+++ b/tests/servers/relay/relay_fixture.h
@@ -116,6 +116,7 @@
       policy::RoutingTable(
         { .version = policy::RoutingVersion(3),
           .routes = { MakeRoute("/book/", policy::RouteKind::kAtMostOnce, 1),
+                      MakeRoute("/rebook/", policy::RouteKind::kAtMostOnce, 3),
                       MakeRoute("/look/", policy::RouteKind::kIdempotent, 2),
                       MakeRoute("/ask/", policy::RouteKind::kStream, 1, "llm"),
                       MakeRoute("/resume/",
--- a/tests/servers/relay/relay_test.cpp
+++ b/tests/servers/relay/relay_test.cpp
@@ -165,7 +165,8 @@
 
 TEST(RelayTest, KeepsConnectionsOpenOnBothSides)
 {
-  StartDeskBackend({ MakeAnswer(200, "x", kStamp) });
+  StartDeskBackend(
+    { MakeAnswer(200, "x", kStamp + "Fireflyrouter-Request-Id: q1\r\n") });
   RawTcpClient caller(executor, callers.Port());
   caller.Send(MakeGet("/look/1"));
   Await([&] { return caller.HasReceived("HTTP/1.1 200"); });
--- a/tests/servers/relay/relay_trouble_test.cpp
+++ b/tests/servers/relay/relay_trouble_test.cpp
@@ -3,8 +3,12 @@
 
 #include <cstdio>
 #include <fstream>
+#include <functional>
+#include <map>
 #include <memory>
+#include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <unistd.h>
@@ -121,6 +125,149 @@
   }
 }
 
+// A full backend server rejects a booking, sends the rejection a second time
+// where the next response is expected, and runs the repeat. Guards against the
+// copy being taken for the response to the repeat: the caller would be told
+// that a booking did not run while it runs.
+TEST(RelayTroubleTest, ALateCopyOfARejectionIsNoAnswerToTheRepeat)
+{
+  int runs = 0;
+  std::string late;
+  std::size_t lateConnection = 0;
+  first = StartBackend([&](const ScriptedRequest& aRequest) -> ScriptedReply {
+    const auto rejection = MakeAnswer(503,
+                                      "",
+                                      "Fireflyrouter-Request-Id: q1\r\n"
+                                      "Fireflyrouter-Not-Run: 1\r\n");
+    if (late.empty()) {
+      late = rejection;
+      lateConnection = aRequest.connection;
+      return { .bytes = rejection };
+    }
+    runs++;
+    return { .bytes =
+               (aRequest.connection == lateConnection ? late : std::string()) +
+               MakeAnswerTo("q1", "booked") };
+  });
+  Register("b1", *first);
+  SetRoutingTable();
+  RawTcpClient caller(executor, callers.Port());
+  caller.Send(MakeGet("/rebook/7"));
+  Await([&] { return caller.HasReceived("HTTP/1.1 "); });
+  Await([&] { return relay.LiveRequests() == 0; });
+  CHECK_TRUE(caller.HasReceived("booked"));
+  LONGS_EQUAL(1, runs);
+}
+
+namespace {
+
+// A backend server that rejects some requests and sends second copies of its
+// answers, whole or in part, at once or where the next answer is expected.
+class CopyingBackend
+{
+public:
+  explicit CopyingBackend(std::uint32_t aSeed)
+    : mRandom(aSeed)
+  {
+  }
+
+  ScriptedReply operator()(const ScriptedRequest& aRequest)
+  {
+    const std::string id(
+      FindHeader(aRequest.head.headers, "Fireflyrouter-Request-Id"));
+    std::string bytes = std::exchange(mLate[aRequest.connection], {});
+    const auto answer = MakeAnswerFor(id);
+    bytes += answer;
+    switch (mRandom() % 8) {
+      case 0:
+        return { .bytes = bytes + answer };
+      case 1:
+        return { .bytes = bytes + answer.substr(0, answer.size() / 2) };
+      case 2:
+        return { .bytes = bytes,
+                 .trickle = answer,
+                 .trickleInterval = std::chrono::milliseconds(mRandom() % 4) };
+      case 3:
+      case 4:
+        mLate[aRequest.connection] = answer;
+        return { .bytes = bytes };
+      case 5:
+        return { .bytes = bytes, .after = AfterReply::kClose };
+      default:
+        return { .bytes = bytes };
+    }
+  }
+
+  std::map<std::string, int> runs;
+
+private:
+  std::string MakeAnswerFor(const std::string& aId)
+  {
+    const auto header = "Fireflyrouter-Request-Id: " + aId + "\r\n";
+    if (mRandom() % 3 == 0) {
+      const bool isAnonymous = mRandom() % 4 == 0;
+      return MakeAnswer(isAnonymous ? 421 : 503,
+                        "",
+                        (isAnonymous ? "" : header) +
+                          "Fireflyrouter-Not-Run: 1\r\n");
+    }
+    runs[aId]++;
+    if (mRandom() % 8 == 0) {
+      return "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\n" + kStamp +
+             header + "\r\n";
+    }
+    return MakeAnswerTo(aId, "body of " + aId);
+  }
+
+  std::minstd_rand mRandom;
+  std::map<std::size_t, std::string> mLate;
+};
+
+} // namespace
+
+// Guards against any order of answers and copies that makes a refusal untrue,
+// runs a booking twice, or hands a caller the answer to another request.
+TEST(RelayTroubleTest, CopiesOfAnswersNeverMakeARefusalUntrue)
+{
+  constexpr std::uint32_t kSeeds = 12;
+  constexpr int kRequests = 24;
+  for (std::uint32_t seed = 1; seed <= kSeeds; seed++) {
+    CopyingBackend script(seed);
+    first = StartBackend(std::ref(script));
+    Register("b1", *first);
+    SetRoutingTable();
+    std::map<std::string, std::unique_ptr<RawTcpClient>> sent;
+    for (int i = 1; i <= kRequests; i++) {
+      const auto id = std::to_string(seed) + "-" + std::to_string(i);
+      const auto path = i % 3 == 0 ? "/look/" : "/rebook/";
+      auto caller = std::make_unique<RawTcpClient>(executor, callers.Port());
+      caller->Send("GET " + std::string(path) + id +
+                   " HTTP/1.1\r\nHost: h.example\r\n"
+                   "Fireflyrouter-Request-Id: " +
+                   id + "\r\nFireflyrouter-Deadline-Ms: 120\r\n\r\n");
+      // Most requests follow one another, some run at the same time.
+      if (i % 4 != 0) {
+        Await([&] {
+          return caller->HasReceived("HTTP/1.1 ") || caller->IsClosed();
+        });
+      }
+      sent[id] = std::move(caller);
+    }
+    Await([&] { return relay.LiveRequests() == 0; });
+    for (const auto& [id, caller] : sent) {
+      const bool isRefusal = caller->HasReceived("HTTP/1.1 503") ||
+                             caller->HasReceived("HTTP/1.1 421");
+      const auto context = "request " + id;
+      CHECK_TRUE_TEXT(!isRefusal || script.runs[id] == 0, context.c_str());
+      CHECK_TRUE_TEXT(!caller->HasReceived("HTTP/1.1 200") ||
+                        caller->HasReceived("body of " + id),
+                      context.c_str());
+      const bool isBooking = std::stoi(id.substr(id.find('-') + 1)) % 3 != 0;
+      CHECK_TRUE_TEXT(!isBooking || script.runs[id] <= 1, context.c_str());
+    }
+  }
+}
+
 // A planned stop closes idle connections. A request that has just arrived on
 // one of them, and was not read yet, is told that it has not run.
 TEST(RelayTroubleTest, ARequestInTheSocketIsAnsweredDuringAStop)
--- a/tests/soak/simulated_callers.cpp
+++ b/tests/soak/simulated_callers.cpp
@@ -72,6 +72,7 @@
       { .backend = BackendId("relay-" + std::to_string(relay->Index().Value())),
         .address =
           BackendAddress("127.0.0.1:" + std::to_string(relay->CallerPort())),
+        .request = mSent.id,
         .bytes = ComposeRequest() },
       *this);
     auto timeout = mSent.deadline;
@@ -150,10 +151,14 @@
            mSent.body;
   }
 
-  bool IsResponseToCall(const MessageHead& aHead) override
+  ResponseMatch MatchResponse(const MessageHead& aHead) override
   {
     const auto id = FindHeader(aHead.headers, wire::kRequestId);
-    return id.empty() || id == mSent.id.Value();
+    if (id.empty()) {
+      return ResponseMatch::kUnidentified;
+    }
+    return id == mSent.id.Value() ? ResponseMatch::kThisCall
+                                  : ResponseMatch::kOtherCall;
   }
   void OnHead(const MessageHead& aHead) override
   {
