--- a/main/firefly_relay.cpp
+++ b/main/firefly_relay.cpp
@@ -11,6 +11,7 @@
 #include "platform/platform_records.h"
 #include "platform/platform_settings.h"
 #include "platform/platform_store.h"
+#include "servers/http1/process_limits.h"
 #include "servers/log/log.h"
 #include "servers/relay/relay_server.h"
 #include "servers/settings/command_line.h"
@@ -171,6 +172,7 @@
     return Exit(firefly::ExitCode::kOk);
   }
   std::signal(SIGPIPE, SIG_IGN);
+  firefly::ReturnFreedBlocks();
   firefly::StartLog(settings->log);
   return Serve(*settings, file);
 }
--- a/servers/http1/backend_connection.cpp
+++ b/servers/http1/backend_connection.cpp
@@ -60,15 +60,14 @@
 }
 
 BackendCallNumber
-BackendConnection::StartCall(const RequestId& aRequest,
-                             std::string aBytes,
-                             bool aNoBody,
+BackendConnection::StartCall(BackendPool::Call aCall,
                              BackendCallObserver& aObserver)
 {
   mObserver = &aObserver;
-  mReuse.OnCall(aRequest, aNoBody);
-  mRequestBytes = std::move(aBytes);
-  mNoBody = aNoBody;
+  mReuse.OnCall(aCall.request, aCall.noBody);
+  mRequestBytes = std::move(aCall.bytes);
+  mRequestBody = std::move(aCall.body);
+  mNoBody = aCall.noBody;
   mRequestSent = false;
   mAnyByteSent = false;
   mHeadDelivered = false;
@@ -136,10 +135,15 @@
 void
 BackendConnection::SendRequest()
 {
+  // The body is kept until it is written, also if the call ends before.
+  const std::array<asio::const_buffer, 2> buffers{
+    asio::buffer(mRequestBytes),
+    mRequestBody ? asio::buffer(*mRequestBody) : asio::const_buffer()
+  };
   asio::async_write(mSocket,
-                    asio::buffer(mRequestBytes),
-                    [self = shared_from_this()](const asio::error_code& aCode,
-                                                std::size_t aBytes) {
+                    buffers,
+                    [self = shared_from_this(), body = mRequestBody](
+                      const asio::error_code& aCode, std::size_t aBytes) {
                       self->OnRequestSent(aCode, aBytes);
                     });
 }
@@ -303,6 +307,7 @@
   }
   mReader.Next();
   mRequestBytes = {};
+  mRequestBody.reset();
   mPaused = false;
   if (reusable) {
     mState = State::kIdle;
--- a/servers/http1/backend_connection.h
+++ b/servers/http1/backend_connection.h
@@ -34,9 +34,7 @@
 
   // Starts a call. Connects first if the connection is new. Returns the call's
   // number on this connection.
-  BackendCallNumber StartCall(const RequestId& aRequest,
-                              std::string aBytes,
-                              bool aNoBody,
+  BackendCallNumber StartCall(BackendPool::Call aCall,
                               BackendCallObserver& aObserver);
 
   // Ends the call without a callback and closes the connection. These three
@@ -91,6 +89,7 @@
   State mState = State::kNew;
   BackendCallObserver* mObserver = nullptr;
   std::string mRequestBytes;
+  std::shared_ptr<const std::string> mRequestBody;
   bool mRequestSent = false;
   bool mAnyByteSent = false;
   bool mHeadDelivered = false;
--- a/servers/http1/backend_pool.cpp
+++ b/servers/http1/backend_pool.cpp
@@ -105,8 +105,7 @@
       *this,
       mAlive);
   }
-  const auto number = connection->StartCall(
-    aCall.request, std::move(aCall.bytes), aCall.noBody, aObserver);
+  const auto number = connection->StartCall(std::move(aCall), aObserver);
   return std::make_unique<BackendCall>(std::move(connection), number);
 }
 
--- a/servers/http1/backend_pool.h
+++ b/servers/http1/backend_pool.h
@@ -103,8 +103,10 @@
     BackendAddress address;
     // The id that the response names; empty if it names none.
     RequestId request{};
-    // The complete request, head and body.
+    // The complete request, or only its head if there is a body.
     std::string bytes;
+    // The body, which other calls may share.
+    std::shared_ptr<const std::string> body{};
     // The response has no body, as to a HEAD request.
     bool noBody = false;
     // Maximum time since the last response on an idle connection for the call
--- a/servers/http1/caller_connection.cpp
+++ b/servers/http1/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "servers/http1/caller_connection.h"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 #include <asio/buffer.hpp>
@@ -16,13 +18,80 @@
 constexpr std::size_t kMaxPipelinedBytes = 64U << 10U;
 // Time that a caller has to close its connection after the last answer.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
-constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
-constexpr int kContentTooLarge = 413;
-constexpr int kHeadersTooLarge = 431;
+// A request is refused once it has waited this long for memory, all waits
+// together. Chunked bodies that each hold a part and wait for more would
+// otherwise hold each other up.
+constexpr Duration kMaxMemoryWait = std::chrono::seconds(1);
+// A body that grows by less makes no progress, so that a caller can't keep its
+// memory by sending single bytes.
+constexpr std::size_t kProgressBytes = 16U << 10U;
+// A caller may read its answer slowly, so an answer stalls later than a body.
+constexpr Duration kAnswerStallTime = std::chrono::seconds(5);
+// A chunked body is read in small pieces up to this size, so that the memory
+// that is reserved for the next piece counts as small.
+constexpr std::size_t kSmallPieceBytes = 12U << 10U;
+// Output buffers above this size are freed once they are sent.
+constexpr std::size_t kMaxKeptOutputBytes = 16U << 10U;
+
+struct RejectionStatus
+{
+  RejectionCause cause;
+  std::string_view name;
+  int status;
+  std::string_view reason;
+};
+constexpr std::array<RejectionStatus, 8> kRejections{ {
+  { RejectionCause::kMalformed, "malformed", 400, "Bad Request" },
+  { RejectionCause::kHeadTooLarge,
+    "head-too-large",
+    431,
+    "Request Header Fields Too Large" },
+  { RejectionCause::kBodyTooLarge, "body-too-large", 413, "Content Too Large" },
+  { RejectionCause::kTooSlow, "too-slow", 408, "Request Timeout" },
+  { RejectionCause::kNoMemory, "no-memory", 503, "Service Unavailable" },
+  { RejectionCause::kStalled, "stalled", 408, "Request Timeout" },
+  { RejectionCause::kNoConnection, "no-connection", 0, "" },
+  { RejectionCause::kAnswerNotRead, "answer-not-read", 0, "" },
+} };
+
+const RejectionStatus&
+StatusOf(RejectionCause aCause)
+{
+  return *std::ranges::find(kRejections, aCause, &RejectionStatus::cause);
+}
+
+RejectionCause
+ToCause(MessageFault aFault)
+{
+  switch (aFault) {
+    case MessageFault::kHeadTooLarge:
+      return RejectionCause::kHeadTooLarge;
+    case MessageFault::kBodyTooLarge:
+      return RejectionCause::kBodyTooLarge;
+    case MessageFault::kMalformed:
+    case MessageFault::kTruncated:
+      return RejectionCause::kMalformed;
+  }
+  return RejectionCause::kMalformed;
+}
+
+// A string has no memory of its own up to this capacity.
+const std::size_t kInlineBytes = std::string().capacity();
+
+std::size_t
+AllocatedBytes(const std::string& aText)
+{
+  return aText.capacity() > kInlineBytes ? aText.capacity() : 0;
+}
 
 } // namespace
 
+std::string_view
+ToString(RejectionCause aCause)
+{
+  return StatusOf(aCause).name;
+}
+
 // Sends the answer to one request of the connection.
 class CallerConnection::Answer : public CallerAnswer
 {
@@ -127,6 +196,8 @@
   , mReader({ .side = MessageReader::Side::kRequests,
               .maxHeadBytes = mServer->limits.maxHeadBytes,
               .maxBodyBytes = mServer->limits.maxBodyBytes })
+  , mInputMemory(mServer->memory, MemoryUse::kInput)
+  , mOutputMemory(mServer->memory, MemoryUse::kAnswers)
 {
   asio::error_code ec;
   const auto peer = mSocket.remote_endpoint(ec);
@@ -139,6 +210,7 @@
   asio::error_code ec;
   mSocket.non_blocking(true, ec);
   SetState(State::kIdle);
+  mProgressAt = mServer->executor->Now();
   WaitForData();
 }
 
@@ -154,6 +226,13 @@
 {
   const auto& limits = mServer->limits;
   const auto now = mServer->executor->Now();
+  if (aState != mState) {
+    mProgressAt = now;
+    mProgressBytes = 0;
+    if (aState != State::kBody) {
+      mMemoryWait = Duration::zero();
+    }
+  }
   mState = aState;
   switch (aState) {
     case State::kHead:
@@ -180,12 +259,68 @@
     return;
   }
   if (mState == State::kHead || mState == State::kBody) {
-    Reject(kRequestTimeout, "Request Timeout");
+    Reject(RejectionCause::kTooSlow);
     return;
   }
   Close();
 }
 
+void
+CallerConnection::RetryReservation()
+{
+  if (!mAwaitsMemory) {
+    return;
+  }
+  const auto now = mServer->executor->Now();
+  const auto waited = mMemoryWait + (now - mAwaitsSince);
+  if (TryReserve(BytesForRead())) {
+    SetAwaitsMemory(false);
+    mMemoryWait = waited;
+    SetState(State::kBody);
+    mProgressAt = now;
+    OnBodyReserved();
+    WaitForData();
+  } else if (waited >= kMaxMemoryWait) {
+    Reject(RejectionCause::kNoMemory);
+  }
+}
+
+Duration
+CallerConnection::StalledFor(Instant aNow) const
+{
+  if (mIsReserving || mAwaitsMemory) {
+    return Duration::zero();
+  }
+  if (mState == State::kHead || mState == State::kBody) {
+    return aNow - mProgressAt;
+  }
+  const bool isSending =
+    mState == State::kAnswering && !mOutputBeingWritten.empty();
+  const auto stalled = aNow - mOutputProgressAt;
+  return isSending && stalled >= kAnswerStallTime ? stalled : Duration::zero();
+}
+
+void
+CallerConnection::Evict()
+{
+  if (mState != State::kAnswering) {
+    Reject(RejectionCause::kStalled);
+    return;
+  }
+  mServer->handler->OnRejected({ .cause = RejectionCause::kAnswerNotRead,
+                                 .peer = mPeer,
+                                 .heldBytes = mOutputMemory.Bytes() });
+  OnConnectionLost();
+}
+
+Duration
+CallerConnection::IdleFor(Instant aNow) const
+{
+  return mState == State::kIdle && mReader.BufferedBytes() == 0
+           ? aNow - mProgressAt
+           : Duration::zero();
+}
+
 void
 CallerConnection::CloseIfIdle()
 {
@@ -201,11 +336,10 @@
 void
 CallerConnection::WaitForData()
 {
-  if (mReadPending || mState == State::kClosed) {
+  if (mReadPending || mState == State::kClosed || mAwaitsMemory) {
     return;
   }
-  if (mState == State::kAnswering &&
-      mReader.BufferedBytes() > kMaxPipelinedBytes) {
+  if (mState == State::kAnswering && !MayBufferMore()) {
     return;
   }
   mReadPending = true;
@@ -222,12 +356,13 @@
 void
 CallerConnection::OnReadable()
 {
-  if (mState == State::kClosed) {
+  if (mState == State::kClosed || mAwaitsMemory) {
     return;
   }
   asio::error_code ec;
   auto& buffer = mServer->buffer;
-  const auto n = mSocket.read_some(asio::buffer(buffer), ec);
+  const auto n =
+    mSocket.read_some(asio::buffer(buffer.data(), MaxReadBytes()), ec);
   if (ec == asio::error::would_block) {
     WaitForData();
     return;
@@ -249,6 +384,7 @@
   if (mState == State::kAnswering) {
     // The bytes belong to the next request.
     mReader.BufferBytes(aBytes);
+    mInputMemory.Set(mReader.HeldBytes());
     return;
   }
   if (mState == State::kIdle) {
@@ -261,61 +397,178 @@
   }
   const auto fed = mReader.Feed(aBytes);
   if (!fed) {
-    switch (fed.error()) {
-      case MessageFault::kHeadTooLarge:
-        Reject(kHeadersTooLarge, "Request Header Fields Too Large");
-        return;
-      case MessageFault::kBodyTooLarge:
-        Reject(kContentTooLarge, "Content Too Large");
-        return;
-      case MessageFault::kMalformed:
-      case MessageFault::kTruncated:
-        Reject(kBadRequest, "Bad Request");
-        return;
-    }
+    Reject(ToCause(fed.error()));
+    return;
   }
   if (mReader.Done()) {
     PassRequestToHandler();
     return;
   }
+  if (mReader.HasHead()) {
+    mContinueRequested =
+      mContinueRequested ||
+      (mState == State::kHead &&
+       SameHeaderName(FindHeader(mReader.Head().headers, "Expect"),
+                      "100-continue"));
+    SetState(State::kBody);
+    RecordProgress();
+  }
+  if (ReserveForRead() && mReader.HasHead()) {
+    OnBodyReserved();
+  }
+}
+
+void
+CallerConnection::RecordProgress()
+{
+  const auto bytes = mReader.BodyBytes();
+  if (bytes - mProgressBytes >= kProgressBytes) {
+    mProgressBytes = bytes;
+    mProgressAt = mServer->executor->Now();
+  }
+}
+
+std::size_t
+CallerConnection::MaxReadBytes() const
+{
+  const bool isSmallChunkedBody = mState == State::kBody &&
+                                  !mReader.Head().bodyBytes &&
+                                  mReader.BodyBytes() < kSmallPieceBytes;
+  return isSmallChunkedBody ? kSmallPieceBytes : CallerServerState::kReadBytes;
+}
+
+bool
+CallerConnection::MayBufferMore() const
+{
+  const auto buffered = mReader.BufferedBytes();
+  if (buffered == 0 || !mServer->memory) {
+    return buffered <= kMaxPipelinedBytes;
+  }
+  const auto bytes = mInputMemory.Bytes();
+  return buffered <= kMaxPipelinedBytes &&
+         mServer->memory->Allows(bytes, bytes + CallerServerState::kReadBytes);
+}
+
+std::size_t
+CallerConnection::BytesForRead() const
+{
+  const auto held = mReader.HeldBytes();
   if (!mReader.HasHead()) {
-    return;
+    return held;
+  }
+  // A string whose final size is unknown allocates up to twice its size.
+  constexpr std::size_t kGrowth = 2;
+  const auto& length = mReader.Head().bodyBytes;
+  const auto body = length ? static_cast<std::size_t>(*length)
+                           : kGrowth * (mReader.BodyBytes() + MaxReadBytes());
+  const auto capacity = mReader.BodyCapacity();
+  return held - capacity + std::max(capacity, body);
+}
+
+bool
+CallerConnection::TryReserve(std::size_t aBytes)
+{
+  mIsReserving = true;
+  bool isReserved = mInputMemory.TryReserve(aBytes);
+  while (!isReserved && mServer->evictStalled && mServer->evictStalled()) {
+    isReserved = mInputMemory.TryReserve(aBytes);
   }
-  if (mState == State::kHead &&
-      SameHeaderName(FindHeader(mReader.Head().headers, "Expect"),
-                     "100-continue")) {
+  mIsReserving = false;
+  return isReserved;
+}
+
+bool
+CallerConnection::ReserveForRead()
+{
+  const auto bytes = BytesForRead();
+  if (TryReserve(bytes)) {
+    return true;
+  }
+  if (bytes <= MemoryBudget::kSmallBytes || mMemoryWait >= kMaxMemoryWait) {
+    Reject(RejectionCause::kNoMemory);
+    return false;
+  }
+  mInputMemory.Set(std::max(mInputMemory.Bytes(), mReader.HeldBytes()));
+  SetAwaitsMemory(true);
+  mAwaitsSince = mServer->executor->Now();
+  return false;
+}
+
+void
+CallerConnection::SetAwaitsMemory(bool aAwaits)
+{
+  if (std::exchange(mAwaitsMemory, aAwaits) != aAwaits) {
+    mServer->awaitingMemory += aAwaits ? 1 : -1;
+  }
+}
+
+void
+CallerConnection::OnBodyReserved()
+{
+  if (const auto& length = mReader.Head().bodyBytes) {
+    mReader.ReserveBody(static_cast<std::size_t>(*length));
+  }
+  if (std::exchange(mContinueRequested, false)) {
     QueueOutput("HTTP/1.1 100 Continue\r\n\r\n");
     FlushOutput();
   }
-  SetState(State::kBody);
 }
 
 void
-CallerConnection::Reject(int aStatus, std::string_view aReason)
+CallerConnection::Reject(RejectionCause aCause)
 {
-  mServer->handler->OnRejected(aStatus, mPeer);
+  const auto& status = StatusOf(aCause);
+  RefusalAnswer answer{ .status = status.status,
+                        .reason = std::string(status.reason),
+                        .headers = {},
+                        .body = {} };
+  if (aCause == RejectionCause::kNoMemory) {
+    const MessageHead unknown;
+    answer = mServer->handler->ComposeRefusal(mReader.HasHead() ? mReader.Head()
+                                                                : unknown);
+  }
+  mServer->handler->OnRejected({ .cause = aCause,
+                                 .status = answer.status,
+                                 .peer = mPeer,
+                                 .heldBytes = mInputMemory.Bytes() });
+  SetAwaitsMemory(false);
+  mContinueRequested = false;
+  mReader.Discard();
+  mInputMemory.Set(0);
   SetState(State::kAnswering);
   mSequence++;
   mAnswerStarted = false;
   mAnswerComplete = false;
   // The start of the next request on this connection is unknown.
   mCloseAfterAnswer = true;
-  SendHead(aStatus, aReason, {}, 0);
+  SendHead(answer.status, answer.reason, answer.headers, answer.body.size());
+  QueueOutput(answer.body);
   FinishAnswer();
 }
 
 void
 CallerConnection::PassRequestToHandler()
 {
+  // The body keeps its memory, now held by the request. If it was received
+  // together with the head, nothing is reserved yet.
+  const auto held = mReader.HeldBytes();
+  if (!TryReserve(held)) {
+    Reject(RejectionCause::kNoMemory);
+    return;
+  }
+  CallerRequest request{ .head = mReader.Head(),
+                         .body = mReader.TakeBody(),
+                         .peer = mPeer,
+                         .memory = { mServer->memory, MemoryUse::kRequests } };
+  mInputMemory.Set(mReader.HeldBytes());
+  request.memory.Set(AllocatedBytes(request.body));
   SetState(State::kAnswering);
+  mContinueRequested = false;
   mSequence++;
   mObserver = nullptr;
   mAnswerStarted = false;
   mAnswerComplete = false;
   mCloseAfterAnswer = !mReader.Head().keepAlive;
-  CallerRequest request{ .head = mReader.Head(),
-                         .body = mReader.TakeBody(),
-                         .peer = mPeer };
   mServer->handler->OnRequest(
     std::move(request),
     std::make_shared<Answer>(shared_from_this(), mSequence));
@@ -351,6 +604,8 @@
     return;
   }
   mOutputBeingWritten.swap(mQueuedOutput);
+  mOutputProgressAt = mServer->executor->Now();
+  CountOutput();
   asio::async_write(mSocket,
                     asio::buffer(mOutputBeingWritten),
                     [self = shared_from_this()](const asio::error_code& aCode,
@@ -363,6 +618,10 @@
 CallerConnection::OnWritten(const asio::error_code& aCode)
 {
   mOutputBeingWritten.clear();
+  if (mOutputBeingWritten.capacity() > kMaxKeptOutputBytes) {
+    std::string().swap(mOutputBeingWritten);
+  }
+  CountOutput();
   if (mState == State::kClosed) {
     return;
   }
@@ -381,6 +640,13 @@
   }
 }
 
+void
+CallerConnection::CountOutput()
+{
+  mOutputMemory.Set(AllocatedBytes(mQueuedOutput) +
+                    AllocatedBytes(mOutputBeingWritten));
+}
+
 void
 CallerConnection::FinishAnswer()
 {
@@ -400,6 +666,7 @@
     return;
   }
   mReader.Next();
+  mInputMemory.Set(mReader.HeldBytes());
   SetState(State::kIdle);
   if (mReader.BufferedBytes() > 0) {
     ProcessBytes({});
@@ -422,7 +689,12 @@
 {
   mObserver = nullptr;
   SetState(State::kClosed);
-  mQueuedOutput.clear();
+  SetAwaitsMemory(false);
+  mReader.Discard();
+  mInputMemory.Set(0);
+  std::string().swap(mQueuedOutput);
+  // The cancelled write frees the rest before anything else runs.
+  mOutputMemory.Set(0);
   asio::error_code ec;
   mSocket.close(ec);
 }
--- a/servers/http1/caller_connection.h
+++ b/servers/http1/caller_connection.h
@@ -4,6 +4,7 @@
 // the answer and then continues with the next request.
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -21,6 +22,12 @@
   AsioExecutor* executor = nullptr;
   CallerHandler* handler = nullptr;
   CallerServer::Limits limits;
+  std::shared_ptr<MemoryBudget> memory;
+  // Closes or rejects the connection that holds memory and has made no progress
+  // for the longest time. Returns false if there is none.
+  std::function<bool()> evictStalled;
+  // The number of connections that wait for memory.
+  std::size_t awaitingMemory = 0;
   // Each answer that starts from now on is the last one of its connection.
   bool closeAfterAnswers = false;
   // Read buffer of all connections. They can share it because they run on a
@@ -43,6 +50,22 @@
   // Closes the connection if no byte of a request has been received.
   void CloseIfIdle();
 
+  // Reads on if there is memory now.
+  void RetryReservation();
+
+  // How long a connection that holds memory has made no progress, for example
+  // because its caller does not send the rest of a body or does not read its
+  // answer. Zero if the connection is not to be evicted.
+  [[nodiscard]] Duration StalledFor(Instant aNow) const;
+
+  // Frees the memory of a stalled connection: rejects the request, or closes
+  // the connection if its answer is not read.
+  void Evict();
+
+  // How long no byte of a request was received; zero if some was.
+  [[nodiscard]] Duration IdleFor(Instant aNow) const;
+
+  [[nodiscard]] bool AwaitsMemory() const { return mAwaitsMemory; }
   [[nodiscard]] bool IsClosed() const { return mState == State::kClosed; }
   [[nodiscard]] bool IsBusy() const;
 
@@ -62,7 +85,18 @@
   void WaitForData();
   void OnReadable();
   void ProcessBytes(std::string_view aBytes);
-  void Reject(int aStatus, std::string_view aReason);
+  // Reserves what the next read of the request needs. Returns false if reading
+  // pauses or the request was rejected.
+  bool ReserveForRead();
+  [[nodiscard]] std::size_t BytesForRead() const;
+  bool TryReserve(std::size_t aBytes);
+  void OnBodyReserved();
+  void SetAwaitsMemory(bool aAwaits);
+  [[nodiscard]] std::size_t MaxReadBytes() const;
+  [[nodiscard]] bool MayBufferMore() const;
+  void RecordProgress();
+  void Reject(RejectionCause aCause);
+  void CountOutput();
   void PassRequestToHandler();
   void SendHead(int aStatus,
                 std::string_view aReason,
@@ -94,6 +128,22 @@
   bool mCloseAfterAnswer = false;
   std::string mQueuedOutput;
   std::string mOutputBeingWritten;
+  // The memory of received bytes and of unsent output.
+  MemoryReservation mInputMemory;
+  MemoryReservation mOutputMemory;
+  // Reading pauses until there is memory.
+  bool mAwaitsMemory = false;
+  Instant mAwaitsSince{};
+  // The time of the former waits for memory of this request.
+  Duration mMemoryWait{};
+  // When the connection last made progress, and the bytes of the body then.
+  Instant mProgressAt{};
+  std::size_t mProgressBytes = 0;
+  bool mContinueRequested = false;
+  // The reservation in progress must not evict this connection.
+  bool mIsReserving = false;
+  // When the caller last accepted output.
+  Instant mOutputProgressAt{};
 };
 
 } // namespace firefly
--- a/servers/http1/caller_server.cpp
+++ b/servers/http1/caller_server.cpp
@@ -20,6 +20,9 @@
 // the maximum number of connections or after a failure, such as a lack of file
 // descriptors.
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
+// A connection that holds memory or a place may be evicted once it has made no
+// progress, or was idle, for this long.
+constexpr Duration kMinStallTime = std::chrono::seconds(1);
 
 } // namespace
 
@@ -35,6 +38,8 @@
     mServer->executor = &aExecutor;
     mServer->handler = &aHandler;
     mServer->limits = mOptions.limits;
+    mServer->memory = mOptions.memory;
+    mServer->evictStalled = [this] { return EvictStalled(); };
   }
 
   tl::expected<void, CallerServerError> Start()
@@ -59,6 +64,13 @@
         mOptions.address + ":" + std::to_string(mOptions.port) + ": " +
         ec.message() });
     }
+    if (mServer->memory) {
+      mServer->memory->OnRelease([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->ServeWaitingSoon();
+        }
+      });
+    }
     Accept();
     CheckTimeouts();
     return {};
@@ -97,16 +109,124 @@
     asio::error_code ec;
     mAcceptor.close(ec);
     mTimeoutCheckTimer.Cancel();
+    // Open connections may outlive this object.
+    mServer->evictStalled = nullptr;
   }
 
 private:
   void Accept()
   {
-    if (mConnections.size() >= mOptions.maxConnections) {
-      mAcceptRetryTimer =
-        mExecutor.RunAfter(kAcceptRetryDelay, [this] { Accept(); });
+    if (HasPlace()) {
+      AcceptNext();
+      return;
+    }
+    mAcceptor.async_wait(tcp::acceptor::wait_read,
+                         [weak = weak_from_this()](const asio::error_code& ec) {
+                           const auto self = weak.lock();
+                           if (self && ec != asio::error::operation_aborted) {
+                             self->OnNewcomer();
+                           }
+                         });
+  }
+
+  // A connection waits to be accepted and there is no place for it.
+  void OnNewcomer()
+  {
+    MakePlace();
+    if (HasPlace()) {
+      AcceptNext();
       return;
     }
+    mAcceptRetryTimer =
+      mExecutor.RunAfter(kAcceptRetryDelay, [this] { Accept(); });
+  }
+
+  bool HasPlace()
+  {
+    if (mConnections.size() >= mOptions.maxConnections) {
+      EraseClosed();
+    }
+    return mConnections.size() < mOptions.maxConnections;
+  }
+
+  // Closes the connection that has been idle for the longest time. If there is
+  // none, ends the request that has made no progress for the longest time.
+  void MakePlace()
+  {
+    const auto now = mExecutor.Now();
+    const auto idle =
+      Longest([now](const CallerConnection& aIt) { return aIt.IdleFor(now); });
+    if (idle) {
+      idle->CloseIfIdle();
+      if (idle->IsClosed()) {
+        mServer->handler->OnRejected(
+          { .cause = RejectionCause::kNoConnection });
+        return;
+      }
+    }
+    EvictStalled();
+  }
+
+  bool EvictStalled()
+  {
+    const auto now = mExecutor.Now();
+    if (now < mNextEviction) {
+      return false;
+    }
+    const auto stalled = Longest(
+      [now](const CallerConnection& aIt) { return aIt.StalledFor(now); });
+    if (!stalled) {
+      mNextEviction = now + kAcceptRetryDelay;
+      return false;
+    }
+    stalled->Evict();
+    return true;
+  }
+
+  // The connection for which the time is longest, if it is long enough for an
+  // eviction.
+  template<typename TimeOf>
+  std::shared_ptr<CallerConnection> Longest(const TimeOf& aTimeOf) const
+  {
+    std::shared_ptr<CallerConnection> found;
+    auto longest = kMinStallTime;
+    for (const auto& it : mConnections) {
+      if (const auto time = aTimeOf(*it); time >= longest) {
+        longest = time;
+        found = it;
+      }
+    }
+    return found;
+  }
+
+  void ServeWaitingSoon()
+  {
+    if (mServer->awaitingMemory > 0 && !std::exchange(mIsServingSoon, true)) {
+      mExecutor.Post([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->mIsServingSoon = false;
+          self->ServeWaiting();
+        }
+      });
+    }
+  }
+
+  // Connections that wait for memory get it in the order of their acceptance.
+  void ServeWaiting()
+  {
+    for (const auto& it : mConnections) {
+      it->RetryReservation();
+    }
+  }
+
+  void EraseClosed()
+  {
+    std::erase_if(mConnections,
+                  [](const auto& aIt) { return aIt->IsClosed(); });
+  }
+
+  void AcceptNext()
+  {
     mAcceptor.async_accept(
       [weak = weak_from_this()](const asio::error_code& aCode,
                                 tcp::socket aSocket) {
@@ -121,6 +241,7 @@
   void OnAccepted(const asio::error_code& aCode, tcp::socket aSocket)
   {
     if (aCode) {
+      MakePlace();
       mAcceptRetryTimer =
         mExecutor.RunAfter(kAcceptRetryDelay, [this] { Accept(); });
       return;
@@ -139,8 +260,10 @@
     for (const auto& it : mConnections) {
       it->CheckTimeout(now);
     }
-    std::erase_if(mConnections,
-                  [](const auto& aIt) { return aIt->IsClosed(); });
+    if (mServer->awaitingMemory > 0) {
+      ServeWaiting();
+    }
+    EraseClosed();
     mTimeoutCheckTimer =
       mExecutor.RunAfter(kTimeoutCheckInterval, [this] { CheckTimeouts(); });
   }
@@ -152,6 +275,8 @@
   std::list<std::shared_ptr<CallerConnection>> mConnections;
   Timer mTimeoutCheckTimer;
   Timer mAcceptRetryTimer;
+  Instant mNextEviction{};
+  bool mIsServingSoon = false;
 };
 
 CallerServer::CallerServer(AsioExecutor& aExecutor,
--- a/servers/http1/caller_server.h
+++ b/servers/http1/caller_server.h
@@ -14,6 +14,7 @@
 #include <tl/expected.hpp>
 
 #include "servers/http/asio_executor.h"
+#include "servers/http1/memory_budget.h"
 #include "servers/http1/message_reader.h"
 #include "servers/http1/socket_options.h"
 
@@ -32,6 +33,49 @@
   std::string body;
   // The caller's IP address.
   std::string peer;
+  // The memory of the body; kept as long as the body is.
+  MemoryReservation memory{};
+};
+
+// Why a request was not passed to the handler.
+enum class RejectionCause : std::uint8_t
+{
+  // The bytes are no request.
+  kMalformed,
+  kHeadTooLarge,
+  kBodyTooLarge,
+  // The request did not arrive in time.
+  kTooSlow,
+  // There is no memory for the body.
+  kNoMemory,
+  // The body made no progress while others needed its memory.
+  kStalled,
+  // The connection was closed so that another one could be accepted.
+  kNoConnection,
+  // The caller did not read its answer while others needed its memory.
+  kAnswerNotRead,
+};
+
+std::string_view
+ToString(RejectionCause aCause);
+
+struct CallerRejection
+{
+  RejectionCause cause = RejectionCause::kMalformed;
+  // The status of the answer; 0 if the connection was closed without one.
+  int status = 0;
+  std::string peer{};
+  // The memory that the connection held.
+  std::size_t heldBytes = 0;
+};
+
+// The answer to a request for which there is no memory.
+struct RefusalAnswer
+{
+  int status = 503;
+  std::string reason = "Service Unavailable";
+  HttpHeaders headers{ { "Retry-After", "1" } };
+  std::string body{};
 };
 
 // Receives events of the caller's connection while its request is being
@@ -95,9 +139,15 @@
   virtual void OnRequest(CallerRequest aRequest,
                          std::shared_ptr<CallerAnswer> aAnswer) = 0;
 
-  // A malformed, too large or too slow request is answered with the given
-  // status. OnRequest is not called for it.
-  virtual void OnRejected(int aStatus, const std::string& aPeer) = 0;
+  // A request is answered without OnRequest, or its connection is closed.
+  virtual void OnRejected(const CallerRejection& aRejection) = 0;
+
+  // Composes the answer to a request whose head was read and for whose body
+  // there is no memory. It has not run.
+  virtual RefusalAnswer ComposeRefusal(const MessageHead& /*aHead*/)
+  {
+    return {};
+  }
 };
 
 class CallerServer
@@ -119,8 +169,11 @@
   {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0; // 0 takes a free port
-    // Further connections are accepted only once others have ended.
+    // At this number, the connection that has been idle for the longest time is
+    // closed for a new one.
     std::size_t maxConnections = 3000;
+    // Limits the memory that is held for callers; none if it is unlimited.
+    std::shared_ptr<MemoryBudget> memory{};
     LivenessOptions liveness;
     Limits limits;
   };
--- a/servers/http1/message_reader.cpp
+++ b/servers/http1/message_reader.cpp
@@ -229,14 +229,33 @@
 tl::expected<void, MessageFault>
 MessageReader::Feed(std::string_view aBytes)
 {
+  if (mBuffer.empty()) {
+    // Most bytes are parsed at once, so that they need no copy.
+    auto rest = aBytes;
+    const auto parsed = Parse(rest);
+    mBuffer.assign(rest);
+    return parsed;
+  }
   mBuffer.append(aBytes);
+  std::string_view rest(mBuffer);
+  const auto parsed = Parse(rest);
+  mBuffer.erase(0, mBuffer.size() - rest.size());
+  if (mBuffer.empty()) {
+    std::string().swap(mBuffer);
+  }
+  return parsed;
+}
+
+tl::expected<void, MessageFault>
+MessageReader::Parse(std::string_view& aBytes)
+{
   if (!HasHead()) {
-    const auto fed = FeedHead();
-    if (!fed || !HasHead()) {
-      return fed;
+    const auto parsed = ParseHead(aBytes);
+    if (!parsed || !HasHead()) {
+      return parsed;
     }
   }
-  return FeedBody();
+  return ParseBody(aBytes);
 }
 
 void
@@ -246,18 +265,18 @@
 }
 
 tl::expected<void, MessageFault>
-MessageReader::FeedHead()
+MessageReader::ParseHead(std::string_view& aBytes)
 {
-  const auto end = mBuffer.find(kEndOfHead);
+  const auto end = aBytes.find(kEndOfHead);
   const auto size =
-    end == std::string::npos ? mBuffer.size() : end + kEndOfHead.size();
+    end == std::string_view::npos ? aBytes.size() : end + kEndOfHead.size();
   if (size > mOptions.maxHeadBytes) {
     return tl::make_unexpected(MessageFault::kHeadTooLarge);
   }
-  if (end == std::string::npos) {
+  if (end == std::string_view::npos) {
     return {};
   }
-  const std::string_view head(mBuffer.data(), size);
+  const auto head = aBytes.substr(0, size);
   if (HasLineFolding(head) || HasBareLineFeed(head)) {
     return tl::make_unexpected(MessageFault::kMalformed);
   }
@@ -265,7 +284,8 @@
   if (!used) {
     return tl::make_unexpected(used.error());
   }
-  mBuffer.erase(0, size);
+  aBytes.remove_prefix(size);
+  mHeadBytes = size;
   const auto status = mParser->head.status;
   if (mOptions.side == Side::kResponses && status >= kContinue &&
       status < kFirstFinalStatus) {
@@ -276,26 +296,26 @@
       return tl::make_unexpected(MessageFault::kMalformed);
     }
     ResetParser();
-    return FeedHead();
+    return ParseHead(aBytes);
   }
   return {};
 }
 
 tl::expected<void, MessageFault>
-MessageReader::FeedBody()
+MessageReader::ParseBody(std::string_view& aBytes)
 {
-  while (!mParser->isDone && !mBuffer.empty()) {
-    const auto used = mParser->Put(mBuffer);
+  while (!mParser->isDone && !aBytes.empty()) {
+    const auto used = mParser->Put(aBytes);
     if (!used) {
       return tl::make_unexpected(used.error());
     }
     if (*used == 0) {
       break;
     }
-    mBuffer.erase(0, *used);
+    aBytes.remove_prefix(*used);
   }
   // The parser waits for the end of a chunk's header or of the trailers.
-  if (!mParser->isDone && mBuffer.size() > mOptions.maxHeadBytes) {
+  if (!mParser->isDone && aBytes.size() > mOptions.maxHeadBytes) {
     return tl::make_unexpected(MessageFault::kMalformed);
   }
   return {};
@@ -343,9 +363,50 @@
   return mBuffer.size();
 }
 
+std::size_t
+MessageReader::BodyBytes() const
+{
+  return mParser->body.size();
+}
+
+std::size_t
+MessageReader::BodyCapacity() const
+{
+  const auto& body = mParser->body;
+  return body.empty() && body.capacity() <= std::string().capacity()
+           ? 0
+           : body.capacity();
+}
+
+std::size_t
+MessageReader::HeldBytes() const
+{
+  // The head is held as a list of headers.
+  constexpr std::size_t kHeadFactor = 2;
+  // A string has no memory of its own up to this capacity.
+  static const std::size_t inlineBytes = std::string().capacity();
+  const auto buffered =
+    mBuffer.capacity() > inlineBytes ? mBuffer.capacity() : 0;
+  return buffered + BodyCapacity() + kHeadFactor * mHeadBytes;
+}
+
+void
+MessageReader::ReserveBody(std::size_t aBytes)
+{
+  mParser->body.reserve(aBytes);
+}
+
+void
+MessageReader::Discard()
+{
+  std::string().swap(mBuffer);
+  Next();
+}
+
 void
 MessageReader::Next()
 {
+  mHeadBytes = 0;
   mNoBody = false;
   mInterimResponses = 0;
   ResetParser();
--- a/servers/http1/message_reader.h
+++ b/servers/http1/message_reader.h
@@ -92,6 +92,19 @@
   // The number of received bytes that have not been parsed.
   [[nodiscard]] std::size_t BufferedBytes() const;
 
+  // The bytes of the body that were read and not taken.
+  [[nodiscard]] std::size_t BodyBytes() const;
+
+  // The memory that is held for received bytes, and for the body alone.
+  [[nodiscard]] std::size_t HeldBytes() const;
+  [[nodiscard]] std::size_t BodyCapacity() const;
+
+  // Allocates memory for the rest of a body whose length is known.
+  void ReserveBody(std::size_t aBytes);
+
+  // Frees all received bytes. The reader can't be used afterwards.
+  void Discard();
+
   // Starts the next message. The next call of Feed parses the buffered bytes
   // first.
   void Next();
@@ -111,12 +124,15 @@
   class BeastParser;
 
   void ResetParser();
-  tl::expected<void, MessageFault> FeedHead();
-  tl::expected<void, MessageFault> FeedBody();
+  // These remove the bytes that they parse.
+  tl::expected<void, MessageFault> Parse(std::string_view& aBytes);
+  tl::expected<void, MessageFault> ParseHead(std::string_view& aBytes);
+  tl::expected<void, MessageFault> ParseBody(std::string_view& aBytes);
 
   Options mOptions;
   std::unique_ptr<Parser> mParser;
   std::string mBuffer;
+  std::size_t mHeadBytes = 0;
   bool mNoBody = false;
   // Interim responses before the present one.
   int mInterimResponses = 0;
--- a/servers/relay/dialect.h
+++ b/servers/relay/dialect.h
@@ -5,6 +5,7 @@
 // implementations of Dialect, not to the relay.
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -48,7 +49,10 @@
   std::string host;
   // The headers that are forwarded unchanged.
   HttpHeaders headers;
-  std::string body;
+  // Attempts share it; null if there is none.
+  std::shared_ptr<const std::string> body;
+  // The memory of the body.
+  MemoryReservation memory{};
   // How long the caller waits for the answer; none if the request does not say.
   std::optional<Duration> callerTimeout;
   // Id of the last event that the caller received of this stream; empty for a
@@ -168,7 +172,12 @@
   virtual tl::expected<RelayRequest, DialectError> ReadRequest(
     CallerRequest aRequest) const = 0;
 
-  // Returns the bytes of the request for one backend server.
+  // Returns the id that a request names, or an empty one if it is invalid.
+  [[nodiscard]] virtual RequestId ReadRequestId(
+    const MessageHead& aHead) const = 0;
+
+  // Returns the head of the request for one backend server. The body follows
+  // unchanged.
   [[nodiscard]] virtual std::string ComposeRequest(
     const RelayRequest& aRequest,
     const AttemptTerms& aTerms) const = 0;
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -55,7 +55,8 @@
                .backendRegistry = mParts.backendRegistry,
                .router = &mRouter,
                .metrics = mParts.metrics,
-               .log = &mLog };
+               .log = &mLog,
+               .memory = mParts.memory };
 }
 
 Relay::~Relay() = default;
@@ -116,11 +117,30 @@
 }
 
 void
-Relay::OnRejected(int aStatus, const std::string& aPeer)
+Relay::OnRejected(const CallerRejection& aRejection)
 {
-  const auto status = std::to_string(aStatus);
+  const auto status = std::to_string(aRejection.status);
+  const std::string cause(ToString(aRejection.cause));
   mParts.metrics->rejectedInput.With({ status }).Add();
-  mLog.Info("input rejected", { { "status", status }, { "peer", aPeer } });
+  mParts.metrics->callerRejections.With({ cause }).Add();
+  mLog.Info("input rejected",
+            { { "status", status },
+              { "cause", cause },
+              { "held_bytes", std::to_string(aRejection.heldBytes) },
+              { "peer", aRejection.peer } });
+}
+
+RefusalAnswer
+Relay::ComposeRefusal(const MessageHead& aHead)
+{
+  auto own = mParts.dialect->Compose(OwnAnswerKind::kRefused,
+                                     mParts.dialect->ReadRequestId(aHead),
+                                     "no memory for the request's body",
+                                     mOptions.retryAfter);
+  return { .status = own.status,
+           .reason = std::move(own.reason),
+           .headers = std::move(own.headers),
+           .body = std::move(own.body) };
 }
 
 void
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -43,6 +43,7 @@
     const policy::FleetView* fleet = nullptr;
     const RoutingTableReplica* routing = nullptr;
     RelayMetrics* metrics = nullptr;
+    std::shared_ptr<MemoryBudget> memory{};
     // Sends a notice about a backend server to the other relays.
     std::function<void(const policy::BackendNotice&)> announce{};
     // Sends changed crash suspicions to the other relays.
@@ -57,7 +58,8 @@
 
   void OnRequest(CallerRequest aRequest,
                  std::shared_ptr<CallerAnswer> aAnswer) override;
-  void OnRejected(int aStatus, const std::string& aPeer) override;
+  void OnRejected(const CallerRejection& aRejection) override;
+  RefusalAnswer ComposeRefusal(const MessageHead& aHead) override;
 
   // Accepts no further requests; live requests continue.
   void Close() { mIsClosed = true; }
--- a/servers/relay/relay_attempt.cpp
+++ b/servers/relay/relay_attempt.cpp
@@ -82,6 +82,7 @@
     return;
   }
   mAnswer.body += aBytes;
+  mOptions.memory.Set(mAnswer.body.capacity());
   if (mAnswer.body.size() > kMaxBufferedBodyBytes) {
     FailAttempt("answer larger than the bound");
   }
--- a/servers/relay/relay_attempt.h
+++ b/servers/relay/relay_attempt.h
@@ -74,6 +74,8 @@
     bool isStream = false;
     // The KV cache that the attempt decodes from.
     std::optional<KvCacheRef> kvCache{};
+    // Counts the memory of the answer.
+    MemoryReservation memory{};
   };
 
   // The dialect and the listener must outlive the attempt.
--- a/servers/relay/relay_metrics.cpp
+++ b/servers/relay/relay_metrics.cpp
@@ -20,6 +20,10 @@
       aRegistry.Counters({ .name = "firefly_relay_rejected_input_total",
                            .help = "Bytes that are no request",
                            .labelNames = { "status" } }))
+  , callerRejections(aRegistry.Counters(
+      { .name = "firefly_relay_caller_rejections_total",
+        .help = "Requests and connections of callers that were rejected",
+        .labelNames = { "cause" } }))
   , firstAnswer(
       aRegistry.Histograms({ .name = "firefly_relay_first_answer_seconds",
                              .help = "From arrival to the first event "
@@ -41,6 +45,15 @@
       aRegistry.Gauges({ .name = "firefly_relay_connections",
                          .help = "Connections to callers and backend servers",
                          .labelNames = { "side" } }))
+  , connectionLimit(
+      aRegistry.Gauges({ .name = "firefly_relay_caller_connection_limit",
+                         .help = "Maximum number of callers' connections" }))
+  , callerMemory(aRegistry.Gauges({ .name = "firefly_relay_caller_memory_bytes",
+                                    .help = "Memory held for callers",
+                                    .labelNames = { "use" } }))
+  , callerMemoryLimit(
+      aRegistry.Gauges({ .name = "firefly_relay_caller_memory_limit_bytes",
+                         .help = "Maximum memory held for callers" }))
   , backends(aRegistry.Gauges({ .name = "firefly_relay_backends",
                                 .help = "Backend servers that are known" }))
   , routingVersion(aRegistry.Gauges({ .name = "firefly_relay_routing_version",
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -15,12 +15,16 @@
   MetricFamily<Counter>& attempts;
   MetricFamily<Counter>& crashedAttempts;
   MetricFamily<Counter>& rejectedInput;
+  MetricFamily<Counter>& callerRejections;
   MetricFamily<Histogram>& firstAnswer;
   MetricFamily<Summary>& requestSeconds;
   MetricFamily<Gauge>& live;
   MetricFamily<Gauge>& queued;
   MetricFamily<Gauge>& heldSuspicions;
   MetricFamily<Gauge>& connections;
+  MetricFamily<Gauge>& connectionLimit;
+  MetricFamily<Gauge>& callerMemory;
+  MetricFamily<Gauge>& callerMemoryLimit;
   MetricFamily<Gauge>& backends;
   MetricFamily<Gauge>& routingVersion;
   MetricFamily<Gauge>& feedAge;
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -43,6 +43,29 @@
 // for them.
 constexpr std::uint64_t kMaxPeerFetchBytes = 1'500'000;
 
+// Descriptors that are reserved for files, and the fraction of the others that
+// callers may use. The rest is for backend servers, peers and the log.
+constexpr std::size_t kReservedDescriptors = 200;
+constexpr double kCallerDescriptorShare = 0.75;
+
+std::size_t
+MaxCallerConnections(const RelaySettings& aSettings)
+{
+  const auto free =
+    aSettings.maxDescriptors -
+    std::min(kReservedDescriptors, aSettings.maxDescriptors / 2);
+  return std::min(aSettings.maxConnections,
+                  static_cast<std::size_t>(kCallerDescriptorShare *
+                                           static_cast<double>(free)));
+}
+
+std::shared_ptr<MemoryBudget>
+MakeCallerMemory(const RelaySettings& aSettings)
+{
+  return std::make_shared<MemoryBudget>(static_cast<std::size_t>(
+    aSettings.callerMemoryShare * static_cast<double>(aSettings.memoryBytes)));
+}
+
 Incarnation
 NewIncarnation(const Executor& aExecutor)
 {
@@ -121,6 +144,7 @@
     , mSeed(policy::MixHash(policy::StableHash(aSettings.host.Value()),
                             mIncarnation.Value()))
     , mMetrics(mRegistry)
+    , mCallerMemory(MakeCallerMemory(aSettings))
     , mPool(mExecutor, { .liveness = MakeLivenessOptions(kBackendAckTimeout) })
     , mBackendRegistry({ .capacities = aSettings.capacities },
                        mExecutor,
@@ -139,6 +163,7 @@
                .fleet = &mFleet,
                .routing = &mRouting,
                .metrics = &mMetrics,
+               .memory = mCallerMemory,
                .announce =
                  [this](const policy::BackendNotice& aNotice) {
                    mPeerUpdates.Send(aNotice, AllPeers());
@@ -218,7 +243,8 @@
     , mCallers(mExecutor,
                { .address = aSettings.callers.host,
                  .port = aSettings.callers.port,
-                 .maxConnections = aSettings.maxConnections,
+                 .maxConnections = MaxCallerConnections(aSettings),
+                 .memory = mCallerMemory,
                  .liveness = MakeLivenessOptions(kCallerAckTimeout),
                  .limits = {} },
                mRelay)
@@ -282,7 +308,10 @@
     mLog.Info("started",
               { { "host", mSettings.host.Value() },
                 { "callers", mSettings.callers.ToString() },
-                { "incarnation", std::to_string(mIncarnation.Value()) } });
+                { "incarnation", std::to_string(mIncarnation.Value()) },
+                { "caller_memory", std::to_string(mCallerMemory->Limit()) },
+                { "caller_connections",
+                  std::to_string(MaxCallerConnections(mSettings)) } });
     return {};
   }
 
@@ -573,6 +602,18 @@
       .Set(static_cast<double>(mCallers.Connections()));
     mMetrics.connections.With({ "backends-idle" })
       .Set(static_cast<double>(mPool.IdleCount()));
+    mMetrics.connectionLimit.With({}).Set(
+      static_cast<double>(MaxCallerConnections(mSettings)));
+    const auto& memory = *mCallerMemory;
+    mMetrics.callerMemoryLimit.With({}).Set(
+      static_cast<double>(memory.Limit()));
+    const auto setMemory = [&](const char* aUse, MemoryUse aKind) {
+      mMetrics.callerMemory.With({ aUse }).Set(
+        static_cast<double>(memory.Held(aKind)));
+    };
+    setMemory("input", MemoryUse::kInput);
+    setMemory("requests", MemoryUse::kRequests);
+    setMemory("answers", MemoryUse::kAnswers);
     mMetrics.backends.With({}).Set(
       static_cast<double>(mBackendRegistry.Size()));
     mMetrics.feedAge.With({ "routing" }).Set(age(mRoutingFeed));
@@ -592,6 +633,7 @@
   Log mLog{ "server" };
   MetricRegistry mRegistry;
   RelayMetrics mMetrics;
+  std::shared_ptr<MemoryBudget> mCallerMemory;
   policy::FleetView mFleet;
   RoutingTableReplica mRouting;
   BackendPool mPool;
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -1,5 +1,8 @@
 #include "servers/relay/relay_settings.h"
 
+#include <algorithm>
+
+#include "servers/http1/process_limits.h"
 #include "servers/settings/section_reader.h"
 
 namespace firefly {
@@ -29,6 +32,14 @@
 constexpr std::int64_t kMaxConnections = 3'000;
 constexpr std::int64_t kQueueBound = 256;
 
+constexpr Whole kMegabytes{ 16, 1'000'000 };
+constexpr Whole kDescriptors{ 64, 10'000'000 };
+constexpr Fraction kMemoryShares{ 0.01, 0.9 };
+// The rest of a host's memory is for the relay's own state, for bytes that the
+// kernel has received, and for what the allocator can't return.
+constexpr double kCallerMemoryShare = 0.3;
+constexpr std::size_t kBytesPerMegabyte = 1U << 20U;
+
 SocketAddress
 ReadAddress(SectionReader& aReader, const std::string& aKey)
 {
@@ -116,6 +127,22 @@
 {
   aSettings.maxConnections = static_cast<std::size_t>(
     aReader.Integer("max_connections", kCounts, kMaxConnections));
+  aSettings.memoryBytes = AvailableMemoryBytes();
+  if (aReader.Has("memory_mb")) {
+    const auto megabytes =
+      static_cast<std::size_t>(aReader.Integer("memory_mb", kMegabytes));
+    aSettings.memoryBytes =
+      std::min(aSettings.memoryBytes, megabytes * kBytesPerMegabyte);
+  }
+  aSettings.maxDescriptors = DescriptorLimit();
+  if (aReader.Has("max_descriptors")) {
+    aSettings.maxDescriptors =
+      std::min(aSettings.maxDescriptors,
+               static_cast<std::size_t>(
+                 aReader.Integer("max_descriptors", kDescriptors)));
+  }
+  aSettings.callerMemoryShare =
+    aReader.Real("caller_memory_share", kMemoryShares, kCallerMemoryShare);
   aSettings.queueBound = static_cast<std::size_t>(
     aReader.Integer("queue_bound", kCounts, kQueueBound));
   aSettings.stopGrace =
--- a/servers/relay/relay_settings.h
+++ b/servers/relay/relay_settings.h
@@ -42,6 +42,11 @@
   // a read.
   Duration logTimeout{};
   std::size_t maxConnections = 0;
+  // What the process may use of its host.
+  std::size_t memoryBytes = 1U << 30U;
+  std::size_t maxDescriptors = 100'000;
+  // Fraction of the memory that may be held for callers.
+  double callerMemoryShare = 0.3;
   std::size_t queueBound = 0; // maximum number of waiting requests
   // Time between the stop signal and the kill signal.
   Duration stopGrace{};
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -151,6 +151,7 @@
     terms.kvCache = std::exchange(mKvCache, std::nullopt);
   }
   call.bytes = mContext.dialect->ComposeRequest(mOptions.request, terms);
+  call.body = mOptions.request.body;
   call.noBody = mOptions.request.method == "HEAD";
   if (!mOptions.route->IsRepeatable() && !promptOnly) {
     call.maxIdleAge = kMaxReuseIdleForOnce;
@@ -162,7 +163,8 @@
       .backend = mContext.backendRegistry->RunOf(aOrder.backend),
       .promptOnly = promptOnly,
       .isStream = mOptions.route->IsStream() && !promptOnly,
-      .kvCache = std::move(terms.kvCache) },
+      .kvCache = std::move(terms.kvCache),
+      .memory = { mContext.memory, MemoryUse::kAnswers } },
     *mContext.dialect,
     static_cast<RelayAttemptListener&>(*this));
   attempt->Start(*mContext.pool, std::move(call));
--- a/servers/relay/relay_task.h
+++ b/servers/relay/relay_task.h
@@ -31,6 +31,8 @@
   policy::RequestRouter* router = nullptr;
   RelayMetrics* metrics = nullptr;
   const Log* log = nullptr;
+  // Counts the answers that are held; none if they are not counted.
+  std::shared_ptr<MemoryBudget> memory;
 };
 
 class RelayTask
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "core/random.h"
 
@@ -86,7 +87,7 @@
   STRCMP_EQUAL("/ask/one", request.path.c_str());
   STRCMP_EQUAL("/ask/one?way=2", request.target.c_str());
   STRCMP_EQUAL("12", request.lastEventId.c_str());
-  STRCMP_EQUAL("question", request.body.c_str());
+  STRCMP_EQUAL("question", request.body->c_str());
   CHECK_TRUE(request.callerTimeout == Duration(2500ms));
   CHECK_TRUE(request.prompt.has_value());
   LONGS_EQUAL(900, request.prompt->promptTokens.Value());
@@ -102,14 +103,14 @@
   for (const auto* id : { "", "two words", "bell\a" }) {
     auto request = MakePromptRequest();
     request.head.headers[1].value = id;
-    CHECK_FALSE(dialect.ReadRequest(request).has_value());
+    CHECK_FALSE(dialect.ReadRequest(std::move(request)).has_value());
   }
   auto request = MakePromptRequest();
   request.head.headers[1].value = std::string(129, 'a');
-  CHECK_FALSE(dialect.ReadRequest(request).has_value());
+  CHECK_FALSE(dialect.ReadRequest(std::move(request)).has_value());
   request = MakePromptRequest();
   request.head.target = "http://desk.example/ask";
-  CHECK_FALSE(dialect.ReadRequest(request).has_value());
+  CHECK_FALSE(dialect.ReadRequest(std::move(request)).has_value());
 }
 
 TEST(PlatformDialectTest, RemovesHeadersThatOnlyTheSystemMaySet)
@@ -125,14 +126,16 @@
                             "Fireflyrouter-Request-Priority" }) {
     request.head.headers.push_back({ name, "forged" });
   }
-  const auto bytes = dialect.ComposeRequest(
-    Read(request), { .backend = BackendId("i-1"), .timeLeft = 700ms });
+  const auto bytes =
+    dialect.ComposeRequest(Read(std::move(request)),
+                           { .backend = BackendId("i-1"), .timeLeft = 700ms });
   CHECK_TRUE(bytes.find("forged") == std::string::npos);
   CHECK_TRUE(HasLine(bytes, "Fireflyrouter-Expect-Instance: i-1"));
   CHECK_TRUE(HasLine(bytes, "Fireflyrouter-Deadline-Ms: 700"));
   CHECK_TRUE(HasLine(bytes, "X-Kept: 2"));
   CHECK_FALSE(HasHeader(bytes, "X-Hop"));
-  CHECK_TRUE(bytes.ends_with("\r\n\r\nquestion"));
+  CHECK_TRUE(HasLine(bytes, "Content-Length: 8"));
+  CHECK_TRUE(bytes.ends_with("\r\n\r\n"));
 }
 
 TEST(PlatformDialectTest, SendsOnlyTheHeadersThatAnAttemptNeeds)
@@ -267,7 +270,7 @@
         header.value.insert(at, 1, letter);
       }
     }
-    const auto read = dialect.ReadRequest(request);
+    const auto read = dialect.ReadRequest(std::move(request));
     if (!read) {
       CHECK_FALSE(read.error().message.empty());
       continue;
--- a/tests/servers/relay/relay_settings_test.cpp
+++ b/tests/servers/relay/relay_settings_test.cpp
@@ -68,6 +68,29 @@
   LONGS_EQUAL(1, LoadErrorsWith("[log]", "[log]\nlevle = \"info\"").size());
 }
 
+TEST(RelaySettingsTest, LimitsWhatIsHeldForCallersByTheHostsMemory)
+{
+  CHECK_TRUE(LoadErrorsWith("[relay]",
+                            "[relay]\nmemory_mb = 120\n"
+                            "max_descriptors = 500\n"
+                            "caller_memory_share = 0.25")
+               .empty());
+  const auto settings = LoadRelaySettings(path);
+  UNSIGNED_LONGS_EQUAL(120U << 20U, settings->memoryBytes);
+  CHECK_TRUE(settings->maxDescriptors <= 500);
+  DOUBLES_EQUAL(0.25, settings->callerMemoryShare, 0);
+}
+
+TEST(RelaySettingsTest, RejectsLimitsThatLeaveNoRoom)
+{
+  LONGS_EQUAL(3,
+              LoadErrorsWith("[relay]",
+                             "[relay]\nmemory_mb = 8\n"
+                             "max_descriptors = 10\n"
+                             "caller_memory_share = 0.95")
+                .size());
+}
+
 TEST(RelaySettingsTest, RejectsAStopGraceThatLeavesNoTimeForLiveRequests)
 {
   const auto faults =
--- a/tests/soak/fake_backend.h
+++ b/tests/soak/fake_backend.h
@@ -88,7 +88,7 @@
 
   void OnRequest(CallerRequest aRequest,
                  std::shared_ptr<CallerAnswer> aAnswer) override;
-  void OnRejected(int /*aStatus*/, const std::string& /*aPeer*/) override {}
+  void OnRejected(const CallerRejection& /*aRejection*/) override {}
 
   void StartInstance();
   void Heartbeat();
