Decide which customer's key admits a request

Two deployments have customers with API keys; the relay had no notion of a customer and forwarded keys to backend servers.

policy/access decides from the routing table, the route, the request's credentials and the age of the table's confirmation: admitted with or without a customer, no key, malformed key, unknown key, or table not confirmed. A key that several customers have identifies none of them, since a request must not run under another customer's name. On a public route a key identifies its customer only while the table is confirmed, since a revoked key must not.

Not used by the relay yet.

--- a/cmake/firefly.cmake
+++ b/cmake/firefly.cmake
@@ -9,6 +9,7 @@
 find_package(Boost 1.74 REQUIRED)
 pkg_check_modules(CURL REQUIRED IMPORTED_TARGET libcurl)
 pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
+pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
 pkg_check_modules(LOG4CXX REQUIRED IMPORTED_TARGET liblog4cxx)
 pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
 
--- /dev/null
+++ b/policy/access/access_control.cpp
@@ -0,0 +1,69 @@
+#include "policy/access/access_control.h"
+
+namespace firefly::policy {
+
+std::optional<Duration>
+AccessTime::Age() const
+{
+  if (!confirmedAt) {
+    return std::nullopt;
+  }
+  return now - *confirmedAt;
+}
+
+bool
+AccessTime::IsStale() const
+{
+  if (!stalenessBound) {
+    return false;
+  }
+  const auto age = Age();
+  return !age || *age >= *stalenessBound;
+}
+
+std::string_view
+ToString(AccessOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case AccessOutcome::kAdmitted:
+      return "admitted";
+    case AccessOutcome::kAbsent:
+      return "no key";
+    case AccessOutcome::kMalformed:
+      return "malformed key";
+    case AccessOutcome::kUnknown:
+      return "unknown key";
+    case AccessOutcome::kUnconfirmed:
+      return "routing table not confirmed";
+  }
+  return "unknown outcome";
+}
+
+AccessDecision
+Decide(const RoutingTable& aTable,
+       const Route& aRoute,
+       const Credentials& aCredentials,
+       const AccessTime& aTime)
+{
+  if (!aTable.HasCustomers()) {
+    return {};
+  }
+  const auto* key = std::get_if<KeyDigest>(&aCredentials);
+  const bool isStale = aTime.IsStale();
+  // A newer table may contain a key that is unknown here, or lack one that is
+  // known here.
+  const auto* customer =
+    key == nullptr || isStale ? nullptr : aTable.FindCustomer(*key);
+  if (aRoute.isPublic || customer != nullptr) {
+    return { .outcome = AccessOutcome::kAdmitted, .customer = customer };
+  }
+  if (key != nullptr) {
+    return { .outcome = isStale ? AccessOutcome::kUnconfirmed
+                                : AccessOutcome::kUnknown };
+  }
+  const bool isAbsent = std::holds_alternative<AbsentCredentials>(aCredentials);
+  return { .outcome =
+             isAbsent ? AccessOutcome::kAbsent : AccessOutcome::kMalformed };
+}
+
+} // namespace firefly::policy
--- a/policy/routing_table.cpp
+++ b/policy/routing_table.cpp
@@ -51,6 +51,38 @@
     mIndexByHostAndPrefix.emplace(
       std::pair(LowerCase(route.host), route.pathPrefix), i);
   }
+  IndexCustomers();
+}
+
+void
+RoutingTable::IndexCustomers()
+{
+  for (std::size_t i = 0; i < CustomerCount(); ++i) {
+    const auto& customer = mOptions.customers->at(i);
+    for (const auto& key : customer.keys) {
+      const auto [it, isNew] = mCustomerByKey.emplace(key, i);
+      if (!isNew && it->second &&
+          mOptions.customers->at(*it->second).name != customer.name) {
+        it->second.reset();
+      }
+    }
+  }
+}
+
+std::size_t
+RoutingTable::AmbiguousKeyCount() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    mCustomerByKey, [](const auto& aEntry) { return !aEntry.second; }));
+}
+
+const Customer*
+RoutingTable::FindCustomer(const KeyDigest& aKey) const
+{
+  const auto it = mCustomerByKey.find(aKey);
+  return it == mCustomerByKey.end() || !it->second
+           ? nullptr
+           : &mOptions.customers->at(*it->second);
 }
 
 const Route*
--- a/policy/routing_table.h
+++ b/policy/routing_table.h
@@ -9,10 +9,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "policy/access/customer.h"
 #include "policy/request_info.h"
 
 namespace firefly::policy {
@@ -62,6 +64,8 @@
   std::uint32_t rank = 0;
   // Maximum number of backend servers that one request is sent to.
   std::uint32_t maxAttempts = 1;
+  // Whether requests need no API key if the table has customers.
+  bool isPublic = false;
   // Must not be empty.
   std::vector<RouteTarget> targets;
 
@@ -116,6 +120,9 @@
     std::vector<Route> routes;
     std::vector<ServiceTraits> services;
     CallerLimits limits;
+    // If set, requests need the API key of a customer, except on public routes;
+    // an empty list admits no key.
+    std::optional<std::vector<Customer>> customers{};
   };
 
   explicit RoutingTable(Options aOptions);
@@ -135,11 +142,33 @@
   // The service with that id, or null.
   [[nodiscard]] const ServiceTraits* Service(const ServiceId& aId) const;
 
+  // Whether requests need API keys.
+  [[nodiscard]] bool HasCustomers() const
+  {
+    return mOptions.customers.has_value();
+  }
+  [[nodiscard]] std::size_t CustomerCount() const
+  {
+    return HasCustomers() ? mOptions.customers->size() : 0;
+  }
+  // Number of different keys, including ambiguous ones.
+  [[nodiscard]] std::size_t KeyCount() const { return mCustomerByKey.size(); }
+  // Number of keys that several customers have.
+  [[nodiscard]] std::size_t AmbiguousKeyCount() const;
+
+  // The customer with that key, or null. A key that several customers have
+  // identifies none of them. The cost does not depend on the number of keys.
+  [[nodiscard]] const Customer* FindCustomer(const KeyDigest& aKey) const;
+
 private:
+  void IndexCustomers();
+
   Options mOptions;
   // Indexes of the routes by host and path prefix.
   std::map<std::pair<std::string, std::string>, std::size_t, std::less<>>
     mIndexByHostAndPrefix;
+  // Indexes of the customers by key; none for an ambiguous key.
+  std::unordered_map<KeyDigest, std::optional<std::size_t>> mCustomerByKey;
 };
 
 } // namespace firefly::policy
