Authenticate requests by API key if the configuration has tenants

If the configuration has `tenants`, the relay now decides on each request before it is queued. A request without a known key is answered with 401 unless its route is `public`; with strict revocation and an old confirmation of the table, one with a key is answered with 503 and Retry-After. Everything that is sent for a request (run, prefill call, resumed stream, retry) names the customer in Fireflyrouter-Tenant and carries neither Authorization nor the name that the caller sent. The customer's priority takes precedence over the route's. Without `tenants`, headers are forwarded as before.

Keys are hashed while the configuration is decoded and while a request is read. Error texts of the JSON parser quote what it read last, so that a damaged configuration would have put a key into the log; they now name the position only. Metrics count requests by decision and by customer (128 series, then "other"); lines of rejected requests name the table's version and its age.

The relay takes the time of the table's confirmation as a function. RelayServer does not pass one yet, and the bound is off.

The records test fails if the parser's own text is used.

--- a/main/firefly_relay.cpp
+++ b/main/firefly_relay.cpp
@@ -12,6 +12,7 @@
 #include "platform/platform_settings.h"
 #include "platform/platform_store.h"
 #include "servers/log/log.h"
+#include "servers/relay/key_hasher.h"
 #include "servers/relay/relay_server.h"
 #include "servers/settings/command_line.h"
 #include "servers/settings/settings_watcher.h"
@@ -112,6 +113,11 @@
               << (authority ? backend : authority).error().message << '\n';
     return Exit(firefly::ExitCode::kFailed);
   }
+  const auto keyHasher = firefly::KeyHasher::Create();
+  if (!keyHasher) {
+    std::cerr << "firefly-relay: " << keyHasher.error().message << '\n';
+    return Exit(firefly::ExitCode::kFailed);
+  }
   firefly::AsioExecutor executor;
   firefly::CurlClient client(executor,
                              { .maxPooledConnections = 4,
@@ -120,8 +126,8 @@
                                .resetOnClose = false });
   firefly::platform::PlatformStore store(
     client, { .url = aSettings.logUrl, .callTimeout = aSettings.logTimeout });
-  const firefly::platform::PlatformDialect dialect;
-  const firefly::platform::PlatformRecords records;
+  const firefly::platform::PlatformDialect dialect(*keyHasher);
+  const firefly::platform::PlatformRecords records(*keyHasher);
   firefly::RelayServer server({ .executor = &executor,
                                 .keyedLog = &store,
                                 .streamLog = &store,
--- a/servers/relay/dialect.h
+++ b/servers/relay/dialect.h
@@ -14,6 +14,7 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "policy/access/credentials.h"
 #include "policy/fleet_view.h"
 #include "policy/request_info.h"
 #include "servers/http1/caller_server.h"
@@ -60,6 +61,7 @@
   std::vector<PromptPart> sharedParts;
   // Hash that a caller's repeat of the same request shares.
   policy::Fingerprint fingerprint;
+  policy::Credentials credentials{};
 };
 
 // Reference to the KV cache of a prompt that one engine prefilled for another.
@@ -91,6 +93,11 @@
   // parts first; parts that cannot be copied are prefilled. Empty copies
   // nothing.
   std::string copyFrom{};
+  // The customer to name to the backend server. The name that the caller sent
+  // is removed with hidesKeys.
+  std::optional<CustomerId> customer{};
+  // Removes the caller's credentials and the customer that it named.
+  bool hidesKeys = false;
 };
 
 // An order that changes the role of an engine.
@@ -124,8 +131,11 @@
   kMalformed,
   // No route matches the request. It was not run.
   kNoRoute,
-  // The relay has no routing table yet, or is stopping. The request was not
-  // run.
+  // The request needs the key of a customer and has none that is known. It was
+  // not run.
+  kUnauthenticated,
+  // The relay has no routing table yet, can't confirm that its table is current
+  // enough to check a key, or is stopping. The request was not run.
   kNotReady,
   // The relay refuses the request, for example for lack of capacity or time. It
   // was not run.
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -21,6 +21,13 @@
 // that know the same, slightly outdated load would all choose the same engine.
 constexpr std::uint32_t kRandomCandidates = 2;
 
+std::string
+Millis(Duration aDuration)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
+}
+
 policy::PolicySet
 MakePolicies(const Relay::Options& aOptions)
 {
@@ -85,6 +92,13 @@
     RejectRequest(*aAnswer, OwnAnswerKind::kNoRoute, id, "no route matches");
     return;
   }
+  const auto accessTime = GetAccessTime();
+  const auto access =
+    policy::Decide(*table, *route, read->credentials, accessTime);
+  ApplyDecision(access, *table, accessTime, *aAnswer, id);
+  if (access.outcome != policy::AccessOutcome::kAdmitted) {
+    return;
+  }
   if (mTasks.contains(id)) {
     RejectRequest(
       *aAnswer, OwnAnswerKind::kRefused, id, "request id is running");
@@ -102,6 +116,7 @@
       .request = std::move(*read),
       .table = table,
       .route = route,
+      .customer = access.customer,
       .service = service,
       .tokensPerEvent = hasEngine ? traits->engine->tokensPerEvent : 1,
       .answer = std::move(aAnswer),
@@ -135,18 +150,66 @@
 Relay::RejectRequest(CallerAnswer& aAnswer,
                      OwnAnswerKind aKind,
                      const RequestId& aId,
-                     const std::string& aDetail)
+                     const std::string& aDetail,
+                     const LogFields& aMoreFields)
 {
   const auto own =
     mParts.dialect->Compose(aKind, aId, aDetail, mOptions.retryAfter);
   const auto status = std::to_string(own.status);
   mParts.metrics->rejectedInput.With({ status }).Add();
-  mLog.Info(
-    "request turned away",
-    { { "request", aId.Value() }, { "status", status }, { "why", aDetail } });
+  LogFields fields{ { "request", aId.Value() },
+                    { "status", status },
+                    { "why", aDetail } };
+  fields.insert(fields.end(), aMoreFields.begin(), aMoreFields.end());
+  mLog.Info("request turned away", fields);
   aAnswer.Send(own.status, own.reason, own.headers, own.body);
 }
 
+policy::AccessTime
+Relay::GetAccessTime() const
+{
+  policy::AccessTime time{ .now = mParts.executor->Now(),
+                           .stalenessBound = mOptions.stalenessBound };
+  if (mParts.tableConfirmedAt) {
+    time.confirmedAt = mParts.tableConfirmedAt();
+  }
+  return time;
+}
+
+void
+Relay::ApplyDecision(const policy::AccessDecision& aDecision,
+                     const policy::RoutingTable& aTable,
+                     const policy::AccessTime& aTime,
+                     CallerAnswer& aAnswer,
+                     const RequestId& aId)
+{
+  if (!aTable.HasCustomers()) {
+    return;
+  }
+  const std::string outcome(ToString(aDecision.outcome));
+  if (aDecision.outcome == policy::AccessOutcome::kAdmitted) {
+    const auto* customer = aDecision.customer;
+    mParts.metrics->accessDecisions
+      .With({ customer != nullptr ? outcome : outcome + " without customer" })
+      .Add();
+    if (customer != nullptr) {
+      mParts.metrics->customerRequests.With({ customer->name.Value() }).Add();
+    }
+    return;
+  }
+  mParts.metrics->accessDecisions.With({ outcome }).Add();
+  const auto age = aTime.Age();
+  const bool isUnconfirmed =
+    aDecision.outcome == policy::AccessOutcome::kUnconfirmed;
+  RejectRequest(aAnswer,
+                isUnconfirmed ? OwnAnswerKind::kNotReady
+                              : OwnAnswerKind::kUnauthenticated,
+                aId,
+                outcome,
+                { { "table", std::to_string(aTable.Version().Value()) },
+                  { "age_ms", age ? Millis(*age) : "" } });
+}
+
 void
 Relay::Tick()
 {
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -5,8 +5,10 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
+#include "policy/access/access_control.h"
 #include "policy/request_router.h"
 #include "servers/http1/caller_server.h"
 #include "servers/relay/relay_task.h"
@@ -31,6 +33,9 @@
     std::size_t queueBound = 256;
     // Retry-After for callers if no better estimate is available.
     Duration retryAfter = std::chrono::seconds(1);
+    // From this age of the routing table's confirmation on, keys of customers
+    // are not accepted; none if revocation is not strict.
+    std::optional<Duration> stalenessBound{};
   };
 
   // All of these must outlive the relay.
@@ -48,6 +53,9 @@
     // Sends changed crash suspicions to the other relays.
     std::function<void(const std::vector<policy::CrashSuspicion>&)>
       announceCrashSuspicions{};
+    // The time up to which the routing table is known to contain all changes.
+    // Without this function, no table is ever confirmed.
+    std::function<std::optional<Instant>()> tableConfirmedAt{};
   };
 
   Relay(Options aOptions, const Parts& aParts);
@@ -85,7 +93,15 @@
   void RejectRequest(CallerAnswer& aAnswer,
                      OwnAnswerKind aKind,
                      const RequestId& aId,
-                     const std::string& aDetail);
+                     const std::string& aDetail,
+                     const LogFields& aMoreFields = {});
+  [[nodiscard]] policy::AccessTime GetAccessTime() const;
+  // Counts the decision, and answers the request unless it is admitted.
+  void ApplyDecision(const policy::AccessDecision& aDecision,
+                     const policy::RoutingTable& aTable,
+                     const policy::AccessTime& aTime,
+                     CallerAnswer& aAnswer,
+                     const RequestId& aId);
   void Tick();
 
   Options mOptions;
--- a/servers/relay/relay_metrics.cpp
+++ b/servers/relay/relay_metrics.cpp
@@ -2,6 +2,14 @@
 
 namespace firefly {
 
+namespace {
+
+// Customers with a series of their own. The others share one; a busy customer
+// is rarely among them, since series go to the customers that are seen first.
+constexpr std::size_t kMaxCustomerSeries = 128;
+
+} // namespace
+
 RelayMetrics::RelayMetrics(MetricRegistry& aRegistry)
   : requests(aRegistry.Counters({ .name = "firefly_relay_requests_total",
                                   .help = "Ended requests",
@@ -20,6 +28,15 @@
       aRegistry.Counters({ .name = "firefly_relay_rejected_input_total",
                            .help = "Bytes that are no request",
                            .labelNames = { "status" } }))
+  , accessDecisions(aRegistry.Counters(
+      { .name = "firefly_relay_access_decisions_total",
+        .help = "Requests by access decision, if the table has customers",
+        .labelNames = { "decision" } }))
+  , customerRequests(
+      aRegistry.Counters({ .name = "firefly_relay_customer_requests_total",
+                           .help = "Admitted requests of known customers",
+                           .labelNames = { "customer" },
+                           .maxSeries = kMaxCustomerSeries }))
   , firstAnswer(
       aRegistry.Histograms({ .name = "firefly_relay_first_answer_seconds",
                              .help = "From arrival to the first event "
@@ -45,6 +62,12 @@
                                 .help = "Backend servers that are known" }))
   , routingVersion(aRegistry.Gauges({ .name = "firefly_relay_routing_version",
                                       .help = "Routing table in force" }))
+  , customers(
+      aRegistry.Gauges({ .name = "firefly_relay_customers",
+                         .help = "Customers in the routing table in force" }))
+  , customerKeys(aRegistry.Gauges(
+      { .name = "firefly_relay_customer_keys",
+        .help = "Keys of customers in the routing table in force" }))
   , feedAge(aRegistry.Gauges({ .name = "firefly_relay_feed_age_seconds",
                                .help = "Since the log last answered",
                                .labelNames = { "feed" } }))
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -15,6 +15,8 @@
   MetricFamily<Counter>& attempts;
   MetricFamily<Counter>& crashedAttempts;
   MetricFamily<Counter>& rejectedInput;
+  MetricFamily<Counter>& accessDecisions;
+  MetricFamily<Counter>& customerRequests;
   MetricFamily<Histogram>& firstAnswer;
   MetricFamily<Summary>& requestSeconds;
   MetricFamily<Gauge>& live;
@@ -23,6 +25,8 @@
   MetricFamily<Gauge>& connections;
   MetricFamily<Gauge>& backends;
   MetricFamily<Gauge>& routingVersion;
+  MetricFamily<Gauge>& customers;
+  MetricFamily<Gauge>& customerKeys;
   MetricFamily<Gauge>& feedAge;
   MetricFamily<Gauge>& ready;
 };
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -581,6 +581,10 @@
     if (const auto& table = mRouting.Current()) {
       mMetrics.routingVersion.With({}).Set(
         static_cast<double>(table->Version().Value()));
+      mMetrics.customers.With({}).Set(
+        static_cast<double>(table->CustomerCount()));
+      mMetrics.customerKeys.With({}).Set(
+        static_cast<double>(table->KeyCount()));
     }
   }
 
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -84,6 +84,10 @@
   info.gapObjective = route.gapObjective;
   info.idempotent = route.IsRepeatable();
   info.rank = route.rank;
+  if (const auto* customer = mOptions.customer) {
+    info.customer = customer->name;
+    info.rank = customer->rank.value_or(route.rank);
+  }
   info.maxAttempts = route.maxAttempts;
   info.fingerprint = request.fingerprint;
   std::vector<std::uint64_t> parts;
@@ -145,7 +149,11 @@
                       .resumeAfter = mLastEventId,
                       .promptOnly = promptOnly,
                       .kvCache = {},
-                      .copyFrom = AddressOf(aOrder.copyFrom) };
+                      .copyFrom = AddressOf(aOrder.copyFrom),
+                      .hidesKeys = mOptions.table->HasCustomers() };
+  if (mOptions.customer != nullptr) {
+    terms.customer = mOptions.customer->name;
+  }
   if (aOrder.phase == policy::WorkPhase::kDecode) {
     // A KV cache can be taken only once.
     terms.kvCache = std::exchange(mKvCache, std::nullopt);
@@ -519,21 +527,24 @@
   const auto& service = mOptions.service.Value();
   mContext.metrics->requests.With({ service, aOutcome }).Add();
   mContext.metrics->requestSeconds.With({ service }).Observe(ToSeconds(took));
-  mContext.log->Info(
-    "request ended",
-    { { "request", mOptions.request.id.Value() },
-      { "route", mOptions.route->name },
-      { "service", service },
-      { "table", std::to_string(mOptions.table->Version().Value()) },
-      { "outcome", aOutcome },
-      { "why", aWhy },
-      { "status", std::to_string(mStatus) },
-      { "attempts", std::to_string(mAttemptCount) },
-      { "backends", mTriedBackends },
-      { "first_ms", mFirstAnswer ? Millis(*mFirstAnswer) : "" },
-      { "events", std::to_string(mEventCount) },
-      { "gap_ms", Millis(mMaxEventGap) },
-      { "ms", Millis(took) } });
+  LogFields fields{ { "request", mOptions.request.id.Value() },
+                    { "route", mOptions.route->name },
+                    { "service", service },
+                    { "table",
+                      std::to_string(mOptions.table->Version().Value()) },
+                    { "outcome", aOutcome },
+                    { "why", aWhy },
+                    { "status", std::to_string(mStatus) },
+                    { "attempts", std::to_string(mAttemptCount) },
+                    { "backends", mTriedBackends },
+                    { "first_ms", mFirstAnswer ? Millis(*mFirstAnswer) : "" },
+                    { "events", std::to_string(mEventCount) },
+                    { "gap_ms", Millis(mMaxEventGap) },
+                    { "ms", Millis(took) } };
+  if (mOptions.customer != nullptr) {
+    fields.push_back({ "customer", mOptions.customer->name.Value() });
+  }
+  mContext.log->Info("request ended", fields);
   mContext.executor->Post(
     [onDone = mOptions.onDone, id = mOptions.request.id] { onDone(id); });
 }
--- a/servers/relay/relay_task.h
+++ b/servers/relay/relay_task.h
@@ -45,6 +45,9 @@
     // matched.
     std::shared_ptr<const policy::RoutingTable> table;
     const policy::Route* route = nullptr;
+    // The customer that sent the request, owned by the table; null if it is not
+    // known.
+    const policy::Customer* customer = nullptr;
     ServiceId service;
     // Maximum number of output tokens in one event.
     std::uint32_t tokensPerEvent = 1;
--- a/servers/relay/routing_table_replica.cpp
+++ b/servers/relay/routing_table_replica.cpp
@@ -22,11 +22,18 @@
   const auto before = mCurrent ? mCurrent->Version().Value() : 0;
   mCurrent = std::make_shared<const policy::RoutingTable>(std::move(aTable));
   mRecord = std::move(aRecord);
-  mLog.Info("routing table in force",
-            { { "version", std::to_string(mCurrent->Version().Value()) },
-              { "before", std::to_string(before) },
-              { "routes", std::to_string(mCurrent->RouteCount()) },
-              { "source", aSource } });
+  LogFields fields{ { "version", std::to_string(mCurrent->Version().Value()) },
+                    { "before", std::to_string(before) },
+                    { "routes", std::to_string(mCurrent->RouteCount()) },
+                    { "source", aSource } };
+  if (mCurrent->HasCustomers()) {
+    fields.push_back(
+      { "customers", std::to_string(mCurrent->CustomerCount()) });
+    fields.push_back({ "keys", std::to_string(mCurrent->KeyCount()) });
+    fields.push_back(
+      { "ambiguous_keys", std::to_string(mCurrent->AmbiguousKeyCount()) });
+  }
+  mLog.Info("routing table in force", fields);
   if (mCallback) {
     mCallback(*mCurrent);
   }
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -2,6 +2,8 @@
 
 #include <string>
 #include <string_view>
+#include <variant>
+#include <vector>
 
 #include "core/random.h"
 
@@ -24,6 +26,9 @@
 using firefly::RequestId;
 using firefly::ResponseMatch;
 using firefly::platform::PlatformDialect;
+using firefly::policy::AbsentCredentials;
+using firefly::policy::KeyDigest;
+using firefly::policy::MalformedCredentials;
 
 namespace {
 
@@ -63,7 +68,8 @@
 
 TEST_GROUP(PlatformDialectTest)
 {
-  PlatformDialect dialect;
+  const firefly::KeyHasher keyHasher = *firefly::KeyHasher::Create();
+  PlatformDialect dialect{ keyHasher };
 
   RelayRequest Read(CallerRequest aRequest)
   {
@@ -162,6 +168,80 @@
   CHECK_TRUE(HasLine(output, "Fireflyrouter-Kv-Source: 10.0.0.4:80/h"));
 }
 
+// Guards against a key or a forged customer that reaches a backend server,
+// under any spelling of the headers and in any kind of attempt.
+TEST(PlatformDialectTest, ReplacesKeysByTheNameOfTheCustomer)
+{
+  auto request = MakePromptRequest();
+  for (const auto* name : { "Authorization",
+                            "authorization",
+                            "AUTHORIZATION",
+                            "Fireflyrouter-Tenant",
+                            "fireflyrouter-tenant" }) {
+    request.head.headers.push_back({ name, "Token secret" });
+  }
+  const auto read = Read(request);
+  AttemptTerms terms{ .backend = BackendId("i-1"), .timeLeft = 1s };
+  const auto asBefore = dialect.ComposeRequest(read, terms);
+  CHECK_TRUE(HasLine(asBefore, "AUTHORIZATION: Token secret"));
+  CHECK_TRUE(HasLine(asBefore, "fireflyrouter-tenant: Token secret"));
+  terms.hidesKeys = true;
+  for (const auto isPrefill : { false, true }) {
+    terms.promptOnly = isPrefill;
+    terms.resumeAfter = isPrefill ? "" : "12";
+    terms.customer.reset();
+    const auto unnamed = dialect.ComposeRequest(read, terms);
+    CHECK(unnamed.find("secret") == std::string::npos);
+    CHECK_FALSE(HasHeader(unnamed, "Fireflyrouter-Tenant"));
+    terms.customer = firefly::CustomerId("anna");
+    const auto named = dialect.ComposeRequest(read, terms);
+    CHECK(named.find("secret") == std::string::npos);
+    CHECK_TRUE(HasLine(named, "Fireflyrouter-Tenant: anna"));
+    CHECK_TRUE(HasLine(named, "X-Kept: 2"));
+  }
+}
+
+// Guards against credentials that are taken for a key although they are none,
+// and against a key that is not recognized.
+TEST(PlatformDialectTest, ReadsOneKeyOfTheTokenScheme)
+{
+  const auto read = [&](const std::vector<std::string>& aValues) {
+    auto request = MakePromptRequest();
+    for (const auto& it : aValues) {
+      request.head.headers.push_back({ "authorization", it });
+    }
+    return Read(request).credentials;
+  };
+  const auto isMalformed = [&](const std::vector<std::string>& aValues) {
+    return std::holds_alternative<MalformedCredentials>(read(aValues));
+  };
+  CHECK_TRUE(std::holds_alternative<AbsentCredentials>(read({})));
+  const auto key = keyHasher.Hash("k1");
+  for (const auto* value : { "Token k1", "token k1", "Token   k1 " }) {
+    const auto credentials = read({ value });
+    CHECK_TRUE(std::holds_alternative<KeyDigest>(credentials));
+    CHECK(std::get<KeyDigest>(credentials) == key);
+  }
+  for (const auto* value :
+       { "Token k1, Token k2", "Token k1 k2", "Token K1" }) {
+    CHECK_FALSE(std::get<KeyDigest>(read({ value })) == key);
+  }
+  for (const auto* value : { "",
+                             " ",
+                             "k1",
+                             "Token",
+                             "Token ",
+                             "Tokenk1",
+                             "Bearer k1",
+                             "Token\tk1" }) {
+    CHECK_TRUE(isMalformed({ value }));
+  }
+  CHECK_TRUE(isMalformed({ "Token k1", "Token k1" }));
+  CHECK_TRUE(isMalformed({ "Token k1", "" }));
+  CHECK_TRUE(isMalformed({ "Token " + std::string(1025, 'k') }));
+  CHECK_FALSE(isMalformed({ "Token " + std::string(1024, 'k') }));
+}
+
 TEST(PlatformDialectTest, ClassifiesAnswers)
 {
   const HttpHeaders stamped{ { "Fireflyrouter-Response-Stamp", "s" } };
@@ -236,6 +316,7 @@
     return dialect.Compose(aKind, RequestId("r"), "why", 2s).status;
   };
   LONGS_EQUAL(400, status(OwnAnswerKind::kMalformed));
+  LONGS_EQUAL(401, status(OwnAnswerKind::kUnauthenticated));
   LONGS_EQUAL(404, status(OwnAnswerKind::kNoRoute));
   LONGS_EQUAL(503, status(OwnAnswerKind::kNotReady));
   LONGS_EQUAL(503, status(OwnAnswerKind::kRefused));
--- a/tests/platform/platform_records_test.cpp
+++ b/tests/platform/platform_records_test.cpp
@@ -40,7 +40,8 @@
 
 TEST_GROUP(PlatformRecordsTest)
 {
-  PlatformRecords records;
+  const firefly::KeyHasher keyHasher = *firefly::KeyHasher::Create();
+  PlatformRecords records{ keyHasher };
 };
 
 TEST(PlatformRecordsTest, DecodesARoutingTable)
@@ -141,6 +142,83 @@
   CHECK(odd.error().message.size() <= 512);
 }
 
+TEST(PlatformRecordsTest, DecodesCustomersAndPublicRoutes)
+{
+  auto text = kConfig;
+  text.insert(text.find("\"name\":\"r1\""), R"("public":true,)");
+  text.insert(1,
+              R"("tenants":[{"name":"anna","apiKeys":["k1","k2"]},)"
+              R"({"name":"bert","apiKeys":[],"priority":2},)"
+              R"({"name":"carl","apiKeys":["k3"],"priority":0}],)");
+  const auto table = records.DecodeRouting(text);
+  CHECK_TRUE(table.has_value());
+  LONGS_EQUAL(3, table->CustomerCount());
+  LONGS_EQUAL(3, table->KeyCount());
+  const auto* anna = table->FindCustomer(keyHasher.Hash("k2"));
+  STRCMP_EQUAL("anna", anna->name.Value().c_str());
+  CHECK_FALSE(anna->rank.has_value());
+  LONGS_EQUAL(0, table->FindCustomer(keyHasher.Hash("k3"))->rank.value());
+  POINTERS_EQUAL(nullptr, table->FindCustomer(keyHasher.Hash("k4")));
+  CHECK_TRUE(table->Match("h.example", "/a/x")->isPublic);
+  CHECK_FALSE(table->Match("h.example", "/a/b/c")->isPublic);
+}
+
+// Guards against keys that apply although nobody asked for them, or that don't
+// apply because the list is empty.
+TEST(PlatformRecordsTest, HasCustomersOnlyIfTheConfigurationHasTenants)
+{
+  CHECK_FALSE(records.DecodeRouting(kConfig)->HasCustomers());
+  auto empty = kConfig;
+  empty.insert(1, R"("tenants":[],)");
+  CHECK_TRUE(records.DecodeRouting(empty)->HasCustomers());
+}
+
+// Guards against a damaged list that opens all routes, and against a name that
+// would add headers to a request.
+TEST(PlatformRecordsTest, RejectsConfigurationsWithInvalidTenants)
+{
+  for (const auto* tenants : {
+         R"(null)",
+         R"({})",
+         R"(7)",
+         R"([7])",
+         R"([{"apiKeys":["k1"]}])",
+         R"([{"name":"anna"}])",
+         R"([{"name":"anna","apiKeys":"k1"}])",
+         R"([{"name":"anna","apiKeys":{"k":"k1"}}])",
+         R"([{"name":"anna","apiKeys":[1]}])",
+         R"([{"name":"","apiKeys":["k1"]}])",
+         R"([{"name":"a\r\nX: 1","apiKeys":["k1"]}])",
+         R"([{"name":"anna","apiKeys":["k1"],"priority":-1}])",
+       }) {
+    auto text = kConfig;
+    text.insert(1, std::string(R"("tenants":)") + tenants + ",");
+    CHECK_FALSE(records.DecodeRouting(text).has_value());
+  }
+  auto odd = kConfig;
+  odd.insert(odd.find("\"name\":\"r1\""), R"("public":"no",)");
+  CHECK_FALSE(records.DecodeRouting(odd).has_value());
+}
+
+// Guards against a key in the log: the parser's message quotes what it read
+// last.
+TEST(PlatformRecordsTest, ErrorsOfConfigurationsContainNoKeys)
+{
+  auto text = kConfig;
+  text.insert(1,
+              R"("tenants":[{"name":"anna","apiKeys":["secret","secret2"]}],)");
+  for (std::size_t n = 0; n < text.size(); ++n) {
+    const auto cut = records.DecodeRouting(text.substr(0, n));
+    CHECK_FALSE(cut.has_value());
+    CHECK(cut.error().message.find("secret") == std::string::npos);
+    auto damaged = text;
+    damaged[n] = '\x01';
+    if (const auto table = records.DecodeRouting(damaged); !table) {
+      CHECK(table.error().message.find("secret") == std::string::npos);
+    }
+  }
+}
+
 // Damaged records must be decoded or rejected without a crash. The seed makes a
 // failure reproducible.
 TEST(PlatformRecordsTest, SurvivesDamagedRecords)
--- a/tests/policy/access/access_control_test.cpp
+++ b/tests/policy/access/access_control_test.cpp
@@ -9,7 +9,6 @@
 using firefly::CustomerId;
 using firefly::Instant;
 using firefly::policy::AbsentCredentials;
-using firefly::policy::AccessOutcome;
 using firefly::policy::AccessTime;
 using firefly::policy::Credentials;
 using firefly::policy::Customer;
--- a/tests/servers/relay/relay_fixture.h
+++ b/tests/servers/relay/relay_fixture.h
@@ -89,7 +89,8 @@
 struct RelayFixture : public Utest
 {
   AsioExecutor executor;
-  platform::PlatformDialect dialect;
+  const KeyHasher keyHasher = *KeyHasher::Create();
+  platform::PlatformDialect dialect{ keyHasher };
   MetricRegistry registry;
   RelayMetrics metrics{ registry };
   policy::FleetView fleet;
--- a/tests/servers/relay/relay_server_test.cpp
+++ b/tests/servers/relay/relay_server_test.cpp
@@ -101,7 +101,7 @@
 private:
   static bool IsRouting(const StreamName& aStream)
   {
-    return aStream == PlatformRecords().RoutingStream();
+    return aStream == firefly::coord::StreamName("keyed.op");
   }
 
   void CallLater(std::function<void()> aStep)
@@ -120,8 +120,9 @@
 {
   AsioExecutor executor;
   CurlClient client{ executor, {} };
-  PlatformDialect dialect;
-  PlatformRecords records;
+  const firefly::KeyHasher keyHasher = *firefly::KeyHasher::Create();
+  PlatformDialect dialect{ keyHasher };
+  PlatformRecords records{ keyHasher };
   StateChart authority = *firefly::LoadStateChart(
     std::string(FIREFLY_SOURCE_DIR) + "/charts/authority.toml");
   StateChart backend = *firefly::LoadStateChart(
--- a/tests/servers/relay/role_order_issuer_test.cpp
+++ b/tests/servers/relay/role_order_issuer_test.cpp
@@ -108,7 +108,8 @@
 TEST_GROUP(RoleOrderIssuerTest)
 {
   AsioExecutor executor;
-  PlatformDialect dialect;
+  const firefly::KeyHasher keyHasher = *firefly::KeyHasher::Create();
+  PlatformDialect dialect{ keyHasher };
   FleetView fleet;
   BackendPool pool{ executor, {} };
   BackendRegistry backendRegistry{ {}, executor, fleet, pool };
