Add the setting for strict revocation of keys

[access] revocation_ms bounds the time for which a revoked key is accepted. 0 or no value leaves revocation as fast as tables arrive. Values below 2,500 ms are rejected: the confirmation of a healthy host's table is up to 2.2 s old, and its requests would get 503.

Until RelayServer passes the feed's confirmation to the relay, no table counts as confirmed: with the setting, requests with a key get 503.

--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -56,6 +56,15 @@
   return { .ackTimeout = aSilence, .keepAliveIdle = kKeepAliveProbeDelay };
 }
 
+std::optional<Duration>
+StalenessBoundOf(const RelaySettings& aSettings)
+{
+  if (!aSettings.revocation) {
+    return std::nullopt;
+  }
+  return policy::StalenessBound(*aSettings.revocation);
+}
+
 // Forwards the records of one stream to handlers and logs outages of the log.
 class FeedListener : public coord::KeyedFeedObserver
 {
@@ -131,7 +140,8 @@
                .seed = mSeed,
                .domain = aSettings.domain,
                .crossDomainPenalty = aSettings.crossDomainPenalty,
-               .queueBound = aSettings.queueBound },
+               .queueBound = aSettings.queueBound,
+               .stalenessBound = StalenessBoundOf(aSettings) },
              { .executor = &mExecutor,
                .dialect = aParts.dialect,
                .pool = &mPool,
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -10,6 +10,7 @@
 using Fraction = SettingRange<double>;
 
 constexpr Whole kShortMillis{ 1, 60'000 };
+constexpr Whole kRevocationMillis{ 0, 600'000 };
 constexpr Whole kCounts{ 1, 1'000'000 };
 constexpr Whole kPorts{ 1, 65535 };
 constexpr Fraction kTokenRates{ 1, 10'000'000 };
@@ -28,6 +29,10 @@
 constexpr std::int64_t kCrossDomainPenalty = 10;
 constexpr std::int64_t kMaxConnections = 3'000;
 constexpr std::int64_t kQueueBound = 256;
+// The confirmation of the routing table is up to 2.2 s old in normal operation,
+// and a tenth of this time is kept as a margin. With less, requests would be
+// rejected although nothing is wrong.
+constexpr std::int64_t kMinRevocationMillis = 2'500;
 
 SocketAddress
 ReadAddress(SectionReader& aReader, const std::string& aKey)
@@ -127,6 +132,25 @@
   aReader.ReportUnknownKeys();
 }
 
+void
+ReadAccess(SectionReader aReader,
+           RelaySettings& aSettings,
+           SettingProblems& aProblems)
+{
+  const auto millis = aReader.Integer("revocation_ms", kRevocationMillis, 0);
+  aReader.ReportUnknownKeys();
+  if (millis == 0) {
+    return;
+  }
+  aSettings.revocation = std::chrono::milliseconds(millis);
+  if (millis < kMinRevocationMillis) {
+    aProblems.Add(0,
+                  "[access] revocation_ms must be 0 or at least " +
+                    std::to_string(kMinRevocationMillis) +
+                    ": the routing table is only confirmed every few seconds");
+  }
+}
+
 } // namespace
 
 tl::expected<RelaySettings, SettingsError>
@@ -143,6 +167,7 @@
   ReadPeers(root.Section("peers"), settings);
   ReadFeeds(root.Section("log_service"), settings);
   ReadRelay(root.Section("relay"), settings);
+  ReadAccess(root.Section("access"), settings, problems);
   ReadEngines(root.Section("engines"), settings);
   auto charts = root.Section("charts");
   // A relative path is resolved against the working directory.
--- a/servers/relay/relay_settings.h
+++ b/servers/relay/relay_settings.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,9 @@
   // Duration of the lease that makes one relay the only one to give orders to
   // engines.
   Duration lease{};
+  // The time after which no request runs with a revoked key; none if revocation
+  // is not strict.
+  std::optional<Duration> revocation{};
   // Directory of the state charts.
   std::filesystem::path chartsDirectory;
   LogSettings log;
--- a/tests/servers/relay/relay_settings_test.cpp
+++ b/tests/servers/relay/relay_settings_test.cpp
@@ -68,6 +68,27 @@
   LONGS_EQUAL(1, LoadErrorsWith("[log]", "[log]\nlevle = \"info\"").size());
 }
 
+// Guards against a bound below the age of a confirmation in normal operation,
+// with which ordinary requests would be rejected.
+TEST(RelaySettingsTest, RevocationIsOffOrLongEnoughForConfirmations)
+{
+  CHECK_FALSE(LoadRelaySettings(kSample)->revocation.has_value());
+  const auto load = [&](const std::string& aValue) {
+    return LoadErrorsWith("[log]",
+                          "[access]\nrevocation_ms = " + aValue + "\n[log]");
+  };
+  LONGS_EQUAL(0, load("5000").size());
+  CHECK(LoadRelaySettings(path)->revocation == 5s);
+  LONGS_EQUAL(0, load("0").size());
+  CHECK_FALSE(LoadRelaySettings(path)->revocation.has_value());
+  LONGS_EQUAL(0, load("2500").size());
+  for (const auto* odd : { "2499", "1", "-1", "600001", "true", "5.5" }) {
+    const auto faults = load(odd);
+    LONGS_EQUAL(1, faults.size());
+    STRCMP_CONTAINS("revocation_ms", faults[0].c_str());
+  }
+}
+
 TEST(RelaySettingsTest, RejectsAStopGraceThatLeavesNoTimeForLiveRequests)
 {
   const auto faults =
