--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -28,6 +28,14 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
 }
 
+// In milliseconds; empty if there is no confirmation.
+std::string
+AgeText(const policy::AccessTime& aTime)
+{
+  const auto age = aTime.Age();
+  return age ? Millis(*age) : "";
+}
+
 policy::PolicySet
 MakePolicies(const Relay::Options& aOptions)
 {
@@ -176,6 +184,21 @@
   return time;
 }
 
+void
+Relay::LogStalenessChange(const policy::AccessTime& aTime)
+{
+  const bool isStale = aTime.IsStale();
+  if (std::exchange(mIsTableStale, isStale) == isStale) {
+    return;
+  }
+  const LogFields fields{ { "age_ms", AgeText(aTime) } };
+  if (isStale) {
+    mLog.Warning("keys not accepted: routing table not confirmed", fields);
+  } else {
+    mLog.Info("keys accepted: routing table confirmed", fields);
+  }
+}
+
 void
 Relay::ApplyDecision(const policy::AccessDecision& aDecision,
                      const policy::RoutingTable& aTable,
@@ -186,6 +209,7 @@
   if (!aTable.HasCustomers()) {
     return;
   }
+  LogStalenessChange(aTime);
   const std::string outcome(ToString(aDecision.outcome));
   if (aDecision.outcome == policy::AccessOutcome::kAdmitted) {
     const auto* customer = aDecision.customer;
@@ -198,7 +222,6 @@
     return;
   }
   mParts.metrics->accessDecisions.With({ outcome }).Add();
-  const auto age = aTime.Age();
   const bool isUnconfirmed =
     aDecision.outcome == policy::AccessOutcome::kUnconfirmed;
   RejectRequest(aAnswer,
@@ -207,7 +230,7 @@
                 aId,
                 outcome,
                 { { "table", std::to_string(aTable.Version().Value()) },
-                  { "age_ms", age ? Millis(*age) : "" } });
+                  { "age_ms", AgeText(aTime) } });
 }
 
 void
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -78,6 +78,11 @@
 
   // Number of requests that have not ended.
   [[nodiscard]] std::size_t LiveRequests() const { return mTasks.size(); }
+  // The age of the routing table's confirmation; none if it is not confirmed.
+  [[nodiscard]] std::optional<Duration> ConfirmationAge() const
+  {
+    return GetAccessTime().Age();
+  }
   [[nodiscard]] policy::RequestRouter& Router() { return mRouter; }
 
 private:
@@ -96,6 +101,9 @@
                      const std::string& aDetail,
                      const LogFields& aMoreFields = {});
   [[nodiscard]] policy::AccessTime GetAccessTime() const;
+  // Logs that keys are no longer accepted because the table is not confirmed,
+  // or that they are accepted again.
+  void LogStalenessChange(const policy::AccessTime& aTime);
   // Counts the decision, and answers the request unless it is admitted.
   void ApplyDecision(const policy::AccessDecision& aDecision,
                      const policy::RoutingTable& aTable,
@@ -112,6 +120,8 @@
   std::unordered_map<RequestId, std::unique_ptr<RelayTask>> mTasks;
   bool mIsClosed = false;
   bool mHasRoutedRequest = false;
+  // Whether the table was too old at the last request for which it mattered.
+  bool mIsTableStale = false;
   Timer mTickTimer;
 };
 
--- a/servers/relay/relay_metrics.cpp
+++ b/servers/relay/relay_metrics.cpp
@@ -68,6 +68,9 @@
   , customerKeys(aRegistry.Gauges(
       { .name = "firefly_relay_customer_keys",
         .help = "Keys of customers in the routing table in force" }))
+  , confirmationAge(aRegistry.Gauges(
+      { .name = "firefly_relay_confirmation_age_seconds",
+        .help = "Since the routing table was known to contain all changes" }))
   , feedAge(aRegistry.Gauges({ .name = "firefly_relay_feed_age_seconds",
                                .help = "Since the log last answered",
                                .labelNames = { "feed" } }))
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -27,6 +27,7 @@
   MetricFamily<Gauge>& routingVersion;
   MetricFamily<Gauge>& customers;
   MetricFamily<Gauge>& customerKeys;
+  MetricFamily<Gauge>& confirmationAge;
   MetricFamily<Gauge>& feedAge;
   MetricFamily<Gauge>& ready;
 };
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -587,6 +587,9 @@
       static_cast<double>(mBackendRegistry.Size()));
     mMetrics.feedAge.With({ "routing" }).Set(age(mRoutingFeed));
     mMetrics.feedAge.With({ "backends" }).Set(age(mBackendFeed));
+    const auto confirmationAge = mRelay.ConfirmationAge();
+    mMetrics.confirmationAge.With({}).Set(
+      confirmationAge ? ToSeconds(*confirmationAge) : -1.0);
     mMetrics.ready.With({}).Set(NotReadyReason().empty() ? 1 : 0);
     if (const auto& table = mRouting.Current()) {
       mMetrics.routingVersion.With({}).Set(
--- a/tests/servers/log/log_test.cpp
+++ b/tests/servers/log/log_test.cpp
@@ -11,6 +11,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "tests/helpers/stdout_capture.h"
+
 // CppUTest must be included last, since it redefines new and delete as macros.
 #include <CppUTest/TestHarness.h>
 
@@ -18,47 +20,7 @@
 using firefly::LogLayout;
 using firefly::LogLevel;
 using firefly::StartLog;
-
-namespace {
-
-// Redirects stdout to a temporary file during its lifetime.
-class StdoutCapture
-{
-public:
-  StdoutCapture()
-  {
-    std::fflush(stdout);
-    mSaved = dup(STDOUT_FILENO);
-    const int file = mkstemp(mName);
-    dup2(file, STDOUT_FILENO);
-    close(file);
-  }
-
-  ~StdoutCapture()
-  {
-    std::fflush(stdout);
-    dup2(mSaved, STDOUT_FILENO);
-    close(mSaved);
-    unlink(mName);
-  }
-
-  StdoutCapture(const StdoutCapture&) = delete;
-  StdoutCapture& operator=(const StdoutCapture&) = delete;
-
-  [[nodiscard]] std::string Text() const
-  {
-    std::fflush(stdout);
-    std::stringstream text;
-    text << std::ifstream(mName).rdbuf();
-    return text.str();
-  }
-
-private:
-  int mSaved = -1;
-  char mName[32] = "/tmp/firefly_log_XXXXXX";
-};
-
-} // namespace
+using firefly::testing::StdoutCapture;
 
 TEST_GROUP(LogTest){};
 
--- a/tests/servers/relay/relay_access_test.cpp
+++ b/tests/servers/relay/relay_access_test.cpp
@@ -5,12 +5,14 @@
 #include <vector>
 
 #include "tests/helpers/raw_tcp_client.h"
+#include "tests/helpers/stdout_capture.h"
 #include "tests/servers/relay/relay_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace std::chrono_literals;
 using firefly::CustomerId;
+using firefly::Duration;
 using firefly::FindHeader;
 using firefly::Instant;
 using firefly::policy::Customer;
@@ -285,6 +287,7 @@
     CheckNames(first->Requests().back(), "");
   }
   LONGS_EQUAL(2, first->Requests().size());
+  CHECK_TRUE(strictRelay.ConfirmationAge() >= Duration(5s));
   confirmedAt = executor.Now();
   STRCMP_EQUAL("200", Status("/look/1", kAnnasKey, true).c_str());
   STRCMP_EQUAL("401", Status("/look/1", bertsKey, true).c_str());
@@ -331,6 +334,44 @@
   CHECK_TRUE(priority(2) <= 2);
 }
 
+// Guards against a key in a log line or metric, and against a rejected request
+// whose reason operators can't find.
+TEST(RelayAccessTest, LogsReasonsButNoKeys)
+{
+  StartDesk();
+  SetTable(17, std::vector{ MakeCustomer("anna") });
+  const std::string bertsKey = "Authorization: Token berts-key\r\n";
+  std::string lines;
+  {
+    const firefly::testing::StdoutCapture capture;
+    firefly::StartLog({ .level = firefly::LogLevel::kDebug,
+                        .layout = firefly::LogLayout::kText });
+    Ask("/look/1", kAnnasKey);
+    Ask("/look/1", bertsKey);
+    Ask("/look/1", "Authorization: Token berts-key\r\n" + bertsKey);
+    Ask("/open/1", bertsKey);
+    Ask("/look/1", kAnnasKey, true);
+    confirmedAt = executor.Now();
+    Ask("/look/1", kAnnasKey, true);
+    confirmedAt = executor.Now() - 60s;
+    Ask("/look/1", kAnnasKey, true);
+    lines = capture.Text();
+    firefly::StartLog({ .level = firefly::LogLevel::kError,
+                        .layout = firefly::LogLayout::kText });
+  }
+  CHECK(lines.find("-key") == std::string::npos);
+  CHECK(registry.Expose().find("-key") == std::string::npos);
+  for (const auto* text : { "customer=anna",
+                            "status=401 why=\"unknown key\" table=17",
+                            "why=\"malformed key\"",
+                            "status=503 why=\"routing table not confirmed\"",
+                            "keys not accepted: routing table not confirmed",
+                            "keys accepted: routing table confirmed",
+                            "age_ms=6000" }) {
+    STRCMP_CONTAINS(text, lines.c_str());
+  }
+}
+
 // Guards against decisions that operators can't see, and against one series for
 // each of thousands of customers.
 TEST(RelayAccessTest, CountsDecisionsAndABoundedNumberOfCustomers)
--- a/tests/servers/relay/relay_server_test.cpp
+++ b/tests/servers/relay/relay_server_test.cpp
@@ -123,6 +123,10 @@
   const firefly::KeyHasher keyHasher = *firefly::KeyHasher::Create();
   PlatformDialect dialect{ keyHasher };
   PlatformRecords records{ keyHasher };
+  // Each process has its own hash key.
+  const firefly::KeyHasher secondHasher = *firefly::KeyHasher::Create();
+  PlatformDialect secondDialect{ secondHasher };
+  PlatformRecords secondRecords{ secondHasher };
   StateChart authority = *firefly::LoadStateChart(
     std::string(FIREFLY_SOURCE_DIR) + "/charts/authority.toml");
   StateChart backend = *firefly::LoadStateChart(
@@ -133,8 +137,10 @@
   std::unique_ptr<RelayServer> first;
   std::unique_ptr<RelayServer> second;
 
-  // Publishes a table with one route, whose path contains the version.
-  void Publish(int aVersion, std::size_t aPadding = 0)
+  // Publishes a table with one route, whose path contains the version. aMore
+  // are further fields of the record.
+  void Publish(
+    int aVersion, std::size_t aPadding = 0, const std::string& aMore = "")
   {
     const auto version = std::to_string(aVersion);
     routing.push_back(
@@ -142,8 +148,8 @@
         R"({"version":)" + version +
           R"(,"routes":[{"name":"r","host":"h","pathPrefix":"/v)" + version +
           R"(/","kind":"idempotent","timeoutMs":300,"service":"s"}],)"
-          R"("services":[{"name":"s"}],"pad":")" +
-          std::string(aPadding, 'x') + R"("})",
+          R"("services":[{"name":"s"}],)" +
+          aMore + R"("pad":")" + std::string(aPadding, 'x') + R"("})",
         LogOffset(routing.size()) });
   }
 
@@ -152,6 +158,7 @@
   {
     RelaySettings settings;
     settings.host = firefly::HostId("relay-" + aAddress);
+    const bool isSecond = aAddress == "127.0.0.2";
     settings.callers = { aAddress, kFirstPort };
     settings.status = { aAddress, kFirstPort + 1 };
     settings.peerPort = kFirstPort + 2;
@@ -170,8 +177,8 @@
                           .keyedLog = &aLog,
                           .streamLog = nullptr,
                           .client = &client,
-                          .dialect = &dialect,
-                          .decoder = &records,
+                          .dialect = isSecond ? &secondDialect : &dialect,
+                          .decoder = isSecond ? &secondRecords : &records,
                           .authorityChart = &authority,
                           .backendChart = &backend },
       settings);
@@ -180,12 +187,14 @@
   }
 
   // Returns the status that the relay answers on the route of that version.
-  std::string RequestStatus(const std::string& aAddress, int aVersion)
+  std::string RequestStatus(
+    const std::string& aAddress, int aVersion, const std::string& aHeaders = "")
   {
     RawTcpClient caller(executor, kFirstPort, aAddress);
     caller.Send("GET /v" + std::to_string(aVersion) +
                 "/ HTTP/1.1\r\nHost: h\r\n"
-                "Fireflyrouter-Request-Id: q\r\n\r\n");
+                "Fireflyrouter-Request-Id: q\r\n" +
+                aHeaders + "\r\n");
     RunUntil(executor, [&] { return caller.Received().size() > 12; });
     return caller.Received().substr(9, 3);
   }
@@ -239,6 +248,30 @@
   CHECK_TRUE(secondLog.readOffsets.contains(1));
 }
 
+// Guards against a relay that cannot check the keys of a table that it has from
+// a peer, whose digests differ from its own.
+TEST(RelayServerTest, ChecksTheKeysOfATableThatItFetchedFromAPeer)
+{
+  Publish(1);
+  first = Start("127.0.0.1", firstLog);
+  second = Start("127.0.0.2", secondLog);
+  RunFor(1s);
+  secondLog.isRefusing = true;
+  RunFor(500ms);
+  Publish(2, 0, R"("tenants":[{"name":"anna","apiKeys":["k1"]}],)");
+  RunFor(1500ms);
+  CHECK_FALSE(secondLog.readOffsets.contains(1));
+  for (const auto* address : { "127.0.0.1", "127.0.0.2" }) {
+    const auto status = [&](const std::string& aHeaders) {
+      return RequestStatus(address, 2, aHeaders);
+    };
+    STRCMP_EQUAL("401", status("").c_str());
+    STRCMP_EQUAL("401", status("Authorization: Token k2\r\n").c_str());
+    // There is no backend server.
+    STRCMP_EQUAL("503", status("Authorization: Token k1\r\n").c_str());
+  }
+}
+
 TEST(RelayServerTest, IsNotReadyWithoutATable)
 {
   first = Start("127.0.0.1", firstLog);
