--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -5,8 +5,10 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
+#include "policy/access/access_control.h"
 #include "policy/request_router.h"
 #include "servers/http1/caller_server.h"
 #include "servers/relay/relay_task.h"
@@ -31,6 +33,9 @@
     std::size_t queueBound = 256;
     // Retry-After for callers if no better estimate is available.
     Duration retryAfter = std::chrono::seconds(1);
+    // From this age of the routing table's confirmation on, keys of customers
+    // are not accepted; none if revocation is not strict.
+    std::optional<Duration> stalenessBound{};
   };
 
   // All of these must outlive the relay.
@@ -49,6 +54,9 @@
     // Sends changed crash suspicions to the other relays.
     std::function<void(const std::vector<policy::CrashSuspicion>&)>
       announceCrashSuspicions{};
+    // The time up to which the routing table is known to contain all changes.
+    // Without this function, no table is ever confirmed.
+    std::function<std::optional<Instant>()> tableConfirmedAt{};
   };
 
   Relay(Options aOptions, const Parts& aParts);
@@ -72,6 +80,11 @@
 
   // Number of requests that have not ended.
   [[nodiscard]] std::size_t LiveRequests() const { return mTasks.size(); }
+  // The age of the routing table's confirmation; none if it is not confirmed.
+  [[nodiscard]] std::optional<Duration> ConfirmationAge() const
+  {
+    return GetAccessTime().Age();
+  }
   [[nodiscard]] policy::RequestRouter& Router() { return mRouter; }
 
 private:
@@ -87,7 +100,18 @@
   void RejectRequest(CallerAnswer& aAnswer,
                      OwnAnswerKind aKind,
                      const RequestId& aId,
-                     const std::string& aDetail);
+                     const std::string& aDetail,
+                     const LogFields& aMoreFields = {});
+  [[nodiscard]] policy::AccessTime GetAccessTime() const;
+  // Logs that keys are no longer accepted because the table is not confirmed,
+  // or that they are accepted again.
+  void LogStalenessChange(const policy::AccessTime& aTime);
+  // Counts the decision, and answers the request unless it is admitted.
+  void ApplyDecision(const policy::AccessDecision& aDecision,
+                     const policy::RoutingTable& aTable,
+                     const policy::AccessTime& aTime,
+                     CallerAnswer& aAnswer,
+                     const RequestId& aId);
   void Tick();
 
   Options mOptions;
@@ -98,6 +122,8 @@
   std::unordered_map<RequestId, std::unique_ptr<RelayTask>> mTasks;
   bool mIsClosed = false;
   bool mHasRoutedRequest = false;
+  // Whether the table was too old at the last request for which it mattered.
+  bool mIsTableStale = false;
   Timer mTickTimer;
 };
 
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -16,6 +16,8 @@
   MetricFamily<Counter>& crashedAttempts;
   MetricFamily<Counter>& rejectedInput;
   MetricFamily<Counter>& callerRejections;
+  MetricFamily<Counter>& accessDecisions;
+  MetricFamily<Counter>& customerRequests;
   MetricFamily<Histogram>& firstAnswer;
   MetricFamily<Summary>& requestSeconds;
   MetricFamily<Gauge>& live;
@@ -27,6 +29,9 @@
   MetricFamily<Gauge>& callerMemoryLimit;
   MetricFamily<Gauge>& backends;
   MetricFamily<Gauge>& routingVersion;
+  MetricFamily<Gauge>& customers;
+  MetricFamily<Gauge>& customerKeys;
+  MetricFamily<Gauge>& confirmationAge;
   MetricFamily<Gauge>& feedAge;
   MetricFamily<Gauge>& ready;
 };
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -79,6 +79,15 @@
   return { .ackTimeout = aSilence, .keepAliveIdle = kKeepAliveProbeDelay };
 }
 
+std::optional<Duration>
+StalenessBoundOf(const RelaySettings& aSettings)
+{
+  if (!aSettings.revocation) {
+    return std::nullopt;
+  }
+  return policy::StalenessBound(*aSettings.revocation);
+}
+
 // Forwards the records of one stream to handlers and logs outages of the log.
 class FeedListener : public coord::KeyedFeedObserver
 {
@@ -155,7 +164,8 @@
                .seed = mSeed,
                .domain = aSettings.domain,
                .crossDomainPenalty = aSettings.crossDomainPenalty,
-               .queueBound = aSettings.queueBound },
+               .queueBound = aSettings.queueBound,
+               .stalenessBound = StalenessBoundOf(aSettings) },
              { .executor = &mExecutor,
                .dialect = aParts.dialect,
                .pool = &mPool,
@@ -618,10 +628,17 @@
       static_cast<double>(mBackendRegistry.Size()));
     mMetrics.feedAge.With({ "routing" }).Set(age(mRoutingFeed));
     mMetrics.feedAge.With({ "backends" }).Set(age(mBackendFeed));
+    const auto confirmationAge = mRelay.ConfirmationAge();
+    mMetrics.confirmationAge.With({}).Set(
+      confirmationAge ? ToSeconds(*confirmationAge) : -1.0);
     mMetrics.ready.With({}).Set(NotReadyReason().empty() ? 1 : 0);
     if (const auto& table = mRouting.Current()) {
       mMetrics.routingVersion.With({}).Set(
         static_cast<double>(table->Version().Value()));
+      mMetrics.customers.With({}).Set(
+        static_cast<double>(table->CustomerCount()));
+      mMetrics.customerKeys.With({}).Set(
+        static_cast<double>(table->KeyCount()));
     }
   }
 
