Take the ports of relay_server_test from the process

Two runs at a time, from two checkouts, failed at Start() with an address in use (4 of 4 tests of one of two concurrent runs): the ports were fixed. They follow the process now. Two runs at a time pass; no check changed.

--- a/tests/servers/relay/relay_server_test.cpp
+++ b/tests/servers/relay/relay_server_test.cpp
@@ -14,6 +14,8 @@
 #include "tests/helpers/raw_tcp_client.h"
 #include "tests/helpers/run_until.h"
 
+#include <unistd.h>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace std::chrono_literals;
@@ -39,7 +41,17 @@
 
 namespace {
 
-constexpr int kFirstPort = 18300;
+// Depends on the process, so that runs in several checkouts don't take each
+// other's ports.
+std::uint16_t
+PortAt(int aIndex)
+{
+  constexpr int kFirstPort = 20000;
+  constexpr int kRuns = 2000;
+  constexpr int kPortsOfRun = 4;
+  return static_cast<std::uint16_t>(kFirstPort +
+                                    getpid() % kRuns * kPortsOfRun + aIndex);
+}
 constexpr Duration kAnswerTime = std::chrono::milliseconds(20);
 
 // Gives one relay access to the streams; may refuse all its calls.
@@ -159,10 +171,10 @@
     RelaySettings settings;
     settings.host = firefly::HostId("relay-" + aAddress);
     const bool isSecond = aAddress == "127.0.0.2";
-    settings.callers = { aAddress, kFirstPort };
-    settings.status = { aAddress, kFirstPort + 1 };
-    settings.peerPort = kFirstPort + 2;
-    settings.updatePort = kFirstPort + 3;
+    settings.callers = { aAddress, PortAt(0) };
+    settings.status = { aAddress, PortAt(1) };
+    settings.peerPort = PortAt(2);
+    settings.updatePort = PortAt(3);
     settings.peerSeeds = { "127.0.0.1", "127.0.0.2" };
     settings.peerInterval = 50ms;
     settings.backendPoll = 100ms;
@@ -190,7 +202,7 @@
   std::string RequestStatus(
     const std::string& aAddress, int aVersion, const std::string& aHeaders = "")
   {
-    RawTcpClient caller(executor, kFirstPort, aAddress);
+    RawTcpClient caller(executor, PortAt(0), aAddress);
     caller.Send("GET /v" + std::to_string(aVersion) +
                 "/ HTTP/1.1\r\nHost: h\r\n"
                 "Fireflyrouter-Request-Id: q\r\n" +
@@ -277,7 +289,7 @@
   first = Start("127.0.0.1", firstLog);
   RunFor(300ms);
   STRCMP_EQUAL("503", RequestStatus("127.0.0.1", 1).c_str());
-  RawTcpClient probe(executor, kFirstPort + 1);
+  RawTcpClient probe(executor, PortAt(1));
   probe.Send("GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n");
   CHECK_TRUE(
     RunUntil(executor, [&] { return probe.HasReceived("HTTP/1.1 503"); }));
