Let the soak's backend servers send late second copies of their answers

The proxy before each backend server sends 3 of 100 answers again before the next answer on their connection. Rejections name their request, as those of real backend servers do, so that their connections stay in use, and bookings have three attempts. The repeats have random numbers of their own; the fault plans of kept seeds stay the same.

--- a/tests/soak/fake_backend.cpp
+++ b/tests/soak/fake_backend.cpp
@@ -15,6 +15,9 @@
 namespace wire = platform::wire;
 
 constexpr std::string_view kServersTopic = "keyed.servers";
+// The share of answers that are sent again before the next one on their
+// connection.
+constexpr double kRepeatedAnswerShare = 0.03;
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(1200);
 // The store removes a record after three missed heartbeats.
 constexpr Duration kRecordExpiry = 3 * kHeartbeatInterval;
@@ -167,6 +170,7 @@
   }
   mProxy = std::make_unique<TcpProxy>(
     mExecutor, "127.0.0.1", mServer.Port(), mOptions.seed);
+  mProxy->RepeatAnswers(kRepeatedAnswerShare);
   mBackendsByAddress[Address()] = this;
   StartInstance();
   return {};
@@ -286,9 +290,15 @@
 }
 
 void
-FakeBackend::RefuseAsNotRun(CallerAnswer& aAnswer, int aStatus) const
+FakeBackend::RefuseAsNotRun(CallerAnswer& aAnswer,
+                            int aStatus,
+                            std::string_view aId) const
 {
-  aAnswer.Send(aStatus, "", { { std::string(wire::kNotRun), "1" } }, "");
+  HttpHeaders headers{ { std::string(wire::kNotRun), "1" } };
+  if (!aId.empty()) {
+    headers.push_back({ std::string(wire::kRequestId), std::string(aId) });
+  }
+  aAnswer.Send(aStatus, "", headers, "");
 }
 
 void
@@ -297,9 +307,10 @@
 {
   const auto& headers = aRequest.head.headers;
   const auto& target = aRequest.head.target;
+  const auto requestId = FindHeader(headers, wire::kRequestId);
   if (FindHeader(headers, wire::kExpectInstance) != mId &&
       !target.starts_with("/-/kv-handle/")) {
-    RefuseAsNotRun(*aAnswer, wire::kMisdirected);
+    RefuseAsNotRun(*aAnswer, wire::kMisdirected, requestId);
     return;
   }
   if (target == "/-/order") {
@@ -311,7 +322,7 @@
     aAnswer->Send(kOk, "OK", {}, "");
     return;
   }
-  const RequestId id(std::string(FindHeader(headers, wire::kRequestId)));
+  const RequestId id{ std::string(requestId) };
   const auto deadline = FindHeader(headers, wire::kDeadlineMs);
   ObservedArrival arrival{ .backend = mId,
                            .id = id,
@@ -325,11 +336,11 @@
   mChecker.OnArrival(arrival, mExecutor.Now());
   const auto stage = FindHeader(headers, wire::kStage);
   if (IsEngine() && (stage == "prefill") != (mOptions.stage == "prefill")) {
-    RefuseAsNotRun(*aAnswer, wire::kMisdirected);
+    RefuseAsNotRun(*aAnswer, wire::kMisdirected, requestId);
     return;
   }
   if (mRuns.size() >= mOptions.slots) {
-    RefuseAsNotRun(*aAnswer, kUnavailable);
+    RefuseAsNotRun(*aAnswer, kUnavailable, requestId);
     return;
   }
   if (stage == "prefill") {
@@ -338,7 +349,7 @@
   }
   const auto source = FindHeader(headers, wire::kKvSource);
   if (!source.empty() && !TakeKvCache(source, id)) {
-    RefuseAsNotRun(*aAnswer, kUnavailable);
+    RefuseAsNotRun(*aAnswer, kUnavailable, requestId);
     return;
   }
   std::optional<std::uint32_t> after;
--- a/tests/soak/fake_backend.h
+++ b/tests/soak/fake_backend.h
@@ -100,7 +100,9 @@
   // that holds it. Returns false if there is none. Reports an entry that
   // belongs to another request to the PromiseChecker.
   bool TakeKvCache(std::string_view aSource, const RequestId& aId);
-  void RefuseAsNotRun(CallerAnswer& aAnswer, int aStatus) const;
+  void RefuseAsNotRun(CallerAnswer& aAnswer,
+                      int aStatus,
+                      std::string_view aId) const;
   [[nodiscard]] std::string Address() const;
   [[nodiscard]] Duration DrawWorkTime(Duration aMean);
 
--- a/tests/soak/routing_table_writer.cpp
+++ b/tests/soak/routing_table_writer.cpp
@@ -51,7 +51,7 @@
                                  std::uint64_t aVersion) const
 {
   auto routes = nlohmann::json::array(
-    { MakeRoute(kOnceRoute, "non_idempotent", kPlainService, false, 1),
+    { MakeRoute(kOnceRoute, "non_idempotent", kPlainService, false, 3),
       MakeRoute(kIdempotentRoute, "idempotent", kPlainService, false, 2),
       MakeRoute(kStreamRoute, "streaming", kEngineService, false, 1),
       MakeRoute(kResumableRoute, "streaming", kEngineService, true, 2) });
--- a/tests/soak/tcp_proxy.cpp
+++ b/tests/soak/tcp_proxy.cpp
@@ -11,6 +11,8 @@
 using asio::ip::tcp;
 
 constexpr std::size_t kReadBytes = 16U << 10U;
+// A longer answer is not repeated.
+constexpr std::size_t kMaxRepeatedBytes = 64U << 10U;
 // The interval at which a silenced direction checks whether it may forward.
 constexpr Duration kSilencePollInterval = std::chrono::milliseconds(20);
 
@@ -31,9 +33,13 @@
 public:
   Connection(AsioExecutor& aExecutor,
              tcp::socket aCaller,
-             std::shared_ptr<const ProxyFaults> aFaults)
+             std::shared_ptr<const ProxyFaults> aFaults,
+             std::shared_ptr<const double> aRepeatShare,
+             std::uint64_t aSeed)
     : mExecutor(aExecutor)
     , mFaults(std::move(aFaults))
+    , mRepeatShare(std::move(aRepeatShare))
+    , mRandom(aSeed)
     , mToServer{ .from = std::move(aCaller), .to = nullptr }
     , mFromServer{ .from = tcp::socket(aExecutor.Context()), .to = nullptr }
   {
@@ -135,10 +141,19 @@
       }
       return;
     }
+    RecordAnswer(aDirection, aBytes);
+    const std::array<asio::const_buffer, 2> buffers{
+      &aDirection == &mFromServer ? asio::buffer(mRepeated)
+                                  : asio::const_buffer(),
+      asio::buffer(aDirection.buffer.data(), aBytes)
+    };
     asio::async_write(*aDirection.to,
-                      asio::buffer(aDirection.buffer.data(), aBytes),
+                      buffers,
                       [self = shared_from_this(), &aDirection](
                         const asio::error_code& aCode, std::size_t /*aBytes*/) {
+                        if (&aDirection == &self->mFromServer) {
+                          self->mRepeated.clear();
+                        }
                         if (aCode) {
                           self->Reset();
                         } else {
@@ -147,8 +162,29 @@
                       });
   }
 
+  // Keeps the bytes of each answer until the next request has been sent, and
+  // draws whether they are sent again before the next answer.
+  void RecordAnswer(const Direction& aDirection, std::size_t aBytes)
+  {
+    if (&aDirection == &mToServer) {
+      if (!mAnswer.empty() && mAnswer.size() <= kMaxRepeatedBytes &&
+          mRandom.Chance(*mRepeatShare)) {
+        mRepeated = mAnswer;
+      }
+      mAnswer.clear();
+    } else if (mAnswer.size() <= kMaxRepeatedBytes) {
+      mAnswer.append(aDirection.buffer.data(), aBytes);
+    }
+  }
+
   AsioExecutor& mExecutor;
   std::shared_ptr<const ProxyFaults> mFaults;
+  std::shared_ptr<const double> mRepeatShare;
+  // A generator of its own, so that repeats do not change the fault plan of a
+  // seed.
+  Random mRandom;
+  std::string mAnswer;
+  std::string mRepeated;
   Direction mToServer;
   Direction mFromServer;
   bool mBlackholed = false;
@@ -162,6 +198,7 @@
   : mExecutor(aExecutor)
   , mTargetHost(std::move(aTargetHost))
   , mTargetPort(aTargetPort)
+  , mSeed(aSeed)
   , mRandom(aSeed)
   , mAcceptor(aExecutor.Context(),
               tcp::endpoint(asio::ip::address_v4::loopback(), 0))
@@ -186,23 +223,26 @@
 void
 TcpProxy::Accept()
 {
-  mAcceptor.async_accept(
-    [this](const asio::error_code& aCode, tcp::socket aSocket) {
-      if (aCode == asio::error::operation_aborted) {
-        return;
-      }
-      if (!aCode && mFaults->resetNewConnections) {
-        ResetSocket(aSocket);
-      } else if (!aCode) {
-        const auto connection =
-          std::make_shared<Connection>(mExecutor, std::move(aSocket), mFaults);
-        std::erase_if(mConnections,
-                      [](const auto& aIt) { return aIt.expired(); });
-        mConnections.push_back(connection);
-        connection->Start({ asio::ip::make_address(mTargetHost), mTargetPort });
-      }
-      Accept();
-    });
+  mAcceptor.async_accept([this](const asio::error_code& aCode,
+                                tcp::socket aSocket) {
+    if (aCode == asio::error::operation_aborted) {
+      return;
+    }
+    if (!aCode && mFaults->resetNewConnections) {
+      ResetSocket(aSocket);
+    } else if (!aCode) {
+      const auto connection = std::make_shared<Connection>(mExecutor,
+                                                           std::move(aSocket),
+                                                           mFaults,
+                                                           mRepeatShare,
+                                                           mSeed + ++mAccepted);
+      std::erase_if(mConnections,
+                    [](const auto& aIt) { return aIt.expired(); });
+      mConnections.push_back(connection);
+      connection->Start({ asio::ip::make_address(mTargetHost), mTargetPort });
+    }
+    Accept();
+  });
 }
 
 void
--- a/tests/soak/tcp_proxy.h
+++ b/tests/soak/tcp_proxy.h
@@ -43,6 +43,11 @@
 
   void SetFaults(const ProxyFaults& aFaults);
 
+  // Before this share, 0 to 1, of the answers after the first on a connection,
+  // the former answer is sent once more, as a faulty server does. The share
+  // holds whatever other faults there are.
+  void RepeatAnswers(double aShare) { *mRepeatShare = aShare; }
+
   // Resets a random share, 0 to 1, of the open connections.
   void Reset(double aShare);
 
@@ -60,10 +65,13 @@
   AsioExecutor& mExecutor;
   std::string mTargetHost;
   std::uint16_t mTargetPort;
+  std::uint64_t mSeed;
+  std::uint64_t mAccepted = 0;
   Random mRandom;
   asio::ip::tcp::acceptor mAcceptor;
   std::uint16_t mPort = 0;
   std::shared_ptr<ProxyFaults> mFaults = std::make_shared<ProxyFaults>();
+  std::shared_ptr<double> mRepeatShare = std::make_shared<double>(0);
   std::list<std::weak_ptr<Connection>> mConnections;
 };
 
