--- /dev/null
+++ b/servers/duties/usage_report_sender.h
@@ -0,0 +1,115 @@
+#pragma once
+
+// Sends the usage reports while this relay holds the duties. Each report is
+// first recorded in the log (policy/usage/usage_journal.h), so that a later
+// holder repeats it unchanged if it may not have arrived.
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+
+#include "coord/callback_guard.h"
+#include "coord/log_client.h"
+#include "core/executor.h"
+#include "policy/usage/usage_journal.h"
+#include "servers/duties/duty_client.h"
+#include "servers/log/log.h"
+
+namespace firefly {
+
+class UsageReportSender
+{
+public:
+  struct Options
+  {
+    HostId host;
+    coord::StreamName stream{ "usage" };
+    // Of all duties together; the reports use a quarter of it.
+    double maxCallsPerSecond = 50;
+  };
+
+  // All of these must outlive the sender.
+  struct Parts
+  {
+    Executor* executor = nullptr;
+    coord::LogClient* log = nullptr;
+    DutyClient* client = nullptr;
+    // Returns the token while this relay holds the duties.
+    std::function<std::optional<DutyToken>()> held;
+    // Called when the token has been rejected.
+    std::function<void()> onRejected;
+    // Returns the first closed window after another one, or null.
+    std::function<const policy::UsageReport*(
+      std::optional<policy::UsageWindow>)>
+      firstAfter;
+    // Called with the outcome of each call.
+    std::function<void(DutyOutcome)> onOutcome;
+  };
+
+  // An answered report.
+  struct Answered
+  {
+    policy::UsageWindow window;
+    Instant when{};
+  };
+
+  UsageReportSender(Options aOptions, Parts aParts);
+
+  // Does what is due; call it at least once a second.
+  void Tick();
+
+  [[nodiscard]] const std::optional<Answered>& LastAnswered() const
+  {
+    return mLastAnswered;
+  }
+  [[nodiscard]] std::size_t Unanswered() const { return mJournal.Unanswered(); }
+
+private:
+  enum class Phase : std::uint8_t
+  {
+    kFindingEnd, // the end of the stream is not known
+    kReading,    // reading the last records
+    kReady,
+  };
+
+  void Restart();
+  void StartLogCall();
+  void FindEnd();
+  void Read();
+  void OnBatch(const coord::LogBatch& aBatch);
+  void OnCaughtUp();
+  void Record(const policy::UsageReport& aReport);
+  void OnRecorded(policy::UsageJournal::Record aRecord,
+                  coord::LogOffset aOffset);
+  void OnLogError(const char* aCall, const coord::LogError& aError);
+  void LimitUnanswered();
+  void Send();
+  void OnOutcome(policy::UsageWindow aWindow,
+                 DutyToken aToken,
+                 DutyOutcome aOutcome);
+
+  Options mOptions;
+  Parts mParts;
+  Log mLog{ "usage" };
+  // The token under which the state below was read.
+  std::optional<DutyToken> mToken;
+  // Increases with each restart; callbacks of former ones are ignored.
+  std::uint64_t mGeneration = 0;
+  Phase mPhase = Phase::kFindingEnd;
+  policy::UsageJournal mJournal;
+  coord::LogOffset mFirst; // the oldest kept record
+  coord::LogOffset mNext;  // the first record that has not been read
+  // Where the records read so far begin.
+  coord::LogOffset mReadFrom;
+  // Records that this relay has not read may precede the next append.
+  bool mMustRead = false;
+  bool mIsLogBusy = false;
+  bool mIsClientBusy = false;
+  Instant mLogNotBefore{};
+  Instant mClientNotBefore{};
+  Duration mBackoff{};
+  std::optional<Answered> mLastAnswered;
+  coord::CallbackGuard mGuard;
+};
+
+} // namespace firefly
