--- a/policy/usage/true_time.cpp
+++ b/policy/usage/true_time.cpp
@@ -29,6 +29,13 @@
 
 WallTime
 TrueTime::At(Instant aNow) const
+{
+  return WallTime(std::chrono::duration_cast<WallTime::duration>(
+    aNow.time_since_epoch() + mOffset + mCorrection));
+}
+
+WallTime
+TrueTime::Uncorrected(Instant aNow) const
 {
   return WallTime(std::chrono::duration_cast<WallTime::duration>(
     aNow.time_since_epoch() + mOffset));
@@ -40,7 +47,8 @@
   if (aNow < mIgnoreUntil) {
     return;
   }
-  const Sample sample{ .offset = aTheirs - At(aNow), .received = aNow };
+  const Sample sample{ .offset = aTheirs - Uncorrected(aNow),
+                       .received = aNow };
   const auto [it, isNew] = mSamples.try_emplace(aHost, sample);
   if (!isNew && (sample.offset >= it->second.offset ||
                  aNow - it->second.received > kKeepLargest)) {
@@ -71,14 +79,13 @@
   const auto middle =
     offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
   std::ranges::nth_element(offsets, middle);
-  const auto median = *middle;
+  const auto change = *middle - mCorrection;
   mIsCompared = true;
-  if (std::chrono::abs(median) <= kMaxDifference) {
+  if (std::chrono::abs(change) <= kMaxDifference) {
     return std::nullopt;
   }
-  mOffset += median;
-  mSamples.clear(); // relative to the estimate before the correction
-  return median;
+  mCorrection = *middle;
+  return change;
 }
 
 bool
--- a/servers/duties/usage_messages.h
+++ b/servers/duties/usage_messages.h
@@ -23,7 +23,7 @@
 std::optional<policy::HostUsage>
 DecodeHostUsage(std::string_view aBytes);
 
-// A host's estimate of the true time.
+// The uncorrected time of a host (policy/usage/true_time.h).
 struct TimeMessage
 {
   HostId host;
--- a/servers/duties/usage_report_sender.cpp
+++ b/servers/duties/usage_report_sender.cpp
@@ -306,6 +306,8 @@
       mBackoff = Duration::zero();
       mClientNotBefore =
         now + FromSeconds(1 / (mOptions.maxCallsPerSecond * kShareOfCalls));
+      mTimer =
+        mParts.executor->RunAfter(mClientNotBefore - now, [this] { Tick(); });
       break;
     case DutyOutcome::kNoneAvailable:
     case DutyOutcome::kInvalid:
--- a/servers/duties/usage_report_sender.h
+++ b/servers/duties/usage_report_sender.h
@@ -109,6 +109,7 @@
   Instant mClientNotBefore{};
   Duration mBackoff{};
   std::optional<Answered> mLastAnswered;
+  Timer mTimer; // of the next call
   coord::CallbackGuard mGuard;
 };
 
--- a/servers/duties/usage_reporter.cpp
+++ b/servers/duties/usage_reporter.cpp
@@ -131,7 +131,8 @@
     receivers.push_back(std::move(others.back()));
     others.pop_back();
   }
-  mParts.sendTime({ .host = mOptions.host, .time = TrueNow() }, receivers);
+  mParts.sendTime({ .host = mOptions.host, .time = mTrueTime.Uncorrected(now) },
+                  receivers);
 }
 
 void
--- a/tests/policy/usage_test.cpp
+++ b/tests/policy/usage_test.cpp
@@ -207,6 +207,8 @@
   CHECK_TRUE(time.At(now) == kStart + 2s - 3s);
   Sample(-3s - 300ms); // within the allowed difference
   CHECK_FALSE(time.Correct(now).has_value());
+  // The others tell the time of their own clocks; a correction must not spread.
+  CHECK_TRUE(time.Uncorrected(now) == kStart + 2s);
 }
 
 // One host whose clock jumps must not move the others.
