Report usage from the relay where the settings ask for it

The parts of the usage reports were not connected. A relay now counts each request once, when a backend server has begun to run it: a stream at its first event, others at their successful or failed answer. Counts and clocks travel in two new kinds of peer messages. The section [duties] enables it; the template writes it from the platform's settings, whose names of the duties platform/ translates. Without the section no stream is read and no message is sent.

The counter's budget shrank with the rest of the changes, so that the counts of 2,000 customers took more than six calls instead of three; found by SplitsTheCountsOfManyCustomers.

Tests: relay_test (groups RelayServerTest, PeerUpdateChannelTest, RelayTest, RelaySettingsTest), users_platform_test and policy_test pass.

--- a/main/firefly_relay.cpp
+++ b/main/firefly_relay.cpp
@@ -8,6 +8,7 @@
 
 #include "core/state_chart_loader.h"
 #include "platform/platform_dialect.h"
+#include "platform/platform_duty_client.h"
 #include "platform/platform_records.h"
 #include "platform/platform_settings.h"
 #include "platform/platform_store.h"
@@ -120,12 +121,15 @@
                                .resetOnClose = false });
   firefly::platform::PlatformStore store(
     client, { .url = aSettings.logUrl, .callTimeout = aSettings.logTimeout });
+  firefly::platform::PlatformDutyClient dutyClient(
+    client, { .url = aSettings.duties ? aSettings.duties->apiUrl : "" });
   const firefly::platform::PlatformDialect dialect;
   const firefly::platform::PlatformRecords records;
   firefly::RelayServer server({ .executor = &executor,
                                 .keyedLog = &store,
                                 .streamLog = &store,
                                 .client = &client,
+                                .dutyClient = &dutyClient,
                                 .dialect = &dialect,
                                 .decoder = &records,
                                 .authorityChart = &*authority,
@@ -161,11 +165,12 @@
               << firefly::platform::kSettingsVariable << " is given\n";
     return Exit(firefly::ExitCode::kUsage);
   }
-  const auto settings = firefly::LoadRelaySettings(file);
+  auto settings = firefly::LoadRelaySettings(file);
   if (!settings) {
     PrintErrors(settings.error());
     return Exit(firefly::ExitCode::kUsage);
   }
+  firefly::platform::ApplyDutyNames(*settings);
   if (parsed->Has("--check-settings")) {
     std::cout << file << ": valid\n";
     return Exit(firefly::ExitCode::kOk);
--- a/policy/usage/usage_counter.cpp
+++ b/policy/usage/usage_counter.cpp
@@ -95,13 +95,18 @@
   for (const auto& it : pending) {
     changedBytes += it.sends == 0 ? it.bytes : 0;
   }
-  const auto budget =
-    std::max(mOptions.bytesPerCall, changedBytes / kCallsPerRound);
+  // The budget must not shrink with the rest while changes wait.
+  const auto needed = changedBytes / kCallsPerRound +
+                      changedBytes / mOptions.maxMessageBytes * kHeadBytes +
+                      kHeadBytes;
+  mBudget = changedBytes + kHeadBytes <= mOptions.bytesPerCall
+              ? mOptions.bytesPerCall
+              : std::max({ mBudget, mOptions.bytesPerCall, needed });
   std::vector<HostUsage> messages{ EmptyMessage() };
   std::size_t sum = kHeadBytes;
   std::size_t size = kHeadBytes;
   for (const auto& it : pending) {
-    if (sum + it.bytes > budget) {
+    if (sum + it.bytes > mBudget) {
       break;
     }
     if (size + it.bytes > mOptions.maxMessageBytes) {
--- a/policy/usage/usage_counter.h
+++ b/policy/usage/usage_counter.h
@@ -98,6 +98,7 @@
 
   Options mOptions;
   UsageWindow mCurrent;
+  std::size_t mBudget = 0; // bytes of one call
   std::map<UsageWindow, Window> mWindows;
 };
 
--- a/servers/relay/peer_group.cpp
+++ b/servers/relay/peer_group.cpp
@@ -1,5 +1,6 @@
 #include "servers/relay/peer_group.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "servers/gossip/member_digest.h"
@@ -118,6 +119,31 @@
   return rank;
 }
 
+std::vector<HostId>
+PeerGroup::LiveHosts() const
+{
+  std::vector<HostId> hosts{ mOptions.host };
+  for (const auto& it : mMembership.Members()) {
+    if (IsLive(it) && it.host != mOptions.host) {
+      hosts.push_back(it.host);
+    }
+  }
+  std::ranges::sort(hosts);
+  return hosts;
+}
+
+std::vector<std::string>
+PeerGroup::AddressesOf(const std::vector<HostId>& aHosts) const
+{
+  std::vector<std::string> addresses;
+  for (const auto& it : mMembership.Members()) {
+    if (IsLive(it) && std::ranges::find(aHosts, it.host) != aHosts.end()) {
+      addresses.push_back(IpOf(it));
+    }
+  }
+  return addresses;
+}
+
 void
 PeerGroup::OnMember(const coord::Member& aMember)
 {
--- a/servers/relay/peer_group.h
+++ b/servers/relay/peer_group.h
@@ -59,6 +59,13 @@
   // Returns the number of live relays with a smaller host id than this one.
   [[nodiscard]] std::size_t Rank() const;
 
+  // The live relays including this one, by increasing host id.
+  [[nodiscard]] std::vector<HostId> LiveHosts() const;
+
+  // IP addresses of those of the hosts that are live relays.
+  [[nodiscard]] std::vector<std::string> AddressesOf(
+    const std::vector<HostId>& aHosts) const;
+
   // IP addresses of the other live relays.
   [[nodiscard]] const std::vector<std::string>& PeerAddresses() const
   {
--- a/servers/relay/peer_update_channel.cpp
+++ b/servers/relay/peer_update_channel.cpp
@@ -21,6 +21,7 @@
 constexpr std::uint64_t kForwarded = 4;
 constexpr std::uint64_t kReadFailure = 5;
 constexpr std::uint64_t kCrashSuspicions = 6;
+// kHostUsageMessage = 7 and kTimeMessage = 8, servers/duties/usage_messages.h.
 constexpr auto kLastFeed = static_cast<std::uint64_t>(SharedFeed::kRouting);
 constexpr auto kLastNoticeKind =
   static_cast<std::uint64_t>(policy::BackendNotice::Kind::kSilent);
@@ -337,6 +338,18 @@
   }
   if (const auto update = DecodeRoutingUpdate(aBytes)) {
     mHandlers.onRoutingUpdate(*update, aIsForwarder);
+    return false;
+  }
+  if (mHandlers.onHostUsage) {
+    if (const auto usage = DecodeHostUsage(aBytes)) {
+      mHandlers.onHostUsage(*usage);
+      return false;
+    }
+  }
+  if (mHandlers.onTime) {
+    if (const auto message = DecodeTimeMessage(aBytes)) {
+      mHandlers.onTime(*message);
+    }
   }
   return false;
 }
@@ -379,6 +392,20 @@
   SendTo(EncodeReadFailure(aFailure), aTargets);
 }
 
+void
+PeerUpdateChannel::Send(const policy::HostUsage& aUsage,
+                        const PeerTargets& aTargets)
+{
+  SendTo(EncodeHostUsage(aUsage), aTargets);
+}
+
+void
+PeerUpdateChannel::Send(const TimeMessage& aMessage,
+                        const PeerTargets& aTargets)
+{
+  SendTo(EncodeTimeMessage(aMessage), aTargets);
+}
+
 void
 PeerUpdateChannel::SendTo(const std::string& aBytes,
                           const PeerTargets& aTargets)
--- a/servers/relay/peer_update_channel.h
+++ b/servers/relay/peer_update_channel.h
@@ -17,6 +17,7 @@
 #include "coord/keyed_feed.h"
 #include "policy/backend_selector.h"
 #include "policy/crash_correlator.h"
+#include "servers/duties/usage_messages.h"
 #include "servers/gossip/gossip_socket.h"
 
 namespace firefly {
@@ -134,6 +135,9 @@
     std::function<void(const policy::BackendNotice&)> onNotice;
     std::function<void(const std::vector<policy::CrashSuspicion>&)>
       onCrashSuspicions;
+    // Not set where the usage is not reported.
+    std::function<void(const policy::HostUsage&)> onHostUsage{};
+    std::function<void(const TimeMessage&)> onTime{};
     // Returns the IP addresses to which a forwarded message is sent on.
     std::function<std::vector<std::string>()> domainPeers;
   };
@@ -153,6 +157,8 @@
             const PeerTargets& aTargets);
   // Sets the host of the failure to this relay's address.
   void Send(ReadFailure aFailure, const PeerTargets& aTargets);
+  void Send(const policy::HostUsage& aUsage, const PeerTargets& aTargets);
+  void Send(const TimeMessage& aMessage, const PeerTargets& aTargets);
 
 private:
   void OnDatagram(std::string_view aBytes);
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -55,7 +55,8 @@
                .backendRegistry = mParts.backendRegistry,
                .router = &mRouter,
                .metrics = mParts.metrics,
-               .log = &mLog };
+               .log = &mLog,
+               .onRequestStarted = mParts.onRequestStarted };
 }
 
 Relay::~Relay() = default;
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -48,6 +48,8 @@
     // Sends changed crash suspicions to the other relays.
     std::function<void(const std::vector<policy::CrashSuspicion>&)>
       announceCrashSuspicions{};
+    // Called once for each request that a backend server began to run.
+    std::function<void(const CustomerId&)> onRequestStarted{};
   };
 
   Relay(Options aOptions, const Parts& aParts);
--- a/servers/relay/relay_metrics.cpp
+++ b/servers/relay/relay_metrics.cpp
@@ -50,6 +50,21 @@
                                .labelNames = { "feed" } }))
   , ready(aRegistry.Gauges(
       { .name = "firefly_relay_ready", .help = "Whether it takes requests" }))
+  , dutyCalls(aRegistry.Counters({ .name = "firefly_relay_duty_calls_total",
+                                   .help = "Calls to the platform's API",
+                                   .labelNames = { "duty", "outcome" } }))
+  , dutyToken(aRegistry.Gauges(
+      { .name = "firefly_relay_duty_token",
+        .help = "Fencing token of the duties, 0 if not held here" }))
+  , usageWindow(
+      aRegistry.Gauges({ .name = "firefly_relay_usage_window",
+                         .help = "Last window reported by this relay" }))
+  , usageAge(aRegistry.Gauges(
+      { .name = "firefly_relay_usage_report_age_seconds",
+        .help = "Since this relay's last report was answered" }))
+  , usageUnanswered(aRegistry.Gauges(
+      { .name = "firefly_relay_usage_unanswered_reports",
+        .help = "Recorded reports that may not have arrived" }))
 {
 }
 
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -25,6 +25,11 @@
   MetricFamily<Gauge>& routingVersion;
   MetricFamily<Gauge>& feedAge;
   MetricFamily<Gauge>& ready;
+  MetricFamily<Counter>& dutyCalls;
+  MetricFamily<Gauge>& dutyToken;
+  MetricFamily<Gauge>& usageWindow;
+  MetricFamily<Gauge>& usageAge;
+  MetricFamily<Gauge>& usageUnanswered;
 };
 
 } // namespace firefly
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -7,6 +7,7 @@
 #include "servers/relay/peer_group.h"
 #include "servers/relay/peer_update_channel.h"
 #include "servers/relay/relay.h"
+#include "servers/relay/relay_duties.h"
 #include "servers/relay/role_order_issuer.h"
 #include "servers/relay/routing_table_fetcher.h"
 #include "servers/status/status_server.h"
@@ -147,6 +148,12 @@
                  [this](const std::vector<policy::CrashSuspicion>& aChanges) {
                    LogCrashSuspicions(aChanges);
                    mPeerUpdates.Send(aChanges, AllPeers());
+                 },
+               .onRequestStarted =
+                 [this](const CustomerId& aCustomer) {
+                   if (mDuties) {
+                     mDuties->Usage().OnRequestStarted(aCustomer);
+                   }
                  } })
     , mPeers(
         { .host = aSettings.host,
@@ -194,6 +201,18 @@
               mRelay.Router().OnPeerCrashSuspicions(aSuspicions,
                                                     mExecutor.Now());
             },
+          .onHostUsage =
+            [this](const policy::HostUsage& aUsage) {
+              if (mDuties) {
+                mDuties->Usage().OnHostUsage(aUsage);
+              }
+            },
+          .onTime =
+            [this](const TimeMessage& aMessage) {
+              if (mDuties) {
+                mDuties->Usage().OnTime(aMessage);
+              }
+            },
           .domainPeers = [this] { return mPeers.DomainPeerAddresses(); } })
     , mRoleOrderIssuer(
         { .host = aSettings.host,
@@ -260,6 +279,21 @@
                            .idleTimeout = limits.idleTimeout });
     });
     mRegistry.OnExpose([this] { SetGauges(); });
+    if (mSettings.duties && mSettings.duties->usage) {
+      mDuties.emplace(
+        RelayDuties::Options{ .host = mSettings.host,
+                              .incarnation = mIncarnation,
+                              .settings = *mSettings.duties,
+                              .authorityChart = aParts.authorityChart,
+                              .backendChart = aParts.backendChart,
+                              .seed = mSeed + 3 },
+        RelayDuties::Parts{ .executor = &mExecutor,
+                            .log = aParts.streamLog,
+                            .client = aParts.dutyClient,
+                            .peers = &mPeers,
+                            .peerUpdates = &mPeerUpdates,
+                            .metrics = &mMetrics });
+    }
   }
 
   tl::expected<void, RelayServerError> Start()
@@ -279,6 +313,9 @@
     mRoutingFeed.Start();
     mBackendFeed.Start();
     mRoleOrderIssuer.Start();
+    if (mDuties) {
+      mDuties->Start();
+    }
     mLog.Info("started",
               { { "host", mSettings.host.Value() },
                 { "callers", mSettings.callers.ToString() },
@@ -550,6 +587,9 @@
       mCallers.BusyConnections() == 0 && mRelay.LiveRequests() == 0;
     if ((ended && passed >= mSettings.unreadyGrace) ||
         passed >= mSettings.stopGrace - kStopMargin) {
+      if (mDuties) {
+        mDuties->Stop();
+      }
       mPeers.Leave();
       mLog.Info("stopped",
                 { { "live", std::to_string(mRelay.LiveRequests()) } });
@@ -582,6 +622,9 @@
       mMetrics.routingVersion.With({}).Set(
         static_cast<double>(table->Version().Value()));
     }
+    if (mDuties) {
+      mDuties->SetGauges();
+    }
   }
 
   Parts mParts;
@@ -601,6 +644,8 @@
   RoutingTableFetcher mTableFetcher;
   PeerUpdateChannel mPeerUpdates;
   RoleOrderIssuer mRoleOrderIssuer;
+  // Empty if the settings enable no duty.
+  std::optional<RelayDuties> mDuties;
   CallerServer mCallers;
   StatusServer mStatus;
   FeedListener mRoutingListener;
--- a/servers/relay/relay_server.h
+++ b/servers/relay/relay_server.h
@@ -11,6 +11,7 @@
 #include "coord/keyed_log.h"
 #include "core/state_chart.h"
 #include "policy/routing_table.h"
+#include "servers/duties/duty_client.h"
 #include "servers/http/asio_executor.h"
 #include "servers/http/http_client.h"
 #include "servers/relay/backend_registry.h"
@@ -61,6 +62,8 @@
     coord::LogClient* streamLog = nullptr;
     // For calls to other relays.
     HttpClient* client = nullptr;
+    // Used only where the settings enable a duty.
+    DutyClient* dutyClient = nullptr;
     const Dialect* dialect = nullptr;
     const RecordDecoder* decoder = nullptr;
     const StateChart* authorityChart = nullptr;
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -15,6 +15,11 @@
 constexpr Fraction kTokenRates{ 1, 10'000'000 };
 constexpr Fraction kGapMillis{ 0.1, 10'000 };
 constexpr Fraction kShares{ 0, 1 };
+constexpr Whole kWindowSeconds{ 1, 3'600 };
+constexpr Fraction kCallRates{ 1, 10'000 };
+// Its holder stops 500 ms before the end of the lease and renews it after a
+// third.
+constexpr Whole kLeaseMillis{ 1'500, 60'000 };
 
 // Defaults of optional keys; times are in milliseconds.
 constexpr std::int64_t kPeerInterval = 300;
@@ -25,6 +30,8 @@
 constexpr std::int64_t kStopGrace = 8'000;
 constexpr std::int64_t kUnreadyGrace = 3'000;
 constexpr std::int64_t kLease = 3'000;
+constexpr std::int64_t kUsageWindowSeconds = 5;
+constexpr double kMaxCallsPerSecond = 50;
 constexpr std::int64_t kCrossDomainPenalty = 10;
 constexpr std::int64_t kMaxConnections = 3'000;
 constexpr std::int64_t kQueueBound = 256;
@@ -127,6 +134,27 @@
   aReader.ReportUnknownKeys();
 }
 
+// Returns nothing without the URL of the API.
+std::optional<DutySettings>
+ReadDuties(SectionReader aReader, SettingProblems& aProblems)
+{
+  DutySettings duties;
+  const bool hasUrl = aReader.Has("api_url");
+  duties.apiUrl = hasUrl ? aReader.Url("api_url") : "";
+  duties.names = aReader.Texts("names");
+  duties.usage = aReader.Flag("usage", false);
+  duties.usageWindow = std::chrono::seconds(
+    aReader.Integer("usage_window_s", kWindowSeconds, kUsageWindowSeconds));
+  duties.maxCallsPerSecond =
+    aReader.Real("max_calls_per_s", kCallRates, kMaxCallsPerSecond);
+  duties.lease = aReader.Millis("lease_ms", kLeaseMillis, kLease);
+  aReader.ReportUnknownKeys();
+  if (duties.usage && !hasUrl) {
+    aProblems.Add(0, "duties.usage needs duties.api_url");
+  }
+  return hasUrl ? std::optional(duties) : std::nullopt;
+}
+
 } // namespace
 
 tl::expected<RelaySettings, SettingsError>
@@ -144,6 +172,7 @@
   ReadFeeds(root.Section("log_service"), settings);
   ReadRelay(root.Section("relay"), settings);
   ReadEngines(root.Section("engines"), settings);
+  settings.duties = ReadDuties(root.Section("duties"), problems);
   auto charts = root.Section("charts");
   // A relative path is resolved against the working directory.
   settings.chartsDirectory = charts.Text("directory", "charts");
--- a/servers/relay/relay_settings.h
+++ b/servers/relay/relay_settings.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,23 @@
 
 namespace firefly {
 
+// The calls to the platform's API that one host makes at a time. Without the
+// section, there are none.
+struct DutySettings
+{
+  // URL of the API.
+  std::string apiUrl;
+  // The duties by the names that the platform gives them.
+  std::vector<std::string> names;
+  // Whether usage is reported.
+  bool usage = false;
+  Duration usageWindow{};
+  // Limit for the calls of all hosts together.
+  double maxCallsPerSecond = 0;
+  // Duration of the lease that makes one relay the holder of the duties.
+  Duration lease{};
+};
+
 struct RelaySettings
 {
   HostId host;
@@ -58,6 +76,7 @@
   // Duration of the lease that makes one relay the only one to give orders to
   // engines.
   Duration lease{};
+  std::optional<DutySettings> duties{};
   // Directory of the state charts.
   std::filesystem::path chartsDirectory;
   LogSettings log;
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -64,7 +64,9 @@
 {
   mDeadlineTimer = mContext.executor->RunAfter(
     mDeadline - mArrival, [this] { EndUnanswered("in time"); });
-  mContext.router->OnArrival(MakeInfo(), mArrival);
+  auto info = MakeInfo();
+  mCustomer = info.customer;
+  mContext.router->OnArrival(std::move(info), mArrival);
 }
 
 policy::RequestInfo
@@ -290,6 +292,7 @@
 void
 RelayTask::OnAttemptFailure(AttemptNumber aAttempt, BackendAnswer aAnswer)
 {
+  RecordAnswerAsStart();
   const bool mayRepeat = mOptions.route->IsRepeatable() &&
                          aAnswer.head.status >= kFirstServerError && !mHasBegun;
   if (mayRepeat || mHasBegun) {
@@ -306,6 +309,7 @@
 void
 RelayTask::OnPlainAnswer(AttemptNumber aAttempt, const BackendAnswer& aAnswer)
 {
+  RecordAnswerAsStart();
   const auto now = Now();
   const auto& id = mOptions.request.id;
   if (mDone || !mContext.router->OnFirstToken(id, aAttempt, now)) {
@@ -324,6 +328,7 @@
 bool
 RelayTask::OnFirstEvent(AttemptNumber aAttempt, const MessageHead& aHead)
 {
+  RecordStart();
   const auto now = Now();
   const auto& id = mOptions.request.id;
   if (mDone || !mContext.router->OnFirstToken(id, aAttempt, now)) {
@@ -508,6 +513,30 @@
     .Observe(ToSeconds(*mFirstAnswer));
 }
 
+void
+RelayTask::RecordStart()
+{
+  // A stream that the caller resumes has counted when it began. A hedge whose
+  // answer arrives after the end of the request would count in a later window.
+  const bool isResumed =
+    mOptions.route->IsStream() && !mOptions.request.lastEventId.empty();
+  if (mIsCounted || mDone || isResumed) {
+    return;
+  }
+  mIsCounted = true;
+  if (mContext.onRequestStarted) {
+    mContext.onRequestStarted(mCustomer);
+  }
+}
+
+void
+RelayTask::RecordAnswerAsStart()
+{
+  if (!mOptions.route->IsStream()) {
+    RecordStart();
+  }
+}
+
 void
 RelayTask::EndTask(const std::string& aOutcome, const std::string& aWhy)
 {
--- a/servers/relay/relay_task.h
+++ b/servers/relay/relay_task.h
@@ -31,6 +31,9 @@
   policy::RequestRouter* router = nullptr;
   RelayMetrics* metrics = nullptr;
   const Log* log = nullptr;
+  // Called once for each request that a backend server began to run, if set;
+  // the customer may be empty.
+  std::function<void(const CustomerId&)> onRequestStarted{};
 };
 
 class RelayTask
@@ -115,6 +118,10 @@
                      Duration aRetryAfter = {});
   void SendFailure(const BackendAnswer& aFailure);
   void RecordFirstAnswer();
+  // Reports that a backend server ran the request, once for all attempts.
+  void RecordStart();
+  // The same for an answer; a stream has run only if it had an event.
+  void RecordAnswerAsStart();
   // Ends the task and reports the outcome to the log and the metrics.
   void EndTask(const std::string& aOutcome, const std::string& aWhy = {});
 
@@ -147,6 +154,9 @@
   std::uint32_t mEventCount = 0;
   int mStatus = 0;
   bool mDone = false;
+  // The customer that the request counts for; empty if none.
+  CustomerId mCustomer;
+  bool mIsCounted = false;
 };
 
 } // namespace firefly
--- a/tests/servers/relay/peer_update_channel_test.cpp
+++ b/tests/servers/relay/peer_update_channel_test.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -11,29 +12,40 @@
 #include <CppUTest/TestHarness.h>
 
 using firefly::AsioExecutor;
+using firefly::CustomerId;
 using firefly::DecodeCrashSuspicions;
 using firefly::DecodeFeedUpdate;
 using firefly::DecodeForwarded;
+using firefly::DecodeHostUsage;
 using firefly::DecodeNotice;
 using firefly::DecodeReadFailure;
 using firefly::DecodeRoutingUpdate;
+using firefly::DecodeTimeMessage;
 using firefly::EncodeCrashSuspicions;
 using firefly::EncodeFeedUpdate;
 using firefly::EncodeForwarded;
+using firefly::EncodeHostUsage;
 using firefly::EncodeNotice;
 using firefly::EncodeReadFailure;
 using firefly::EncodeRoutingUpdate;
+using firefly::EncodeTimeMessage;
 using firefly::FeedUpdate;
+using firefly::HostId;
+using firefly::Incarnation;
 using firefly::PeerTargets;
 using firefly::PeerUpdateChannel;
 using firefly::Random;
 using firefly::SharedFeed;
+using firefly::WallTime;
 using firefly::coord::FeedProgress;
 using firefly::coord::LogOffset;
 using firefly::policy::BackendNotice;
 using firefly::policy::CrashSuspicion;
 using firefly::policy::CrashTrait;
+using firefly::policy::HostUsage;
 using firefly::policy::Tokens;
+using firefly::policy::UsageCounter;
+using firefly::policy::UsageWindow;
 using firefly::testing::RunUntil;
 
 TEST_GROUP(PeerUpdateChannelTest)
@@ -255,3 +267,71 @@
   LONGS_EQUAL(1, announced["127.0.1.2"]);
   LONGS_EQUAL(0, announced["127.0.1.3"]);
 }
+
+// A relay without the duty must ignore their messages, and a malformed one must
+// not be taken for counts.
+TEST(PeerUpdateChannelTest, DecodesCountsAndTimes)
+{
+  const HostUsage usage{ .host = HostId("h"),
+                         .incarnation = Incarnation(7),
+                         .completeBefore = UsageWindow(9),
+                         .windows = {
+                           { .window = UsageWindow(9),
+                             .total = 4,
+                             .counts = { { CustomerId("c"), 3 } } } } };
+  const auto bytes = EncodeHostUsage(usage);
+  CHECK(DecodeHostUsage(bytes) == usage);
+  CHECK_FALSE(DecodeHostUsage(bytes + "x").has_value());
+  CHECK_FALSE(DecodeHostUsage(bytes.substr(0, bytes.size() - 1)).has_value());
+  CHECK_FALSE(DecodeNotice(bytes).has_value());
+  const auto time = EncodeTimeMessage(
+    { .host = HostId("h"), .time = WallTime(std::chrono::seconds(5)) });
+  CHECK(DecodeTimeMessage(time)->time == WallTime(std::chrono::seconds(5)));
+  CHECK_FALSE(DecodeHostUsage(time).has_value());
+}
+
+// Limits of the page for a deployment with 88 customers: 1,200 bytes for a
+// datagram, 3 KB/s for a host with the headers of UDP and IP. All customers
+// have a request on the host between any two messages.
+TEST(PeerUpdateChannelTest, CountsStayWithinTheirLimits)
+{
+  constexpr std::size_t kHeaderBytes = 28;
+  UsageCounter counter({ .host = HostId("dinanath-fr-117"),
+                         .incarnation = Incarnation(1'796'547'600'000) });
+  std::size_t bytes = 0;
+  constexpr int kCalls = 100;
+  for (int call = 0; call < kCalls; ++call) {
+    counter.Advance(UsageWindow(353'445'120 + call / 10));
+    for (int i = 0; i < 88; ++i) {
+      counter.Count(CustomerId("hule9" + std::to_string(10 + i)));
+    }
+    for (const auto& it : counter.TakeMessages()) {
+      const auto datagram = EncodeHostUsage(it);
+      CHECK_TRUE(datagram.size() <= 1200);
+      bytes += datagram.size() + kHeaderBytes;
+    }
+  }
+  // Twice a second to two relays.
+  CHECK_TRUE(bytes * 4 / kCalls < 3000);
+}
+
+// With many customers, the counts need several datagrams. All of them must be
+// sent well before the window closes.
+TEST(PeerUpdateChannelTest, SplitsTheCountsOfManyCustomers)
+{
+  UsageCounter counter({ .host = HostId("h"), .incarnation = Incarnation(1) });
+  counter.Advance(UsageWindow(353'445'120));
+  for (int i = 0; i < 2000; ++i) {
+    counter.Count(CustomerId("customer-" + std::to_string(i)));
+  }
+  std::set<CustomerId> sent;
+  for (int call = 0; call < 3; ++call) {
+    for (const auto& it : counter.TakeMessages()) {
+      CHECK_TRUE(EncodeHostUsage(it).size() <= 1200);
+      for (const auto& [customer, count] : it.windows.back().counts) {
+        sent.insert(customer);
+      }
+    }
+  }
+  LONGS_EQUAL(2000, sent.size());
+}
--- a/tests/servers/relay/relay_settings_test.cpp
+++ b/tests/servers/relay/relay_settings_test.cpp
@@ -4,6 +4,8 @@
 #include <fstream>
 #include <string>
 
+#include "platform/platform_settings.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace std::chrono_literals;
@@ -75,3 +77,35 @@
   LONGS_EQUAL(1, faults.size());
   CHECK_TRUE(faults[0].find("unready_grace_ms") != std::string::npos);
 }
+
+// A deployment without the section must not report usage.
+TEST(RelaySettingsTest, EnablesDutiesOnlyWithTheirApi)
+{
+  CHECK_FALSE(LoadRelaySettings(kSample)->duties.has_value());
+  LONGS_EQUAL(0, LoadErrorsWith("[log]", "[duties]\nnames = []\n[log]").size());
+  CHECK_FALSE(LoadRelaySettings(path)->duties.has_value());
+  LONGS_EQUAL(1,
+              LoadErrorsWith("[log]", "[duties]\nusage = true\n[log]").size());
+  LONGS_EQUAL(1,
+              LoadErrorsWith("[log]",
+                             "[duties]\napi_url = \"http://127.0.0.1:1\"\n"
+                             "usage_window_s = 0\n[log]")
+                .size());
+}
+
+// The template passes on the platform's names of the duties.
+TEST(RelaySettingsTest, EnablesTheDutiesThatThePlatformNames)
+{
+  const std::string api = "[duties]\napi_url = \"http://127.0.0.1:1\"\n";
+  LoadErrorsWith("[log]", api + "names = [\"autoscale\"]\n[log]");
+  auto settings = LoadRelaySettings(path);
+  firefly::platform::ApplyDutyNames(*settings);
+  CHECK_FALSE(settings->duties->usage);
+  LoadErrorsWith("[log]",
+                 api + "names = [\"autoscale\", \"usage_report\"]\n[log]");
+  settings = LoadRelaySettings(path);
+  firefly::platform::ApplyDutyNames(*settings);
+  CHECK_TRUE(settings->duties->usage);
+  CHECK(settings->duties->usageWindow == 5s);
+  CHECK(settings->duties->lease == 3s);
+}
--- a/tests/servers/relay/relay_test.cpp
+++ b/tests/servers/relay/relay_test.cpp
@@ -299,6 +299,8 @@
                         ? first->Requests()[0]
                         : second->Requests().at(0);
   CHECK(FindHeader(again.head.headers, "Last-Event-Id") == "1");
+  // The resumed stream counts once for the usage.
+  LONGS_EQUAL(1, started);
 }
 
 TEST(RelayTest, DecodesFromTheKvCacheOfAnotherEngine)
@@ -462,3 +464,37 @@
   CHECK_TRUE(caller.HasReceived("HTTP/1.1 502"));
   CHECK_FALSE(caller.HasReceived("not whole"));
 }
+
+// Usage is reported for requests that ran, whatever their answer. Two counts of
+// one request, or one of a request that did not run, would be billed wrongly.
+TEST(RelayTest, CountsAnsweredAndFailedRequestsOnce)
+{
+  StartDeskBackend({ MakeAnswer(500, "broken", kStamp) });
+  RawTcpClient caller(executor, callers.Port());
+  caller.Send(MakeGet("/look/7")); // repeated after a failure
+  Await([&] { return caller.HasReceived("broken"); });
+  LONGS_EQUAL(1, started);
+}
+
+TEST(RelayTest, DoesNotCountARejectedRequest)
+{
+  StartDeskBackend({ MakeAnswer(503, "", "Fireflyrouter-Not-Run: 1\r\n") });
+  RawTcpClient caller(executor, callers.Port());
+  caller.Send(MakeGet("/book/7"));
+  Await([&] { return caller.HasReceived("HTTP/1.1 503"); });
+  LONGS_EQUAL(0, started);
+}
+
+// A failed answer to a stream has no event.
+TEST(RelayTest, DoesNotCountAStreamWithoutAnEvent)
+{
+  first = StartBackend([](const ScriptedRequest&) -> ScriptedReply {
+    return { MakeAnswer(500, "broken", kStamp) };
+  });
+  Register("e1", *first, EngineRole::kDecode);
+  SetRoutingTable();
+  RawTcpClient caller(executor, callers.Port());
+  caller.Send(MakePromptRequest("/ask/1"));
+  Await([&] { return caller.HasReceived("HTTP/1.1 500"); });
+  LONGS_EQUAL(0, started);
+}
