--- a/servers/duties/usage_report_sender.cpp
+++ b/servers/duties/usage_report_sender.cpp
@@ -220,7 +220,7 @@
 }
 
 void
-UsageReportSender::OnRecorded(policy::UsageJournal::Record aRecord,
+UsageReportSender::OnRecorded(const policy::UsageJournal::Record& aRecord,
                               coord::LogOffset aOffset)
 {
   if (aOffset != mNext) {
--- a/servers/duties/usage_report_sender.h
+++ b/servers/duties/usage_report_sender.h
@@ -79,7 +79,7 @@
   void OnBatch(const coord::LogBatch& aBatch);
   void OnCaughtUp();
   void Record(const policy::UsageReport& aReport);
-  void OnRecorded(policy::UsageJournal::Record aRecord,
+  void OnRecorded(const policy::UsageJournal::Record& aRecord,
                   coord::LogOffset aOffset);
   void OnLogError(const char* aCall, const coord::LogError& aError);
   void LimitUnanswered();
--- a/tests/policy/usage_test.cpp
+++ b/tests/policy/usage_test.cpp
@@ -88,8 +88,10 @@
   ledger.Apply(Usage(kHostA, 1, 200, 5, 5, 101), kStart + 15s);
   ledger.Apply(Usage(kHostA, 1, 200, 5, 5, 150), kStart + 15s);
   ledger.Close(kStart + 500s, {});
-  CHECK_TRUE(ledger.FirstAfter({})->counts.empty());
-  CHECK_TRUE(ledger.FirstAfter(UsageWindow(149))->counts.empty());
+  for (const auto window : { 100U, 149U }) {
+    const auto* report = ledger.FirstAfter(UsageWindow(window));
+    CHECK_TRUE(report != nullptr && report->counts.empty());
+  }
 }
 
 TEST_GROUP(UsageCounterTest)
