Check the lease of the duties only where there are duties

The template writes the lease of [engines] into [duties] as well. A deployment without duties and with a lease under 1.5 s would not have started.

Relays join after 5 s instead of 3 s, since gossip takes some seconds among hundreds of hosts.

--- a/servers/duties/duty_holder.cpp
+++ b/servers/duties/duty_holder.cpp
@@ -9,8 +9,8 @@
 constexpr std::size_t kCandidates = 2;
 constexpr Duration kTickInterval = std::chrono::milliseconds(500);
 // A starting relay does not know the others yet and takes itself for the first
-// one. Their list is complete within a second or two.
-constexpr Duration kJoinDelay = std::chrono::seconds(3);
+// one. Gossip takes some seconds among hundreds of hosts.
+constexpr Duration kJoinDelay = std::chrono::seconds(5);
 // A candidate whose rank changes stays one until its successor has joined and
 // read the stream.
 constexpr Duration kLeaveDelay = std::chrono::seconds(10);
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -15,11 +15,11 @@
 constexpr Fraction kTokenRates{ 1, 10'000'000 };
 constexpr Fraction kGapMillis{ 0.1, 10'000 };
 constexpr Fraction kShares{ 0, 1 };
-constexpr Whole kWindowSeconds{ 1, 3'600 };
-constexpr Fraction kCallRates{ 1, 10'000 };
-// Its holder stops 500 ms before the end of the lease and renews it after a
+constexpr Fraction kWindowSeconds{ 1, 3'600 };
+constexpr Fraction kCallRates{ 0.1, 10'000 };
+// The holder stops 500 ms before the end of the lease and renews it after a
 // third.
-constexpr Whole kLeaseMillis{ 1'500, 60'000 };
+constexpr Duration kMinDutyLease = std::chrono::milliseconds(1500);
 
 // Defaults of optional keys; times are in milliseconds.
 constexpr std::int64_t kPeerInterval = 300;
@@ -30,7 +30,7 @@
 constexpr std::int64_t kStopGrace = 8'000;
 constexpr std::int64_t kUnreadyGrace = 3'000;
 constexpr std::int64_t kLease = 3'000;
-constexpr std::int64_t kUsageWindowSeconds = 5;
+constexpr double kUsageWindowSeconds = 5;
 constexpr double kMaxCallsPerSecond = 50;
 constexpr std::int64_t kCrossDomainPenalty = 10;
 constexpr std::int64_t kMaxConnections = 3'000;
@@ -143,15 +143,18 @@
   duties.apiUrl = hasUrl ? aReader.Url("api_url") : "";
   duties.names = aReader.Texts("names");
   duties.usage = aReader.Flag("usage", false);
-  duties.usageWindow = std::chrono::seconds(
-    aReader.Integer("usage_window_s", kWindowSeconds, kUsageWindowSeconds));
+  duties.usageWindow = FromSeconds(
+    aReader.Real("usage_window_s", kWindowSeconds, kUsageWindowSeconds));
   duties.maxCallsPerSecond =
     aReader.Real("max_calls_per_s", kCallRates, kMaxCallsPerSecond);
-  duties.lease = aReader.Millis("lease_ms", kLeaseMillis, kLease);
+  duties.lease = aReader.Millis("lease_ms", kShortMillis, kLease);
   aReader.ReportUnknownKeys();
   if (duties.usage && !hasUrl) {
     aProblems.Add(0, "duties.usage needs duties.api_url");
   }
+  if (hasUrl && duties.lease < kMinDutyLease) {
+    aProblems.Add(0, "duties.lease_ms must be at least 1500");
+  }
   return hasUrl ? std::optional(duties) : std::nullopt;
 }
 
--- a/tests/servers/relay/relay_settings_test.cpp
+++ b/tests/servers/relay/relay_settings_test.cpp
@@ -84,6 +84,14 @@
   CHECK_FALSE(LoadRelaySettings(kSample)->duties.has_value());
   LONGS_EQUAL(0, LoadErrorsWith("[log]", "[duties]\nnames = []\n[log]").size());
   CHECK_FALSE(LoadRelaySettings(path)->duties.has_value());
+  // The template writes the lease of engines here as well, of any length.
+  LONGS_EQUAL(
+    0, LoadErrorsWith("[log]", "[duties]\nlease_ms = 200\n[log]").size());
+  LONGS_EQUAL(1,
+              LoadErrorsWith("[log]",
+                             "[duties]\napi_url = \"http://127.0.0.1:1\"\n"
+                             "lease_ms = 200\n[log]")
+                .size());
   LONGS_EQUAL(1,
               LoadErrorsWith("[log]", "[duties]\nusage = true\n[log]").size());
   LONGS_EQUAL(1,
