--- /dev/null
+++ b/tests/servers/duties/duty_holder_test.cpp
@@ -0,0 +1,110 @@
+#include "servers/duties/duty_holder.h"
+
+#include <memory>
+
+#include "coord/testing/fake_log.h"
+#include "coord/testing/fake_process.h"
+#include "tests/coord/fault_injector.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using firefly::DutyHolder;
+using firefly::DutyToken;
+using firefly::HostId;
+using firefly::Incarnation;
+using firefly::VirtualExecutor;
+using firefly::coord::FakeLog;
+using firefly::coord::FakeProcess;
+using firefly::coord::TestChart;
+
+namespace {
+
+struct Host
+{
+  Host(VirtualExecutor& aExecutor,
+       FakeLog& aLog,
+       const std::string& aName,
+       std::size_t aRank)
+    : rank(aRank)
+    , process(aExecutor)
+    , holder({ .host = HostId(aName),
+               .incarnation = Incarnation(1),
+               .authorityChart = &TestChart("authority"),
+               .backendChart = &TestChart("backend") },
+             { .executor = &process,
+               .log = &aLog.MakeClient(aName, process),
+               .rank = [this] { return rank; } })
+  {
+    holder.Start();
+  }
+
+  std::size_t rank;
+  FakeProcess process;
+  DutyHolder holder;
+};
+
+} // namespace
+
+TEST_GROUP(DutyHolderTest)
+{
+  VirtualExecutor executor;
+  FakeLog log{ {}, executor };
+};
+
+// Each call to the log has a cost, which would grow with the number of relays.
+TEST(DutyHolderTest, OnlyTheFirstTwoRelaysReadTheLog)
+{
+  Host third(executor, log, "c", 2);
+  executor.RunFor(60s);
+  LONGS_EQUAL(0, log.Reads());
+  Host first(executor, log, "a", 0);
+  Host second(executor, log, "b", 1);
+  executor.RunFor(10s);
+  CHECK_FALSE(third.holder.IsCandidate());
+  CHECK_TRUE(first.holder.Held().has_value() !=
+             second.holder.Held().has_value());
+  const auto calls = log.Reads() + log.Appends();
+  executor.RunFor(100s);
+  CHECK_TRUE(log.Reads() + log.Appends() - calls < 400);
+}
+
+// A relay that starts takes itself for the first one until it knows the others.
+TEST(DutyHolderTest, DoesNotJoinBeforeItKnowsItsRank)
+{
+  Host host(executor, log, "c", 0);
+  executor.RunFor(3s);
+  host.rank = 2;
+  executor.RunFor(20s);
+  LONGS_EQUAL(0, log.Reads());
+}
+
+// Without the delay, a holder whose rank changes would leave the duties without
+// one, and a changing membership would pass them to and fro.
+TEST(DutyHolderTest, StaysACandidateForAWhile)
+{
+  Host host(executor, log, "b", 1);
+  executor.RunFor(10s);
+  CHECK_TRUE(host.holder.Held() == DutyToken(1)); // a token is at least 1
+  host.rank = 2;
+  executor.RunFor(8s);
+  CHECK_TRUE(host.holder.Held() == DutyToken(1));
+  host.rank = 1;
+  executor.RunFor(8s);
+  host.rank = 2;
+  executor.RunFor(12s);
+  CHECK_FALSE(host.holder.IsCandidate());
+  CHECK_FALSE(host.holder.Held().has_value());
+}
+
+// A rejected token must not be used again.
+TEST(DutyHolderTest, GetsAHigherTokenAfterItAbandonedOne)
+{
+  Host host(executor, log, "a", 0);
+  executor.RunFor(10s);
+  const auto token = host.holder.Held();
+  host.holder.Abandon();
+  CHECK_FALSE(host.holder.Held().has_value());
+  executor.RunFor(10s);
+  CHECK_TRUE(host.holder.Held() > token);
+}
