--- a/tests/policy/usage_test.cpp
+++ b/tests/policy/usage_test.cpp
@@ -61,9 +61,8 @@
   ledger.Apply(Usage(kHostB, 1, 102, 4, 4), kStart + 8s);
   ledger.Close(kStart + 8s, { kHostA, kHostB });
   const auto* report = ledger.FirstAfter({});
-  CHECK_TRUE(report != nullptr);
-  LONGS_EQUAL(101, report->window.Value());
-  CHECK_TRUE((report->counts == UsageCounts{ { kCustomer, 11 } }));
+  CHECK_TRUE(report != nullptr && report->window == UsageWindow(101) &&
+             report->counts == UsageCounts({ { kCustomer, 11 } }));
 }
 
 // A window that closes before all counts arrived is reported too low, one that
@@ -121,9 +120,8 @@
   }
   ledger.Close(kStart + 8s, { kHostA });
   const auto* report = ledger.FirstAfter({});
-  CHECK_TRUE(report != nullptr);
-  LONGS_EQUAL(88, report->counts.size());
-  LONGS_EQUAL(10, report->counts.begin()->second);
+  CHECK_TRUE(report != nullptr && report->counts.size() == 88 &&
+             report->counts.begin()->second == 10);
 }
 
 // A corrected clock must not change counts that were announced as complete.
--- a/tests/servers/duties/fake_duty_api.h
+++ b/tests/servers/duties/fake_duty_api.h
@@ -50,7 +50,7 @@
       mApi.OnCall(
         { .holder = aHolder, .report = aReport, .sent = mExecutor.Now() },
         mExecutor,
-        std::move(aCallback));
+        aCallback);
     }
     void OrderServers(const DutyHolderId& /*aHolder*/,
                       const ServerOrder& /*aOrder*/,
@@ -120,7 +120,7 @@
 
   void RunAfter(Duration aDelay, std::function<void()> aCallback)
   {
-    mTimers.push_back(mExecutor.RunAfter(aDelay, std::move(aCallback)));
+    mTimers.push_back(mExecutor.RunAfter(aDelay, aCallback));
   }
 
   VirtualExecutor& mExecutor;
