--- a/tests/servers/duties/fake_duty_api.h
+++ b/tests/servers/duties/fake_duty_api.h
@@ -120,7 +120,7 @@
 
   void RunAfter(Duration aDelay, std::function<void()> aCallback)
   {
-    mTimers.push_back(mExecutor.RunAfter(aDelay, aCallback));
+    mTimers.push_back(mExecutor.RunAfter(aDelay, std::move(aCallback)));
   }
 
   VirtualExecutor& mExecutor;
