--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -71,7 +71,8 @@
                .router = &mRouter,
                .metrics = mParts.metrics,
                .log = &mLog,
-               .memory = mParts.memory };
+               .memory = mParts.memory,
+               .onRequestStarted = mParts.onRequestStarted };
 }
 
 Relay::~Relay() = default;
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -57,6 +57,8 @@
     // The time up to which the routing table is known to contain all changes.
     // Without this function, no table is ever confirmed.
     std::function<std::optional<Instant>()> tableConfirmedAt{};
+    // Called once for each request that a backend server began to run.
+    std::function<void(const CustomerId&)> onRequestStarted{};
   };
 
   Relay(Options aOptions, const Parts& aParts);
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -34,6 +34,11 @@
   MetricFamily<Gauge>& confirmationAge;
   MetricFamily<Gauge>& feedAge;
   MetricFamily<Gauge>& ready;
+  MetricFamily<Counter>& dutyCalls;
+  MetricFamily<Gauge>& dutyToken;
+  MetricFamily<Gauge>& usageWindow;
+  MetricFamily<Gauge>& usageAge;
+  MetricFamily<Gauge>& usageUnanswered;
 };
 
 } // namespace firefly
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -7,6 +7,7 @@
 #include "servers/relay/peer_group.h"
 #include "servers/relay/peer_update_channel.h"
 #include "servers/relay/relay.h"
+#include "servers/relay/relay_duties.h"
 #include "servers/relay/role_order_issuer.h"
 #include "servers/relay/routing_table_fetcher.h"
 #include "servers/status/status_server.h"
@@ -182,6 +183,12 @@
                  [this](const std::vector<policy::CrashSuspicion>& aChanges) {
                    LogCrashSuspicions(aChanges);
                    mPeerUpdates.Send(aChanges, AllPeers());
+                 },
+               .onRequestStarted =
+                 [this](const CustomerId& aCustomer) {
+                   if (mDuties) {
+                     mDuties->Usage().OnRequestStarted(aCustomer);
+                   }
                  } })
     , mPeers(
         { .host = aSettings.host,
@@ -229,6 +236,18 @@
               mRelay.Router().OnPeerCrashSuspicions(aSuspicions,
                                                     mExecutor.Now());
             },
+          .onHostUsage =
+            [this](const policy::HostUsage& aUsage) {
+              if (mDuties) {
+                mDuties->Usage().OnHostUsage(aUsage);
+              }
+            },
+          .onTime =
+            [this](const TimeMessage& aMessage) {
+              if (mDuties) {
+                mDuties->Usage().OnTime(aMessage);
+              }
+            },
           .domainPeers = [this] { return mPeers.DomainPeerAddresses(); } })
     , mRoleOrderIssuer(
         { .host = aSettings.host,
@@ -296,6 +315,21 @@
                            .idleTimeout = limits.idleTimeout });
     });
     mRegistry.OnExpose([this] { SetGauges(); });
+    if (mSettings.duties && mSettings.duties->usage) {
+      mDuties.emplace(
+        RelayDuties::Options{ .host = mSettings.host,
+                              .incarnation = mIncarnation,
+                              .settings = *mSettings.duties,
+                              .authorityChart = aParts.authorityChart,
+                              .backendChart = aParts.backendChart,
+                              .seed = mSeed + 3 },
+        RelayDuties::Parts{ .executor = &mExecutor,
+                            .log = aParts.streamLog,
+                            .client = aParts.dutyClient,
+                            .peers = &mPeers,
+                            .peerUpdates = &mPeerUpdates,
+                            .metrics = &mMetrics });
+    }
   }
 
   tl::expected<void, RelayServerError> Start()
@@ -315,6 +349,9 @@
     mRoutingFeed.Start();
     mBackendFeed.Start();
     mRoleOrderIssuer.Start();
+    if (mDuties) {
+      mDuties->Start();
+    }
     mLog.Info("started",
               { { "host", mSettings.host.Value() },
                 { "callers", mSettings.callers.ToString() },
@@ -589,6 +626,9 @@
       mCallers.BusyConnections() == 0 && mRelay.LiveRequests() == 0;
     if ((ended && passed >= mSettings.unreadyGrace) ||
         passed >= mSettings.stopGrace - kStopMargin) {
+      if (mDuties) {
+        mDuties->Stop();
+      }
       mPeers.Leave();
       mLog.Info("stopped",
                 { { "live", std::to_string(mRelay.LiveRequests()) } });
@@ -640,6 +680,9 @@
       mMetrics.customerKeys.With({}).Set(
         static_cast<double>(table->KeyCount()));
     }
+    if (mDuties) {
+      mDuties->SetGauges();
+    }
   }
 
   Parts mParts;
@@ -660,6 +703,8 @@
   RoutingTableFetcher mTableFetcher;
   PeerUpdateChannel mPeerUpdates;
   RoleOrderIssuer mRoleOrderIssuer;
+  // Empty if the settings enable no duty.
+  std::optional<RelayDuties> mDuties;
   CallerServer mCallers;
   StatusServer mStatus;
   FeedListener mRoutingListener;
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -19,6 +19,11 @@
 constexpr Fraction kTokenRates{ 1, 10'000'000 };
 constexpr Fraction kGapMillis{ 0.1, 10'000 };
 constexpr Fraction kShares{ 0, 1 };
+constexpr Fraction kWindowSeconds{ 1, 3'600 };
+constexpr Fraction kCallRates{ 0.1, 10'000 };
+// The holder stops 500 ms before the end of the lease and renews it after a
+// third.
+constexpr Duration kMinDutyLease = std::chrono::milliseconds(1500);
 
 // Defaults of optional keys; times are in milliseconds.
 constexpr std::int64_t kPeerInterval = 300;
@@ -29,6 +34,8 @@
 constexpr std::int64_t kStopGrace = 8'000;
 constexpr std::int64_t kUnreadyGrace = 3'000;
 constexpr std::int64_t kLease = 3'000;
+constexpr double kUsageWindowSeconds = 5;
+constexpr double kMaxCallsPerSecond = 50;
 constexpr std::int64_t kCrossDomainPenalty = 10;
 constexpr std::int64_t kMaxConnections = 3'000;
 constexpr std::int64_t kQueueBound = 256;
@@ -178,6 +185,30 @@
   }
 }
 
+// Returns nothing without the URL of the API.
+std::optional<DutySettings>
+ReadDuties(SectionReader aReader, SettingProblems& aProblems)
+{
+  DutySettings duties;
+  const bool hasUrl = aReader.Has("api_url");
+  duties.apiUrl = hasUrl ? aReader.Url("api_url") : "";
+  duties.names = aReader.Texts("names");
+  duties.usage = aReader.Flag("usage", false);
+  duties.usageWindow = FromSeconds(
+    aReader.Real("usage_window_s", kWindowSeconds, kUsageWindowSeconds));
+  duties.maxCallsPerSecond =
+    aReader.Real("max_calls_per_s", kCallRates, kMaxCallsPerSecond);
+  duties.lease = aReader.Millis("lease_ms", kShortMillis, kLease);
+  aReader.ReportUnknownKeys();
+  if (duties.usage && !hasUrl) {
+    aProblems.Add(0, "duties.usage needs duties.api_url");
+  }
+  if (hasUrl && duties.lease < kMinDutyLease) {
+    aProblems.Add(0, "duties.lease_ms must be at least 1500");
+  }
+  return hasUrl ? std::optional(duties) : std::nullopt;
+}
+
 } // namespace
 
 tl::expected<RelaySettings, SettingsError>
@@ -196,6 +227,7 @@
   ReadRelay(root.Section("relay"), settings);
   ReadAccess(root.Section("access"), settings, problems);
   ReadEngines(root.Section("engines"), settings);
+  settings.duties = ReadDuties(root.Section("duties"), problems);
   auto charts = root.Section("charts");
   // A relative path is resolved against the working directory.
   settings.chartsDirectory = charts.Text("directory", "charts");
--- a/tests/servers/relay/relay_fixture.h
+++ b/tests/servers/relay/relay_fixture.h
@@ -91,6 +91,8 @@
   AsioExecutor executor;
   const KeyHasher keyHasher = *KeyHasher::Create();
   platform::PlatformDialect dialect{ keyHasher };
+  // Requests that backend servers began to run.
+  int started = 0;
   MetricRegistry registry;
   RelayMetrics metrics{ registry };
   policy::FleetView fleet;
@@ -104,7 +106,10 @@
                  .backendRegistry = &backendRegistry,
                  .fleet = &fleet,
                  .routing = &routing,
-                 .metrics = &metrics } };
+                 .metrics = &metrics,
+                 .onRequestStarted = [this](const CustomerId&) {
+                   started++;
+                 } } };
   CallerServer callers{ executor, {}, relay };
   std::unique_ptr<ScriptedBackend> first;
   std::unique_ptr<ScriptedBackend> second;
