--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -183,7 +183,20 @@
 void
 Deployment::StartEntry(int aHost)
 {
-  mEntries[aHost] = StartDaemon("firefly-entry", aHost);
+  if (mOptions.entryLimits.empty()) {
+    mEntries[aHost] = StartDaemon("firefly-entry", aHost);
+    return;
+  }
+  auto arguments = mOptions.entryLimits;
+  for (const auto& it : { std::string(FIREFLY_BINARY_DIR "/main/firefly-entry"),
+                          std::string("--settings"),
+                          mSettingsFile,
+                          std::string("--host"),
+                          HostName(aHost) }) {
+    arguments.push_back(it);
+  }
+  mEntries[aHost] = std::make_unique<ChildProcess>(ChildProcess::Options{
+    .program = "/usr/bin/prlimit", .arguments = arguments, .output = {} });
 }
 
 void
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -36,6 +36,8 @@
     std::string slots = "8";
     // Additional lines for the [entry] section.
     std::string entrySettings = {};
+    // Arguments of prlimit for each entry, such as "--nofile=400".
+    std::vector<std::string> entryLimits = {};
   };
 
   // Starts all processes and waits until each entry is ready, each for at most
--- a/tests/process/process_harness.cpp
+++ b/tests/process/process_harness.cpp
@@ -154,6 +154,30 @@
   Kill();
 }
 
+std::size_t
+ChildProcess::PeakMemoryBytes() const
+{
+  std::ifstream file("/proc/" + std::to_string(mId) + "/status");
+  std::string word;
+  while (file >> word) {
+    std::size_t kilobytes = 0;
+    if (word == "VmHWM:" && file >> kilobytes) {
+      return kilobytes << 10U;
+    }
+  }
+  return 0;
+}
+
+std::size_t
+ChildProcess::OpenDescriptors() const
+{
+  std::error_code ec;
+  const std::filesystem::directory_iterator files(
+    "/proc/" + std::to_string(mId) + "/fd", ec);
+  return ec ? 0
+            : static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
 void
 ChildProcess::Signal(int aSignal)
 {
--- a/tests/process/process_harness.h
+++ b/tests/process/process_harness.h
@@ -92,6 +92,12 @@
 
   [[nodiscard]] pid_t Id() const { return mId; }
 
+  // The largest resident memory so far; 0 if the process has ended.
+  [[nodiscard]] std::size_t PeakMemoryBytes() const;
+
+  // The number of open descriptors; 0 if the process has ended.
+  [[nodiscard]] std::size_t OpenDescriptors() const;
+
 private:
   void Signal(int aSignal);
 
--- a/tests/process/untrusted_callers_process_test.cpp
+++ b/tests/process/untrusted_callers_process_test.cpp
@@ -3,42 +3,35 @@
 // descriptors stay under the host's limits, and that an ordinary request is
 // answered while the callers hold their connections and after they have left.
 
-#include <atomic>
 #include <fstream>
-#include <functional>
 #include <memory>
-#include <mutex>
 #include <sstream>
 #include <string>
-#include <thread>
-#include <vector>
-
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <nlohmann/json.hpp>
 
 #include "servers/http1/message_writer.h"
+#include "tests/helpers/raw_callers.h"
 #include "tests/helpers/scripted_backend.h"
 #include "tests/process/process_harness.h"
 #include "tests/soak/fake_store.h"
 
 #include <CppUTest/TestHarness.h>
 
-using firefly::ComposeChunk;
 using firefly::FindHeader;
 using firefly::soak::FakeStore;
 using firefly::testing::BlockingHttp;
 using firefly::testing::ChildProcess;
+using firefly::testing::Crowd;
 using firefly::testing::FindFreePort;
 using firefly::testing::kWaitLimit;
 using firefly::testing::LoopbackUrl;
+using firefly::testing::RawCaller;
 using firefly::testing::ScriptedBackend;
 using firefly::testing::ScriptedReply;
 using firefly::testing::ScriptedRequest;
+using firefly::testing::SendChunks;
+using firefly::testing::SendPieces;
 using firefly::testing::TemporaryDirectory;
 
 namespace {
@@ -54,7 +47,6 @@
 constexpr int kIdleCallers = 600;
 // The caller leaves out this many bytes at the end of its body.
 constexpr std::size_t kMissingBytes = 10;
-constexpr int kPollMilliseconds = 50;
 
 std::string
 MakeHead(int aCaller, const std::string& aFraming)
@@ -77,134 +69,6 @@
   return MakeHead(aCaller, "Transfer-Encoding: chunked");
 }
 
-// One caller's connection. It sends until it is closed or the crowd ends.
-class RawCaller
-{
-public:
-  RawCaller(std::uint16_t aPort, const std::atomic<bool>& aStop)
-    : mFd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0))
-    , mStop(aStop)
-  {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(aPort);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    connect(mFd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-  }
-  ~RawCaller() { close(mFd); }
-  RawCaller(const RawCaller&) = delete;
-  RawCaller& operator=(const RawCaller&) = delete;
-
-  // Returns false once the connection was closed or the crowd ends.
-  bool Send(std::string_view aBytes)
-  {
-    while (!aBytes.empty()) {
-      if (!WaitFor(POLLOUT)) {
-        return false;
-      }
-      const auto n = send(mFd, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
-      if (n < 0 && errno != EAGAIN) {
-        return false;
-      }
-      aBytes.remove_prefix(n < 0 ? 0 : static_cast<std::size_t>(n));
-    }
-    return true;
-  }
-
-  // Keeps the connection open until it is closed or the crowd ends.
-  void Hold()
-  {
-    std::array<char, 4096> buffer{};
-    while (WaitFor(POLLIN) && recv(mFd, buffer.data(), buffer.size(), 0) > 0) {
-    }
-  }
-
-private:
-  bool WaitFor(std::int16_t aEvent)
-  {
-    pollfd entry{ .fd = mFd, .events = aEvent, .revents = 0 };
-    while (!mStop) {
-      if (poll(&entry, 1, kPollMilliseconds) > 0) {
-        return (entry.revents & (POLLERR | POLLHUP)) == 0;
-      }
-    }
-    return false;
-  }
-
-  int mFd;
-  const std::atomic<bool>& mStop;
-};
-
-// Callers on threads of their own. Each one runs the script and then holds its
-// connection.
-class Crowd
-{
-public:
-  using Script = std::function<void(RawCaller&, int)>;
-
-  Crowd(std::uint16_t aPort, int aCallers, const Script& aScript)
-  {
-    for (int i = 0; i < aCallers; i++) {
-      mThreads.emplace_back([this, aPort, i, aScript] {
-        RawCaller caller(aPort, mStop);
-        aScript(caller, i);
-        mSettled++;
-        caller.Hold();
-      });
-    }
-  }
-  ~Crowd() { Leave(); }
-  Crowd(const Crowd&) = delete;
-  Crowd& operator=(const Crowd&) = delete;
-
-  // The number of callers that sent all they wanted or were closed.
-  [[nodiscard]] int Settled() const { return mSettled; }
-
-  void Leave()
-  {
-    mStop = true;
-    for (auto& it : mThreads) {
-      if (it.joinable()) {
-        it.join();
-      }
-    }
-  }
-
-private:
-  std::atomic<bool> mStop{ false };
-  std::atomic<int> mSettled{ 0 };
-  std::vector<std::thread> mThreads;
-};
-
-// Sends a body in pieces of a size, up to a number of bytes.
-void
-SendPieces(RawCaller& aCaller, std::size_t aBytes, std::size_t aPiece)
-{
-  const std::string piece(aPiece, 'x');
-  for (std::size_t sent = 0; sent < aBytes; sent += aPiece) {
-    const auto n = std::min(aPiece, aBytes - sent);
-    if (!aCaller.Send(std::string_view(piece).substr(0, n))) {
-      return;
-    }
-  }
-}
-
-// Sends chunks of a size, up to a number of bytes, without the last chunk.
-void
-SendChunks(RawCaller& aCaller, std::size_t aBytes, std::size_t aChunk)
-{
-  constexpr std::size_t kBatch = 64U << 10U;
-  const auto chunk = ComposeChunk(std::string(aChunk, 'x'));
-  std::string batch;
-  for (std::size_t sent = 0; sent + aChunk <= aBytes; sent += aChunk) {
-    batch += chunk;
-    if (batch.size() >= kBatch && !aCaller.Send(std::exchange(batch, {}))) {
-      return;
-    }
-  }
-  aCaller.Send(batch);
-}
-
 } // namespace
 
 TEST_GROUP(UntrustedCallersProcessTest)
