Bound memory and connections of the servers on RESTinio

Untrusted callers took firefly-entry and the status ports beyond a host of 120 MB, or to their last descriptor: each of up to 12,000 connections could hold a body of four times the limit, RESTinio's list of chunks took a multiple of a body in small chunks, and at the maximum no connection was accepted.

RESTinio 0.6 has no hook between reading and allocating, so the socket type of the servers is now our own. It parses the bytes of a request with RESTinio's parser before RESTinio gets them and reserves the memory that RESTinio and the handler will take: four times the body, 48 bytes for each chunk. ConnectionGate decides, without sockets or a clock: a body over the limit gets 413 at its head or at the byte that exceeds it; a request without room waits; a body that made no progress (16 KB) for a second is closed in its favour with 408; after 1.5 s it gets 503 with Retry-After. Small requests (64 KB of body) may use the whole budget, others three quarters. If nothing else is reserved, one request of the largest size fits. Refused connections are read for up to a second, so that the client sees the response. At the maximum number of connections, which follows descriptors and memory of the host, the longest-idle connection is closed.

Budgets: a quarter of the host's memory for callers of the entry, an eighth for status ports. Bytes of responses count towards them.

--- a/servers/http/http_server.cpp
+++ b/servers/http/http_server.cpp
@@ -1,50 +1,108 @@
 #include "servers/http/http_server.h"
 
+#include <algorithm>
+#include <deque>
 #include <exception>
 #include <utility>
 
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <restinio/all.hpp>
 
+#include "servers/http/host_limits.h"
+#include "servers/http/metered_socket.h"
+
+namespace restinio::impl {
+
+// Makes the sockets with what the connections of a server share, which the
+// settings carry in their ip_blocker.
+template<>
+class socket_supplier_t<firefly::MeteredSocket>
+{
+protected:
+  template<typename Settings>
+  socket_supplier_t(Settings& aSettings, asio_ns::io_context& aContext)
+  {
+    for (std::size_t i = 0; i < aSettings.concurrent_accepts_count(); ++i) {
+      mSockets.emplace_back(aContext, aSettings.ip_blocker()->Server());
+    }
+  }
+
+  // NOLINTBEGIN(readability-identifier-naming): the names are RESTinio's.
+  firefly::MeteredSocket& socket(std::size_t aIndex)
+  {
+    return mSockets.at(aIndex);
+  }
+  firefly::MeteredSocket move_socket(std::size_t aIndex)
+  {
+    return std::move(socket(aIndex));
+  }
+  [[nodiscard]] std::size_t concurrent_accept_sockets_count() const noexcept
+  {
+    return mSockets.size();
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+private:
+  std::deque<firefly::MeteredSocket> mSockets;
+};
+
+} // namespace restinio::impl
+
 namespace firefly {
 
 namespace {
 
-// RESTinio closes the connection without a response when a body exceeds its own
-// limit. That limit is therefore this many times the limit above which this
-// server responds with status 413.
-constexpr std::size_t kBodyLimitSlack = 4;
+// The memory of a connection without a request.
+constexpr std::size_t kConnectionBytes = 16U << 10U;
+// Connections may take one part in this many of the host's memory.
+constexpr std::size_t kConnectionShare = 8;
+// Bytes that the kernel receives for a connection that isn't being read. The
+// kernel doubles this number.
+constexpr int kReceiveBufferBytes = 64 << 10;
 
-struct ServerTraits : public restinio::default_single_thread_traits_t
+// RESTinio tells it of each new connection.
+class AcceptGate
 {
+public:
+  explicit AcceptGate(std::shared_ptr<MeteredServer> aServer)
+    : mServer(std::move(aServer))
+  {
+  }
+
   // NOLINTNEXTLINE(readability-identifier-naming): the name is RESTinio's.
-  static constexpr bool use_connection_count_limiter = true;
+  [[nodiscard]] restinio::ip_blocker::inspection_result_t inspect(
+    const restinio::ip_blocker::incoming_info_t& /*aInfo*/) const noexcept
+  {
+    return mServer->gate->AdmitConnection()
+             ? restinio::ip_blocker::inspection_result_t::allow
+             : restinio::ip_blocker::inspection_result_t::deny;
+  }
+
+  [[nodiscard]] const std::shared_ptr<MeteredServer>& Server() const
+  {
+    return mServer;
+  }
+
+private:
+  std::shared_ptr<MeteredServer> mServer;
+};
+
+// RESTinio's own limiter of connections counts those that an ip_blocker denied
+// as open, and accepts none at its maximum, so it isn't used.
+struct ServerTraits
+  : public restinio::traits_t<restinio::asio_timer_manager_t,
+                              restinio::null_logger_t,
+                              restinio::default_request_handler_t,
+                              restinio::noop_strand_t,
+                              MeteredSocket>
+{
+  // NOLINTNEXTLINE(readability-identifier-naming): the name is RESTinio's.
+  using ip_blocker_t = AcceptGate;
 };
 
 using RestinioServer = restinio::http_server_t<ServerTraits>;
 using ChunkedResponse =
   restinio::response_builder_t<restinio::chunked_output_t>;
 
-using Endpoint = asio::ip::tcp::endpoint;
-
-// RESTinio has no function to close a single connection. This one searches all
-// descriptors of the process for the socket with that peer address and shuts it
-// down; RESTinio then closes it.
-void
-ShutDownConnectionTo(const Endpoint& aPeer)
-{
-  const int limit = getdtablesize();
-  for (int fd = 0; fd < limit; ++fd) {
-    Endpoint peer;
-    auto size = static_cast<socklen_t>(peer.capacity());
-    if (getpeername(fd, peer.data(), &size) == 0 && peer == aPeer) {
-      ::shutdown(fd, SHUT_RDWR);
-    }
-  }
-}
-
 // The number of requests whose responder still exists.
 struct RunningRequestCounter
 {
@@ -55,10 +113,14 @@
 {
 public:
   RestinioResponder(restinio::request_handle_t aRequest,
-                    std::shared_ptr<RunningRequestCounter> aRunning)
+                    std::shared_ptr<RunningRequestCounter> aRunning,
+                    const MeteredServer& aServer)
     : mRequest(std::move(aRequest))
     , mRunning(std::move(aRunning))
-    , mPeer(mRequest->remote_endpoint())
+    , mReader(aServer.currentReader)
+    , mMemory(aServer.currentMemory
+                ? aServer.currentMemory
+                : std::make_shared<RequestMemory>(aServer.gate, 0))
   {
     ++mRunning->requests;
   }
@@ -89,8 +151,10 @@
     for (const auto& it : aResponse.headers) {
       response.append_header(it.name, it.value);
     }
+    mMemory->Add(aResponse.body.size());
     response.set_body(std::move(aResponse.body));
-    response.done();
+    // The memory is in use until the response is sent.
+    response.done([memory = mMemory](const asio::error_code&) {});
   }
 
   void Begin(int aStatus, HttpHeaders aHeaders) override
@@ -115,15 +179,18 @@
     }
     const auto size = aChunk.size();
     mState->unsent += size;
+    mMemory->Add(size);
     mStream->append_chunk(std::move(aChunk));
-    mStream->flush([state = mState, size, written = std::move(aWritten)](
-                     const asio::error_code& aCode) {
-      state->unsent -= size;
-      state->lost = state->lost || static_cast<bool>(aCode);
-      if (written) {
-        written(!aCode);
-      }
-    });
+    mStream->flush(
+      [state = mState, memory = mMemory, size, written = std::move(aWritten)](
+        const asio::error_code& aCode) {
+        state->unsent -= size;
+        memory->Remove(size);
+        state->lost = state->lost || static_cast<bool>(aCode);
+        if (written) {
+          written(!aCode);
+        }
+      });
   }
 
   void End() override
@@ -141,7 +208,9 @@
   {
     mRequest.reset();
     mStream.reset();
-    ShutDownConnectionTo(mPeer);
+    if (const auto reader = mReader.lock()) {
+      reader->Close();
+    }
   }
 
   [[nodiscard]] std::size_t UnsentBytes() const override
@@ -170,7 +239,8 @@
 
   restinio::request_handle_t mRequest;
   std::shared_ptr<RunningRequestCounter> mRunning;
-  Endpoint mPeer;
+  std::weak_ptr<MeteredReader> mReader;
+  std::shared_ptr<RequestMemory> mMemory;
   std::unique_ptr<ChunkedResponse> mStream;
   std::shared_ptr<State> mState = std::make_shared<State>();
 };
@@ -190,15 +260,24 @@
   return request;
 }
 
-HttpResponse
-BodyTooLargeResponse(std::size_t aLimit)
+std::shared_ptr<MeteredServer>
+MakeMeteredServer(AsioExecutor& aExecutor, HttpServer::Options& aOptions)
 {
-  return { .status = 413,
-           .contentType = "application/problem+json",
-           .headers = {},
-           .body = R"({"type":"about:blank","title":"Body too large",)"
-                   R"("status":413,"execution":"not-run","detail":"at most )" +
-                   std::to_string(aLimit) + R"( bytes are allowed"})" };
+  const auto host = HostMemoryBytes();
+  auto server = std::make_shared<MeteredServer>();
+  server->executor = &aExecutor;
+  server->maxBodyBytes = aOptions.maxBodyBytes;
+  server->gate = std::make_shared<ConnectionGate>(ConnectionGate::Options{
+    .memoryBytes = aOptions.memoryBytes > 0
+                     ? std::min(aOptions.memoryBytes, host)
+                     : host / aOptions.hostShare,
+    .maxConnections = std::max<std::size_t>(
+      1,
+      std::min({ aOptions.maxConnections,
+                 DescriptorLimit() / aOptions.hostShare * 2,
+                 host / kConnectionShare / kConnectionBytes })),
+    .onRefusal = std::move(aOptions.onRefusal) });
+  return server;
 }
 
 } // namespace
@@ -210,8 +289,12 @@
     : mExecutor(aExecutor)
     , mOptions(std::move(aOptions))
     , mHandler(std::move(aHandler))
+    , mMetered(MakeMeteredServer(mExecutor, mOptions))
   {
   }
+  ~Impl() { mMetered->gate->Stop(); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
 
   tl::expected<void, HttpServerError> Start()
   {
@@ -236,6 +319,7 @@
 
   [[nodiscard]] std::uint16_t Port() const { return mPort; }
   [[nodiscard]] std::size_t Running() const { return mRunning->requests; }
+  [[nodiscard]] const ConnectionGate& Gate() const { return *mMetered->gate; }
 
 private:
   restinio::server_settings_t<ServerTraits> Settings()
@@ -251,11 +335,14 @@
       })
       .acceptor_options_setter([](restinio::acceptor_options_t& aAcceptor) {
         aAcceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+        // Connections inherit the size.
+        aAcceptor.set_option(
+          asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
       })
       .incoming_http_msg_limits(
         restinio::incoming_http_msg_limits_t{}.max_body_size(
-          mOptions.maxBodyBytes * kBodyLimitSlack))
-      .max_parallel_connections(mOptions.maxConnections)
+          mOptions.maxBodyBytes))
+      .ip_blocker(std::make_shared<AcceptGate>(mMetered))
       .max_pipelined_requests(1)
       .separate_accept_and_create_connect(false)
       .concurrent_accepts_count(1)
@@ -272,13 +359,9 @@
     restinio::request_handle_t aRequest)
   {
     auto request = ToRequest(aRequest);
-    auto responder =
-      std::make_shared<RestinioResponder>(std::move(aRequest), mRunning);
-    if (request.body.size() > mOptions.maxBodyBytes) {
-      responder->Send(BodyTooLargeResponse(mOptions.maxBodyBytes));
-    } else {
-      mHandler(std::move(request), std::move(responder));
-    }
+    mHandler(std::move(request),
+             std::make_shared<RestinioResponder>(
+               std::move(aRequest), mRunning, *mMetered));
     return restinio::request_accepted();
   }
 
@@ -288,6 +371,7 @@
   std::uint16_t mPort = 0;
   std::shared_ptr<RunningRequestCounter> mRunning =
     std::make_shared<RunningRequestCounter>();
+  std::shared_ptr<MeteredServer> mMetered;
   std::unique_ptr<RestinioServer> mServer;
 };
 
@@ -320,6 +404,12 @@
   return mImpl->Running();
 }
 
+const ConnectionGate&
+HttpServer::Gate() const
+{
+  return mImpl->Gate();
+}
+
 void
 HttpServer::Stop()
 {
--- a/servers/http/http_server.h
+++ b/servers/http/http_server.h
@@ -11,6 +11,7 @@
 #include <tl/expected.hpp>
 
 #include "servers/http/asio_executor.h"
+#include "servers/http/connection_gate.h"
 #include "servers/http/http_message.h"
 
 namespace firefly {
@@ -72,7 +73,16 @@
     std::string address = "127.0.0.1";
     std::uint16_t port = 0; // 0 selects a free port
     std::size_t maxBodyBytes = 4U << 20U;
+    // Fewer if the descriptors or the memory of the host don't suffice.
     std::size_t maxConnections = 12000;
+    // The memory of all requests that are received or answered; 0 selects a
+    // part of the host's memory.
+    std::size_t memoryBytes = 0;
+    // Without memoryBytes, the budget is one part in this many of the host's
+    // memory. Connections take at most twice that part of the descriptors.
+    std::size_t hostShare = 4;
+    // Told of each request or connection that is refused.
+    std::function<void(RefusalCause)> onRefusal = {};
     Duration readTimeout = std::chrono::seconds(20);
     Duration writeTimeout = std::chrono::seconds(20);
     // A connection is closed when its response gets no further data for this
@@ -94,6 +104,9 @@
   // The number of accepted requests whose responder still exists.
   [[nodiscard]] std::size_t RunningRequests() const;
 
+  // The limits and their use.
+  [[nodiscard]] const ConnectionGate& Gate() const;
+
   // Closes the port and all connections.
   void Stop();
 
--- a/servers/status/status_server.cpp
+++ b/servers/status/status_server.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Requests of the status port take less of the host than those of callers.
+constexpr std::size_t kHostShare = 8;
+
 HttpResponse
 MakeText(int aStatus, std::string aText)
 {
@@ -40,7 +43,9 @@
   : mOptions(std::move(aOptions))
   , mMetrics(aMetrics)
   , mServer(aExecutor,
-            { .address = mOptions.address, .port = mOptions.port },
+            { .address = mOptions.address,
+              .port = mOptions.port,
+              .hostShare = kHostShare },
             [this](HttpRequest aRequest, HttpResponderPtr aResponder) {
               Handle(std::move(aRequest), std::move(aResponder));
             })
