Report limits and refusals of the servers on RESTinio; set the entry's budget

Operators could not see how much of the request memory and of the connections was in use, nor set it. Adds [entry] request_memory_bytes (0 selects a quarter of the host's memory; otherwise at least four times max_body_bytes), gauges with their limits, a counter of refusals by cause, and one log line in 10 s for each server. The status ports of all daemons report under server="status".

--- a/servers/entry/entry_server.cpp
+++ b/servers/entry/entry_server.cpp
@@ -24,6 +24,7 @@
 #include "servers/ledger/ledger_client.h"
 #include "servers/log/log.h"
 #include "servers/platform/platform_options.h"
+#include "servers/status/http_server_report.h"
 #include "servers/status/status_server.h"
 
 namespace firefly {
@@ -358,14 +359,19 @@
     const auto& entry = mSettings.entry;
     mCallerServer.emplace(
       mExecutor,
-      HttpServer::Options{ .address = host.address,
-                           .port = host.entryPort,
-                           .maxBodyBytes = entry.maxBodyBytes,
-                           .maxConnections = entry.maxConnections,
-                           .readTimeout = entry.readTimeout },
+      HttpServer::Options{
+        .address = host.address,
+        .port = host.entryPort,
+        .maxBodyBytes = entry.maxBodyBytes,
+        .maxConnections = entry.maxConnections,
+        .memoryBytes = entry.requestMemoryBytes,
+        .onRefusal =
+          [this](RefusalCause aCause) { mCallerReport.OnRefusal(aCause); },
+        .readTimeout = entry.readTimeout },
       [this](const HttpRequest& aRequest, const HttpResponderPtr& aResponder) {
         mCallerHandler->Handle(aRequest, aResponder);
       });
+    mCallerReport.Watch(*mCallerServer);
     mStatusServer.emplace(
       mExecutor,
       StatusServer::Options{
@@ -468,6 +474,7 @@
   Log mLog{ "entry" };
   MetricRegistry mRegistry;
   EntryMetrics mMetrics;
+  HttpServerReport mCallerReport{ "callers", mRegistry, mExecutor };
   TraceRegistry mTraces;
   BookingTracker mBookingTracker;
   OutstandingAttempts mOutstanding;
--- a/servers/settings/settings.cpp
+++ b/servers/settings/settings.cpp
@@ -20,6 +20,7 @@
 constexpr IntegerRange kLogLinesRange{ 1, 1'000'000 };
 constexpr std::int64_t kDefaultLogLines = 500;
 constexpr std::int64_t kMebibyte = 1 << 20;
+constexpr std::int64_t kMaxRequestMemory = 1'048'576 * kMebibyte;
 
 constexpr std::array<SettingChoice<BackendKind>, 2> kBackendKinds{ {
   { "engine", BackendKind::kEngine },
@@ -136,6 +137,8 @@
       ReadCount(aReader, "max_body_bytes", { 1, 64 * kMebibyte }, kMebibyte),
     .maxConnections =
       ReadCount(aReader, "max_connections", { 1, 100'000 }, 12'000),
+    .requestMemoryBytes =
+      ReadCount(aReader, "request_memory_bytes", { 0, kMaxRequestMemory }, 0),
     .maxConcurrentStreams =
       ReadCount(aReader, "max_concurrent_streams", { 1, 100'000 }, 10'000),
     .queueBound = ReadCount(aReader, "queue_bound", { 1, 100'000 }, 1'000),
--- a/servers/settings/settings.h
+++ b/servers/settings/settings.h
@@ -38,6 +38,9 @@
 {
   std::size_t maxBodyBytes = 0;
   std::size_t maxConnections = 0;
+  // For requests being received or answered; 0 selects a quarter of the host's
+  // memory.
+  std::size_t requestMemoryBytes = 0;
   std::size_t maxConcurrentStreams = 0;
   std::size_t queueBound = 0;        // max waiting requests per service
   std::size_t streamBufferBytes = 0; // max unsent bytes per request
--- a/servers/settings/settings_checks.cpp
+++ b/servers/settings/settings_checks.cpp
@@ -23,6 +23,13 @@
                   "[entry] unready_grace_ms: conflicts with drain_timeout_ms; "
                   "must be less");
   }
+  // A body takes four times its size while it is received and answered.
+  if (entry.requestMemoryBytes > 0 &&
+      entry.requestMemoryBytes < 4 * entry.maxBodyBytes) {
+    aProblems.Add(0,
+                  "[entry] request_memory_bytes: conflicts with "
+                  "max_body_bytes; must be 0 or at least four times as large");
+  }
   const auto& steward = aSettings.steward;
   if (steward.renew * 2 > steward.lease) {
     aProblems.Add(
--- a/servers/status/status_server.cpp
+++ b/servers/status/status_server.cpp
@@ -39,17 +39,21 @@
 
 StatusServer::StatusServer(AsioExecutor& aExecutor,
                            Options aOptions,
-                           const MetricRegistry& aMetrics)
+                           MetricRegistry& aMetrics)
   : mOptions(std::move(aOptions))
   , mMetrics(aMetrics)
+  , mReport("status", aMetrics, aExecutor)
   , mServer(aExecutor,
             { .address = mOptions.address,
               .port = mOptions.port,
-              .hostShare = kHostShare },
+              .hostShare = kHostShare,
+              .onRefusal =
+                [this](RefusalCause aCause) { mReport.OnRefusal(aCause); } },
             [this](HttpRequest aRequest, HttpResponderPtr aResponder) {
               Handle(std::move(aRequest), std::move(aResponder));
             })
 {
+  mReport.Watch(mServer);
 }
 
 void
--- a/servers/status/status_server.h
+++ b/servers/status/status_server.h
@@ -11,6 +11,7 @@
 
 #include "servers/http/http_server.h"
 #include "servers/metrics/metrics.h"
+#include "servers/status/http_server_report.h"
 
 namespace firefly {
 
@@ -37,7 +38,7 @@
   // The registry must outlive the server.
   StatusServer(AsioExecutor& aExecutor,
                Options aOptions,
-               const MetricRegistry& aMetrics);
+               MetricRegistry& aMetrics);
 
   // Opens the port. The error message contains the address.
   tl::expected<void, HttpServerError> Start() { return mServer.Start(); }
@@ -49,6 +50,7 @@
 
   Options mOptions;
   const MetricRegistry& mMetrics;
+  HttpServerReport mReport;
   HttpServer mServer;
 };
 
--- a/tests/servers/http/http_round_trip_test.cpp
+++ b/tests/servers/http/http_round_trip_test.cpp
@@ -178,3 +178,41 @@
   RunUntil([&] { return nextDone; });
   CHECK_TRUE(dropped);
 }
+
+// Requests beyond the budget would take the process out of memory.
+TEST(HttpRoundTripTest, ARequestWithoutMemoryIsRefusedAsNotRun)
+{
+  HttpServer smallServer{
+    executor,
+    { .maxBodyBytes = kBodyLimit, .memoryBytes = 4 * kBodyLimit },
+    [this](HttpRequest aRequest, HttpResponderPtr aResponder) {
+      handler(std::move(aRequest), std::move(aResponder));
+    }
+  };
+  CHECK_TRUE(smallServer.Start().has_value());
+  const auto url = "http://127.0.0.1:" + std::to_string(smallServer.Port());
+  HttpResponderPtr held;
+  handler = [&](const HttpRequest&, HttpResponderPtr aResponder) {
+    held = std::move(aResponder);
+  };
+  const std::string body(kBodyLimit, 'x');
+  bool isFirstDone = false;
+  client.Fetch({ .method = "POST", .url = url, .body = body },
+               [&](const auto&) { isFirstDone = true; });
+  RunUntil([&] { return held != nullptr; });
+  const auto refused = Fetch({ .method = "POST", .url = url, .body = body });
+  CHECK_TRUE(refused.has_value());
+  LONGS_EQUAL(503, refused->status);
+  CHECK(FindHeader(refused->headers, "retry-after") == "1");
+  CHECK(refused->body.find(R"("execution":"not-run")") != std::string::npos);
+  // The memory is free again once the first request is answered.
+  held->Send({ .headers = {}, .body = "late" });
+  held.reset();
+  RunUntil([&] { return isFirstDone; });
+  handler = [](const HttpRequest&, const HttpResponderPtr& aResponder) {
+    aResponder->Send({ .headers = {}, .body = "ok" });
+  };
+  const auto served = Fetch({ .method = "POST", .url = url, .body = body });
+  CHECK_TRUE(served.has_value());
+  LONGS_EQUAL(200, served->status);
+}
--- a/tests/servers/settings/settings_test.cpp
+++ b/tests/servers/settings/settings_test.cpp
@@ -230,6 +230,10 @@
       "[entry]\ndrain_timeout_ms = 4000\n[platform]",
       ": [entry] unready_grace_ms: conflicts with drain_timeout_ms; must be "
       "less" },
+    { "[platform]",
+      "[entry]\nrequest_memory_bytes = 4194303\n[platform]",
+      ": [entry] request_memory_bytes: conflicts with max_body_bytes; must be "
+      "0 or at least four times as large" },
     { "[platform]",
       "[steward]\nrenew_ms = 5000\n[platform]",
       ": [steward] renew_ms: conflicts with lease_ms; must be at most half of "
