--- a/servers/http/metered_socket.h
+++ b/servers/http/metered_socket.h
@@ -121,6 +121,7 @@
   // RESTinio accepts the next connection with the socket from which it moved.
   MeteredSocket(MeteredSocket&& aOther) noexcept
     : Base(std::move(aOther))
+    // NOLINTNEXTLINE(performance-move-constructor-init): see above.
     , mServer(aOther.mServer)
     , mReader(std::move(aOther.mReader))
   {
--- a/tests/helpers/raw_callers.cpp
+++ b/tests/helpers/raw_callers.cpp
@@ -30,7 +30,9 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(aPort);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  connect(mFd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  // It is in progress until the socket is writable.
+  (void)connect(
+    mFd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
 }
 
 RawCaller::~RawCaller()
--- a/tests/process/untrusted_callers_entry_process_test.cpp
+++ b/tests/process/untrusted_callers_entry_process_test.cpp
@@ -181,12 +181,12 @@
     CHECK_TRUE(deployment.IsReady());
   }
 
-  int Complete(std::string aBody)
+  int Complete(const std::string& aBody)
   {
     return deployment.Http()
       .SendRequest("POST",
                    deployment.EntryUrl(0) + "/v1/completions",
-                   std::move(aBody),
+                   aBody,
                    { { "Content-Type", "application/json" } })
       .status;
   }
@@ -208,7 +208,7 @@
 {
   auto body = CompletionBody("p", 2, false);
   body.resize(kMaxBodyBytes, ' ');
-  LONGS_EQUAL(200, Complete(std::move(body)));
+  LONGS_EQUAL(200, Complete(body));
   CheckProcess(Entry());
 }
 
