Open the port again when RESTinio stops accepting

After an attack on the relay's callers' port had taken the last descriptor, the relay's status port answered nothing for the rest of the test (60 s), also after the callers had left: RESTinio 0.6 starts no further accept after one that failed. HttpServer now checks each second whether a connection waits although none was accepted since the check before; after two such checks, and once a descriptor is free, it opens the port again. Open connections are kept.

--- a/servers/http/http_server.cpp
+++ b/servers/http/http_server.cpp
@@ -5,6 +5,10 @@
 #include <exception>
 #include <utility>
 
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <restinio/all.hpp>
 
 #include "servers/http/host_limits.h"
@@ -58,6 +62,11 @@
 // Bytes that the kernel receives for a connection that isn't being read. The
 // kernel doubles this number.
 constexpr int kReceiveBufferBytes = 64 << 10;
+// Between two checks whether connections that wait are accepted.
+constexpr Duration kAcceptCheckInterval = std::chrono::seconds(1);
+// A single check may come before the connections that arrived while the process
+// was paused are accepted.
+constexpr int kMaxStalledChecks = 2;
 
 // RESTinio tells it of each new connection.
 class AcceptGate
@@ -72,6 +81,7 @@
   [[nodiscard]] restinio::ip_blocker::inspection_result_t inspect(
     const restinio::ip_blocker::incoming_info_t& /*aInfo*/) const noexcept
   {
+    mServer->accepted++;
     return mServer->gate->AdmitConnection()
              ? restinio::ip_blocker::inspection_result_t::allow
              : restinio::ip_blocker::inspection_result_t::deny;
@@ -299,9 +309,8 @@
   tl::expected<void, HttpServerError> Start()
   {
     try {
-      mServer = std::make_unique<RestinioServer>(
-        restinio::external_io_context(mExecutor.Context()), Settings());
-      mServer->open_sync();
+      Open();
+      WatchAccepting();
       return {};
     } catch (const std::exception& e) {
       return tl::unexpected(HttpServerError{ mOptions.address + ":" +
@@ -312,6 +321,7 @@
 
   void Stop()
   {
+    mWatchTimer = {};
     if (mServer) {
       mServer->close_sync();
     }
@@ -322,13 +332,65 @@
   [[nodiscard]] const ConnectionGate& Gate() const { return *mMetered->gate; }
 
 private:
+  void Open()
+  {
+    mServer = std::make_unique<RestinioServer>(
+      restinio::external_io_context(mExecutor.Context()), Settings());
+    mServer->open_sync();
+  }
+
+  // RESTinio accepts no connection any more after an attempt that failed, as
+  // when the process has no descriptor left. The port is opened again then.
+  void WatchAccepting()
+  {
+    mWatchTimer = mExecutor.RunAfter(kAcceptCheckInterval, [this] {
+      const auto accepted = std::exchange(mAcceptedBefore, mMetered->accepted);
+      const bool stalls =
+        !mServer || (accepted == mMetered->accepted && HasConnectionToAccept());
+      mStalledChecks = stalls ? mStalledChecks + 1 : 0;
+      if (mStalledChecks >= kMaxStalledChecks && CanOpenDescriptor()) {
+        mStalledChecks = 0;
+        Reopen();
+      }
+      WatchAccepting();
+    });
+  }
+
+  [[nodiscard]] bool HasConnectionToAccept() const
+  {
+    pollfd entry{ .fd = mListeningFd, .events = POLLIN, .revents = 0 };
+    return poll(&entry, 1, 0) > 0;
+  }
+
+  static bool CanOpenDescriptor()
+  {
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (fd >= 0) {
+      ::close(fd);
+    }
+    return fd >= 0;
+  }
+
+  // Open connections are kept.
+  void Reopen()
+  {
+    try {
+      mServer.reset();
+      Open();
+    } catch (const std::exception&) {
+      // Tried again at the next check.
+      mServer.reset();
+    }
+  }
+
   restinio::server_settings_t<ServerTraits> Settings()
   {
     restinio::server_settings_t<ServerTraits> settings;
     settings.address(mOptions.address)
-      .port(mOptions.port)
+      .port(mPort != 0 ? mPort : mOptions.port)
       .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& aAcceptor) {
         mPort = aAcceptor.local_endpoint().port();
+        mListeningFd = aAcceptor.native_handle();
       })
       .socket_options_setter([](restinio::socket_options_t& aSocket) {
         aSocket.set_option(asio::ip::tcp::no_delay{ true });
@@ -373,6 +435,12 @@
     std::make_shared<RunningRequestCounter>();
   std::shared_ptr<MeteredServer> mMetered;
   std::unique_ptr<RestinioServer> mServer;
+  int mListeningFd = -1;
+  // The number of accepted connections at the last check, and the number of
+  // checks since the last one that found progress.
+  std::uint64_t mAcceptedBefore = 0;
+  int mStalledChecks = 0;
+  Timer mWatchTimer;
 };
 
 HttpServer::HttpServer(AsioExecutor& aExecutor,
--- a/servers/http/metered_socket.h
+++ b/servers/http/metered_socket.h
@@ -26,6 +26,8 @@
   std::shared_ptr<ConnectionGate> gate;
   Executor* executor = nullptr;
   std::size_t maxBodyBytes = 0;
+  // Connections accepted since the start, also those that were denied.
+  std::uint64_t accepted = 0;
 
   // The memory and the connection of the request that is being handed over to
   // the server's handler.
--- a/tests/process/untrusted_callers_entry_process_test.cpp
+++ b/tests/process/untrusted_callers_entry_process_test.cpp
@@ -257,6 +257,7 @@
 {
   BlockingHttp http;
   TemporaryDirectory directory;
+  std::uint16_t callersPort = FindFreePort();
   std::uint16_t statusPort = FindFreePort();
   std::unique_ptr<ChildProcess> relay;
 
@@ -270,7 +271,7 @@
     std::ostringstream settings;
     settings << "[host]\nid = \"relay-1\"\ndomain = \"a\"\ncallers = "
                 "\"127.0.0.1:"
-             << FindFreePort() << "\"\nstatus = \"127.0.0.1:" << statusPort
+             << callersPort << "\"\nstatus = \"127.0.0.1:" << statusPort
              << "\"\n[peers]\nport = " << FindFreePort()
              << "\nfact_port = " << FindFreePort()
              << "\nseeds = []\n[log_service]\nurl = \"http://127.0.0.1:"
@@ -321,3 +322,19 @@
 {
   Withstands(StatusPort(), kIdleCallers, SendNothingOrHalfAHead);
 }
+
+// RESTinio accepts no connection any more after one that it could not accept.
+TEST(UntrustedCallersStatusProcessTest, AnswersAfterTheLastDescriptorWasTaken)
+{
+  Crowd crowd(callersPort, kIdleCallers, SendNothingOrHalfAHead);
+  http.RunUntil([&] { return crowd.Settled() == kIdleCallers; });
+  // Connects while the process may have no descriptor left.
+  Crowd watchers(statusPort, 1, [](RawCaller& aCaller, int /*aNumber*/) {
+    aCaller.Send("GET /livez HTTP/1.1\r\nHost: h\r\n\r\n");
+  });
+  http.RunUntil([&] { return watchers.Settled() == 1; });
+  http.RunFor(std::chrono::milliseconds(200));
+  watchers.Leave();
+  crowd.Leave();
+  CheckOrdinaryRequest(StatusPort(), "the status port accepts no connection");
+}
