--- a/main/firefly_relay.cpp
+++ b/main/firefly_relay.cpp
@@ -12,7 +12,7 @@
 #include "platform/platform_records.h"
 #include "platform/platform_settings.h"
 #include "platform/platform_store.h"
-#include "servers/http1/process_limits.h"
+#include "servers/http/host_limits.h"
 #include "servers/log/log.h"
 #include "servers/relay/key_hasher.h"
 #include "servers/relay/relay_server.h"
--- a/servers/http1/process_limits.h
+++ b/servers/http/host_limits.h
@@ -1,17 +1,18 @@
 #pragma once
 
-// What the process may use of its machine.
+// The limits of the host and of the process, from which servers derive their
+// own.
 
 #include <cstddef>
 
 namespace firefly {
 
-// The smallest of the machine's memory and the process's limits on its address
-// space and its data.
+// The smallest of the process's limits on address space and data and of the
+// machine's memory, in bytes.
 std::size_t
-AvailableMemoryBytes();
+HostMemoryBytes();
 
-// The limit on the process's open descriptors.
+// The number of descriptors that the process may open.
 std::size_t
 DescriptorLimit();
 
--- a/servers/http/http_server.cpp
+++ b/servers/http/http_server.cpp
@@ -1,50 +1,118 @@
 #include "servers/http/http_server.h"
 
+#include <algorithm>
+#include <deque>
 #include <exception>
 #include <utility>
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <restinio/all.hpp>
 
+#include "servers/http/host_limits.h"
+#include "servers/http/metered_socket.h"
+
+namespace restinio::impl {
+
+// Makes the sockets with what the connections of a server share, which the
+// settings carry in their ip_blocker.
+template<>
+class socket_supplier_t<firefly::MeteredSocket>
+{
+protected:
+  template<typename Settings>
+  socket_supplier_t(Settings& aSettings, asio_ns::io_context& aContext)
+  {
+    for (std::size_t i = 0; i < aSettings.concurrent_accepts_count(); ++i) {
+      mSockets.emplace_back(aContext, aSettings.ip_blocker()->Server());
+    }
+  }
+
+  // NOLINTBEGIN(readability-identifier-naming): the names are RESTinio's.
+  firefly::MeteredSocket& socket(std::size_t aIndex)
+  {
+    return mSockets.at(aIndex);
+  }
+  firefly::MeteredSocket move_socket(std::size_t aIndex)
+  {
+    return std::move(socket(aIndex));
+  }
+  [[nodiscard]] std::size_t concurrent_accept_sockets_count() const noexcept
+  {
+    return mSockets.size();
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+private:
+  std::deque<firefly::MeteredSocket> mSockets;
+};
+
+} // namespace restinio::impl
+
 namespace firefly {
 
 namespace {
 
-// RESTinio closes the connection without a response when a body exceeds its own
-// limit. That limit is therefore this many times the limit above which this
-// server responds with status 413.
-constexpr std::size_t kBodyLimitSlack = 4;
+// The memory of a connection without a request.
+constexpr std::size_t kConnectionBytes = 16U << 10U;
+// Connections may take one part in this many of the host's memory.
+constexpr std::size_t kConnectionShare = 8;
+// Bytes that the kernel receives for a connection that isn't being read. The
+// kernel doubles this number.
+constexpr int kReceiveBufferBytes = 64 << 10;
+// Between two checks whether connections that wait are accepted.
+constexpr Duration kAcceptCheckInterval = std::chrono::seconds(1);
+// A single check may come before the connections that arrived while the process
+// was paused are accepted.
+constexpr int kMaxStalledChecks = 2;
+
+// RESTinio tells it of each new connection.
+class AcceptGate
+{
+public:
+  explicit AcceptGate(std::shared_ptr<MeteredServer> aServer)
+    : mServer(std::move(aServer))
+  {
+  }
+
+  // NOLINTNEXTLINE(readability-identifier-naming): the name is RESTinio's.
+  [[nodiscard]] restinio::ip_blocker::inspection_result_t inspect(
+    const restinio::ip_blocker::incoming_info_t& /*aInfo*/) const noexcept
+  {
+    mServer->accepted++;
+    return mServer->gate->AdmitConnection()
+             ? restinio::ip_blocker::inspection_result_t::allow
+             : restinio::ip_blocker::inspection_result_t::deny;
+  }
 
-struct ServerTraits : public restinio::default_single_thread_traits_t
+  [[nodiscard]] const std::shared_ptr<MeteredServer>& Server() const
+  {
+    return mServer;
+  }
+
+private:
+  std::shared_ptr<MeteredServer> mServer;
+};
+
+// RESTinio's own limiter of connections counts those that an ip_blocker denied
+// as open, and accepts none at its maximum, so it isn't used.
+struct ServerTraits
+  : public restinio::traits_t<restinio::asio_timer_manager_t,
+                              restinio::null_logger_t,
+                              restinio::default_request_handler_t,
+                              restinio::noop_strand_t,
+                              MeteredSocket>
 {
   // NOLINTNEXTLINE(readability-identifier-naming): the name is RESTinio's.
-  static constexpr bool use_connection_count_limiter = true;
+  using ip_blocker_t = AcceptGate;
 };
 
 using RestinioServer = restinio::http_server_t<ServerTraits>;
 using ChunkedResponse =
   restinio::response_builder_t<restinio::chunked_output_t>;
 
-using Endpoint = asio::ip::tcp::endpoint;
-
-// RESTinio has no function to close a single connection. This one searches all
-// descriptors of the process for the socket with that peer address and shuts it
-// down; RESTinio then closes it.
-void
-ShutDownConnectionTo(const Endpoint& aPeer)
-{
-  const int limit = getdtablesize();
-  for (int fd = 0; fd < limit; ++fd) {
-    Endpoint peer;
-    auto size = static_cast<socklen_t>(peer.capacity());
-    if (getpeername(fd, peer.data(), &size) == 0 && peer == aPeer) {
-      ::shutdown(fd, SHUT_RDWR);
-    }
-  }
-}
-
 // The number of requests whose responder still exists.
 struct RunningRequestCounter
 {
@@ -55,10 +123,14 @@
 {
 public:
   RestinioResponder(restinio::request_handle_t aRequest,
-                    std::shared_ptr<RunningRequestCounter> aRunning)
+                    std::shared_ptr<RunningRequestCounter> aRunning,
+                    const MeteredServer& aServer)
     : mRequest(std::move(aRequest))
     , mRunning(std::move(aRunning))
-    , mPeer(mRequest->remote_endpoint())
+    , mReader(aServer.currentReader)
+    , mMemory(aServer.currentMemory
+                ? aServer.currentMemory
+                : std::make_shared<RequestMemory>(aServer.gate, 0))
   {
     ++mRunning->requests;
   }
@@ -89,8 +161,10 @@
     for (const auto& it : aResponse.headers) {
       response.append_header(it.name, it.value);
     }
+    mMemory->Add(aResponse.body.size());
     response.set_body(std::move(aResponse.body));
-    response.done();
+    // The memory is in use until the response is sent.
+    response.done([memory = mMemory](const asio::error_code&) {});
   }
 
   void Begin(int aStatus, HttpHeaders aHeaders) override
@@ -115,15 +189,18 @@
     }
     const auto size = aChunk.size();
     mState->unsent += size;
+    mMemory->Add(size);
     mStream->append_chunk(std::move(aChunk));
-    mStream->flush([state = mState, size, written = std::move(aWritten)](
-                     const asio::error_code& aCode) {
-      state->unsent -= size;
-      state->lost = state->lost || static_cast<bool>(aCode);
-      if (written) {
-        written(!aCode);
-      }
-    });
+    mStream->flush(
+      [state = mState, memory = mMemory, size, written = std::move(aWritten)](
+        const asio::error_code& aCode) {
+        state->unsent -= size;
+        memory->Remove(size);
+        state->lost = state->lost || static_cast<bool>(aCode);
+        if (written) {
+          written(!aCode);
+        }
+      });
   }
 
   void End() override
@@ -141,7 +218,9 @@
   {
     mRequest.reset();
     mStream.reset();
-    ShutDownConnectionTo(mPeer);
+    if (const auto reader = mReader.lock()) {
+      reader->Close();
+    }
   }
 
   [[nodiscard]] std::size_t UnsentBytes() const override
@@ -170,7 +249,8 @@
 
   restinio::request_handle_t mRequest;
   std::shared_ptr<RunningRequestCounter> mRunning;
-  Endpoint mPeer;
+  std::weak_ptr<MeteredReader> mReader;
+  std::shared_ptr<RequestMemory> mMemory;
   std::unique_ptr<ChunkedResponse> mStream;
   std::shared_ptr<State> mState = std::make_shared<State>();
 };
@@ -190,15 +270,24 @@
   return request;
 }
 
-HttpResponse
-BodyTooLargeResponse(std::size_t aLimit)
+std::shared_ptr<MeteredServer>
+MakeMeteredServer(AsioExecutor& aExecutor, HttpServer::Options& aOptions)
 {
-  return { .status = 413,
-           .contentType = "application/problem+json",
-           .headers = {},
-           .body = R"({"type":"about:blank","title":"Body too large",)"
-                   R"("status":413,"execution":"not-run","detail":"at most )" +
-                   std::to_string(aLimit) + R"( bytes are allowed"})" };
+  const auto host = HostMemoryBytes();
+  auto server = std::make_shared<MeteredServer>();
+  server->executor = &aExecutor;
+  server->maxBodyBytes = aOptions.maxBodyBytes;
+  server->gate = std::make_shared<ConnectionGate>(ConnectionGate::Options{
+    .memoryBytes = aOptions.memoryBytes > 0
+                     ? std::min(aOptions.memoryBytes, host)
+                     : host / aOptions.hostShare,
+    .maxConnections = std::max<std::size_t>(
+      1,
+      std::min({ aOptions.maxConnections,
+                 DescriptorLimit() / aOptions.hostShare * 2,
+                 host / kConnectionShare / kConnectionBytes })),
+    .onRefusal = std::move(aOptions.onRefusal) });
+  return server;
 }
 
 } // namespace
@@ -210,15 +299,18 @@
     : mExecutor(aExecutor)
     , mOptions(std::move(aOptions))
     , mHandler(std::move(aHandler))
+    , mMetered(MakeMeteredServer(mExecutor, mOptions))
   {
   }
+  ~Impl() { mMetered->gate->Stop(); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
 
   tl::expected<void, HttpServerError> Start()
   {
     try {
-      mServer = std::make_unique<RestinioServer>(
-        restinio::external_io_context(mExecutor.Context()), Settings());
-      mServer->open_sync();
+      Open();
+      WatchAccepting();
       return {};
     } catch (const std::exception& e) {
       return tl::unexpected(HttpServerError{ mOptions.address + ":" +
@@ -229,6 +321,7 @@
 
   void Stop()
   {
+    mWatchTimer = {};
     if (mServer) {
       mServer->close_sync();
     }
@@ -236,26 +329,82 @@
 
   [[nodiscard]] std::uint16_t Port() const { return mPort; }
   [[nodiscard]] std::size_t Running() const { return mRunning->requests; }
+  [[nodiscard]] const ConnectionGate& Gate() const { return *mMetered->gate; }
 
 private:
+  void Open()
+  {
+    mServer = std::make_unique<RestinioServer>(
+      restinio::external_io_context(mExecutor.Context()), Settings());
+    mServer->open_sync();
+  }
+
+  // RESTinio accepts no connection any more after an attempt that failed, as
+  // when the process has no descriptor left. The port is opened again then.
+  void WatchAccepting()
+  {
+    mWatchTimer = mExecutor.RunAfter(kAcceptCheckInterval, [this] {
+      const auto accepted = std::exchange(mAcceptedBefore, mMetered->accepted);
+      const bool stalls =
+        !mServer || (accepted == mMetered->accepted && HasConnectionToAccept());
+      mStalledChecks = stalls ? mStalledChecks + 1 : 0;
+      if (mStalledChecks >= kMaxStalledChecks && CanOpenDescriptor()) {
+        mStalledChecks = 0;
+        Reopen();
+      }
+      WatchAccepting();
+    });
+  }
+
+  [[nodiscard]] bool HasConnectionToAccept() const
+  {
+    pollfd entry{ .fd = mListeningFd, .events = POLLIN, .revents = 0 };
+    return poll(&entry, 1, 0) > 0;
+  }
+
+  static bool CanOpenDescriptor()
+  {
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (fd >= 0) {
+      ::close(fd);
+    }
+    return fd >= 0;
+  }
+
+  // Open connections are kept.
+  void Reopen()
+  {
+    try {
+      mServer.reset();
+      Open();
+    } catch (const std::exception&) {
+      // Tried again at the next check.
+      mServer.reset();
+    }
+  }
+
   restinio::server_settings_t<ServerTraits> Settings()
   {
     restinio::server_settings_t<ServerTraits> settings;
     settings.address(mOptions.address)
-      .port(mOptions.port)
+      .port(mPort != 0 ? mPort : mOptions.port)
       .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& aAcceptor) {
         mPort = aAcceptor.local_endpoint().port();
+        mListeningFd = aAcceptor.native_handle();
       })
       .socket_options_setter([](restinio::socket_options_t& aSocket) {
         aSocket.set_option(asio::ip::tcp::no_delay{ true });
       })
       .acceptor_options_setter([](restinio::acceptor_options_t& aAcceptor) {
         aAcceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+        // Connections inherit the size.
+        aAcceptor.set_option(
+          asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
       })
       .incoming_http_msg_limits(
         restinio::incoming_http_msg_limits_t{}.max_body_size(
-          mOptions.maxBodyBytes * kBodyLimitSlack))
-      .max_parallel_connections(mOptions.maxConnections)
+          mOptions.maxBodyBytes))
+      .ip_blocker(std::make_shared<AcceptGate>(mMetered))
       .max_pipelined_requests(1)
       .separate_accept_and_create_connect(false)
       .concurrent_accepts_count(1)
@@ -272,13 +421,9 @@
     restinio::request_handle_t aRequest)
   {
     auto request = ToRequest(aRequest);
-    auto responder =
-      std::make_shared<RestinioResponder>(std::move(aRequest), mRunning);
-    if (request.body.size() > mOptions.maxBodyBytes) {
-      responder->Send(BodyTooLargeResponse(mOptions.maxBodyBytes));
-    } else {
-      mHandler(std::move(request), std::move(responder));
-    }
+    mHandler(std::move(request),
+             std::make_shared<RestinioResponder>(
+               std::move(aRequest), mRunning, *mMetered));
     return restinio::request_accepted();
   }
 
@@ -288,7 +433,14 @@
   std::uint16_t mPort = 0;
   std::shared_ptr<RunningRequestCounter> mRunning =
     std::make_shared<RunningRequestCounter>();
+  std::shared_ptr<MeteredServer> mMetered;
   std::unique_ptr<RestinioServer> mServer;
+  int mListeningFd = -1;
+  // The number of accepted connections at the last check, and the number of
+  // checks since the last one that found progress.
+  std::uint64_t mAcceptedBefore = 0;
+  int mStalledChecks = 0;
+  Timer mWatchTimer;
 };
 
 HttpServer::HttpServer(AsioExecutor& aExecutor,
@@ -320,6 +472,12 @@
   return mImpl->Running();
 }
 
+const ConnectionGate&
+HttpServer::Gate() const
+{
+  return mImpl->Gate();
+}
+
 void
 HttpServer::Stop()
 {
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "servers/http1/process_limits.h"
+#include "servers/http/host_limits.h"
 #include "servers/settings/section_reader.h"
 
 namespace firefly {
@@ -139,7 +139,7 @@
 {
   aSettings.maxConnections = static_cast<std::size_t>(
     aReader.Integer("max_connections", kCounts, kMaxConnections));
-  aSettings.memoryBytes = AvailableMemoryBytes();
+  aSettings.memoryBytes = HostMemoryBytes();
   if (aReader.Has("memory_mb")) {
     const auto megabytes =
       static_cast<std::size_t>(aReader.Integer("memory_mb", kMegabytes));
--- a/servers/status/status_server.cpp
+++ b/servers/status/status_server.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Requests of the status port take less of the host than those of callers.
+constexpr std::size_t kHostShare = 8;
+
 HttpResponse
 MakeText(int aStatus, std::string aText)
 {
@@ -36,15 +39,21 @@
 
 StatusServer::StatusServer(AsioExecutor& aExecutor,
                            Options aOptions,
-                           const MetricRegistry& aMetrics)
+                           MetricRegistry& aMetrics)
   : mOptions(std::move(aOptions))
   , mMetrics(aMetrics)
+  , mReport("status", aMetrics, aExecutor)
   , mServer(aExecutor,
-            { .address = mOptions.address, .port = mOptions.port },
+            { .address = mOptions.address,
+              .port = mOptions.port,
+              .hostShare = kHostShare,
+              .onRefusal =
+                [this](RefusalCause aCause) { mReport.OnRefusal(aCause); } },
             [this](HttpRequest aRequest, HttpResponderPtr aResponder) {
               Handle(std::move(aRequest), std::move(aResponder));
             })
 {
+  mReport.Watch(mServer);
 }
 
 void
