Serve a body of the largest size in small chunks also with a small budget

On a host of 120 MB the status port refused a single body of 4 MB with 413 if it came in chunks of up to 256 bytes: the 48 bytes counted for each chunk exceeded the most that one request may take, since the status port's budget (15 MB) is below four times the body. That maximum now includes the chunks of a body of the largest size in chunks of 16 bytes on average.

--- a/servers/http/metered_socket.cpp
+++ b/servers/http/metered_socket.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t kCopiesOfABody = 4;
 // RESTinio keeps 16 bytes for each chunk in a vector that doubles as it grows.
 constexpr std::size_t kBytesPerChunk = 48;
+// A body of the largest size is served in chunks of this mean size whatever the
+// budget. Smaller chunks take more memory than the body itself.
+constexpr std::size_t kSmallestMeanChunk = 16;
 // The part of a head that the constant cost of a connection covers.
 constexpr std::size_t kFreeHeadBytes = 4U << 10U;
 constexpr std::size_t kCopiesOfAHead = 2;
@@ -153,6 +156,7 @@
 {
   return std::max(gate->Limits().memoryBytes,
                   BodyCost(maxBodyBytes) +
+                    maxBodyBytes / kSmallestMeanChunk * kBytesPerChunk +
                     HTTP_MAX_HEADER_SIZE * kCopiesOfAHead);
 }
 
--- a/tests/process/untrusted_callers_entry_process_test.cpp
+++ b/tests/process/untrusted_callers_entry_process_test.cpp
@@ -9,11 +9,14 @@
 #include <sstream>
 #include <string>
 
+#include "servers/http1/message_writer.h"
 #include "tests/helpers/raw_callers.h"
+#include "tests/helpers/raw_tcp_client.h"
 #include "tests/process/deployment.h"
 
 #include <CppUTest/TestHarness.h>
 
+using firefly::ComposeChunk;
 using firefly::testing::BlockingHttp;
 using firefly::testing::ChildProcess;
 using firefly::testing::CompletionBody;
@@ -22,6 +25,7 @@
 using firefly::testing::FindFreePort;
 using firefly::testing::LoopbackUrl;
 using firefly::testing::RawCaller;
+using firefly::testing::RawTcpClient;
 using firefly::testing::SendChunks;
 using firefly::testing::SendPieces;
 using firefly::testing::TemporaryDirectory;
@@ -159,6 +163,26 @@
   }
 }
 
+// Whether a complete body of the largest size, in very small chunks, gets a
+// response with that status.
+bool
+AnswersBodyInVerySmallChunks(const Target& aTarget, const std::string& aStatus)
+{
+  constexpr std::size_t kChunk = 16;
+  auto body = CompletionBody("p", 2, false);
+  body.resize(kMaxBodyBytes, ' ');
+  std::string chunks;
+  for (std::size_t i = 0; i < body.size(); i += kChunk) {
+    chunks += ComposeChunk(body.substr(i, kChunk));
+  }
+  RawTcpClient client(aTarget.http->Executor(), aTarget.port);
+  client.Send(MakeChunkedHead() + chunks + "0\r\n\r\n");
+  aTarget.http->RunUntil(
+    [&] { return client.HasReceived("\r\n\r\n") || client.IsClosed(); });
+  CheckProcess(aTarget);
+  return client.Received().starts_with("HTTP/1.1 " + aStatus);
+}
+
 // More connections than the process has descriptors, most without a request.
 void
 SendNothingOrHalfAHead(RawCaller& aCaller, int aNumber)
@@ -212,6 +236,12 @@
   CheckProcess(Entry());
 }
 
+// The list of its chunks must not count as a body over the limit.
+TEST(UntrustedCallersEntryProcessTest, ServesASingleBodyInVerySmallChunks)
+{
+  CHECK_TRUE(AnswersBodyInVerySmallChunks(Entry(), "200"));
+}
+
 TEST(UntrustedCallersEntryProcessTest, AnnouncedBodiesThatStopShortOfTheirEnd)
 {
   Withstands(Entry(), kCallers, AnnounceAndStopShort);
@@ -298,6 +328,12 @@
   }
 };
 
+// It is read whole, although the path is unknown.
+TEST(UntrustedCallersStatusProcessTest, AnswersASingleBodyInVerySmallChunks)
+{
+  CHECK_TRUE(AnswersBodyInVerySmallChunks(StatusPort(), "404"));
+}
+
 TEST(UntrustedCallersStatusProcessTest, AnnouncedBodiesThatStopShortOfTheirEnd)
 {
   Withstands(StatusPort(), kCallers, AnnounceAndStopShort);
