Read the last chunk of an empty chunked body in any pieces

One caller could end a relay with two writes: an empty chunked body whose last chunk "0\r\n" and the "\r" after it arrive in two reads fails an assertion of Boost.Beast 1.74 (n >= 5), which assumes a chunk before the last one. The relay ended with SIGABRT.

The reader keeps the first bytes of a chunked body until there are five, the length of an empty one, before it parses them.

Found by the fuzzer of the reader.

--- a/servers/http1/message_reader.cpp
+++ b/servers/http1/message_reader.cpp
@@ -22,6 +22,10 @@
 namespace http = boost::beast::http;
 
 constexpr std::string_view kEndOfHead = "\r\n\r\n";
+// An empty chunked body. The parser may not see less of it at first: an
+// assertion of Boost.Beast 1.74 ends the process if the last chunk arrives
+// without a chunk before it and with fewer bytes.
+constexpr std::size_t kMinChunkedBytes = 5;
 constexpr int kContinue = 100;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kSwitchingProtocols = 101;
@@ -87,6 +91,8 @@
   MessageHead head;
   std::string body;
   bool hasHead = false;
+  // Some of the body was parsed.
+  bool hasChunk = false;
   bool isDone = false;
 };
 
@@ -304,7 +310,12 @@
 tl::expected<void, MessageFault>
 MessageReader::ParseBody(std::string_view& aBytes)
 {
+  const bool isChunked =
+    !mParser->head.bodyBytes && !mParser->head.endsWithConnection;
   while (!mParser->isDone && !aBytes.empty()) {
+    if (isChunked && !mParser->hasChunk && aBytes.size() < kMinChunkedBytes) {
+      break;
+    }
     const auto used = mParser->Put(aBytes);
     if (!used) {
       return tl::make_unexpected(used.error());
@@ -312,6 +323,7 @@
     if (*used == 0) {
       break;
     }
+    mParser->hasChunk = true;
     aBytes.remove_prefix(*used);
   }
   // The parser waits for the end of a chunk's header or of the trailers.
