Reject a head whose start line ends within its version

"GET / H\r\n\r\n" got no answer and no fault, and what followed was read as the next request: the parser waited for the rest of the version, and the reader dropped the head. A complete head that the parser doesn't accept is malformed now (400, connection closed).

Found by the fuzzer of the reader.

--- a/servers/http1/message_reader.cpp
+++ b/servers/http1/message_reader.cpp
@@ -290,6 +290,10 @@
   if (!used) {
     return tl::make_unexpected(used.error());
   }
+  if (!mParser->hasHead) {
+    // The parser waits for more of a start line that has ended.
+    return tl::make_unexpected(MessageFault::kMalformed);
+  }
   aBytes.remove_prefix(size);
   mHeadBytes = size;
   const auto status = mParser->head.status;
