Keep trailers out of the headers of a message

The trailers of a chunked body were appended to the headers of the head, which had been judged before: a caller could add headers that the framing rules never saw, and they were forwarded. Trailers are dropped now, as before a proxy may (RFC 9110, section 6.5.1).

Found by the fuzzer of the reader.

--- a/servers/http1/message_reader.cpp
+++ b/servers/http1/message_reader.cpp
@@ -166,7 +166,10 @@
                      beast::string_view aValue,
                      beast::error_code& /*aCode*/) override
   {
-    head.headers.push_back({ std::string(aName), std::string(aValue) });
+    // Trailers are no headers: what they say was not judged with the head.
+    if (!hasHead) {
+      head.headers.push_back({ std::string(aName), std::string(aValue) });
+    }
   }
 
   void on_header_impl(beast::error_code& aCode) override
