Reject a chunk header that ends within a quoted extension

'9;a="q\r\n' waited for more bytes when it was read whole and was answered "body too large" when it was read in pieces: the parser needs the end of the quote, and each attempt counts the chunk's size against the body limit again. A caller could hold a connection with it until the idle time-out. A chunk header whose line is complete and that the parser can't read is malformed now (400).

The wait for the five bytes of an empty chunked body is limited to bodies that begin with a zero: other short first chunks are read as they arrive.

Found by the fuzzer of the reader.

--- a/servers/http1/message_reader.cpp
+++ b/servers/http1/message_reader.cpp
@@ -1,6 +1,7 @@
 #include "servers/http1/message_reader.h"
 
 #include <algorithm>
+#include <cctype>
 #include <limits>
 #include <utility>
 
@@ -77,6 +78,22 @@
   return !aIsRequest || CountHeaders(aHead.headers, "Host") == 1;
 }
 
+// Whether the bytes begin with the whole header line of a chunk that is not the
+// last one, which also waits for the trailers. The line end of the chunk before
+// it may come first.
+bool
+HasCompleteChunkHeader(std::string_view aBytes)
+{
+  constexpr std::string_view kLineEnd = "\r\n";
+  if (aBytes.starts_with(kLineEnd)) {
+    aBytes.remove_prefix(kLineEnd.size());
+  }
+  const auto line = aBytes.substr(0, aBytes.find(kLineEnd));
+  const auto digit = line.find_first_not_of('0');
+  return line.size() < aBytes.size() && digit != std::string_view::npos &&
+         std::isxdigit(static_cast<unsigned char>(line[digit])) != 0;
+}
+
 } // namespace
 
 class MessageReader::Parser
@@ -320,18 +337,24 @@
   const bool isChunked =
     !mParser->head.bodyBytes && !mParser->head.endsWithConnection;
   while (!mParser->isDone && !aBytes.empty()) {
-    if (isChunked && !mParser->hasChunk && aBytes.size() < kMinChunkedBytes) {
+    if (isChunked && !mParser->hasChunk && aBytes.front() == '0' &&
+        aBytes.size() < kMinChunkedBytes) {
       break;
     }
     const auto used = mParser->Put(aBytes);
     if (!used) {
       return tl::make_unexpected(used.error());
     }
+    aBytes.remove_prefix(*used);
+    // The parser stops before a whole chunk header only if it can't read it.
+    // Trying again would count the chunk against the body limit once more.
+    if (isChunked && !mParser->isDone && HasCompleteChunkHeader(aBytes)) {
+      return tl::make_unexpected(MessageFault::kMalformed);
+    }
     if (*used == 0) {
       break;
     }
     mParser->hasChunk = true;
-    aBytes.remove_prefix(*used);
   }
   // The parser waits for the end of a chunk's header or of the trailers.
   if (!mParser->isDone && aBytes.size() > mOptions.maxHeadBytes) {
