Record the instant to which a feed is confirmed

Nothing told how old the routing table is: CurrentAt() counts from the receipt of a peer's progress or of an answer, so that a relay that was stopped took an old table for a current one.

KeyedFeed::ConfirmedAt() is the latest instant at which the process had all records. An own read confirms the instant before it was sent, a peer's contiguous progress the instant that its receiver derives (FeedProgress::readAt; an instant and not an age, because an age becomes wrong while the process holds it). Answers that hold not all records (KeyedBatch::end is new), that end before the known records, SkipTo() and progress before the load confirm nothing.

With Options::confirmWithin, which is off by default, a peer's progress no longer postpones the own read while the confirmation is old, and a read waits for at most a quarter of it; otherwise a relay that progress reaches too late, or that has no peers and long polls of 20 s, would never be confirmed.

--- a/coord/keyed_feed.cpp
+++ b/coord/keyed_feed.cpp
@@ -53,8 +53,11 @@
 void
 KeyedFeed::Load()
 {
+  mReadAt = mExecutor.Now();
   if (mFirstPage) {
     mPageKeys.clear();
+    mKnownEndAtRead = mKnownEnd;
+    mLoadAt = mReadAt;
   }
   mIsFollowing = false;
   mIsReading = true;
@@ -67,7 +70,6 @@
         OnPage(std::move(aPage));
       }
     });
-  mReadAt = mExecutor.Now();
   WatchAnswer();
 }
 
@@ -84,8 +86,12 @@
   if (mFirstPage) {
     // Start from the end at the first page, so that records that are appended
     // while the pages are read are not missed. Some are read twice.
-    mNext = aPage->end;
+    SetNext(aPage->end);
     mFirstPage = false;
+    if (aPage->end < mKnownEndAtRead) {
+      // The log was rewound, or a replica answered that lags.
+      mLoadAt.reset();
+    }
   }
   for (const auto& it : aPage->records) {
     mPageKeys.push_back(it.key);
@@ -105,10 +111,14 @@
   });
   const bool wasLost = mIsLost;
   MarkCurrent();
+  // Records that were appended after the first page was requested may be
+  // missing.
+  Confirm(mLoadAt);
   mObserver.OnSnapshot(mPageKeys);
   if (wasLost) {
     // Tells other processes that the log answers again.
-    mObserver.OnProgress({ .from = mNext, .next = mNext, .newRecords = {} });
+    mObserver.OnProgress(
+      { .from = mNext, .next = mNext, .newRecords = {}, .readAt = mLoadAt });
   }
   Schedule(NextPause(), &KeyedFeed::Follow);
 }
@@ -120,7 +130,12 @@
   // records. With shared reads, a delayed answer would also delay the progress
   // that other processes wait for, and they would read meanwhile.
   const bool atOnce = mIsLost || IsShared();
-  Read(atOnce ? Duration::zero() : mOptions.wait);
+  // A read confirms the instant at which it was sent, so that a delayed answer
+  // confirms an instant that is as long ago as the delay.
+  const auto wait = mOptions.confirmWithin > Duration::zero()
+                      ? std::min(mOptions.wait, mOptions.confirmWithin / 4)
+                      : mOptions.wait;
+  Read(atOnce ? Duration::zero() : wait);
 }
 
 void
@@ -129,6 +144,8 @@
   mIsFollowing = true;
   mIsReading = true;
   mIsReadDue = false;
+  mReadAt = mExecutor.Now();
+  mKnownEndAtRead = mKnownEnd;
   mLog.ReadFrom(
     mOptions.stream,
     mNext,
@@ -138,7 +155,6 @@
         OnBatch(std::move(aBatch));
       }
     });
-  mReadAt = mExecutor.Now();
   if (aWait == Duration::zero()) {
     WatchAnswer();
   }
@@ -189,12 +205,23 @@
   FeedProgress progress{ .from = mNext,
                          .next = aBatch->next,
                          .newRecords = {} };
+  // An answer that does not hold all records confirms nothing, nor does one
+  // that ends before the records that were known when the read was sent: the
+  // log was rewound, or a replica answered that lags.
+  if (aBatch->next >= aBatch->end && aBatch->end >= mKnownEndAtRead) {
+    progress.readAt = mReadAt;
+  }
   for (const auto& it : aBatch->records) {
-    if (DeliverIfNewer(it)) {
+    // A record that was appended while the newest records of all keys were
+    // read, or a newer one of its key, is known here, but not to processes that
+    // have read up to mNext.
+    const bool isKnownAhead = it.offset >= mNext && IsDelivered(it);
+    if (DeliverIfNewer(it) || isKnownAhead) {
       progress.newRecords.push_back(it);
     }
   }
-  mNext = std::max(mNext, aBatch->next);
+  SetNext(std::max(mNext, aBatch->next));
+  Confirm(progress.readAt);
   mObserver.OnProgress(progress);
   Schedule(NextPause(), &KeyedFeed::Follow);
 }
@@ -221,13 +248,43 @@
       DeliverIfNewer(it);
     }
   }
-  mNext = aProgress.next;
+  SetNext(aProgress.next);
   MarkCurrent();
-  if (!mIsReading) {
+  // After an answer of a log that was rewound, or of a replica that lags, mNext
+  // may be before records that were known already.
+  if (aProgress.next >= mKnownEnd) {
+    Confirm(aProgress.readAt);
+  }
+  if (IsConfirmationOld()) {
+    ReadSoon(mOptions.pause);
+  } else if (!mIsReading) {
     Schedule(NextPause(), &KeyedFeed::Follow);
   }
 }
 
+void
+KeyedFeed::SetNext(LogOffset aNext)
+{
+  mNext = aNext;
+  mKnownEnd = std::max(mKnownEnd, aNext);
+}
+
+void
+KeyedFeed::Confirm(std::optional<Instant> aInstant)
+{
+  if (aInstant) {
+    mConfirmedAt = std::max(mConfirmedAt.value_or(*aInstant), *aInstant);
+  }
+}
+
+bool
+KeyedFeed::IsConfirmationOld() const
+{
+  return mOptions.confirmWithin > Duration::zero() &&
+         (!mConfirmedAt ||
+          mExecutor.Now() - *mConfirmedAt > mOptions.confirmWithin);
+}
+
 void
 KeyedFeed::ReadSoon(Duration aWithin)
 {
@@ -284,6 +341,13 @@
   return mOwnBackoff + FromSeconds(spread * part);
 }
 
+bool
+KeyedFeed::IsDelivered(const KeyedRecord& aRecord) const
+{
+  const auto it = mNewestOffsets.find(aRecord.key);
+  return it != mNewestOffsets.end() && it->second >= aRecord.offset;
+}
+
 bool
 KeyedFeed::DeliverIfNewer(const KeyedRecord& aRecord)
 {
--- a/coord/keyed_feed.h
+++ b/coord/keyed_feed.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,6 +24,12 @@
   LogOffset next;
   // The records of the read that changed what the observer knows.
   std::vector<KeyedRecord> newRecords;
+  // An instant of this process's clock that is not after the sending of the
+  // read, if the read covers all records that the log had then. For the read of
+  // another process, the receiver of its message derives it from the age that
+  // the message states. An instant is kept here instead of the age, because an
+  // age becomes wrong while the process holds the message or is stopped.
+  std::optional<Instant> readAt{};
 };
 
 // Receives the stream's records, in order of offsets for each key.
@@ -32,7 +39,9 @@
   virtual ~KeyedFeedObserver() = default;
 
   // Called for each record that is newer than the last one of its key. Returns
-  // whether it changed what the observer knows.
+  // whether it changed what the observer knows. A record whose content it knows
+  // from another source than the feed counts as a change, because processes
+  // that receive the progress may not know it.
   virtual bool OnRecord(const KeyedRecord& aRecord) = 0;
   // Called after each successful read of further records by this process, also
   // if it found none, and when the log answers again. The progress can be
@@ -74,6 +83,12 @@
     // the initial delay is the pause.
     Duration firstRetry = std::chrono::milliseconds(100);
     Duration longestRetry = std::chrono::milliseconds(800);
+    // While the confirmation is older than this, another process's progress
+    // does not postpone this process's next read; 0 means that it always does.
+    // Otherwise a process that others' progress reaches too late to confirm
+    // anything would never read by itself. A read waits at most for a quarter
+    // of this.
+    Duration confirmWithin{};
     std::uint64_t seed = 1; // of the retries' jitter
   };
 
@@ -104,7 +119,7 @@
   // Takes over the progress of another process's read. Ignores it while the
   // newest records of all keys are being read, or if it is older than this
   // process's own progress. If it leaves a gap, the feed reads the log soon
-  // instead.
+  // instead. If it is applied, it confirms its readAt.
   void ApplyPeerProgress(const FeedProgress& aProgress);
 
   // Called when a read of the peer has failed or is overdue. Postpones this
@@ -117,7 +132,8 @@
 
   // Skips the records before the offset, because their content is known from
   // another source. Ignored while the newest records of all keys are being
-  // read.
+  // read. Confirms nothing, since it is not known when that source read the
+  // log.
   void SkipTo(LogOffset aNext);
 
   // Whether all keys have been read at least once.
@@ -131,18 +147,32 @@
   // or another process's progress; the epoch if never.
   [[nodiscard]] Instant CurrentAt() const { return mCurrentAt; }
 
+  // The latest instant at which this process is known to have had all records
+  // that the log had acknowledged. It never decreases. Empty until all keys
+  // have been read once.
+  [[nodiscard]] std::optional<Instant> ConfirmedAt() const
+  {
+    return mConfirmedAt;
+  }
+
 private:
   void Load();
   void OnPage(tl::expected<NewestPage, LogError> aPage);
   void Follow();
   void Read(Duration aWait);
   void OnBatch(tl::expected<KeyedBatch, LogError> aBatch);
+  // Whether the record or a newer one of its key was delivered.
+  [[nodiscard]] bool IsDelivered(const KeyedRecord& aRecord) const;
   bool DeliverIfNewer(const KeyedRecord& aRecord);
   [[nodiscard]] bool IsShared() const;
   [[nodiscard]] Duration NextPause();
   // The random part of a pause between shared reads.
   [[nodiscard]] Duration SpreadPause();
   void MarkCurrent();
+  void Confirm(std::optional<Instant> aInstant);
+  [[nodiscard]] bool IsConfirmationOld() const;
+  // Sets the offset up to which the stream is known.
+  void SetNext(LogOffset aNext);
   void HandleFailure(const LogError& aError);
   void WatchAnswer();
   // Schedules a read within that time that failures of peers do not postpone.
@@ -158,6 +188,14 @@
   std::map<std::string, LogOffset> mNewestOffsets;
   std::vector<std::string> mPageKeys;
   LogOffset mNext;
+  // The largest value of mNext so far.
+  LogOffset mKnownEnd;
+  // The value of mKnownEnd when the current read, or the first page of the
+  // newest records, was requested.
+  LogOffset mKnownEndAtRead;
+  // When the first page of the newest records was requested, if the log's
+  // answer did not end before the records known then.
+  std::optional<Instant> mLoadAt;
   bool mFirstPage = true;
   bool mIsLoaded = false;
   bool mIsFollowing = false;
@@ -175,8 +213,9 @@
   Duration mOwnBackoff{};
   // Peers whose reads have failed since the last progress.
   std::set<std::string> mFailingPeers;
-  // When this process last began to read.
+  // When this process last began to read, taken before the call.
   Instant mReadAt{};
+  std::optional<Instant> mConfirmedAt;
   // The number of the newest call. Answers to older calls are dropped.
   std::uint64_t mCallNumber = 0;
   Timer mTimer;
--- a/coord/keyed_log.h
+++ b/coord/keyed_log.h
@@ -29,6 +29,9 @@
   std::vector<KeyedRecord> records;
   // The offset to read on from.
   LogOffset next;
+  // The stream's end when the records were read. It is after `next` if the
+  // answer does not hold all of them.
+  LogOffset end;
 };
 
 // A page of the newest records of all keys, sorted by key. Consecutive pages do
--- a/tests/coord/keyed_feed_test.cpp
+++ b/tests/coord/keyed_feed_test.cpp
@@ -86,23 +86,28 @@
     if (ignoresWaitingReads && aWait > Duration::zero()) {
       return;
     }
-    RunAfterDelay([this, aFrom, aCallback] {
-      if (isUnavailable) {
-        aCallback(
-          tl::make_unexpected(LogError{ LogErrorKind::kUnavailable, "" }));
-        return;
-      }
-      if (aFrom.Value() < first) {
-        aCallback(tl::make_unexpected(LogError{ LogErrorKind::kTrimmed, "" }));
-        return;
-      }
-      KeyedBatch batch;
-      for (auto i = aFrom.Value(); i < records.size(); ++i) {
-        batch.records.push_back(records[i]);
-      }
-      batch.next = LogOffset(records.size());
-      aCallback(batch);
-    });
+    RunAfterDelay(
+      [this, aFrom, aCallback] {
+        if (isUnavailable) {
+          aCallback(
+            tl::make_unexpected(LogError{ LogErrorKind::kUnavailable, "" }));
+          return;
+        }
+        if (aFrom.Value() < first) {
+          aCallback(
+            tl::make_unexpected(LogError{ LogErrorKind::kTrimmed, "" }));
+          return;
+        }
+        KeyedBatch batch;
+        for (auto i = aFrom.Value(); i < records.size(); ++i) {
+          batch.records.push_back(records[i]);
+        }
+        batch.end = LogOffset(records.size());
+        // A rewound log has no records after the offset.
+        batch.next = std::max(aFrom, batch.end);
+        aCallback(batch);
+      },
+      aWait);
   }
 
   std::deque<KeyedRecord> records;
@@ -110,13 +115,17 @@
   bool isUnavailable = false;
   // Whether reads that wait for new records get no answer.
   bool ignoresWaitingReads = false;
+  // Whether answers to reads that wait for new records are delayed.
+  bool delaysForWait = false;
   Duration answerTime = kAnswerTime;
   int calls = 0;
 
 private:
-  void RunAfterDelay(std::function<void()> aStep)
+  void RunAfterDelay(std::function<void()> aStep, Duration aWait = {})
   {
-    mTimers.push_back(mExecutor.RunAfter(answerTime, std::move(aStep)));
+    mTimers.push_back(mExecutor.RunAfter(
+      answerTime + (delaysForWait ? aWait : Duration::zero()),
+      std::move(aStep)));
   }
 
   VirtualExecutor& mExecutor;
@@ -641,3 +650,149 @@
   LONGS_EQUAL(0, observer.values.count("a"));
   LONGS_EQUAL(1, observer.values.count("b"));
 }
+
+// A read says what the log had when it was sent, however late its answer is.
+TEST(KeyedFeedTest, AReadConfirmsTheInstantAtWhichItWasSent)
+{
+  log.Put("a", "1");
+  CHECK_FALSE(feed.ConfirmedAt().has_value());
+  const auto loadedAt = executor.Now();
+  feed.Start();
+  CHECK_FALSE(feed.ConfirmedAt().has_value());
+  executor.RunFor(kAnswerTime);
+  CHECK(feed.ConfirmedAt() == loadedAt);
+  log.answerTime = 3s;
+  executor.RunFor(100ms);
+  const auto sentAt = executor.Now();
+  executor.RunFor(3s);
+  CHECK(feed.ConfirmedAt() == sentAt);
+}
+
+TEST(KeyedFeedTest, OnlyContiguousProgressOfAPeerConfirms)
+{
+  const auto offer = [this](int aFrom, int aNext, firefly::Instant aReadAt) {
+    feed.ApplyPeerProgress({ .from = LogOffset(aFrom),
+                             .next = LogOffset(aNext),
+                             .newRecords = {},
+                             .readAt = aReadAt });
+    return feed.ConfirmedAt();
+  };
+  log.Put("a", "1");
+  log.Put("a", "2");
+  // Before the load, it is not known what the earlier records are.
+  CHECK_FALSE(offer(0, 2, executor.Now()).has_value());
+  feed.Start();
+  executor.RunFor(50ms);
+  const auto loaded = feed.ConfirmedAt();
+  const auto later = *loaded + 40ms;
+  CHECK(offer(3, 4, later) == loaded); // leaves a gap
+  CHECK(offer(0, 1, later) == loaded); // ends before the known records
+  feed.SkipTo(LogOffset(3));           // a table that was fetched from a peer
+  CHECK(feed.ConfirmedAt() == loaded);
+  CHECK(offer(2, 4, later) == later);
+  CHECK(offer(4, 5, later - 30ms) == later); // never decreases
+}
+
+// A log that was rewound answers, but what it says is not the newest state.
+TEST(KeyedFeedTest, AnAnswerThatEndsBeforeTheKnownRecordsConfirmsNothing)
+{
+  log.Put("a", "1");
+  log.Put("a", "2");
+  log.Put("a", "3");
+  feed.Start();
+  executor.RunFor(1s);
+  log.records.pop_back();
+  executor.RunFor(200ms);
+  const auto before = feed.ConfirmedAt();
+  executor.RunFor(5s);
+  CHECK(feed.ConfirmedAt() == before);
+  log.first = 4; // the next read starts anew, with the newest records
+  feed.Refresh();
+  executor.RunFor(50ms);
+  LONGS_EQUAL(2, observer.snapshotCount);
+  CHECK(feed.ConfirmedAt() == before);
+  log.first = 0;
+  feed.ApplyPeerProgress({ .from = LogOffset(2),
+                           .next = LogOffset(2),
+                           .newRecords = {},
+                           .readAt = executor.Now() });
+  CHECK(feed.ConfirmedAt() == before);
+  log.Put("a", "3");
+  executor.RunFor(1s);
+  CHECK(feed.ConfirmedAt() > before);
+}
+
+// A record that is appended between two pages of the newest records is known
+// with the second one. The next read must share it, also if a newer record of
+// its key was known already: other processes move past it with the progress.
+TEST(KeyedFeedTest, SharesRecordsThatWereAppendedWhileItLoaded)
+{
+  for (const auto* key : { "a", "b", "c" }) {
+    log.Put(key, "1");
+  }
+  std::vector<KeyedRecord> shared;
+  observer.onProgress = [&](const FeedProgress& aProgress) {
+    shared.insert(
+      shared.end(), aProgress.newRecords.begin(), aProgress.newRecords.end());
+  };
+  feed.Start();
+  executor.RunFor(kAnswerTime); // the first page, with "a" and "b"
+  log.Put("c", "2");
+  log.Put("c", "3");
+  executor.RunFor(1s);
+  STRCMP_EQUAL("3", observer.values["c"].c_str());
+  LONGS_EQUAL(2, shared.size());
+  LONGS_EQUAL(3, shared[0].offset.Value());
+  LONGS_EQUAL(4, shared[1].offset.Value());
+}
+
+namespace {
+
+// The age of the confirmation of a process that hears peers whose progress
+// confirms nothing, or that has no peers while the log delays its answers.
+Duration
+OldestConfirmation(Duration aConfirmWithin, bool aHasPeers)
+{
+  VirtualExecutor clock;
+  FakeKeyedLog store(clock);
+  RecordingObserver observer;
+  store.Put("a", "1");
+  KeyedFeed feed({ .stream = StreamName("s"),
+                   .pause = 700ms,
+                   .maxSharedPause = 1100ms,
+                   .wait = 20s,
+                   .confirmWithin = aConfirmWithin },
+                 clock,
+                 store,
+                 observer);
+  feed.SetPeerCount(aHasPeers ? 5 : 0);
+  feed.Start();
+  store.delaysForWait = true;
+  Duration oldest{};
+  for (int i = 0; i < 600; ++i) {
+    clock.RunFor(50ms);
+    if (aHasPeers) {
+      feed.ApplyPeerProgress(
+        { .from = LogOffset(1), .next = LogOffset(1), .newRecords = {} });
+    }
+    oldest = std::max(oldest, clock.Now() - *feed.ConfirmedAt());
+  }
+  return oldest;
+}
+
+} // namespace
+
+// Peers' progress that arrives too late to confirm anything must not keep a
+// process from reading, which would reject all authenticated requests.
+TEST(KeyedFeedTest, UnconfirmingProgressDoesNotPostponeReadsForever)
+{
+  CHECK_TRUE(OldestConfirmation(3s, true) < 4s);
+  CHECK_TRUE(OldestConfirmation(0s, true) > 20s);
+}
+
+// A read that the log delays for 20 s confirms an instant 20 s ago.
+TEST(KeyedFeedTest, AReaderWithoutPeersLetsTheLogDelayItsAnswersOnlyBriefly)
+{
+  CHECK_TRUE(OldestConfirmation(3s, false) < 3s);
+  CHECK_TRUE(OldestConfirmation(0s, false) > 20s);
+}
--- a/tests/servers/relay/relay_server_test.cpp
+++ b/tests/servers/relay/relay_server_test.cpp
@@ -82,13 +82,14 @@
           LogError{ LogErrorKind::kUnavailable, "refused" }));
         return;
       }
-      KeyedBatch batch{ .records = {}, .next = aFrom };
+      KeyedBatch batch{ .records = {}, .next = aFrom, .end = aFrom };
       if (IsRouting(aStream)) {
         for (auto i = aFrom.Value(); i < mRouting.size(); ++i) {
           readOffsets.insert(i);
           batch.records.push_back(mRouting[i]);
         }
         batch.next = LogOffset(mRouting.size());
+        batch.end = batch.next;
       }
       aCallback(batch);
     });
