Send the age of a read with its records, and date datagrams by the empty socket

A datagram that waited in the socket while the process was stopped looked as new as the instant at which it was read, and a forwarder passed messages on without the time for which it had held them.

GossipSocket reads until the socket would block and keeps the last instant before such a read, EmptyAt(): a datagram that is read later has arrived after it. Feed updates end with the age of their read in milliseconds, rounded up and computed right before each send; only a datagram that ends where the read ends states it. The receiver counts it back from EmptyAt() and subtracts 500 ms for the network. A forwarder does the same and encodes the update anew, so that each hop has an allowance of its own.

The time between computing an age and the kernel's taking the datagram is not covered: a process that is stopped right there understates the age.

--- a/servers/gossip/gossip_socket.cpp
+++ b/servers/gossip/gossip_socket.cpp
@@ -13,10 +13,15 @@
 
 using asio::ip::udp;
 
+// Maximum number of datagrams that are read in a row, so that a flood of them
+// does not keep other callbacks from running.
+constexpr int kMaxBatch = 64;
+
 } // namespace
 
 GossipSocket::GossipSocket(AsioExecutor& aExecutor)
-  : mSocket(aExecutor.Context())
+  : mExecutor(aExecutor)
+  , mSocket(aExecutor.Context())
 {
 }
 
@@ -31,6 +36,8 @@
                    std::uint16_t aPort,
                    Handler aHandler)
 {
+  // Nothing can arrive before the socket is bound.
+  mEmptyAt = mExecutor.Now();
   asio::error_code ec;
   const auto address = asio::ip::make_address(aAddress, ec);
   if (!ec) {
@@ -47,25 +54,57 @@
                                        " (UDP): " + ec.message() });
   }
   mHandler = std::move(aHandler);
-  Receive();
+  WaitForDatagrams();
   return {};
 }
 
 void
-GossipSocket::Receive()
+GossipSocket::WaitForDatagrams()
+{
+  mSocket.async_wait(udp::socket::wait_read,
+                     [this](const asio::error_code& aCode) {
+                       if (aCode == asio::error::operation_aborted) {
+                         return;
+                       }
+                       ReadDatagrams();
+                       WaitForDatagrams();
+                     });
+}
+
+void
+GossipSocket::ReadDatagrams()
+{
+  for (int i = 0; i < kMaxBatch; ++i) {
+    // Taken before the read: the process may be stopped between the two, and
+    // datagrams may arrive after the read.
+    const auto now = mExecutor.Now();
+    udp::endpoint from;
+    asio::error_code ec;
+    const auto n = mSocket.receive_from(asio::buffer(mBuffer), from, 0, ec);
+    if (ec == asio::error::would_block) {
+      mEmptyAt = now;
+      return;
+    }
+    if (!ec) {
+      mHandler({ mBuffer.data(), n });
+    }
+  }
+}
+
+void
+GossipSocket::CheckPeriodically(Duration aInterval)
+{
+  mCheckInterval = aInterval;
+  ScheduleCheck();
+}
+
+void
+GossipSocket::ScheduleCheck()
 {
-  mSocket.async_receive_from(
-    asio::buffer(mBuffer),
-    mFrom,
-    [this](const asio::error_code& aCode, std::size_t aBytes) {
-      if (aCode == asio::error::operation_aborted) {
-        return;
-      }
-      if (!aCode) {
-        mHandler({ mBuffer.data(), aBytes });
-      }
-      Receive();
-    });
+  mCheckTimer = mExecutor.RunAfter(mCheckInterval, [this] {
+    ReadDatagrams();
+    ScheduleCheck();
+  });
 }
 
 void
--- a/servers/gossip/gossip_socket.h
+++ b/servers/gossip/gossip_socket.h
@@ -37,19 +37,35 @@
                                        std::uint16_t aPort,
                                        Handler aHandler);
 
+  // Reads the socket at this interval also if no datagram arrives, so that
+  // EmptyAt() is not much older than the next datagram.
+  void CheckPeriodically(Duration aInterval);
+
+  // The last instant at which no datagram waited in the socket. During a call
+  // of the handler, its datagram has arrived after that instant. The time at
+  // which a datagram is read says nothing about its arrival, since it may have
+  // waited in the socket while this process was stopped.
+  [[nodiscard]] Instant EmptyAt() const { return mEmptyAt; }
+
   // Sends without waiting; a datagram is lost without notice if the kernel does
   // not accept it or if the address is invalid.
   void Send(const coord::PeerAddress& aPeer, std::string aBytes) override;
 
 private:
-  void Receive();
+  void WaitForDatagrams();
+  // Reads the datagrams that wait in the socket, up to a maximum number.
+  void ReadDatagrams();
+  void ScheduleCheck();
 
   static constexpr std::size_t kMaxDatagramBytes = 65536;
 
+  AsioExecutor& mExecutor;
   asio::ip::udp::socket mSocket;
   Handler mHandler;
   std::array<char, kMaxDatagramBytes> mBuffer{};
-  asio::ip::udp::endpoint mFrom;
+  Instant mEmptyAt{};
+  Duration mCheckInterval{};
+  Timer mCheckTimer;
 };
 
 // Joins an IP address and a port, for example to "10.0.0.1:7400".
--- a/servers/relay/peer_update_channel.cpp
+++ b/servers/relay/peer_update_channel.cpp
@@ -21,6 +21,15 @@
 constexpr std::uint64_t kForwarded = 4;
 constexpr std::uint64_t kReadFailure = 5;
 constexpr std::uint64_t kCrashSuspicions = 6;
+// The age of a feed update that states none.
+constexpr std::int64_t kNoAge = -1;
+// Older feed updates state no age. Far longer than any bound on the staleness
+// of a routing table, and short enough that sums of ages do not overflow.
+constexpr Duration kMaxAge = std::chrono::hours(1);
+// Size of the encoded age: a type and four bytes.
+constexpr std::size_t kMaxAgeBytes = 5;
+// Maximum time that the network is assumed to take for a datagram.
+constexpr Duration kNetworkAllowance = std::chrono::milliseconds(500);
 constexpr auto kLastFeed = static_cast<std::uint64_t>(SharedFeed::kRouting);
 constexpr auto kLastNoticeKind =
   static_cast<std::uint64_t>(policy::BackendNotice::Kind::kSilent);
@@ -36,8 +45,27 @@
     .Take();
 }
 
-// One datagram of a feed update; its records are already encoded.
-struct Datagram
+// One datagram of a feed update. The age follows `bytes`, so that it can be
+// computed anew for each receiver.
+struct FeedDatagram
+{
+  std::string bytes;
+  // Whether it ends where the read ends.
+  bool isLast = false;
+
+  [[nodiscard]] std::string WithAge(std::optional<Duration> aAge) const
+  {
+    // Rounded up, since an age may be overstated but not understated.
+    const auto age =
+      isLast && aAge && *aAge <= kMaxAge
+        ? std::chrono::ceil<std::chrono::milliseconds>(*aAge).count()
+        : kNoAge;
+    return bytes + coord::FieldWriter().Signed(age).Take();
+  }
+};
+
+// Collects the records of one datagram.
+struct DatagramDraft
 {
   SharedFeed feed = SharedFeed::kBackends;
   coord::LogOffset from;
@@ -57,36 +85,55 @@
   }
 };
 
-} // namespace
-
-std::vector<std::string>
-EncodeFeedUpdate(const FeedUpdate& aUpdate)
+std::vector<FeedDatagram>
+EncodeWithoutAge(const FeedUpdate& aUpdate)
 {
-  std::vector<std::string> datagrams;
-  Datagram datagram{ .feed = aUpdate.feed, .from = aUpdate.progress.from };
+  std::vector<FeedDatagram> datagrams;
+  const auto end = aUpdate.progress.next;
+  DatagramDraft draft{ .feed = aUpdate.feed, .from = aUpdate.progress.from };
   const auto hasRoomFor = [&](const std::string& aRecord) {
-    const auto bytes = datagram.Encode(aUpdate.progress.next);
-    return bytes.size() + aRecord.size() <= kMaxDatagramBytes;
+    return draft.Encode(end).size() + aRecord.size() + kMaxAgeBytes <=
+           kMaxDatagramBytes;
   };
-  const auto end = [&](coord::LogOffset aNext) {
-    datagrams.push_back(datagram.Encode(aNext));
-    datagram = { .feed = aUpdate.feed, .from = aNext };
+  const auto finish = [&](coord::LogOffset aNext) {
+    datagrams.push_back(
+      { .bytes = draft.Encode(aNext), .isLast = aNext == end });
+    draft = { .feed = aUpdate.feed, .from = aNext };
   };
   for (const auto& it : aUpdate.progress.newRecords) {
     const auto record = EncodeRecord(it);
-    if (datagram.count > 0 && !hasRoomFor(record)) {
-      end(it.offset);
+    if (draft.count > 0 && !hasRoomFor(record)) {
+      finish(it.offset);
     }
     if (!hasRoomFor(record)) {
       if (datagrams.empty()) {
-        end(it.offset);
+        finish(it.offset);
       }
       return datagrams;
     }
-    datagram.records += record;
-    datagram.count++;
+    draft.records += record;
+    draft.count++;
+  }
+  finish(end);
+  return datagrams;
+}
+
+std::optional<Duration>
+AgeAt(const coord::FeedProgress& aProgress, Instant aNow)
+{
+  return aProgress.readAt ? std::optional(aNow - *aProgress.readAt)
+                          : std::nullopt;
+}
+
+} // namespace
+
+std::vector<std::string>
+EncodeFeedUpdate(const FeedUpdate& aUpdate)
+{
+  std::vector<std::string> datagrams;
+  for (const auto& it : EncodeWithoutAge(aUpdate)) {
+    datagrams.push_back(it.WithAge(aUpdate.age));
   }
-  end(aUpdate.progress.next);
   return datagrams;
 }
 
@@ -114,13 +161,27 @@
     }
     progress.newRecords.push_back(std::move(record));
   }
-  if (!reader.Ok() || !reader.AtEnd() || feed > kLastFeed) {
+  const auto age = reader.Signed();
+  if (!reader.Ok() || !reader.AtEnd() || feed > kLastFeed || age < kNoAge ||
+      age > std::chrono::floor<std::chrono::milliseconds>(kMaxAge).count()) {
     return std::nullopt;
   }
   update.feed = static_cast<SharedFeed>(feed);
+  if (age != kNoAge) {
+    update.age = std::chrono::milliseconds(age);
+  }
   return update;
 }
 
+std::optional<Instant>
+ReadInstant(const FeedUpdate& aUpdate, Instant aEmptyAt)
+{
+  if (!aUpdate.age) {
+    return std::nullopt;
+  }
+  return aEmptyAt - *aUpdate.age - kNetworkAllowance;
+}
+
 std::string
 EncodeRoutingUpdate(const RoutingUpdate& aUpdate)
 {
@@ -292,6 +353,7 @@
                                      AsioExecutor& aExecutor,
                                      Handlers aHandlers)
   : mOptions(std::move(aOptions))
+  , mExecutor(aExecutor)
   , mSocket(aExecutor)
   , mHandlers(std::move(aHandlers))
 {
@@ -300,52 +362,86 @@
 tl::expected<void, GossipError>
 PeerUpdateChannel::Start()
 {
-  return mSocket.Open(mOptions.address,
-                      mOptions.port,
-                      [this](std::string_view aBytes) { OnDatagram(aBytes); });
+  auto opened = mSocket.Open(mOptions.address,
+                             mOptions.port,
+                             [this](std::string_view aIt) { OnDatagram(aIt); });
+  if (opened && mOptions.socketCheck > Duration::zero()) {
+    mSocket.CheckPeriodically(mOptions.socketCheck);
+  }
+  return opened;
 }
 
 void
 PeerUpdateChannel::OnDatagram(std::string_view aBytes)
 {
   const auto forwarded = DecodeForwarded(aBytes);
-  if (!forwarded) {
+  if (forwarded) {
+    Deliver(*forwarded, true);
+  } else {
     Deliver(aBytes, false);
-  } else if (Deliver(*forwarded, true)) {
-    SendToAll(*forwarded, mHandlers.domainPeers());
   }
 }
 
-bool
+void
+PeerUpdateChannel::Forward(std::string_view aBytes, bool aIsForwarder)
+{
+  if (aIsForwarder) {
+    SendToAll(std::string(aBytes), mHandlers.domainPeers());
+  }
+}
+
+void
 PeerUpdateChannel::Deliver(std::string_view aBytes, bool aIsForwarder)
 {
   if (const auto notice = DecodeNotice(aBytes)) {
     mHandlers.onNotice(*notice);
-    return true;
+    Forward(aBytes, aIsForwarder);
+    return;
   }
-  if (const auto progress = DecodeFeedUpdate(aBytes)) {
-    mHandlers.onFeedUpdate(*progress);
-    return true;
+  if (auto update = DecodeFeedUpdate(aBytes)) {
+    update->progress.readAt = ReadInstant(*update, mSocket.EmptyAt());
+    mHandlers.onFeedUpdate(*update);
+    if (aIsForwarder) {
+      // Encoded anew, with the age that the read has by now.
+      Send(*update, { .direct = mHandlers.domainPeers(), .forwarders = {} });
+    }
+    return;
   }
   if (const auto suspicions = DecodeCrashSuspicions(aBytes)) {
     mHandlers.onCrashSuspicions(*suspicions);
-    return true;
+    Forward(aBytes, aIsForwarder);
+    return;
   }
   if (const auto failure = DecodeReadFailure(aBytes)) {
     mHandlers.onReadFailure(*failure);
-    return true;
+    Forward(aBytes, aIsForwarder);
+    return;
   }
   if (const auto update = DecodeRoutingUpdate(aBytes)) {
     mHandlers.onRoutingUpdate(*update, aIsForwarder);
   }
-  return false;
 }
 
 void
 PeerUpdateChannel::Send(const FeedUpdate& aUpdate, const PeerTargets& aTargets)
 {
-  for (const auto& it : EncodeFeedUpdate(aUpdate)) {
-    SendTo(it, aTargets);
+  // The age is computed right before each datagram is sent: a stop of this
+  // process before that is part of it.
+  const auto send = [this](const std::string& aHost,
+                           const std::string& aBytes) {
+    mSocket.Send(MakePeerAddress(aHost, mOptions.port), aBytes);
+  };
+  for (const auto& it : EncodeWithoutAge(aUpdate)) {
+    const auto bytes = [&] {
+      return it.WithAge(AgeAt(aUpdate.progress, mExecutor.Now()));
+    };
+    // The copies that travel farthest first.
+    for (const auto& host : aTargets.forwarders) {
+      send(host, EncodeForwarded(bytes()));
+    }
+    for (const auto& host : aTargets.direct) {
+      send(host, bytes());
+    }
   }
 }
 
--- a/servers/relay/peer_update_channel.h
+++ b/servers/relay/peer_update_channel.h
@@ -33,6 +33,10 @@
 {
   SharedFeed feed = SharedFeed::kBackends;
   coord::FeedProgress progress;
+  // The time since that relay sent its read, as stated by the message; empty if
+  // the message does not cover all records that the log had then. Each sender
+  // computes it from progress.readAt.
+  std::optional<Duration> age{};
 };
 
 // The version of the routing table that a relay has.
@@ -49,7 +53,7 @@
 
 // Encodes a read as datagrams, in order. They end before the first record that
 // is too large for a datagram; the receivers read the rest from the log
-// themselves.
+// themselves. Only a datagram that ends where the read ends states the age.
 std::vector<std::string>
 EncodeFeedUpdate(const FeedUpdate& aUpdate);
 
@@ -57,6 +61,13 @@
 std::optional<FeedUpdate>
 DecodeFeedUpdate(std::string_view aBytes);
 
+// Returns an instant that is not after the sending of a peer's read, from the
+// age in its message and the last instant at which the receiving socket was
+// empty, provided that the network delays a datagram by at most 500 ms. Empty
+// if the message states no age.
+std::optional<Instant>
+ReadInstant(const FeedUpdate& aUpdate, Instant aEmptyAt);
+
 std::string
 EncodeRoutingUpdate(const RoutingUpdate& aUpdate);
 
@@ -120,11 +131,15 @@
   {
     std::string address;    // an IP address
     std::uint16_t port = 0; // UDP, the same on all hosts
+    // Interval at which the socket is read without having received anything, so
+    // that ages are precise on a quiet network; 0 means never.
+    Duration socketCheck{};
   };
   // Callbacks for messages of the other relays. Datagrams that cannot be
   // decoded are ignored.
   struct Handlers
   {
+    // Receives the update with its progress.readAt set.
     std::function<void(const FeedUpdate&)> onFeedUpdate;
     std::function<void(const ReadFailure&)> onReadFailure;
     // A forwarder is not expected to send the update on, but to announce the
@@ -145,6 +160,7 @@
   // Opens the UDP port.
   tl::expected<void, GossipError> Start();
 
+  // Sets the age of the update for each receiver from its progress.readAt.
   void Send(const FeedUpdate& aUpdate, const PeerTargets& aTargets);
   // Sets the host of the update to this relay's address.
   void Send(RoutingUpdate aUpdate, const PeerTargets& aTargets);
@@ -156,13 +172,16 @@
 
 private:
   void OnDatagram(std::string_view aBytes);
-  // Passes a message to its handler. Returns whether it is to be forwarded.
-  bool Deliver(std::string_view aBytes, bool aIsForwarder);
+  // Passes a message to its handler, and then to the others in the failure
+  // domain if this relay is asked to forward it.
+  void Deliver(std::string_view aBytes, bool aIsForwarder);
+  void Forward(std::string_view aBytes, bool aIsForwarder);
   void SendTo(const std::string& aBytes, const PeerTargets& aTargets);
   void SendToAll(const std::string& aBytes,
                  const std::vector<std::string>& aHosts);
 
   Options mOptions;
+  AsioExecutor& mExecutor;
   GossipSocket mSocket;
   Handlers mHandlers;
 };
--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -99,6 +99,7 @@
   LONGS_EQUAL(6, records[1].offset.Value());
   CHECK_FALSE(records[1].value.has_value());
   LONGS_EQUAL(7, (*batch)->next.Value());
+  LONGS_EQUAL(7, (*batch)->end.Value());
 }
 
 TEST(PlatformStoreTest, RejectsATruncatedAnswer)
--- a/tests/servers/relay/peer_update_channel_test.cpp
+++ b/tests/servers/relay/peer_update_channel_test.cpp
@@ -2,14 +2,17 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "coord/codec.h"
 #include "core/random.h"
 #include "tests/helpers/run_until.h"
 
 #include <CppUTest/TestHarness.h>
 
+using namespace std::chrono_literals;
 using firefly::AsioExecutor;
 using firefly::DecodeCrashSuspicions;
 using firefly::DecodeFeedUpdate;
@@ -59,6 +62,42 @@
   CHECK_FALSE(decoded->progress.newRecords[1].value.has_value());
 }
 
+// An age that is understated makes an old table seem confirmed.
+TEST(PeerUpdateChannelTest, StatesAnAgeOnlyWhereTheReadEnds)
+{
+  update.age = 2'000'001ns;
+  CHECK(DecodeFeedUpdate(EncodeFeedUpdate(update)[0])->age == 3ms);
+  update.age = std::chrono::hours(2);
+  CHECK_FALSE(DecodeFeedUpdate(EncodeFeedUpdate(update)[0])->age.has_value());
+  update.age.reset();
+  CHECK_FALSE(DecodeFeedUpdate(EncodeFeedUpdate(update)[0])->age.has_value());
+  update.age = 5ms;
+  update.progress.newRecords.push_back(
+    { "c", std::string(1395, 'x'), LogOffset(8) });
+  const auto split = EncodeFeedUpdate(update);
+  LONGS_EQUAL(1, split.size()); // "c" does not fit in any datagram
+  CHECK_FALSE(DecodeFeedUpdate(split[0])->age.has_value());
+  update.progress.newRecords.back().value = std::string(1375, 'x');
+  const auto two = EncodeFeedUpdate(update);
+  LONGS_EQUAL(2, two.size());
+  CHECK_FALSE(DecodeFeedUpdate(two[0])->age.has_value());
+  CHECK(DecodeFeedUpdate(two[1])->age == 5ms);
+}
+
+TEST(PeerUpdateChannelTest, IgnoresAFeedUpdateWithAnAgeOutOfRange)
+{
+  const auto whole = EncodeFeedUpdate(update).at(0);
+  const auto head = whole.substr(0, whole.size() - 1);
+  const auto withAge = [&](std::int64_t aAge) {
+    return head + firefly::coord::FieldWriter().Signed(aAge).Take();
+  };
+  CHECK_TRUE(DecodeFeedUpdate(withAge(3'600'000)).has_value());
+  CHECK_FALSE(DecodeFeedUpdate(withAge(3'600'001)).has_value());
+  CHECK_FALSE(DecodeFeedUpdate(withAge(-2)).has_value());
+  CHECK_FALSE(DecodeFeedUpdate(withAge(INT64_MAX)).has_value());
+  CHECK_FALSE(DecodeFeedUpdate(head).has_value()); // no age
+}
+
 // A new fleet of 140 engines writes all its records at once. If they are not
 // split into datagrams, each relay has to read them from the log itself.
 TEST(PeerUpdateChannelTest, SplitsManyRecordsIntoSeveralDatagrams)
@@ -204,6 +243,55 @@
   CHECK_FALSE(DecodeNotice(EncodeForwarded("bytes")).has_value());
 }
 
+// A forwarder that passes an update on as it came hides the time for which it
+// was stopped. Holds at any speed of the machine; the wait only makes sure that
+// a missing rule shows, as it is longer than the allowance for the network.
+TEST(PeerUpdateChannelTest, AForwardedUpdateSeemsNoNewerThanItsRead)
+{
+  constexpr std::uint16_t kPort = 27433;
+  AsioExecutor sending;
+  AsioExecutor forwarding;
+  AsioExecutor receiving;
+  std::optional<firefly::Instant> atForwarder;
+  std::optional<firefly::Instant> atReceiver;
+  const auto open = [&](AsioExecutor& aExecutor,
+                        const std::string& aHost,
+                        std::optional<firefly::Instant>& aReadAt,
+                        std::vector<std::string> aDomainPeers) {
+    auto channel = std::make_unique<PeerUpdateChannel>(
+      PeerUpdateChannel::Options{
+        .address = aHost, .port = kPort, .socketCheck = 1ms },
+      aExecutor,
+      PeerUpdateChannel::Handlers{
+        .onFeedUpdate =
+          [&aReadAt](const FeedUpdate& aUpdate) {
+            aReadAt = aUpdate.progress.readAt;
+          },
+        .onReadFailure = {},
+        .onRoutingUpdate = {},
+        .onNotice = {},
+        .onCrashSuspicions = {},
+        .domainPeers = [aDomainPeers] { return aDomainPeers; } });
+    CHECK_TRUE(channel->Start().has_value());
+    return channel;
+  };
+  std::optional<firefly::Instant> unused;
+  const auto sender = open(sending, "127.0.1.1", unused, {});
+  const auto forwarder =
+    open(forwarding, "127.0.1.2", atForwarder, { "127.0.1.3" });
+  const auto receiver = open(receiving, "127.0.1.3", atReceiver, {});
+  const auto readAt = sending.Now();
+  update.progress.readAt = readAt;
+  sender->Send(update, { .direct = {}, .forwarders = { "127.0.1.2" } });
+  // The forwarder is stopped meanwhile.
+  CHECK_TRUE(
+    RunUntil(receiving, [&] { return receiving.Now() > readAt + 700ms; }));
+  CHECK_TRUE(RunUntil(forwarding, [&] { return atForwarder.has_value(); }));
+  CHECK_TRUE(RunUntil(receiving, [&] { return atReceiver.has_value(); }));
+  CHECK_TRUE(*atForwarder <= readAt);
+  CHECK_TRUE(*atReceiver <= readAt);
+}
+
 // One copy of a message crosses to another failure domain, where its receiver
 // forwards it once to each of the others. An announcement of a routing table is
 // not forwarded: the forwarder announces its own copy once it has fetched it.
