Offer the age of the routing table's confirmation, and log its bound

Operators could not see how old the table of a relay may be, and the access decision needs the instant to which it is confirmed: RelayServer::RoutingConfirmedAt(), the gauge firefly_relay_confirmation_age_seconds by feed, and the log lines "staleness bound exceeded" and "staleness bound met again".

The setting [access] revocation_ms sets the bound, nine tenths of it; without it nothing is bounded, logged or read more often.

--- a/servers/relay/relay_metrics.cpp
+++ b/servers/relay/relay_metrics.cpp
@@ -48,6 +48,10 @@
   , feedAge(aRegistry.Gauges({ .name = "firefly_relay_feed_age_seconds",
                                .help = "Since the log last answered",
                                .labelNames = { "feed" } }))
+  , confirmationAge(aRegistry.Gauges(
+      { .name = "firefly_relay_confirmation_age_seconds",
+        .help = "Since this relay is known to have had the newest records",
+        .labelNames = { "feed" } }))
   , ready(aRegistry.Gauges(
       { .name = "firefly_relay_ready", .help = "Whether it takes requests" }))
 {
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -24,6 +24,7 @@
   MetricFamily<Gauge>& backends;
   MetricFamily<Gauge>& routingVersion;
   MetricFamily<Gauge>& feedAge;
+  MetricFamily<Gauge>& confirmationAge;
   MetricFamily<Gauge>& ready;
 };
 
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -9,6 +9,7 @@
 #include "servers/relay/relay.h"
 #include "servers/relay/role_order_issuer.h"
 #include "servers/relay/routing_table_fetcher.h"
+#include "servers/relay/staleness_monitor.h"
 #include "servers/status/status_server.h"
 
 namespace firefly {
@@ -42,6 +43,9 @@
 // may fetch from one relay at the same time. A link of 10 Mbit/s takes 1.2 s
 // for them.
 constexpr std::uint64_t kMaxPeerFetchBytes = 1'500'000;
+// Interval at which the socket for updates is checked where the staleness of
+// the routing table is bounded; up to this time is added to a peer's age.
+constexpr Duration kSocketCheck = std::chrono::milliseconds(100);
 
 Incarnation
 NewIncarnation(const Executor& aExecutor)
@@ -50,6 +54,17 @@
   return Incarnation(static_cast<std::uint64_t>(now));
 }
 
+// A relay reads the routing table's stream by itself once its confirmation is
+// older than this. In normal operation a confirmation is up to 2.7 s old if it
+// was forwarded, and a read that fails once needs 0.8 s more, so that two
+// thirds of the bound of 4.5 s avoid both extra reads and a table that is out
+// of date.
+Duration
+ConfirmWithin(const RelaySettings& aSettings)
+{
+  return aSettings.stalenessBound.value_or(Duration::zero()) * 2 / 3;
+}
+
 LivenessOptions
 MakeLivenessOptions(Duration aSilence)
 {
@@ -171,7 +186,10 @@
         *aParts.client,
         [this](const std::string& aRecord) { OnFetchedTable(aRecord); })
     , mPeerUpdates(
-        { .address = aSettings.callers.host, .port = aSettings.updatePort },
+        { .address = aSettings.callers.host,
+          .port = aSettings.updatePort,
+          .socketCheck =
+            aSettings.stalenessBound ? kSocketCheck : Duration::zero() },
         mExecutor,
         { .onFeedUpdate =
             [this](const FeedUpdate& aUpdate) {
@@ -238,6 +256,7 @@
                      .pause = kRoutingReadInterval,
                      .maxSharedPause = kMaxSharedRoutingReadInterval,
                      .wait = aSettings.routingWait,
+                     .confirmWithin = ConfirmWithin(aSettings),
                      .seed = mSeed },
                    mExecutor,
                    *aParts.keyedLog,
@@ -250,6 +269,9 @@
                    mExecutor,
                    *aParts.keyedLog,
                    mBackendListener)
+    , mStalenessMonitor({ .bound = aSettings.stalenessBound },
+                        mExecutor,
+                        [this] { return mRoutingFeed.ConfirmedAt(); })
   {
     mRouting.OnChange([this](const policy::RoutingTable& aTable) {
       mPeers.SetRouting(aTable.Version().Value());
@@ -278,6 +300,7 @@
     }
     mRoutingFeed.Start();
     mBackendFeed.Start();
+    mStalenessMonitor.Start();
     mRoleOrderIssuer.Start();
     mLog.Info("started",
               { { "host", mSettings.host.Value() },
@@ -310,6 +333,11 @@
     CheckDrain();
   }
 
+  [[nodiscard]] std::optional<Instant> RoutingConfirmedAt() const
+  {
+    return mRoutingFeed.ConfirmedAt();
+  }
+
 private:
   FeedListener::Handlers RoutingHandlers()
   {
@@ -577,6 +605,14 @@
       static_cast<double>(mBackendRegistry.Size()));
     mMetrics.feedAge.With({ "routing" }).Set(age(mRoutingFeed));
     mMetrics.feedAge.With({ "backends" }).Set(age(mBackendFeed));
+    const auto confirmationAge = [now](const coord::KeyedFeed& aFeed) {
+      const auto at = aFeed.ConfirmedAt();
+      return at ? ToSeconds(now - *at) : -1.0;
+    };
+    mMetrics.confirmationAge.With({ "routing" })
+      .Set(confirmationAge(mRoutingFeed));
+    mMetrics.confirmationAge.With({ "backends" })
+      .Set(confirmationAge(mBackendFeed));
     mMetrics.ready.With({}).Set(NotReadyReason().empty() ? 1 : 0);
     if (const auto& table = mRouting.Current()) {
       mMetrics.routingVersion.With({}).Set(
@@ -607,6 +643,7 @@
   FeedListener mBackendListener;
   coord::KeyedFeed mRoutingFeed;
   coord::KeyedFeed mBackendFeed;
+  StalenessMonitor mStalenessMonitor;
   Instant mNextRefresh{};
   // The table that is being fetched from a peer.
   RoutingUpdate mFetchedUpdate;
@@ -643,4 +680,10 @@
   mImpl->Drain(std::move(aDone));
 }
 
+std::optional<Instant>
+RelayServer::RoutingConfirmedAt() const
+{
+  return mImpl->RoutingConfirmedAt();
+}
+
 } // namespace firefly
--- a/servers/relay/relay_server.h
+++ b/servers/relay/relay_server.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <tl/expected.hpp>
 
@@ -84,6 +85,10 @@
   // Further calls of Drain() have no effect.
   void Drain(std::function<void()> aDone);
 
+  // The latest instant at which this process is known to have had all records
+  // of the routing table's stream; empty until it has loaded them.
+  [[nodiscard]] std::optional<Instant> RoutingConfirmedAt() const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> mImpl;
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -10,6 +10,9 @@
 using Fraction = SettingRange<double>;
 
 constexpr Whole kShortMillis{ 1, 60'000 };
+// The smallest value is the age that a confirmation has in normal operation, up
+// to 2.7 s, with the margin of kBoundShare.
+constexpr Whole kRevocationMillis{ 3'000, 600'000 };
 constexpr Whole kCounts{ 1, 1'000'000 };
 constexpr Whole kPorts{ 1, 65535 };
 constexpr Fraction kTokenRates{ 1, 10'000'000 };
@@ -111,6 +114,19 @@
   aReader.ReportUnknownKeys();
 }
 
+void
+ReadAccess(SectionReader aReader, RelaySettings& aSettings)
+{
+  // The rest is the margin for clock rates and processing.
+  constexpr double kBoundShare = 0.9;
+  const std::string key = "revocation_ms";
+  if (aReader.Has(key) && aReader.Integer(key, { 0, 600'000 }) > 0) {
+    const auto revocation = aReader.Millis(key, kRevocationMillis);
+    aSettings.stalenessBound = FromSeconds(kBoundShare * ToSeconds(revocation));
+  }
+  aReader.ReportUnknownKeys();
+}
+
 void
 ReadRelay(SectionReader aReader, RelaySettings& aSettings)
 {
@@ -143,6 +159,7 @@
   ReadPeers(root.Section("peers"), settings);
   ReadFeeds(root.Section("log_service"), settings);
   ReadRelay(root.Section("relay"), settings);
+  ReadAccess(root.Section("access"), settings);
   ReadEngines(root.Section("engines"), settings);
   auto charts = root.Section("charts");
   // A relative path is resolved against the working directory.
--- a/servers/relay/relay_settings.h
+++ b/servers/relay/relay_settings.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,9 @@
   // Duration of the lease that makes one relay the only one to give orders to
   // engines.
   Duration lease{};
+  // The maximum age of the routing table's confirmation. Without a value,
+  // revocation is not strict and the age is not bounded.
+  std::optional<Duration> stalenessBound{};
   // Directory of the state charts.
   std::filesystem::path chartsDirectory;
   LogSettings log;
--- a/tests/servers/relay/peer_update_channel_test.cpp
+++ b/tests/servers/relay/peer_update_channel_test.cpp
@@ -257,7 +257,7 @@
   const auto open = [&](AsioExecutor& aExecutor,
                         const std::string& aHost,
                         std::optional<firefly::Instant>& aReadAt,
-                        std::vector<std::string> aDomainPeers) {
+                        const std::vector<std::string>& aDomainPeers) {
     auto channel = std::make_unique<PeerUpdateChannel>(
       PeerUpdateChannel::Options{
         .address = aHost, .port = kPort, .socketCheck = 1ms },
--- a/tests/servers/relay/relay_server_test.cpp
+++ b/tests/servers/relay/relay_server_test.cpp
@@ -221,6 +221,28 @@
   CHECK_FALSE(Serves("127.0.0.2", 1));
 }
 
+// A relay that the log refuses must go on to serve authenticated requests while
+// a peer reads for it, and must not once nobody reads: then it may have missed
+// that a key was revoked.
+TEST(RelayServerTest, APeersReadsConfirmTheTableOnlyWhileTheLogAnswersIt)
+{
+  Publish(1);
+  first = Start("127.0.0.1", firstLog);
+  CHECK_FALSE(first->RoutingConfirmedAt().has_value());
+  second = Start("127.0.0.2", secondLog);
+  CHECK_TRUE(RunUntil(
+    executor, [&] { return second->RoutingConfirmedAt().has_value(); }));
+  secondLog.isRefusing = true;
+  const auto refused = executor.Now();
+  CHECK_TRUE(
+    RunUntil(executor, [&] { return second->RoutingConfirmedAt() > refused; }));
+  firstLog.isRefusing = true;
+  const auto lost = executor.Now();
+  RunFor(1500ms);
+  CHECK_TRUE(first->RoutingConfirmedAt() <= lost);
+  CHECK_TRUE(second->RoutingConfirmedAt() <= lost);
+}
+
 // Guards against overloading the link of the relay that announces a large
 // table. On macaskill-rota-grown 74 relays fetched a table of 280 KB from the
 // one that had announced it and saturated its link for many seconds.
--- a/tests/servers/relay/relay_settings_test.cpp
+++ b/tests/servers/relay/relay_settings_test.cpp
@@ -75,3 +75,19 @@
   LONGS_EQUAL(1, faults.size());
   CHECK_TRUE(faults[0].find("unready_grace_ms") != std::string::npos);
 }
+
+// A wrong unit or a bound below the age of a table in normal operation would
+// reject all authenticated requests.
+TEST(RelaySettingsTest, BoundsTheStalenessOnlyWhereRevocationIsStrict)
+{
+  const auto load = [this](const std::string& aAccess) {
+    std::ofstream(path) << aAccess << "\n" << ReadSample();
+    return LoadRelaySettings(path);
+  };
+  CHECK_FALSE(load("")->stalenessBound.has_value());
+  CHECK_FALSE(load("[access]\nrevocation_ms = 0")->stalenessBound.has_value());
+  CHECK(load("[access]\nrevocation_ms = 5000")->stalenessBound == 4500ms);
+  CHECK_FALSE(load("[access]\nrevocation_ms = 5").has_value());
+  CHECK_FALSE(load("[access]\nrevocation_ms = -1").has_value());
+  CHECK_FALSE(load("[access]\nrevocations_ms = 5000").has_value());
+}
