Merge the knowledge of how old the routing table is

The relay takes the feed's confirmation for its access decision; one setting and one gauge serve both parts. A bound below 3,000 ms is rejected (2,500 before), since confirmations of forwarded reads are older.

--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -31,8 +31,8 @@
   MetricFamily<Gauge>& routingVersion;
   MetricFamily<Gauge>& customers;
   MetricFamily<Gauge>& customerKeys;
-  MetricFamily<Gauge>& confirmationAge;
   MetricFamily<Gauge>& feedAge;
+  MetricFamily<Gauge>& confirmationAge;
   MetricFamily<Gauge>& ready;
   MetricFamily<Counter>& dutyCalls;
   MetricFamily<Gauge>& dutyToken;
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -10,6 +10,7 @@
 #include "servers/relay/relay_duties.h"
 #include "servers/relay/role_order_issuer.h"
 #include "servers/relay/routing_table_fetcher.h"
+#include "servers/relay/staleness_monitor.h"
 #include "servers/status/status_server.h"
 
 namespace firefly {
@@ -43,6 +44,9 @@
 // may fetch from one relay at the same time. A link of 10 Mbit/s takes 1.2 s
 // for them.
 constexpr std::uint64_t kMaxPeerFetchBytes = 1'500'000;
+// Interval at which the socket for updates is checked where the staleness of
+// the routing table is bounded; up to this time is added to a peer's age.
+constexpr Duration kSocketCheck = std::chrono::milliseconds(100);
 
 // Descriptors that are reserved for files, and the fraction of the others that
 // callers may use. The rest is for backend servers, peers and the log.
@@ -74,19 +78,21 @@
   return Incarnation(static_cast<std::uint64_t>(now));
 }
 
-LivenessOptions
-MakeLivenessOptions(Duration aSilence)
+// A relay reads the routing table's stream by itself once its confirmation is
+// older than this. Between two relays that share their reads, confirmations
+// were up to 2.0 s old, and a forwarder adds 0.5 s. With two thirds of the
+// bound, 3 s of 4.5 s, they cause no extra reads, and 1.5 s are left for the
+// read.
+Duration
+ConfirmWithin(const RelaySettings& aSettings)
 {
-  return { .ackTimeout = aSilence, .keepAliveIdle = kKeepAliveProbeDelay };
+  return aSettings.stalenessBound.value_or(Duration::zero()) * 2 / 3;
 }
 
-std::optional<Duration>
-StalenessBoundOf(const RelaySettings& aSettings)
+LivenessOptions
+MakeLivenessOptions(Duration aSilence)
 {
-  if (!aSettings.revocation) {
-    return std::nullopt;
-  }
-  return policy::StalenessBound(*aSettings.revocation);
+  return { .ackTimeout = aSilence, .keepAliveIdle = kKeepAliveProbeDelay };
 }
 
 // Forwards the records of one stream to handlers and logs outages of the log.
@@ -160,36 +166,38 @@
                        mExecutor,
                        mFleet,
                        mPool)
-    , mRelay({ .self = aSettings.host,
-               .incarnation = mIncarnation,
-               .seed = mSeed,
-               .domain = aSettings.domain,
-               .crossDomainPenalty = aSettings.crossDomainPenalty,
-               .queueBound = aSettings.queueBound,
-               .stalenessBound = StalenessBoundOf(aSettings) },
-             { .executor = &mExecutor,
-               .dialect = aParts.dialect,
-               .pool = &mPool,
-               .backendRegistry = &mBackendRegistry,
-               .fleet = &mFleet,
-               .routing = &mRouting,
-               .metrics = &mMetrics,
-               .memory = mCallerMemory,
-               .announce =
-                 [this](const policy::BackendNotice& aNotice) {
-                   mPeerUpdates.Send(aNotice, AllPeers());
-                 },
-               .announceCrashSuspicions =
-                 [this](const std::vector<policy::CrashSuspicion>& aChanges) {
-                   LogCrashSuspicions(aChanges);
-                   mPeerUpdates.Send(aChanges, AllPeers());
-                 },
-               .onRequestStarted =
-                 [this](const CustomerId& aCustomer) {
-                   if (mDuties) {
-                     mDuties->Usage().OnRequestStarted(aCustomer);
-                   }
-                 } })
+    , mRelay(
+        { .self = aSettings.host,
+          .incarnation = mIncarnation,
+          .seed = mSeed,
+          .domain = aSettings.domain,
+          .crossDomainPenalty = aSettings.crossDomainPenalty,
+          .queueBound = aSettings.queueBound,
+          .stalenessBound = aSettings.stalenessBound },
+        { .executor = &mExecutor,
+          .dialect = aParts.dialect,
+          .pool = &mPool,
+          .backendRegistry = &mBackendRegistry,
+          .fleet = &mFleet,
+          .routing = &mRouting,
+          .metrics = &mMetrics,
+          .memory = mCallerMemory,
+          .announce =
+            [this](const policy::BackendNotice& aNotice) {
+              mPeerUpdates.Send(aNotice, AllPeers());
+            },
+          .announceCrashSuspicions =
+            [this](const std::vector<policy::CrashSuspicion>& aChanges) {
+              LogCrashSuspicions(aChanges);
+              mPeerUpdates.Send(aChanges, AllPeers());
+            },
+          .tableConfirmedAt = [this] { return mRoutingFeed.ConfirmedAt(); },
+          .onRequestStarted =
+            [this](const CustomerId& aCustomer) {
+              if (mDuties) {
+                mDuties->Usage().OnRequestStarted(aCustomer);
+              }
+            } })
     , mPeers(
         { .host = aSettings.host,
           .domain = aSettings.domain,
@@ -213,7 +221,10 @@
         *aParts.client,
         [this](const std::string& aRecord) { OnFetchedTable(aRecord); })
     , mPeerUpdates(
-        { .address = aSettings.callers.host, .port = aSettings.updatePort },
+        { .address = aSettings.callers.host,
+          .port = aSettings.updatePort,
+          .socketCheck =
+            aSettings.stalenessBound ? kSocketCheck : Duration::zero() },
         mExecutor,
         { .onFeedUpdate =
             [this](const FeedUpdate& aUpdate) {
@@ -293,6 +304,7 @@
                      .pause = kRoutingReadInterval,
                      .maxSharedPause = kMaxSharedRoutingReadInterval,
                      .wait = aSettings.routingWait,
+                     .confirmWithin = ConfirmWithin(aSettings),
                      .seed = mSeed },
                    mExecutor,
                    *aParts.keyedLog,
@@ -305,6 +317,9 @@
                    mExecutor,
                    *aParts.keyedLog,
                    mBackendListener)
+    , mStalenessMonitor({ .bound = aSettings.stalenessBound },
+                        mExecutor,
+                        [this] { return mRoutingFeed.ConfirmedAt(); })
   {
     mRouting.OnChange([this](const policy::RoutingTable& aTable) {
       mPeers.SetRouting(aTable.Version().Value());
@@ -348,6 +363,7 @@
     }
     mRoutingFeed.Start();
     mBackendFeed.Start();
+    mStalenessMonitor.Start();
     mRoleOrderIssuer.Start();
     if (mDuties) {
       mDuties->Start();
@@ -386,6 +402,11 @@
     CheckDrain();
   }
 
+  [[nodiscard]] std::optional<Instant> RoutingConfirmedAt() const
+  {
+    return mRoutingFeed.ConfirmedAt();
+  }
+
 private:
   FeedListener::Handlers RoutingHandlers()
   {
@@ -668,9 +689,14 @@
       static_cast<double>(mBackendRegistry.Size()));
     mMetrics.feedAge.With({ "routing" }).Set(age(mRoutingFeed));
     mMetrics.feedAge.With({ "backends" }).Set(age(mBackendFeed));
-    const auto confirmationAge = mRelay.ConfirmationAge();
-    mMetrics.confirmationAge.With({}).Set(
-      confirmationAge ? ToSeconds(*confirmationAge) : -1.0);
+    const auto confirmationAge = [now](const coord::KeyedFeed& aFeed) {
+      const auto at = aFeed.ConfirmedAt();
+      return at ? ToSeconds(now - *at) : -1.0;
+    };
+    mMetrics.confirmationAge.With({ "routing" })
+      .Set(confirmationAge(mRoutingFeed));
+    mMetrics.confirmationAge.With({ "backends" })
+      .Set(confirmationAge(mBackendFeed));
     mMetrics.ready.With({}).Set(NotReadyReason().empty() ? 1 : 0);
     if (const auto& table = mRouting.Current()) {
       mMetrics.routingVersion.With({}).Set(
@@ -711,6 +737,7 @@
   FeedListener mBackendListener;
   coord::KeyedFeed mRoutingFeed;
   coord::KeyedFeed mBackendFeed;
+  StalenessMonitor mStalenessMonitor;
   Instant mNextRefresh{};
   // The table that is being fetched from a peer.
   RoutingUpdate mFetchedUpdate;
@@ -747,4 +774,10 @@
   mImpl->Drain(std::move(aDone));
 }
 
+std::optional<Instant>
+RelayServer::RoutingConfirmedAt() const
+{
+  return mImpl->RoutingConfirmedAt();
+}
+
 } // namespace firefly
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "policy/access/access_control.h"
 #include "servers/http/host_limits.h"
 #include "servers/settings/section_reader.h"
 
@@ -13,7 +14,9 @@
 using Fraction = SettingRange<double>;
 
 constexpr Whole kShortMillis{ 1, 60'000 };
-constexpr Whole kRevocationMillis{ 0, 600'000 };
+// With the smallest value, the bound is 2.7 s. Between two relays that share
+// their reads, confirmations were up to 2.0 s old, and a forwarder adds 0.5 s.
+constexpr Whole kRevocationMillis{ 3'000, 600'000 };
 constexpr Whole kCounts{ 1, 1'000'000 };
 constexpr Whole kPorts{ 1, 65535 };
 constexpr Fraction kTokenRates{ 1, 10'000'000 };
@@ -39,10 +42,6 @@
 constexpr std::int64_t kCrossDomainPenalty = 10;
 constexpr std::int64_t kMaxConnections = 3'000;
 constexpr std::int64_t kQueueBound = 256;
-// The confirmation of the routing table is up to 2.2 s old in normal operation,
-// and a tenth of this time is kept as a margin. With less, requests would be
-// rejected although nothing is wrong.
-constexpr std::int64_t kMinRevocationMillis = 2'500;
 
 constexpr Whole kMegabytes{ 16, 1'000'000 };
 constexpr Whole kDescriptors{ 64, 10'000'000 };
@@ -134,6 +133,17 @@
   aReader.ReportUnknownKeys();
 }
 
+void
+ReadAccess(SectionReader aReader, RelaySettings& aSettings)
+{
+  const std::string key = "revocation_ms";
+  if (aReader.Has(key) && aReader.Integer(key, { 0, 600'000 }) > 0) {
+    const auto revocation = aReader.Millis(key, kRevocationMillis);
+    aSettings.stalenessBound = policy::StalenessBound(revocation);
+  }
+  aReader.ReportUnknownKeys();
+}
+
 void
 ReadRelay(SectionReader aReader, RelaySettings& aSettings)
 {
@@ -166,25 +176,6 @@
   aReader.ReportUnknownKeys();
 }
 
-void
-ReadAccess(SectionReader aReader,
-           RelaySettings& aSettings,
-           SettingProblems& aProblems)
-{
-  const auto millis = aReader.Integer("revocation_ms", kRevocationMillis, 0);
-  aReader.ReportUnknownKeys();
-  if (millis == 0) {
-    return;
-  }
-  aSettings.revocation = std::chrono::milliseconds(millis);
-  if (millis < kMinRevocationMillis) {
-    aProblems.Add(0,
-                  "[access] revocation_ms must be 0 or at least " +
-                    std::to_string(kMinRevocationMillis) +
-                    ": the routing table is only confirmed every few seconds");
-  }
-}
-
 // Returns nothing without the URL of the API.
 std::optional<DutySettings>
 ReadDuties(SectionReader aReader, SettingProblems& aProblems)
@@ -225,7 +216,7 @@
   ReadPeers(root.Section("peers"), settings);
   ReadFeeds(root.Section("log_service"), settings);
   ReadRelay(root.Section("relay"), settings);
-  ReadAccess(root.Section("access"), settings, problems);
+  ReadAccess(root.Section("access"), settings);
   ReadEngines(root.Section("engines"), settings);
   settings.duties = ReadDuties(root.Section("duties"), problems);
   auto charts = root.Section("charts");
--- a/servers/relay/relay_settings.h
+++ b/servers/relay/relay_settings.h
@@ -81,10 +81,10 @@
   // Duration of the lease that makes one relay the only one to give orders to
   // engines.
   Duration lease{};
-  // The time after which no request runs with a revoked key; none if revocation
-  // is not strict.
-  std::optional<Duration> revocation{};
   std::optional<DutySettings> duties{};
+  // The maximum age of the routing table's confirmation. Without a value,
+  // revocation is not strict and the age is not bounded.
+  std::optional<Duration> stalenessBound{};
   // Directory of the state charts.
   std::filesystem::path chartsDirectory;
   LogSettings log;
--- a/tests/servers/relay/relay_settings_test.cpp
+++ b/tests/servers/relay/relay_settings_test.cpp
@@ -97,17 +97,17 @@
 // with which ordinary requests would be rejected.
 TEST(RelaySettingsTest, RevocationIsOffOrLongEnoughForConfirmations)
 {
-  CHECK_FALSE(LoadRelaySettings(kSample)->revocation.has_value());
+  CHECK_FALSE(LoadRelaySettings(kSample)->stalenessBound.has_value());
   const auto load = [&](const std::string& aValue) {
     return LoadErrorsWith("[log]",
                           "[access]\nrevocation_ms = " + aValue + "\n[log]");
   };
   LONGS_EQUAL(0, load("5000").size());
-  CHECK(LoadRelaySettings(path)->revocation == 5s);
+  CHECK(LoadRelaySettings(path)->stalenessBound == 4500ms);
   LONGS_EQUAL(0, load("0").size());
-  CHECK_FALSE(LoadRelaySettings(path)->revocation.has_value());
-  LONGS_EQUAL(0, load("2500").size());
-  for (const auto* odd : { "2499", "1", "-1", "600001", "true", "5.5" }) {
+  CHECK_FALSE(LoadRelaySettings(path)->stalenessBound.has_value());
+  LONGS_EQUAL(0, load("3000").size());
+  for (const auto* odd : { "2999", "1", "-1", "600001", "true", "5.5" }) {
     const auto faults = load(odd);
     LONGS_EQUAL(1, faults.size());
     STRCMP_CONTAINS("revocation_ms", faults[0].c_str());
@@ -161,3 +161,19 @@
   CHECK(settings->duties->usageWindow == 5s);
   CHECK(settings->duties->lease == 3s);
 }
+
+// A wrong unit or a bound below the age of a table in normal operation would
+// reject all authenticated requests.
+TEST(RelaySettingsTest, BoundsTheStalenessOnlyWhereRevocationIsStrict)
+{
+  const auto load = [this](const std::string& aAccess) {
+    std::ofstream(path) << aAccess << "\n" << ReadSample();
+    return LoadRelaySettings(path);
+  };
+  CHECK_FALSE(load("")->stalenessBound.has_value());
+  CHECK_FALSE(load("[access]\nrevocation_ms = 0")->stalenessBound.has_value());
+  CHECK(load("[access]\nrevocation_ms = 5000")->stalenessBound == 4500ms);
+  CHECK_FALSE(load("[access]\nrevocation_ms = 5").has_value());
+  CHECK_FALSE(load("[access]\nrevocation_ms = -1").has_value());
+  CHECK_FALSE(load("[access]\nrevocations_ms = 5000").has_value());
+}
