--- a/servers/http1/backend_pool.cpp
+++ b/servers/http1/backend_pool.cpp
@@ -124,7 +124,7 @@
     if (!last->connection->MayCarry(aCall.request, aCall.noBody)) {
       continue;
     }
-    const auto connection = last->connection;
+    auto connection = last->connection;
     const bool usable = last->address == aCall.address && now < last->expires &&
                         now - last->idleSince <= aCall.maxIdleAge &&
                         connection->IsQuiet();
--- a/servers/http1/caller_server.cpp
+++ b/servers/http1/caller_server.cpp
@@ -120,13 +120,14 @@
       AcceptNext();
       return;
     }
-    mAcceptor.async_wait(tcp::acceptor::wait_read,
-                         [weak = weak_from_this()](const asio::error_code& ec) {
-                           const auto self = weak.lock();
-                           if (self && ec != asio::error::operation_aborted) {
-                             self->OnNewcomer();
-                           }
-                         });
+    mAcceptor.async_wait(
+      tcp::acceptor::wait_read,
+      [weak = weak_from_this()](const asio::error_code& aCode) {
+        const auto self = weak.lock();
+        if (self && aCode != asio::error::operation_aborted) {
+          self->OnNewcomer();
+        }
+      });
   }
 
   // A connection waits to be accepted and there is no place for it.
