--- a/tests/process/untrusted_callers_process_test.cpp
+++ b/tests/process/untrusted_callers_process_test.cpp
@@ -24,7 +24,6 @@
 using firefly::testing::ChildProcess;
 using firefly::testing::Crowd;
 using firefly::testing::FindFreePort;
-using firefly::testing::kWaitLimit;
 using firefly::testing::LoopbackUrl;
 using firefly::testing::RawCaller;
 using firefly::testing::ScriptedBackend;
