--- a/tests/servers/relay/relay_trouble_test.cpp
+++ b/tests/servers/relay/relay_trouble_test.cpp
@@ -239,12 +239,13 @@
     std::map<std::string, std::unique_ptr<RawTcpClient>> sent;
     for (int i = 1; i <= kRequests; i++) {
       const auto id = std::to_string(seed) + "-" + std::to_string(i);
-      const auto path = i % 3 == 0 ? "/look/" : "/rebook/";
+      const std::string path = i % 3 == 0 ? "/look/" : "/rebook/";
       auto caller = std::make_unique<RawTcpClient>(executor, callers.Port());
-      caller->Send("GET " + std::string(path) + id +
-                   " HTTP/1.1\r\nHost: h.example\r\n"
-                   "Fireflyrouter-Request-Id: " +
-                   id + "\r\nFireflyrouter-Deadline-Ms: 120\r\n\r\n");
+      std::string request = "GET ";
+      request.append(path).append(id).append(
+        " HTTP/1.1\r\nHost: h.example\r\nFireflyrouter-Request-Id: ");
+      request.append(id).append("\r\nFireflyrouter-Deadline-Ms: 120\r\n\r\n");
+      caller->Send(request);
       // Most requests follow one another, some run at the same time.
       if (i % 4 != 0) {
         Await([&] {
