Play late copies of engines' answers against runs, prompts and resumed streams

An engine gets a request's id twice on purpose: once to prefill its prompt and once to run it, and a stream may resume. The seeded test of late copies only had plain services. 12 seeds with rejections, with engines of mixed and of split roles: no refusal is untrue, no stream carries another request's events, a stream that may run once runs once.

--- a/tests/servers/relay/relay_trouble_test.cpp
+++ b/tests/servers/relay/relay_trouble_test.cpp
@@ -166,8 +166,9 @@
 class CopyingBackend
 {
 public:
-  explicit CopyingBackend(std::uint32_t aSeed)
+  explicit CopyingBackend(std::uint32_t aSeed, bool aIsEngine = false)
     : mRandom(aSeed)
+    , mIsEngine(aIsEngine)
   {
   }
 
@@ -176,7 +177,8 @@
     const std::string id(
       FindHeader(aRequest.head.headers, "Fireflyrouter-Request-Id"));
     std::string bytes = std::exchange(mLate[aRequest.connection], {});
-    const auto answer = MakeAnswerFor(id);
+    const auto answer =
+      mIsEngine ? MakeEngineAnswer(aRequest.head, id) : MakeAnswerFor(id);
     bytes += answer;
     switch (mRandom() % 8) {
       case 0:
@@ -201,6 +203,29 @@
   std::map<std::string, int> runs;
 
 private:
+  // The handle of a prompt, or a stream of two events.
+  std::string MakeEngineAnswer(const firefly::MessageHead& aHead,
+                               const std::string& aId)
+  {
+    const auto header = "Fireflyrouter-Request-Id: " + aId + "\r\n";
+    if (mRandom() % 4 == 0) {
+      return MakeAnswer(503, "", header + "Fireflyrouter-Not-Run: 1\r\n");
+    }
+    if (FindHeader(aHead.headers, "Fireflyrouter-Stage") == "prefill") {
+      return MakeAnswer(200,
+                        R"({"kvHandle":"h)" + aId +
+                          R"(","tokens":9,"version":1})",
+                        header);
+    }
+    runs[aId]++;
+    return "HTTP/1.1 200 OK\r\n" + kStamp + header +
+           "Content-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n" +
+           firefly::ComposeChunk("id: 1\ndata: body of " + aId + "\n\n") +
+           firefly::ComposeChunk("id: 2\ndata: end of " + aId + "\n\n") +
+           std::string(firefly::LastChunk());
+  }
+
   std::string MakeAnswerFor(const std::string& aId)
   {
     const auto header = "Fireflyrouter-Request-Id: " + aId + "\r\n";
@@ -220,6 +245,7 @@
   }
 
   std::minstd_rand mRandom;
+  bool mIsEngine;
   std::map<std::size_t, std::string> mLate;
 };
 
@@ -269,6 +295,55 @@
   }
 }
 
+// The same for engines, which get a request's id twice on purpose: once to
+// prefill its prompt and once to run it.
+TEST(RelayTroubleTest, CopiesOfEnginesAnswersNeverMakeARefusalUntrue)
+{
+  constexpr std::uint32_t kSeeds = 12;
+  constexpr int kRequests = 16;
+  for (std::uint32_t seed = 1; seed <= kSeeds; seed++) {
+    CopyingBackend firstScript(seed, true);
+    CopyingBackend secondScript(seed + kSeeds, true);
+    first = StartBackend(std::ref(firstScript));
+    second = StartBackend(std::ref(secondScript));
+    const bool isSplit = seed % 2 == 0;
+    Register("e1", *first, isSplit ? EngineRole::kPrefill : EngineRole::kMixed);
+    Register("e2", *second, isSplit ? EngineRole::kDecode : EngineRole::kMixed);
+    SetRoutingTable();
+    std::map<std::string, std::unique_ptr<RawTcpClient>> sent;
+    for (int i = 1; i <= kRequests; i++) {
+      const auto id = std::to_string(seed) + "-" + std::to_string(i);
+      std::string request = i % 2 == 0 ? "POST /resume/" : "POST /ask/";
+      request.append(id).append(
+        " HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n"
+        "Fireflyrouter-Model: m\r\nFireflyrouter-Token-Count: 900,80\r\n"
+        "Fireflyrouter-Prompt-Prefix: a1:600,b2:300\r\n"
+        "Fireflyrouter-Deadline-Ms: 150\r\nFireflyrouter-Request-Id: ");
+      request.append(id).append("\r\n\r\n");
+      auto caller = std::make_unique<RawTcpClient>(executor, callers.Port());
+      caller->Send(request);
+      if (i % 4 != 0) {
+        Await([&] {
+          return caller->HasReceived("HTTP/1.1 ") || caller->IsClosed();
+        });
+      }
+      sent[id] = std::move(caller);
+    }
+    Await([&] { return relay.LiveRequests() == 0; });
+    for (const auto& [id, caller] : sent) {
+      const auto context = "request " + id;
+      const auto runs = firstScript.runs[id] + secondScript.runs[id];
+      const bool isRefusal = caller->HasReceived("HTTP/1.1 503");
+      CHECK_TRUE_TEXT(!isRefusal || runs == 0, context.c_str());
+      CHECK_TRUE_TEXT(!caller->HasReceived("data: ") ||
+                        caller->HasReceived("data: body of " + id + "\n"),
+                      context.c_str());
+      const bool isOnce = std::stoi(id.substr(id.find('-') + 1)) % 2 != 0;
+      CHECK_TRUE_TEXT(!isOnce || runs <= 1, context.c_str());
+    }
+  }
+}
+
 // A planned stop closes idle connections. A request that has just arrived on
 // one of them, and was not read yet, is told that it has not run.
 TEST(RelayTroubleTest, ARequestInTheSocketIsAnsweredDuringAStop)
