Let untrusted callers hold incomplete bodies during the soak

Five callers for each relay send all of a 4 MB body but its end, announced or chunked, keep the connection open, and come back when it is closed. The relays' hosts have 64 MB, so that their bodies exceed what a relay may hold for callers. They use no random numbers of the other callers or of the fault plan.

Not shown by the soak: a relay that exceeds its memory, since the soak's processes have no limit; the process tests check that.

--- a/tests/soak/relay_host.cpp
+++ b/tests/soak/relay_host.cpp
@@ -78,7 +78,7 @@
     << "\"\n[peers]\nport = " << ports.peers
     << "\nfact_port = " << ports.updates << "\nseeds = [" << seeds.str()
     << "]\n[log_service]\nurl = \"http://127.0.0.1:" << mStoreProxy.Port()
-    << "\"\n[relay]\nstop_grace_ms = 8000\nunready_grace_ms = "
+    << "\"\n[relay]\nmemory_mb = 64\nstop_grace_ms = 8000\nunready_grace_ms = "
     << unreadyGraceMs
     << "\n[engines]\nprompt_share = 0.5\n[engines.prefill]\n"
        "prompt_tokens_per_s = 61800\ncopy_tokens_per_s = 1400000\n"
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -8,6 +8,7 @@
 #include "tests/soak/relay_host.h"
 #include "tests/soak/routing_table_writer.h"
 #include "tests/soak/simulated_callers.h"
+#include "tests/soak/untrusted_callers.h"
 
 namespace firefly::soak {
 
@@ -56,6 +57,7 @@
                mHosts,
                mTableWriter,
                mChecker)
+    , mUntrustedCallers(mExecutor, { .seed = aOptions.seed }, mHosts)
   {
   }
 
@@ -79,10 +81,16 @@
       ScheduleAfter(it.at, [this, it] { BeginFault(it); });
       last = std::max(last, it.at + it.length);
     }
-    ScheduleAfter(kStartupTime, [this] { mCallers.Start(); });
+    ScheduleAfter(kStartupTime, [this] {
+      mCallers.Start();
+      mUntrustedCallers.Start();
+    });
     const auto recovered = last + kRecoveryTime;
     mChecker.OnLastFault(mStartedAt + recovered);
-    ScheduleAfter(recovered + kFinalPhase, [this] { mCallers.Stop(); });
+    ScheduleAfter(recovered + kFinalPhase, [this] {
+      mCallers.Stop();
+      mUntrustedCallers.Stop();
+    });
     // The last requests have 6 s to end.
     ScheduleAfter(recovered + kFinalPhase + std::chrono::seconds(6),
                   [this] { mExecutor.Stop(); });
@@ -362,6 +370,7 @@
   RelayHosts mHosts;
   RoutingTableWriter mTableWriter;
   SimulatedCallers mCallers;
+  UntrustedCallers mUntrustedCallers;
   std::vector<Timer> mTimers;
   Instant mStartedAt{};
   PromiseChecker::Counts mLast;
