Do not evict a body whose bytes wait in the socket

After a process was stopped, the bodies of sound callers had made no progress only because nothing was read; the first reservation that needed memory would have evicted them. Bytes that were not read yet count as progress. Found by reading; http1_test and untrusted_callers_process_test pass.

--- a/servers/http1/caller_connection.cpp
+++ b/servers/http1/caller_connection.cpp
@@ -292,7 +292,10 @@
     return Duration::zero();
   }
   if (mState == State::kHead || mState == State::kBody) {
-    return aNow - mProgressAt;
+    // Bytes that were not read yet are progress, for example after this process
+    // was stopped.
+    asio::error_code ec;
+    return mSocket.available(ec) > 0 ? Duration::zero() : aNow - mProgressAt;
   }
   const bool isSending =
     mState == State::kAnswering && !mOutputBeingWritten.empty();
