Give each of the entry's calls to a backend server its own connection

What callers saw: firefly-entry answered a lookup with another caller's item, and refused a prompt with "not-run" while an engine ran it.

Cause: the first attempts of idempotent calls and prompts reused libcurl's pooled connections. A second copy of an earlier response, sent where the next one is expected, was taken for the response to the call. libcurl closes a connection only if unexpected bytes wait when it is taken from the pool.

Evidence: with pooled connections, ALateCopyOfAnAnswerReachesNoOtherCaller got "item of q1" for q2, and ALateCopyOfARejectionMakesNoRefusalUntrue got 503 "not-run" with one run; both with a real entry before a scripted server.

Change: MakePlainCall and MakeEngineCall always use a connection of their own. Checking an id was ruled out: services need not name the request in their responses.

--- a/servers/entry/booking_task.cpp
+++ b/servers/entry/booking_task.cpp
@@ -200,7 +200,7 @@
   const auto* backend = mContext.settings->FindBackend(aOrder.backend);
   mRunner = std::make_unique<PlainCallRunner>(
     *mContext.client,
-    MakePlainCall(mCall, backend->url, mContext.settings->entry, true),
+    MakePlainCall(mCall, backend->url, mContext.settings->entry),
     mContext.outstanding->Begin(aOrder.backend),
     [weak = weak_from_this(), number](Result aResult) {
       if (const auto self = weak.lock()) {
--- a/servers/entry/engine_call.cpp
+++ b/servers/entry/engine_call.cpp
@@ -6,8 +6,7 @@
 MakeEngineCall(const ModelCall& aCall,
                const std::string& aEngineUrl,
                const EngineExtension& aExtension,
-               const EngineCallLimits& aLimits,
-               bool aFreshConnection)
+               const EngineCallLimits& aLimits)
 {
   HttpCall call;
   call.method = "POST";
@@ -17,7 +16,7 @@
   call.body = MakeEngineBody(aCall, aExtension);
   call.connectTimeout = aLimits.connectTimeout;
   call.totalTimeout = aLimits.requestTimeout;
-  call.freshConnection = aFreshConnection;
+  call.freshConnection = true;
   return call;
 }
 
--- a/servers/entry/engine_call.h
+++ b/servers/entry/engine_call.h
@@ -16,14 +16,14 @@
   Duration requestTimeout{};
 };
 
-// Builds the streaming request for one attempt. Attempts after the first use a
-// fresh connection, since pooled connections may be dead without notice.
+// Builds the streaming request for one attempt. It uses a connection of its
+// own: a late copy of an earlier response on a pooled one, such as a rejection,
+// would be taken for the response to this attempt.
 HttpCall
 MakeEngineCall(const ModelCall& aCall,
                const std::string& aEngineUrl,
                const EngineExtension& aExtension,
-               const EngineCallLimits& aLimits,
-               bool aFreshConnection);
+               const EngineCallLimits& aLimits);
 
 // Builds the request that cancels an attempt whose output is no longer used,
 // because the attempt failed, or the router cancelled it or declined it.
--- a/servers/entry/idempotent_request_task.cpp
+++ b/servers/entry/idempotent_request_task.cpp
@@ -58,11 +58,9 @@
   mLifecycle.OnDispatch(aOrder);
   const auto number = aOrder.attempt;
   const auto* backend = mContext.settings->FindBackend(aOrder.backend);
-  const bool useFreshConnection = number.Value() > 1;
   mAttempts[number] = std::make_unique<PlainCallRunner>(
     *mContext.client,
-    MakePlainCall(
-      mCall, backend->url, mContext.settings->entry, useFreshConnection),
+    MakePlainCall(mCall, backend->url, mContext.settings->entry),
     mContext.outstanding->Begin(aOrder.backend),
     [weak = weak_from_this(), number](Result aResult) {
       if (const auto self = weak.lock()) {
--- a/servers/entry/model_request_task.cpp
+++ b/servers/entry/model_request_task.cpp
@@ -107,14 +107,12 @@
                         .lastReceived = mContext.executor->Now() })
       .first->second;
   const auto& entry = mContext.settings->entry;
-  const bool useFreshConnection = number.Value() > 1;
   attempt.transfer = mContext.client->Stream(
     MakeEngineCall(mCall,
                    backend->url,
                    extension,
                    { .connectTimeout = entry.connectTimeout,
-                     .requestTimeout = entry.requestTimeout },
-                   useFreshConnection),
+                     .requestTimeout = entry.requestTimeout }),
     MakeStreamHandlers(number));
 }
 
--- a/servers/entry/plain_call_runner.cpp
+++ b/servers/entry/plain_call_runner.cpp
@@ -13,8 +13,7 @@
 HttpCall
 MakePlainCall(const PlainCall& aCall,
               const std::string& aBackendUrl,
-              const EntrySettings& aLimits,
-              bool aFreshConnection)
+              const EntrySettings& aLimits)
 {
   HttpCall call;
   call.method = aCall.head.type->method;
@@ -31,7 +30,7 @@
   call.connectTimeout = aLimits.connectTimeout;
   call.totalTimeout = aLimits.requestTimeout;
   call.stallTimeout = aLimits.stallTimeout;
-  call.freshConnection = aFreshConnection;
+  call.freshConnection = true;
   call.maxBodyBytes = kMaxAnswerBytes;
   return call;
 }
--- a/servers/entry/plain_call_runner.h
+++ b/servers/entry/plain_call_runner.h
@@ -12,12 +12,14 @@
 
 namespace firefly {
 
-// Builds the call to the backend server for a caller's request.
+// Builds the call to the backend server for a caller's request. It uses a
+// connection of its own: services need not name the request in their responses,
+// so that a late copy of an earlier response on a pooled connection could not
+// be told from the response to this call.
 HttpCall
 MakePlainCall(const PlainCall& aCall,
               const std::string& aBackendUrl,
-              const EntrySettings& aLimits,
-              bool aFreshConnection);
+              const EntrySettings& aLimits);
 
 // A running call. Destroying it cancels the call without a callback.
 class PlainCallRunner
--- a/tests/helpers/scripted_backend.cpp
+++ b/tests/helpers/scripted_backend.cpp
@@ -156,7 +156,13 @@
 std::string
 ScriptedBackend::Address() const
 {
-  return "127.0.0.1:" + std::to_string(mImpl->acceptor.local_endpoint().port());
+  return "127.0.0.1:" + std::to_string(Port());
+}
+
+std::uint16_t
+ScriptedBackend::Port() const
+{
+  return mImpl->acceptor.local_endpoint().port();
 }
 
 const std::vector<ScriptedRequest>&
--- a/tests/helpers/scripted_backend.h
+++ b/tests/helpers/scripted_backend.h
@@ -53,6 +53,7 @@
 
   // Returns the address, such as "127.0.0.1:43211".
   [[nodiscard]] std::string Address() const;
+  [[nodiscard]] std::uint16_t Port() const;
 
   // The complete requests that were received, in order.
   [[nodiscard]] const std::vector<ScriptedRequest>& Requests() const;
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -73,6 +73,12 @@
   for (int i = 0; i < mOptions.services; ++i) {
     mServicePorts.push_back(FindFreePort());
   }
+  mEnginePorts.insert(mEnginePorts.end(),
+                      mOptions.enginePorts.begin(),
+                      mOptions.enginePorts.end());
+  mServicePorts.insert(mServicePorts.end(),
+                       mOptions.servicePorts.begin(),
+                       mOptions.servicePorts.end());
   mPlatformPort = FindFreePort();
 }
 
@@ -145,7 +151,8 @@
     .program = folder + "platform/firefly-standin-platform",
     .arguments = { PortArgument(mPlatformPort) },
     .output = {} });
-  for (const auto port : mEnginePorts) {
+  for (int i = 0; i < mOptions.engines; ++i) {
+    const auto port = mEnginePorts[static_cast<std::size_t>(i)];
     mEngines.push_back(std::make_unique<ChildProcess>(ChildProcess::Options{
       .program = folder + "engine/firefly-standin-engine",
       .arguments = { PortArgument(port),
@@ -154,18 +161,19 @@
                      "--checks-fencing" },
       .output = {} }));
   }
-  for (const auto port : mServicePorts) {
+  for (int i = 0; i < mOptions.services; ++i) {
+    const auto port = mServicePorts[static_cast<std::size_t>(i)];
     mServices.push_back(std::make_unique<ChildProcess>(ChildProcess::Options{
       .program = folder + "service/firefly-standin-service",
       .arguments = { PortArgument(port) },
       .output = {} }));
   }
-  for (std::size_t i = 0; i < mEnginePorts.size(); ++i) {
-    const auto url = EngineUrl(static_cast<int>(i)) + "/state";
+  for (int i = 0; i < mOptions.engines; ++i) {
+    const auto url = EngineUrl(i) + "/state";
     WaitFor([&] { return mHttp.Succeeds(url); });
   }
-  for (std::size_t i = 0; i < mServicePorts.size(); ++i) {
-    const auto url = ServiceUrl(static_cast<int>(i)) + "/counts";
+  for (int i = 0; i < mOptions.services; ++i) {
+    const auto url = ServiceUrl(i) + "/counts";
     WaitFor([&] { return mHttp.Succeeds(url); });
   }
   WaitFor([&] { return mHttp.Succeeds(PlatformUrl() + "/control"); });
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -36,6 +36,10 @@
     std::string slots = "8";
     // Additional lines for the [entry] section.
     std::string entrySettings = {};
+    // Ports of engines and plain services that the test provides, in addition
+    // to the stand-ins.
+    std::vector<std::uint16_t> enginePorts = {};
+    std::vector<std::uint16_t> servicePorts = {};
     // Arguments of prlimit for each entry, such as "--nofile=400".
     std::vector<std::string> entryLimits = {};
   };
