Read an engine's state on a connection of its own

What operators saw: the steward could take an engine's earlier state for the present one, such as a change that was over.

Evidence: EngineClientTest.ALateCopyOfAStateIsNotThePresentOne got the state before (1 for 2) with a pooled connection.

Change: the read has a connection of its own, as orders had. Result: the test passes.

--- a/servers/steward/engine_client.cpp
+++ b/servers/steward/engine_client.cpp
@@ -142,6 +142,9 @@
 {
   HttpCall call;
   call.url = mOptions.url + "/state";
+  // A late copy of an earlier report on a pooled connection would be taken for
+  // the present state.
+  call.freshConnection = true;
   StartCall(std::move(call),
             [callback = std::move(aCallback)](
               const tl::expected<HttpResult, HttpError>& aResult) {
