Log and count reads of a feed that end before the end of the log

Logs could not tell whether relays learned of the change late, were slow to decode it, or read it late because they were behind in the log.

Change: a line "feed behind the log" with the offset that an answer reached and the end of the log, firefly_relay_feed_catch_ups_total by feed, and firefly_relay_table_decode_seconds by source. No decision changes.

--- a/coord/keyed_feed.cpp
+++ b/coord/keyed_feed.cpp
@@ -201,6 +201,9 @@
     return;
   }
   mOwnBackoff = Duration::zero();
+  if (aBatch->next < aBatch->end) {
+    mObserver.OnBehind(aBatch->next, aBatch->end);
+  }
   MarkCurrent();
   FeedProgress progress{ .from = mNext,
                          .next = aBatch->next,
--- a/coord/keyed_feed.h
+++ b/coord/keyed_feed.h
@@ -50,6 +50,9 @@
   // Called after the newest records of all keys were read. aKeys lists every
   // key that exists.
   virtual void OnSnapshot(const std::vector<std::string>& aKeys) = 0;
+  // Called when the answer to a read ends at aNext, before aEnd, the end of the
+  // stream at that time.
+  virtual void OnBehind(LogOffset /*aNext*/, LogOffset /*aEnd*/) {}
   // Called when a read fails, unless the feed is lost already. Until
   // OnRegained(), the known records may be out of date.
   virtual void OnLost(const LogError& aError) = 0;
--- a/servers/relay/relay_metrics.cpp
+++ b/servers/relay/relay_metrics.cpp
@@ -88,6 +88,14 @@
       { .name = "firefly_relay_confirmation_age_seconds",
         .help = "Since this relay is known to have had the newest records",
         .labelNames = { "feed" } }))
+  , feedCatchUps(aRegistry.Counters(
+      { .name = "firefly_relay_feed_catch_ups_total",
+        .help = "Reads whose answer ended before the end of the stream",
+        .labelNames = { "feed" } }))
+  , tableDecodeSeconds(
+      aRegistry.Summaries({ .name = "firefly_relay_table_decode_seconds",
+                            .help = "Time to decode a routing table's record",
+                            .labelNames = { "source" } }))
   , ready(aRegistry.Gauges(
       { .name = "firefly_relay_ready", .help = "Whether it takes requests" }))
   , dutyCalls(aRegistry.Counters({ .name = "firefly_relay_duty_calls_total",
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -33,6 +33,8 @@
   MetricFamily<Gauge>& customerKeys;
   MetricFamily<Gauge>& feedAge;
   MetricFamily<Gauge>& confirmationAge;
+  MetricFamily<Counter>& feedCatchUps;
+  MetricFamily<Summary>& tableDecodeSeconds;
   MetricFamily<Gauge>& ready;
   MetricFamily<Counter>& dutyCalls;
   MetricFamily<Gauge>& dutyToken;
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -103,6 +103,7 @@
   {
     std::function<bool(const coord::KeyedRecord&)> onRecord;
     std::function<void(const coord::FeedProgress&)> onProgress;
+    std::function<void()> onBehind;
     std::function<void()> onReadFailing;
     std::function<void(const std::vector<std::string>&)> onSnapshot;
     std::function<void()> onRegained;
@@ -122,6 +123,14 @@
   {
     mHandlers.onProgress(aProgress);
   }
+  void OnBehind(coord::LogOffset aNext, coord::LogOffset aEnd) override
+  {
+    mLog.Info("feed behind the log",
+              { { "feed", mName },
+                { "next", std::to_string(aNext.Value()) },
+                { "end", std::to_string(aEnd.Value()) } });
+    mHandlers.onBehind();
+  }
   void OnReadFailing() override { mHandlers.onReadFailing(); }
   void OnSnapshot(const std::vector<std::string>& aKeys) override
   {
@@ -424,6 +433,7 @@
             AnnounceRouting(aProgress.next, AllPeers());
           }
         },
+      .onBehind = [this] { mMetrics.feedCatchUps.With({ "routing" }).Add(); },
       .onReadFailing =
         [this] {
           mPeerUpdates.Send(
@@ -448,6 +458,7 @@
             { .feed = SharedFeed::kBackends, .progress = aProgress },
             AllPeers());
         },
+      .onBehind = [this] { mMetrics.feedCatchUps.With({ "backends" }).Add(); },
       .onReadFailing =
         [this] {
           mPeerUpdates.Send(
@@ -594,7 +605,10 @@
 
   bool ApplyRoutingTable(const std::string& aRecord, const std::string& aSource)
   {
+    const auto start = mExecutor.Now();
     auto table = mParts.decoder->DecodeRouting(aRecord);
+    mMetrics.tableDecodeSeconds.With({ aSource })
+      .Observe(ToSeconds(mExecutor.Now() - start));
     if (!table) {
       mLog.Warning("invalid routing record ignored",
                    { { "source", aSource }, { "why", table.error().message } });
