Keep the newest routing table in force however often it changes

The bound is 2 s.

Cause: the work of a relay grew with the number of changes. It read each version, one answer of at most 1 MB in each pause, and fell behind; an announcement within 0.3 to 1 s of another was dropped; a message that could not hold a large record postponed the receivers' own reads as if it were a whole read; up to 1.5 MB were fetched from one announcer at once.

Change: a feed drops an answer that ends before the end of the log and reads the newest record of each key at once; it delivers only the newest record of a key in an answer; progress that does not cover all records postpones nothing. TableUpdatePlanner remembers the newest announced version and decides when to fetch it and from where; RoutingTableUpdater holds what followed the table in relay_server.cpp. firefly_relay_table_behind_seconds shows how long a relay has known of a newer table.

UnconfirmingProgressDoesNotPostponeReadsForever drew its control from progress without an instant, which postpones nothing now; it plays late progress for the control, with the same bounds, and incomplete progress beside it. RelayServerTest's log counts newest records as read from the log.

--- a/coord/keyed_feed.cpp
+++ b/coord/keyed_feed.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string_view>
 #include <utility>
 
 namespace firefly::coord {
@@ -19,6 +20,17 @@
 // How long newly found peers may postpone a read.
 constexpr Duration kMaxDiscoveryTime = std::chrono::seconds(2);
 
+// The offset of the newest of the records with each key.
+std::map<std::string_view, LogOffset>
+NewestOffsetsOf(const std::vector<KeyedRecord>& aRecords)
+{
+  std::map<std::string_view, LogOffset> offsets;
+  for (const auto& it : aRecords) {
+    offsets[it.key] = it.offset;
+  }
+  return offsets;
+}
+
 } // namespace
 
 KeyedFeed::KeyedFeed(Options aOptions,
@@ -149,7 +161,7 @@
   mLog.ReadFrom(
     mOptions.stream,
     mNext,
-    aWait,
+    { .wait = aWait, .maxBytes = mOptions.maxReadBytes },
     [this, call = ++mCallNumber](tl::expected<KeyedBatch, LogError> aBatch) {
       if (call == mCallNumber) {
         OnBatch(std::move(aBatch));
@@ -180,6 +192,15 @@
   }
 }
 
+void
+KeyedFeed::ReadNewest()
+{
+  if (mIsFollowing) {
+    mTimer.Cancel();
+    Load();
+  }
+}
+
 void
 KeyedFeed::RefreshHangingRead()
 {
@@ -202,19 +223,31 @@
   }
   mOwnBackoff = Duration::zero();
   if (aBatch->next < aBatch->end) {
+    // Reading on would take longer with each record that was written meanwhile.
+    // The newest records are no more than the keys are, however many were
+    // written.
     mObserver.OnBehind(aBatch->next, aBatch->end);
+    Load();
+    return;
   }
   MarkCurrent();
   FeedProgress progress{ .from = mNext,
                          .next = aBatch->next,
                          .newRecords = {} };
-  // An answer that does not hold all records confirms nothing, nor does one
-  // that ends before the records that were known when the read was sent: the
-  // log was rewound, or a replica answered that lags.
-  if (aBatch->next >= aBatch->end && aBatch->end >= mKnownEndAtRead) {
+  // An answer that ends before the records that were known when the read was
+  // sent confirms nothing: the log was rewound, or a replica answered that
+  // lags.
+  if (aBatch->end >= mKnownEndAtRead) {
     progress.readAt = mReadAt;
   }
+  const auto newest = NewestOffsetsOf(aBatch->records);
   for (const auto& it : aBatch->records) {
+    if (it.offset < newest.at(it.key)) {
+      // Replaced within the answer. Another process may learn of this record
+      // and not of the newer one, if that is too large for a datagram.
+      progress.newRecords.push_back(it);
+      continue;
+    }
     // A record that was appended while the newest records of all keys were
     // read, or a newer one of its key, is known here, but not to processes that
     // have read up to mNext.
@@ -260,7 +293,9 @@
   }
   if (IsConfirmationOld()) {
     ReadSoon(mOptions.pause);
-  } else if (!mIsReading) {
+  } else if (!mIsReading && aProgress.readAt) {
+    // Progress that does not cover all records, for example because one of them
+    // is too large for a datagram, does not stand for a read of this process.
     Schedule(NextPause(), &KeyedFeed::Follow);
   }
 }
@@ -317,6 +352,9 @@
 KeyedFeed::SkipTo(LogOffset aNext)
 {
   ApplyPeerProgress({ .from = mNext, .next = aNext, .newRecords = {} });
+  if (mIsLoaded && mIsFollowing && !mIsReading && !mIsReadDue) {
+    Schedule(NextPause(), &KeyedFeed::Follow);
+  }
 }
 
 bool
--- a/coord/keyed_feed.h
+++ b/coord/keyed_feed.h
@@ -1,7 +1,9 @@
 #pragma once
 
 // Follows one compacted stream: reads the newest record of each key, then every
-// further record, and recovers from outages and compactions of the log.
+// further record, and recovers from outages and compactions of the log. If more
+// was written than one answer holds, it reads the newest record of each key at
+// once instead of the records that they replaced.
 
 #include <cstdint>
 #include <map>
@@ -38,7 +40,8 @@
 public:
   virtual ~KeyedFeedObserver() = default;
 
-  // Called for each record that is newer than the last one of its key. Returns
+  // Called for each record that is newer than the last one of its key, unless
+  // the same answer holds a still newer one. Returns
   // whether it changed what the observer knows. A record whose content it knows
   // from another source than the feed counts as a change, because processes
   // that receive the progress may not know it.
@@ -51,7 +54,8 @@
   // key that exists.
   virtual void OnSnapshot(const std::vector<std::string>& aKeys) = 0;
   // Called when the answer to a read ends at aNext, before aEnd, the end of the
-  // stream at that time.
+  // stream at that time. OnSnapshot() follows when the newest records of all
+  // keys have been read.
   virtual void OnBehind(LogOffset /*aNext*/, LogOffset /*aEnd*/) {}
   // Called when a read fails, unless the feed is lost already. Until
   // OnRegained(), the known records may be out of date.
@@ -79,6 +83,9 @@
     Duration maxSharedPause{};
     // How long the log may delay the answer to a read until a record arrives.
     Duration wait{};
+    // The size of one answer. If less was written since the last read, the
+    // answer holds all of it.
+    std::size_t maxReadBytes = std::size_t{ 1 } << 20U;
     // An answer that the log need not delay is overdue after this time.
     Duration overdueAfter = std::chrono::milliseconds(100);
     // The initial and the maximum delay before a failed read is retried. The
@@ -110,6 +117,13 @@
   // Does nothing while the newest records of all keys are being read.
   void Refresh();
 
+  // Reads the newest records of all keys, unless that is in progress.
+  // OnSnapshot() or OnLost() follows.
+  void ReadNewest();
+
+  // Sets the size of one answer for the next reads.
+  void SetMaxReadBytes(std::size_t aBytes) { mOptions.maxReadBytes = aBytes; }
+
   // The same, but only if a read is in progress.
   void RefreshHangingRead();
 
@@ -134,9 +148,9 @@
   void OnPeerReadFailing(const std::string& aPeer);
 
   // Skips the records before the offset, because their content is known from
-  // another source. Ignored while the newest records of all keys are being
-  // read. Confirms nothing, since it is not known when that source read the
-  // log.
+  // another source, and postpones this process's next read. Ignored while the
+  // newest records of all keys are being read. Confirms nothing, since it is
+  // not known when that source read the log.
   void SkipTo(LogOffset aNext);
 
   // Whether all keys have been read at least once.
@@ -146,6 +160,9 @@
   // of another process was applied.
   [[nodiscard]] bool Lost() const { return mIsLost; }
 
+  // The offset up to which the stream is known.
+  [[nodiscard]] LogOffset Next() const { return mNext; }
+
   // When this process last learned the newest state of the log, by its own read
   // or another process's progress; the epoch if never.
   [[nodiscard]] Instant CurrentAt() const { return mCurrentAt; }
--- a/coord/keyed_log.h
+++ b/coord/keyed_log.h
@@ -44,6 +44,16 @@
   LogOffset end;
 };
 
+// Terms of a read of the records that follow an offset.
+struct KeyedReadTerms
+{
+  // At the end of the stream, the answer is delayed until the next record
+  // arrives, or is empty after this time.
+  Duration wait{};
+  // The answer holds the first records whose sizes together stay below this.
+  std::size_t maxBytes = std::size_t{ 1 } << 20U;
+};
+
 // Reads compacted streams. Callbacks run exactly once and never inside the
 // call; a client that is destroyed drops its callbacks.
 class KeyedLogClient
@@ -61,12 +71,11 @@
                           const std::string& aAfterKey,
                           NewestCallback aCallback) = 0;
 
-  // Reads the records from the offset on. At the end of the stream, the answer
-  // is delayed until the next record arrives, or is empty after aWait. After
-  // kTrimmed, call ReadNewest() again.
+  // Reads the records from the offset on. After kTrimmed, call ReadNewest()
+  // again.
   virtual void ReadFrom(const StreamName& aStream,
                         LogOffset aFrom,
-                        Duration aWait,
+                        const KeyedReadTerms& aTerms,
                         BatchCallback aCallback) = 0;
 };
 
--- /dev/null
+++ b/policy/table_update/table_update_planner.cpp
@@ -0,0 +1,97 @@
+#include "policy/table_update/table_update_planner.h"
+
+#include <algorithm>
+
+namespace firefly::policy {
+
+TableUpdatePlanner::TableUpdatePlanner(Options aOptions)
+  : mOptions(aOptions)
+{
+}
+
+bool
+TableUpdatePlanner::OnAnnounced(RoutingVersion aVersion,
+                                std::uint64_t aBytes,
+                                Instant aNow)
+{
+  if (aVersion == mNewest) {
+    // Another host is asked after a fetch that did not bring the table.
+    return mAttempts > 0 && !mIsFetching;
+  }
+  if (aVersion < mNewest) {
+    return false;
+  }
+  mNewest = aVersion;
+  mNewestBytes = aBytes;
+  mAttempts = 0;
+  if (!mBehindSince) {
+    mBehindSince = aNow;
+  }
+  return true;
+}
+
+TableUpdatePlanner::Decision
+TableUpdatePlanner::Decide(const Situation& aSituation) const
+{
+  if (mIsFetching || mNewest <= aSituation.ownVersion) {
+    return {};
+  }
+  if (mLastStart && aSituation.now < *mLastStart + Interval()) {
+    return { .kind = Decision::Kind::kWait,
+             .wait = *mLastStart + Interval() - aSituation.now };
+  }
+  const auto bytes = std::max(mNewestBytes, aSituation.ownBytes);
+  const bool isLarge = bytes * aSituation.fetchers > mOptions.maxAnnouncerBytes;
+  // After a failed fetch, the other source is tried.
+  const bool avoidsAnnouncer =
+    mAttempts > 0 && mLastSource == TableSource::kAnnouncer;
+  const bool usesLog = !aSituation.isLogLost && (isLarge || avoidsAnnouncer);
+  return { .kind = Decision::Kind::kFetch,
+           .source = usesLog ? TableSource::kLog : TableSource::kAnnouncer };
+}
+
+Duration
+TableUpdatePlanner::Interval() const
+{
+  auto interval = mOptions.minInterval;
+  for (std::uint32_t i = 1; i < mAttempts && interval < mOptions.maxInterval;
+       ++i) {
+    interval *= 2;
+  }
+  return std::min(interval, mOptions.maxInterval);
+}
+
+void
+TableUpdatePlanner::OnFetchStarted(TableSource aSource, Instant aNow)
+{
+  mIsFetching = true;
+  mLastSource = aSource;
+  mLastStart = aNow;
+  mAttempts++;
+}
+
+void
+TableUpdatePlanner::OnFetchEnded()
+{
+  mIsFetching = false;
+}
+
+Duration
+TableUpdatePlanner::BehindFor(RoutingVersion aOwn, Instant aNow) const
+{
+  return mBehindSince && aOwn < mNewest ? aNow - *mBehindSince
+                                        : Duration::zero();
+}
+
+std::optional<Duration>
+TableUpdatePlanner::OnInForce(RoutingVersion aVersion, Instant aNow)
+{
+  if (!mBehindSince || aVersion < mNewest) {
+    return std::nullopt;
+  }
+  const auto took = aNow - *mBehindSince;
+  mBehindSince.reset();
+  return took;
+}
+
+} // namespace firefly::policy
--- a/servers/relay/peer_group.h
+++ b/servers/relay/peer_group.h
@@ -78,6 +78,12 @@
     return mDomainPeerAddresses;
   }
 
+  // The number of other failure domains that have live relays.
+  [[nodiscard]] std::size_t FarDomainCount() const
+  {
+    return mFarPeerAddresses.size();
+  }
+
   // Picks one live relay in each other failure domain, which forwards a message
   // to the others there, so that one copy crosses to each domain.
   [[nodiscard]] std::vector<std::string> PickForwarders();
--- a/servers/relay/relay_metrics.cpp
+++ b/servers/relay/relay_metrics.cpp
@@ -96,6 +96,13 @@
       aRegistry.Summaries({ .name = "firefly_relay_table_decode_seconds",
                             .help = "Time to decode a routing table's record",
                             .labelNames = { "source" } }))
+  , tableBehind(aRegistry.Gauges(
+      { .name = "firefly_relay_table_behind_seconds",
+        .help = "Since this relay learned of a newer routing table that it "
+                "does not have yet" }))
+  , tableUpdateSeconds(aRegistry.Summaries(
+      { .name = "firefly_relay_table_update_seconds",
+        .help = "From learning of a newer routing table to its use" }))
   , ready(aRegistry.Gauges(
       { .name = "firefly_relay_ready", .help = "Whether it takes requests" }))
   , dutyCalls(aRegistry.Counters({ .name = "firefly_relay_duty_calls_total",
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -35,6 +35,8 @@
   MetricFamily<Gauge>& confirmationAge;
   MetricFamily<Counter>& feedCatchUps;
   MetricFamily<Summary>& tableDecodeSeconds;
+  MetricFamily<Gauge>& tableBehind;
+  MetricFamily<Summary>& tableUpdateSeconds;
   MetricFamily<Gauge>& ready;
   MetricFamily<Counter>& dutyCalls;
   MetricFamily<Gauge>& dutyToken;
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -4,12 +4,13 @@
 #include <utility>
 
 #include "coord/keyed_feed.h"
+#include "servers/relay/feed_listener.h"
 #include "servers/relay/peer_group.h"
 #include "servers/relay/peer_update_channel.h"
 #include "servers/relay/relay.h"
 #include "servers/relay/relay_duties.h"
 #include "servers/relay/role_order_issuer.h"
-#include "servers/relay/routing_table_fetcher.h"
+#include "servers/relay/routing_table_updater.h"
 #include "servers/relay/staleness_monitor.h"
 #include "servers/status/status_server.h"
 
@@ -35,15 +36,6 @@
 // are resent within 600 ms.
 constexpr Duration kBackendAckTimeout = std::chrono::milliseconds(700);
 constexpr std::chrono::seconds kKeepAliveProbeDelay{ 1 };
-// Minimum time between two fetches that are caused by a peer's newer version.
-constexpr Duration kMinRefreshInterval = std::chrono::milliseconds(300);
-// The same for large tables: the time that one takes over a link of 10 Mbit/s,
-// with a margin.
-constexpr Duration kMinLargeRefreshInterval = std::chrono::milliseconds(1000);
-// Maximum number of bytes that the other relays of a failure domain together
-// may fetch from one relay at the same time. A link of 10 Mbit/s takes 1.2 s
-// for them.
-constexpr std::uint64_t kMaxPeerFetchBytes = 1'500'000;
 // Interval at which the socket for updates is checked where the staleness of
 // the routing table is bounded; up to this time is added to a peer's age.
 constexpr Duration kSocketCheck = std::chrono::milliseconds(100);
@@ -95,70 +87,9 @@
   return { .ackTimeout = aSilence, .keepAliveIdle = kKeepAliveProbeDelay };
 }
 
-// Forwards the records of one stream to handlers and logs outages of the log.
-class FeedListener : public coord::KeyedFeedObserver
-{
-public:
-  struct Handlers
-  {
-    std::function<bool(const coord::KeyedRecord&)> onRecord;
-    std::function<void(const coord::FeedProgress&)> onProgress;
-    std::function<void()> onBehind;
-    std::function<void()> onReadFailing;
-    std::function<void(const std::vector<std::string>&)> onSnapshot;
-    std::function<void()> onRegained;
-  };
-
-  FeedListener(std::string aName, Handlers aHandlers)
-    : mName(std::move(aName))
-    , mHandlers(std::move(aHandlers))
-  {
-  }
-
-  bool OnRecord(const coord::KeyedRecord& aRecord) override
-  {
-    return mHandlers.onRecord(aRecord);
-  }
-  void OnProgress(const coord::FeedProgress& aProgress) override
-  {
-    mHandlers.onProgress(aProgress);
-  }
-  void OnBehind(coord::LogOffset aNext, coord::LogOffset aEnd) override
-  {
-    mLog.Info("feed behind the log",
-              { { "feed", mName },
-                { "next", std::to_string(aNext.Value()) },
-                { "end", std::to_string(aEnd.Value()) } });
-    mHandlers.onBehind();
-  }
-  void OnReadFailing() override { mHandlers.onReadFailing(); }
-  void OnSnapshot(const std::vector<std::string>& aKeys) override
-  {
-    mLog.Info("feed loaded",
-              { { "feed", mName }, { "keys", std::to_string(aKeys.size()) } });
-    mHandlers.onSnapshot(aKeys);
-  }
-  void OnLost(const coord::LogError& aError) override
-  {
-    mLog.Warning("log lost", { { "feed", mName }, { "why", aError.message } });
-  }
-  void OnRegained(Duration aAway) override
-  {
-    mLog.Info(
-      "log regained",
-      { { "feed", mName }, { "away_s", std::to_string(ToSeconds(aAway)) } });
-    mHandlers.onRegained();
-  }
-
-private:
-  std::string mName;
-  Handlers mHandlers;
-  Log mLog{ "feed" };
-};
-
 } // namespace
 
-class RelayServer::Impl
+class RelayServer::Impl : private RoutingTablePeers
 {
 public:
   Impl(const Parts& aParts, const RelaySettings& aSettings)
@@ -175,38 +106,38 @@
                        mExecutor,
                        mFleet,
                        mPool)
-    , mRelay(
-        { .self = aSettings.host,
-          .incarnation = mIncarnation,
-          .seed = mSeed,
-          .domain = aSettings.domain,
-          .crossDomainPenalty = aSettings.crossDomainPenalty,
-          .queueBound = aSettings.queueBound,
-          .stalenessBound = aSettings.stalenessBound },
-        { .executor = &mExecutor,
-          .dialect = aParts.dialect,
-          .pool = &mPool,
-          .backendRegistry = &mBackendRegistry,
-          .fleet = &mFleet,
-          .routing = &mRouting,
-          .metrics = &mMetrics,
-          .memory = mCallerMemory,
-          .announce =
-            [this](const policy::BackendNotice& aNotice) {
-              mPeerUpdates.Send(aNotice, AllPeers());
-            },
-          .announceCrashSuspicions =
-            [this](const std::vector<policy::CrashSuspicion>& aChanges) {
-              LogCrashSuspicions(aChanges);
-              mPeerUpdates.Send(aChanges, AllPeers());
-            },
-          .tableConfirmedAt = [this] { return mRoutingFeed.ConfirmedAt(); },
-          .onRequestStarted =
-            [this](const CustomerId& aCustomer) {
-              if (mDuties) {
-                mDuties->Usage().OnRequestStarted(aCustomer);
-              }
-            } })
+    , mRelay({ .self = aSettings.host,
+               .incarnation = mIncarnation,
+               .seed = mSeed,
+               .domain = aSettings.domain,
+               .crossDomainPenalty = aSettings.crossDomainPenalty,
+               .queueBound = aSettings.queueBound,
+               .stalenessBound = aSettings.stalenessBound },
+             { .executor = &mExecutor,
+               .dialect = aParts.dialect,
+               .pool = &mPool,
+               .backendRegistry = &mBackendRegistry,
+               .fleet = &mFleet,
+               .routing = &mRouting,
+               .metrics = &mMetrics,
+               .memory = mCallerMemory,
+               .announce =
+                 [this](const policy::BackendNotice& aNotice) {
+                   mPeerUpdates.Send(aNotice, AllPeers());
+                 },
+               .announceCrashSuspicions =
+                 [this](const std::vector<policy::CrashSuspicion>& aChanges) {
+                   LogCrashSuspicions(aChanges);
+                   mPeerUpdates.Send(aChanges, AllPeers());
+                 },
+               .tableConfirmedAt =
+                 [this] { return mTableUpdater.Feed().ConfirmedAt(); },
+               .onRequestStarted =
+                 [this](const CustomerId& aCustomer) {
+                   if (mDuties) {
+                     mDuties->Usage().OnRequestStarted(aCustomer);
+                   }
+                 } })
     , mPeers(
         { .host = aSettings.host,
           .domain = aSettings.domain,
@@ -219,16 +150,13 @@
         mExecutor,
         mRelay.Router(),
         [this](std::uint64_t aVersion, const std::string& aHost) {
-          OnPeerRoutingVersion(
+          mTableUpdater.OnAnnounced(
             { .version = aVersion, .next = {}, .host = aHost }, false);
         },
         [this](std::size_t aOthers) {
-          mRoutingFeed.SetPeerCount(aOthers);
+          mTableUpdater.Feed().SetPeerCount(aOthers);
           mBackendFeed.SetPeerCount(aOthers);
         })
-    , mTableFetcher(
-        *aParts.client,
-        [this](const std::string& aRecord) { OnFetchedTable(aRecord); })
     , mPeerUpdates(
         { .address = aSettings.callers.host,
           .port = aSettings.updatePort,
@@ -245,7 +173,7 @@
             },
           .onRoutingUpdate =
             [this](const RoutingUpdate& aUpdate, bool aIsForwarder) {
-              OnPeerRoutingVersion(aUpdate, aIsForwarder);
+              mTableUpdater.OnAnnounced(aUpdate, aIsForwarder);
             },
           .onNotice =
             [this](const policy::BackendNotice& aNotice) {
@@ -307,17 +235,21 @@
                     ServeRoutingTable(aRequest, *aResponder);
                   } },
               mRegistry)
-    , mRoutingListener("routing", RoutingHandlers())
     , mBackendListener("backends", BackendHandlers())
-    , mRoutingFeed({ .stream = aParts.decoder->RoutingStream(),
-                     .pause = kRoutingReadInterval,
-                     .maxSharedPause = kMaxSharedRoutingReadInterval,
-                     .wait = aSettings.routingWait,
-                     .confirmWithin = ConfirmWithin(aSettings),
-                     .seed = mSeed },
-                   mExecutor,
-                   *aParts.keyedLog,
-                   mRoutingListener)
+    , mTableUpdater({ .feed = { .stream = {},
+                                .pause = kRoutingReadInterval,
+                                .maxSharedPause = kMaxSharedRoutingReadInterval,
+                                .wait = aSettings.routingWait,
+                                .confirmWithin = ConfirmWithin(aSettings),
+                                .seed = mSeed },
+                      .statusPort = aSettings.status.port },
+                    { .executor = &mExecutor,
+                      .log = aParts.keyedLog,
+                      .client = aParts.client,
+                      .decoder = aParts.decoder,
+                      .replica = &mRouting,
+                      .peers = this,
+                      .metrics = &mMetrics })
     , mBackendFeed({ .stream = aParts.decoder->BackendStream(),
                      .pause = aSettings.backendPoll,
                      .maxSharedPause = aSettings.sharedPoll,
@@ -328,7 +260,7 @@
                    mBackendListener)
     , mStalenessMonitor({ .bound = aSettings.stalenessBound },
                         mExecutor,
-                        [this] { return mRoutingFeed.ConfirmedAt(); })
+                        [this] { return mTableUpdater.Feed().ConfirmedAt(); })
   {
     mRouting.OnChange([this](const policy::RoutingTable& aTable) {
       mPeers.SetRouting(aTable.Version().Value());
@@ -370,7 +302,7 @@
     if (const auto opened = mPeerUpdates.Start(); !opened) {
       return tl::make_unexpected(RelayServerError{ opened.error().message });
     }
-    mRoutingFeed.Start();
+    mTableUpdater.Start();
     mBackendFeed.Start();
     mStalenessMonitor.Start();
     mRoleOrderIssuer.Start();
@@ -413,36 +345,32 @@
 
   [[nodiscard]] std::optional<Instant> RoutingConfirmedAt() const
   {
-    return mRoutingFeed.ConfirmedAt();
+    return mTableUpdater.Feed().ConfirmedAt();
   }
 
 private:
-  FeedListener::Handlers RoutingHandlers()
+  // RoutingTablePeers:
+  void ShareProgress(const coord::FeedProgress& aProgress) override
   {
-    return {
-      .onRecord =
-        [this](const coord::KeyedRecord& aRecord) {
-          return OnRoutingRecord(aRecord);
-        },
-      .onProgress =
-        [this](const coord::FeedProgress& aProgress) {
-          mPeerUpdates.Send(
-            { .feed = SharedFeed::kRouting, .progress = aProgress },
-            AllPeers());
-          if (!aProgress.newRecords.empty()) {
-            AnnounceRouting(aProgress.next, AllPeers());
-          }
-        },
-      .onBehind = [this] { mMetrics.feedCatchUps.With({ "routing" }).Add(); },
-      .onReadFailing =
-        [this] {
-          mPeerUpdates.Send(
-            ReadFailure{ .feed = SharedFeed::kRouting, .host = {} },
-            AllPeers());
-        },
-      .onSnapshot = [](const std::vector<std::string>&) {},
-      .onRegained = [] {},
-    };
+    mPeerUpdates.Send({ .feed = SharedFeed::kRouting, .progress = aProgress },
+                      AllPeers());
+  }
+  void ShareReadFailure() override
+  {
+    mPeerUpdates.Send(ReadFailure{ .feed = SharedFeed::kRouting, .host = {} },
+                      AllPeers());
+  }
+  void Announce(const RoutingUpdate& aUpdate, Audience aAudience) override
+  {
+    mPeerUpdates.Send(
+      aUpdate,
+      aAudience == Audience::kAll
+        ? AllPeers()
+        : PeerTargets{ .direct = mPeers.DomainPeerAddresses() });
+  }
+  [[nodiscard]] std::size_t AnnouncementCount() const override
+  {
+    return mPeers.DomainPeerAddresses().size() + mPeers.FarDomainCount();
   }
 
   FeedListener::Handlers BackendHandlers()
@@ -474,14 +402,14 @@
           mBackendRegistry.OnLogRegained();
           // The routing feed's read may hang on a connection that broke in the
           // outage.
-          mRoutingFeed.RefreshHangingRead();
+          mTableUpdater.Feed().RefreshHangingRead();
         },
     };
   }
 
   coord::KeyedFeed& FeedOf(SharedFeed aFeed)
   {
-    return aFeed == SharedFeed::kRouting ? mRoutingFeed : mBackendFeed;
+    return aFeed == SharedFeed::kRouting ? mTableUpdater.Feed() : mBackendFeed;
   }
 
   PeerTargets AllPeers()
@@ -490,68 +418,6 @@
              .forwarders = mPeers.PickForwarders() };
   }
 
-  // aNext is the offset after the table's record.
-  void AnnounceRouting(coord::LogOffset aNext, const PeerTargets& aTargets)
-  {
-    mPeerUpdates.Send({ .version = mRouting.Current()->Version().Value(),
-                        .next = aNext,
-                        .bytes = mRouting.Record().size(),
-                        .host = {} },
-                      aTargets);
-  }
-
-  void OnFetchedTable(const std::string& aRecord)
-  {
-    if (!ApplyRoutingTable(aRecord, "peer")) {
-      return;
-    }
-    const auto fetched = std::exchange(mFetchedUpdate, {});
-    if (mRouting.Current()->Version().Value() < fetched.version) {
-      return; // announced while an older table was being fetched
-    }
-    mRoutingFeed.SkipTo(fetched.next);
-    if (std::exchange(mIsTableForwarder, false)) {
-      AnnounceRouting(fetched.next, { .direct = mPeers.DomainPeerAddresses() });
-    }
-  }
-
-  // Called when a peer has announced its routing table. A newer table is
-  // fetched from that peer, since the log may not answer this process and each
-  // call to the log has a cost. The table is read from the log instead if the
-  // log answers and the table is so large that fetches by all relays at the
-  // same time would overload the peer's link. A forwarder announces it in its
-  // failure domain once it has it.
-  void OnPeerRoutingVersion(const RoutingUpdate& aUpdate, bool aIsForwarder)
-  {
-    const auto& table = mRouting.Current();
-    const auto ownVersion = table ? table->Version().Value() : 0;
-    const auto now = mExecutor.Now();
-    if (aUpdate.version <= ownVersion || now < mNextRefresh) {
-      return;
-    }
-    const auto bytes =
-      std::max<std::uint64_t>(aUpdate.bytes, mRouting.Record().size());
-    const bool fromLog =
-      bytes * mPeers.DomainPeerAddresses().size() > kMaxPeerFetchBytes &&
-      !mRoutingFeed.Lost();
-    mLog.Info("a peer has a newer routing table",
-              { { "version", std::to_string(aUpdate.version) },
-                { "here", std::to_string(ownVersion) },
-                { "bytes", std::to_string(bytes) },
-                { "peer", aUpdate.host },
-                { "from", fromLog ? "log" : "peer" } });
-    if (fromLog) {
-      mNextRefresh = now + kMinLargeRefreshInterval;
-      mRoutingFeed.Refresh();
-      return;
-    }
-    mNextRefresh = now + kMinRefreshInterval;
-    mFetchedUpdate = aUpdate;
-    mIsTableForwarder = aIsForwarder;
-    mTableFetcher.Fetch(aUpdate.host + ":" +
-                        std::to_string(mSettings.status.port));
-  }
-
   void HandlePeerNotice(const policy::BackendNotice& aNotice)
   {
     const auto slot = mFleet.SlotOfHash(aNotice.backend);
@@ -595,29 +461,6 @@
       { .contentType = "application/octet-stream", .body = mRouting.Record() });
   }
 
-  bool OnRoutingRecord(const coord::KeyedRecord& aRecord)
-  {
-    if (aRecord.key != mParts.decoder->RoutingKey() || !aRecord.value) {
-      return false;
-    }
-    return ApplyRoutingTable(*aRecord.value, "log");
-  }
-
-  bool ApplyRoutingTable(const std::string& aRecord, const std::string& aSource)
-  {
-    const auto start = mExecutor.Now();
-    auto table = mParts.decoder->DecodeRouting(aRecord);
-    mMetrics.tableDecodeSeconds.With({ aSource })
-      .Observe(ToSeconds(mExecutor.Now() - start));
-    if (!table) {
-      mLog.Warning("invalid routing record ignored",
-                   { { "source", aSource }, { "why", table.error().message } });
-      return false;
-    }
-    mRouting.UpdateIfNewer(std::move(*table), aSource, aRecord);
-    return true;
-  }
-
   bool OnBackendRecord(const coord::KeyedRecord& aRecord)
   {
     if (!aRecord.value) {
@@ -701,14 +544,15 @@
     setMemory("answers", MemoryUse::kAnswers);
     mMetrics.backends.With({}).Set(
       static_cast<double>(mBackendRegistry.Size()));
-    mMetrics.feedAge.With({ "routing" }).Set(age(mRoutingFeed));
+    mMetrics.feedAge.With({ "routing" }).Set(age(mTableUpdater.Feed()));
     mMetrics.feedAge.With({ "backends" }).Set(age(mBackendFeed));
     const auto confirmationAge = [now](const coord::KeyedFeed& aFeed) {
       const auto at = aFeed.ConfirmedAt();
       return at ? ToSeconds(now - *at) : -1.0;
     };
     mMetrics.confirmationAge.With({ "routing" })
-      .Set(confirmationAge(mRoutingFeed));
+      .Set(confirmationAge(mTableUpdater.Feed()));
+    mMetrics.tableBehind.With({}).Set(ToSeconds(mTableUpdater.BehindFor()));
     mMetrics.confirmationAge.With({ "backends" })
       .Set(confirmationAge(mBackendFeed));
     mMetrics.ready.With({}).Set(NotReadyReason().empty() ? 1 : 0);
@@ -740,23 +584,16 @@
   BackendRegistry mBackendRegistry;
   Relay mRelay;
   PeerGroup mPeers;
-  RoutingTableFetcher mTableFetcher;
   PeerUpdateChannel mPeerUpdates;
   RoleOrderIssuer mRoleOrderIssuer;
   // Empty if the settings enable no duty.
   std::optional<RelayDuties> mDuties;
   CallerServer mCallers;
   StatusServer mStatus;
-  FeedListener mRoutingListener;
   FeedListener mBackendListener;
-  coord::KeyedFeed mRoutingFeed;
+  RoutingTableUpdater mTableUpdater;
   coord::KeyedFeed mBackendFeed;
   StalenessMonitor mStalenessMonitor;
-  Instant mNextRefresh{};
-  // The table that is being fetched from a peer.
-  RoutingUpdate mFetchedUpdate;
-  // Whether that fetch is for the other relays in the failure domain as well.
-  bool mIsTableForwarder = false;
   bool mIsDraining = false;
   Instant mDrainStart{};
   std::function<void()> mOnDrained;
--- a/servers/relay/relay_server.h
+++ b/servers/relay/relay_server.h
@@ -17,6 +17,7 @@
 #include "servers/http/http_client.h"
 #include "servers/relay/backend_registry.h"
 #include "servers/relay/dialect.h"
+#include "servers/relay/record_decoder.h"
 #include "servers/relay/relay_settings.h"
 
 namespace firefly {
@@ -27,31 +28,6 @@
   std::string message;
 };
 
-// Why a record of the log could not be decoded; such a routing record is
-// ignored, and the backend server of such a backend record is removed.
-struct RecordError
-{
-  std::string message;
-};
-
-// Decodes the records that operators and backend servers write to the log.
-class RecordDecoder
-{
-public:
-  virtual ~RecordDecoder() = default;
-
-  // The log streams, and the key of the routing table in its stream.
-  [[nodiscard]] virtual coord::StreamName RoutingStream() const = 0;
-  [[nodiscard]] virtual std::string RoutingKey() const = 0;
-  [[nodiscard]] virtual coord::StreamName BackendStream() const = 0;
-
-  [[nodiscard]] virtual tl::expected<policy::RoutingTable, RecordError>
-  DecodeRouting(const std::string& aValue) const = 0;
-  [[nodiscard]] virtual tl::expected<BackendRecord, RecordError> DecodeBackend(
-    const std::string& aKey,
-    const std::string& aValue) const = 0;
-};
-
 class RelayServer
 {
 public:
--- a/servers/relay/routing_table_fetcher.cpp
+++ b/servers/relay/routing_table_fetcher.cpp
@@ -38,7 +38,7 @@
                   }
                   mIsFetching = false;
                   if (aResult && aResult->status == kOk) {
-                    mHandler(aResult->body);
+                    mHandler(&aResult->body);
                     return;
                   }
                   mLog.Warning(
@@ -47,6 +47,7 @@
                       { "why",
                         aResult ? "status " + std::to_string(aResult->status)
                                 : aResult.error().message } });
+                  mHandler(nullptr);
                 });
 }
 
--- a/servers/relay/routing_table_fetcher.h
+++ b/servers/relay/routing_table_fetcher.h
@@ -18,8 +18,8 @@
 class RoutingTableFetcher
 {
 public:
-  // Receives the record that a peer returned. A failed fetch is only logged.
-  using Handler = std::function<void(const std::string& aRecord)>;
+  // Receives the record that a peer returned, or null if the fetch failed.
+  using Handler = std::function<void(const std::string* aRecord)>;
 
   // The client must outlive the fetcher.
   RoutingTableFetcher(HttpClient& aClient, Handler aHandler);
--- a/tests/coord/keyed_feed_test.cpp
+++ b/tests/coord/keyed_feed_test.cpp
@@ -19,6 +19,7 @@
 using firefly::coord::KeyedFeed;
 using firefly::coord::KeyedFeedObserver;
 using firefly::coord::KeyedLogClient;
+using firefly::coord::KeyedReadTerms;
 using firefly::coord::KeyedRecord;
 using firefly::coord::LogError;
 using firefly::coord::LogErrorKind;
@@ -79,15 +80,15 @@
 
   void ReadFrom(const StreamName& /*aStream*/,
                 LogOffset aFrom,
-                Duration aWait,
+                const KeyedReadTerms& aTerms,
                 BatchCallback aCallback) override
   {
     calls++;
-    if (ignoresWaitingReads && aWait > Duration::zero()) {
+    if (ignoresWaitingReads && aTerms.wait > Duration::zero()) {
       return;
     }
     RunAfterDelay(
-      [this, aFrom, aCallback] {
+      [this, aFrom, aCallback, maxBytes = aTerms.maxBytes] {
         if (isUnavailable) {
           aCallback(
             tl::make_unexpected(LogError{ LogErrorKind::kUnavailable, "" }));
@@ -99,15 +100,22 @@
           return;
         }
         KeyedBatch batch;
-        for (auto i = aFrom.Value(); i < records.size(); ++i) {
-          batch.records.push_back(records[i]);
+        std::size_t bytes = 0;
+        auto next = aFrom.Value();
+        for (; next < records.size(); ++next) {
+          bytes += records[next].value.value_or("").size();
+          if (bytes > maxBytes) {
+            break;
+          }
+          batch.records.push_back(records[next]);
         }
+        readBytes += bytes;
         batch.end = LogOffset(records.size());
         // A rewound log has no records after the offset.
-        batch.next = std::max(aFrom, batch.end);
+        batch.next = LogOffset(next);
         aCallback(batch);
       },
-      aWait);
+      aTerms.wait);
   }
 
   std::deque<KeyedRecord> records;
@@ -119,6 +127,8 @@
   bool delaysForWait = false;
   Duration answerTime = kAnswerTime;
   int calls = 0;
+  // Bytes of values in the answers to reads of records after an offset.
+  std::size_t readBytes = 0;
 
 private:
   void RunAfterDelay(std::function<void()> aStep, Duration aWait = {})
@@ -275,6 +285,72 @@
   STRCMP_EQUAL("2", observer.values["a"].c_str());
 }
 
+// Guards against a reader that a backlog keeps behind: it reads the newest
+// records at once, however many were written, and not those that they replaced.
+TEST(KeyedFeedTest, ABacklogIsSkippedForTheNewestRecords)
+{
+  constexpr std::size_t kRecordBytes = 100;
+  feed.SetMaxReadBytes(3 * kRecordBytes);
+  log.Put("a", "0");
+  log.Put("gone", "0");
+  feed.Start();
+  executor.RunFor(1s);
+  const auto delivered = observer.deliveredRecords;
+  log.Put("gone", std::nullopt);
+  for (char it = 'a'; it <= 'z'; ++it) {
+    log.Put("a", std::string(kRecordBytes, it));
+  }
+  log.readBytes = 0;
+  // One pause, and two answers.
+  executor.RunFor(100ms + 3 * kAnswerTime);
+  CHECK(observer.values["a"] == std::string(kRecordBytes, 'z'));
+  LONGS_EQUAL(0, observer.values.count("gone"));
+  LONGS_EQUAL(delivered + 1, observer.deliveredRecords);
+  CHECK_TRUE(log.readBytes <= 4 * kRecordBytes);
+  log.Put("a", "next");
+  executor.RunFor(300ms);
+  STRCMP_EQUAL("next", observer.values["a"].c_str());
+}
+
+// Guards against the cost of records that were replaced before they were read.
+TEST(KeyedFeedTest, OnlyTheNewestRecordOfAKeyInAnAnswerIsDelivered)
+{
+  log.Put("a", "0");
+  feed.Start();
+  executor.RunFor(1s);
+  const auto delivered = observer.deliveredRecords;
+  log.Put("a", "1");
+  log.Put("b", "1");
+  log.Put("a", "2");
+  executor.RunFor(300ms);
+  LONGS_EQUAL(delivered + 2, observer.deliveredRecords);
+  STRCMP_EQUAL("2", observer.values["a"].c_str());
+  STRCMP_EQUAL("1", observer.values["b"].c_str());
+}
+
+// Guards against peers that keep a process from reading a record that their
+// messages do not hold.
+TEST(KeyedFeedTest, ProgressThatDoesNotCoverAllRecordsDoesNotPostponeReads)
+{
+  KeyedFeed shared(
+    { .stream = StreamName("s"), .pause = 700ms, .maxSharedPause = 1100ms },
+    executor,
+    log,
+    observer);
+  log.Put("a", "1");
+  shared.SetPeerCount(8);
+  shared.Start();
+  executor.RunFor(3s);
+  const auto end = log.records.size();
+  log.Put("a", "2");
+  for (int i = 0; i < 6; ++i) {
+    shared.ApplyPeerProgress(
+      { .from = LogOffset(end), .next = LogOffset(end), .newRecords = {} });
+    executor.RunFor(200ms);
+  }
+  STRCMP_EQUAL("2", observer.values["a"].c_str());
+}
+
 namespace {
 
 // The time after which a read that gets no answer fails.
@@ -302,13 +378,13 @@
   }
   void ReadFrom(const StreamName& aStream,
                 LogOffset aFrom,
-                Duration aWait,
+                const KeyedReadTerms& aTerms,
                 BatchCallback aCallback) override
   {
     if (isRefused) {
       Refuse(std::move(aCallback));
     } else {
-      mLog.ReadFrom(aStream, aFrom, aWait, std::move(aCallback));
+      mLog.ReadFrom(aStream, aFrom, aTerms, std::move(aCallback));
     }
   }
 
@@ -748,11 +824,21 @@
 
 namespace {
 
-// The age of the confirmation of a process that hears peers whose progress
-// confirms nothing, or that has no peers while the log delays its answers.
+enum class Peers
+{
+  kNone,
+  // Their progress arrives so late that it confirms nothing.
+  kLate,
+  // Their progress does not cover all records.
+  kIncomplete,
+};
+
+// The age of the confirmation of a process that hears such peers while the log
+// delays the answers to reads that wait for new records.
 Duration
-OldestConfirmation(Duration aConfirmWithin, bool aHasPeers)
+OldestConfirmation(Duration aConfirmWithin, Peers aPeers)
 {
+  const bool hasPeers = aPeers != Peers::kNone;
   VirtualExecutor clock;
   FakeKeyedLog store(clock);
   RecordingObserver observer;
@@ -765,15 +851,20 @@
                  clock,
                  store,
                  observer);
-  feed.SetPeerCount(aHasPeers ? 5 : 0);
+  feed.SetPeerCount(hasPeers ? 5 : 0);
   feed.Start();
   store.delaysForWait = true;
   Duration oldest{};
   for (int i = 0; i < 600; ++i) {
     clock.RunFor(50ms);
-    if (aHasPeers) {
-      feed.ApplyPeerProgress(
-        { .from = LogOffset(1), .next = LogOffset(1), .newRecords = {} });
+    if (hasPeers) {
+      FeedProgress progress{ .from = LogOffset(1),
+                             .next = LogOffset(1),
+                             .newRecords = {} };
+      if (aPeers == Peers::kLate) {
+        progress.readAt = firefly::Instant{};
+      }
+      feed.ApplyPeerProgress(progress);
     }
     oldest = std::max(oldest, clock.Now() - *feed.ConfirmedAt());
   }
@@ -786,13 +877,15 @@
 // process from reading, which would reject all authenticated requests.
 TEST(KeyedFeedTest, UnconfirmingProgressDoesNotPostponeReadsForever)
 {
-  CHECK_TRUE(OldestConfirmation(3s, true) < 4s);
-  CHECK_TRUE(OldestConfirmation(0s, true) > 20s);
+  CHECK_TRUE(OldestConfirmation(3s, Peers::kLate) < 4s);
+  CHECK_TRUE(OldestConfirmation(0s, Peers::kLate) > 20s);
+  CHECK_TRUE(OldestConfirmation(3s, Peers::kIncomplete) < 4s);
+  CHECK_TRUE(OldestConfirmation(0s, Peers::kIncomplete) < 4s);
 }
 
 // A read that the log delays for 20 s confirms an instant 20 s ago.
 TEST(KeyedFeedTest, AReaderWithoutPeersLetsTheLogDelayItsAnswersOnlyBriefly)
 {
-  CHECK_TRUE(OldestConfirmation(3s, false) < 3s);
-  CHECK_TRUE(OldestConfirmation(0s, false) > 20s);
+  CHECK_TRUE(OldestConfirmation(3s, Peers::kNone) < 3s);
+  CHECK_TRUE(OldestConfirmation(0s, Peers::kNone) > 20s);
 }
--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -77,9 +77,10 @@
 
   void Read()
   {
-    store.ReadFrom(StreamName("keyed.op"), LogOffset(5), 2s, [this](auto aIt) {
-      batch = std::move(aIt);
-    });
+    store.ReadFrom(StreamName("keyed.op"),
+                   LogOffset(5),
+                   { .wait = 2s, .maxBytes = 96U << 10U },
+                   [this](auto aIt) { batch = std::move(aIt); });
   }
 };
 
@@ -87,7 +88,8 @@
 {
   Read();
   STRCMP_EQUAL(
-    "http://store/-/log-read?topic=keyed.op&part=0&source=5&waitMs=2000",
+    "http://store/-/log-read?topic=keyed.op&part=0&source=5&waitMs=2000"
+    "&maxKb=96",
     client.calls[0].url.c_str());
   client.Answer(200,
                 EncodeNumber(7, 8) + EncodeNumber(0, 8) +
--- a/tests/servers/relay/feed_staleness_test.cpp
+++ b/tests/servers/relay/feed_staleness_test.cpp
@@ -38,6 +38,7 @@
 using firefly::coord::KeyedFeed;
 using firefly::coord::KeyedFeedObserver;
 using firefly::coord::KeyedLogClient;
+using firefly::coord::KeyedReadTerms;
 using firefly::coord::KeyedRecord;
 using firefly::coord::LogError;
 using firefly::coord::LogErrorKind;
@@ -187,13 +188,13 @@
 
   void ReadFrom(const StreamName& /*aStream*/,
                 LogOffset aFrom,
-                Duration aWait,
+                const KeyedReadTerms& aTerms,
                 BatchCallback aCallback) override
   {
     constexpr std::size_t kMaxRecords = 4;
     Call<KeyedBatch>(
       std::move(aCallback),
-      aWait,
+      aTerms.wait,
       [this, aFrom]() -> tl::expected<KeyedBatch, LogError> {
         if (aFrom.Value() < mLog.first) {
           return tl::make_unexpected(LogError{ LogErrorKind::kTrimmed, "" });
--- a/tests/servers/relay/relay_server_test.cpp
+++ b/tests/servers/relay/relay_server_test.cpp
@@ -36,6 +36,7 @@
 using firefly::Timer;
 using firefly::coord::KeyedBatch;
 using firefly::coord::KeyedLogClient;
+using firefly::coord::KeyedReadTerms;
 using firefly::coord::KeyedRecord;
 using firefly::coord::LogBatch;
 using firefly::coord::LogClient;
@@ -90,6 +91,7 @@
       }
       NewestPage page;
       if (IsRouting(aStream) && !mRouting.empty()) {
+        readOffsets.insert(mRouting.size() - 1);
         page.records.push_back(mRouting.back());
         page.end = LogOffset(mRouting.size());
       }
@@ -99,7 +101,7 @@
 
   void ReadFrom(const StreamName& aStream,
                 LogOffset aFrom,
-                Duration /*aWait*/,
+                const KeyedReadTerms& /*aTerms*/,
                 BatchCallback aCallback) override
   {
     CallLater([this, aStream, aFrom, aCallback] {
