Join to a broken stream only events that continue it

Cause: the relay asked the next server to resume after the last event and joined whatever came with status 200 and a signature. A server may ignore Last-Event-Id, skip events, or send an error in the body of a 200. A stream whose events have no ids was started again from its first event.

Change: EventSequence decides whether the first event of another attempt follows the last one that the caller has. If not, the attempt fails as one that answered with an error, and another server is asked, or the stream is visibly cut. It is not counted as a crash of the server. Without an id to resume after, no further attempt is made (RequestRouter::OnUnrepeatable).

Ruled out: dropping the repeated events and joining the rest, since a server that ignores the id may have produced another text.

--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -273,6 +273,15 @@
   }
 }
 
+void
+RequestRouter::OnUnrepeatable(const RequestId& aId)
+{
+  const auto it = mRequests.find(aId);
+  if (it != mRequests.end()) {
+    it->second.info.idempotent = false;
+  }
+}
+
 void
 RequestRouter::OnReadPaused(const RequestId& aId,
                             AttemptNumber aAttempt,
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -188,6 +188,11 @@
   // slow, so that the pause does not count as a stall of the backend server.
   void OnReadPaused(const RequestId& aId, AttemptNumber aAttempt, Instant aNow);
 
+  // Called before the answering attempt ends with an error if the caller has a
+  // part of the answer that no other attempt can continue. The request is then
+  // not repeated.
+  void OnUnrepeatable(const RequestId& aId);
+
   // Called when the answering attempt is complete.
   void OnFinish(const RequestId& aId, AttemptNumber aAttempt, Instant aNow);
 
--- a/servers/relay/event_splitter.cpp
+++ b/servers/relay/event_splitter.cpp
@@ -47,6 +47,24 @@
   return id;
 }
 
+// Whether all lines of the event begin with a colon.
+bool
+IsComment(std::string_view aEvent)
+{
+  while (!aEvent.empty()) {
+    const auto end = aEvent.find('\n');
+    const auto line = aEvent.substr(0, end);
+    if (!line.empty() && line != "\r" && !line.starts_with(':')) {
+      return false;
+    }
+    if (end == std::string_view::npos) {
+      break;
+    }
+    aEvent.remove_prefix(end + 1);
+  }
+  return true;
+}
+
 } // namespace
 
 std::vector<StreamEvent>
@@ -62,7 +80,9 @@
       break;
     }
     const auto event = rest.substr(0, end);
-    events.push_back({ .bytes = std::string(event), .id = FindId(event) });
+    events.push_back({ .bytes = std::string(event),
+                       .id = FindId(event),
+                       .isComment = IsComment(event) });
     used += end;
   }
   mPartial.erase(0, used);
--- a/servers/relay/event_splitter.h
+++ b/servers/relay/event_splitter.h
@@ -17,6 +17,8 @@
   std::string bytes;
   // The value of its id field; empty if it has none.
   std::string id;
+  // All its lines are comments.
+  bool isComment = false;
 };
 
 class EventSplitter
--- a/servers/relay/relay_attempt.cpp
+++ b/servers/relay/relay_attempt.cpp
@@ -14,6 +14,19 @@
 // The body of a rejection is not read beyond this.
 constexpr std::size_t kMaxRejectionBytes = 64U << 10U;
 
+std::string
+Describe(EventOrder aOrder)
+{
+  switch (aOrder) {
+    case EventOrder::kRepeated:
+      return "resumed stream repeats events";
+    case EventOrder::kSkipped:
+      return "resumed stream skips events";
+    default:
+      return "resumed stream has no event ids";
+  }
+}
+
 std::string
 Describe(BackendCallFault aFault)
 {
@@ -92,6 +105,19 @@
 RelayAttempt::PassOnEvents(std::string_view aBytes)
 {
   for (const auto& event : mSplitter.Feed(aBytes)) {
+    if (mOptions.isContinuation && !mIsJoined) {
+      const auto order = mListener.OnContinuation(event);
+      if (order == EventOrder::kComment) {
+        continue;
+      }
+      if (order != EventOrder::kNext) {
+        // Not kBroken, which could be taken for a crash of the backend server.
+        mListener.OnAttemptError(
+          mOptions.number, AttemptError::kFailed, Describe(order));
+        return;
+      }
+      mIsJoined = true;
+    }
     if (!std::exchange(mHasReceivedEvent, true) &&
         !mListener.OnFirstEvent(mOptions.number, mAnswer.head)) {
       return;
--- a/servers/relay/relay_attempt.h
+++ b/servers/relay/relay_attempt.h
@@ -11,6 +11,7 @@
 #include "policy/request_router.h"
 #include "servers/http1/backend_pool.h"
 #include "servers/relay/dialect.h"
+#include "servers/relay/event_sequence.h"
 #include "servers/relay/event_splitter.h"
 
 namespace firefly {
@@ -48,6 +49,9 @@
                                 BackendAnswer aAnswer) = 0;
   virtual void OnPlainAnswer(policy::AttemptNumber aAttempt,
                              const BackendAnswer& aAnswer) = 0;
+  // The first events of an attempt that is to continue a stream arrived.
+  // Returns how the event follows those that the caller has.
+  virtual EventOrder OnContinuation(const StreamEvent& aEvent) = 0;
   // The first event of a stream arrived. Returns false if another attempt
   // answers the request or if the request has ended; the events are then not
   // wanted.
@@ -72,6 +76,8 @@
     bool promptOnly = false;
     // The answer is a stream of server-sent events.
     bool isStream = false;
+    // The backend server is asked to continue a stream.
+    bool isContinuation = false;
     // The KV cache that the attempt decodes from.
     std::optional<KvCacheRef> kvCache{};
     // Counts the memory of the answer.
@@ -115,6 +121,8 @@
   BackendAnswer mAnswer;
   EventSplitter mSplitter;
   bool mHasReceivedEvent = false;
+  // The first event after those that the caller has was received.
+  bool mIsJoined = false;
   // Bytes of the body of a rejection, which are not kept.
   std::size_t mSkippedBytes = 0;
 };
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -46,7 +46,7 @@
   : mContext(aContext)
   , mOptions(std::move(aOptions))
   , mArrival(aContext.executor->Now())
-  , mLastEventId(mOptions.request.lastEventId)
+  , mEvents(mOptions.request.lastEventId)
 {
   const auto callerTimeout =
     mOptions.request.callerTimeout.value_or(mOptions.route->timeout);
@@ -148,7 +148,7 @@
                       .address = call.address.Value(),
                       .timeLeft = std::max(kMinTimeLeft, mDeadline - Now()),
                       .enginePriority = aOrder.urgency.Value(),
-                      .resumeAfter = mLastEventId,
+                      .resumeAfter = mEvents.LastId(),
                       .promptOnly = promptOnly,
                       .kvCache = {},
                       .copyFrom = AddressOf(aOrder.copyFrom),
@@ -173,6 +173,7 @@
       .backend = mContext.backendRegistry->RunOf(aOrder.backend),
       .promptOnly = promptOnly,
       .isStream = mOptions.route->IsStream() && !promptOnly,
+      .isContinuation = !mEvents.LastId().empty(),
       .kvCache = std::move(terms.kvCache),
       .memory = { mContext.memory, MemoryUse::kAnswers } },
     *mContext.dialect,
@@ -249,6 +250,10 @@
                        { "backends", mTriedBackends },
                        { "why", aWhy },
                        { "ms", Millis(Now() - mArrival) } });
+  if (mHasBegun && !mEvents.CanResume()) {
+    // Another attempt would repeat events that the caller has.
+    mContext.router->OnUnrepeatable(mOptions.request.id);
+  }
   mContext.router->OnError(mOptions.request.id, aAttempt, aError, Now());
 }
 
@@ -335,6 +340,12 @@
   EndTask(aAnswer.head.status < kPastSuccess ? "answered" : "backend-failure");
 }
 
+EventOrder
+RelayTask::OnContinuation(const StreamEvent& aEvent)
+{
+  return mEvents.OrderOf(aEvent);
+}
+
 bool
 RelayTask::OnFirstEvent(AttemptNumber aAttempt, const MessageHead& aHead)
 {
@@ -368,9 +379,7 @@
     mMaxEventGap = std::max(mMaxEventGap, now - mLastEventTime);
   }
   mLastEventTime = now;
-  if (!aEvent.id.empty()) {
-    mLastEventId = aEvent.id;
-  }
+  mEvents.OnDelivered(aEvent);
   mContext.router->OnTokens(mOptions.request.id,
                             aAttempt,
                             policy::Tokens(mOptions.tokensPerEvent),
--- a/servers/relay/relay_task.h
+++ b/servers/relay/relay_task.h
@@ -98,6 +98,7 @@
                         BackendAnswer aAnswer) override;
   void OnPlainAnswer(policy::AttemptNumber aAttempt,
                      const BackendAnswer& aAnswer) override;
+  EventOrder OnContinuation(const StreamEvent& aEvent) override;
   bool OnFirstEvent(policy::AttemptNumber aAttempt,
                     const MessageHead& aHead) override;
   void OnEvent(policy::AttemptNumber aAttempt,
@@ -148,7 +149,8 @@
   std::optional<BackendAnswer> mBackendFailure;
   // The head of the answer has been sent to the caller.
   bool mHasBegun = false;
-  std::string mLastEventId;
+  // The events that the caller has.
+  EventSequence mEvents;
   // The backend servers that the request was sent to, for the log.
   std::string mTriedBackends;
   std::optional<Duration> mFirstAnswer;
--- a/tests/servers/relay/relay_fixture.h
+++ b/tests/servers/relay/relay_fixture.h
@@ -124,6 +124,8 @@
           .routes = { MakeRoute("/book/", policy::RouteKind::kAtMostOnce, 1),
                       MakeRoute("/rebook/", policy::RouteKind::kAtMostOnce, 3),
                       MakeRoute("/look/", policy::RouteKind::kIdempotent, 2),
+                      MakeRoute(
+                        "/events/", policy::RouteKind::kResumableStream, 2),
                       MakeRoute("/ask/", policy::RouteKind::kStream, 1, "llm"),
                       MakeRoute("/resume/",
                                 policy::RouteKind::kResumableStream,
