Report no response whose head was cut

Cause: libcurl ends a transfer with CURLE_OK if the connection ends after any whole line of the head and no length was seen. CurlTransfer passed that on as success.

The relay has its own reader and passed: a cut head is truncated there.

Change: a transfer succeeds only if the head of a final response was received whole; otherwise the connection was lost, and the request may have run.

--- a/servers/http/curl_transfer.cpp
+++ b/servers/http/curl_transfer.cpp
@@ -267,6 +267,9 @@
   } else if (aCode == CURLE_OPERATION_TIMEDOUT) {
     error.kind = HttpErrorKind::kTimeout;
   }
+  if (aCode == CURLE_OK) {
+    error.message = "the connection ended within the head of the response";
+  }
   if (mStalled) {
     error.message = "no data received within the stall timeout";
   }
@@ -281,16 +284,19 @@
   }
   mFinished = true;
   mStallTimer.Cancel();
+  // libcurl reports success if the connection ends after the status line or any
+  // other line of the head.
+  const bool isWhole = aCode == CURLE_OK && mStatus != 0;
   const auto error = ToError(aCode);
   const auto self = shared_from_this();
   mMulti->Remove(self);
   // Posted to the executor, so that onDone never runs inside Stream().
-  mMulti->GetExecutor().Post([self, aCode, error] {
+  mMulti->GetExecutor().Post([self, isWhole, error] {
     if (self->mCancelled || !self->mHandlers.onDone) {
       return;
     }
     const auto done = std::move(self->mHandlers.onDone);
-    if (aCode == CURLE_OK) {
+    if (isWhole) {
       done({});
     } else {
       done(tl::unexpected(error));
--- a/tests/process/faulty_backends_entry_process_test.cpp
+++ b/tests/process/faulty_backends_entry_process_test.cpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -22,6 +23,7 @@
 using firefly::testing::BlockingHttp;
 using firefly::testing::CompletionBody;
 using firefly::testing::Deployment;
+using firefly::testing::RawTcpClient;
 using firefly::testing::ScriptedBackend;
 using firefly::testing::ScriptedReply;
 using firefly::testing::ScriptedRequest;
@@ -105,18 +107,27 @@
 TEST_GROUP(FaultyBackendsEntryProcess)
 {
   BlockingHttp http;
-  std::unique_ptr<ScriptedBackend> backend;
+  // Servers with the same script.
+  std::vector<std::unique_ptr<ScriptedBackend>> backends;
   std::unique_ptr<Deployment> deployment;
 
-  void StartEntry(bool aIsEngine, const ScriptedBackend::Script& aScript)
+  void StartEntry(bool aIsEngine,
+                  const ScriptedBackend::Script& aScript,
+                  std::size_t aServers = 1)
   {
-    backend = std::make_unique<ScriptedBackend>(http.Executor(), aScript);
+    deployment.reset();
+    backends.clear();
+    std::vector<std::uint16_t> ports;
+    for (std::size_t i = 0; i < aServers; ++i) {
+      backends.push_back(
+        std::make_unique<ScriptedBackend>(http.Executor(), aScript));
+      ports.push_back(backends.back()->Port());
+    }
     // Each service of the settings needs a backend server.
     Deployment::Options options{ .hosts = 1,
                                  .engines = aIsEngine ? 0 : 1,
                                  .services = aIsEngine ? 1 : 0 };
-    (aIsEngine ? options.enginePorts
-               : options.servicePorts) = { backend->Port() };
+    (aIsEngine ? options.enginePorts : options.servicePorts) = ports;
     deployment = std::make_unique<Deployment>(options);
     CHECK_TRUE(deployment->IsReady());
   }
@@ -184,3 +195,112 @@
                   answer.body.c_str());
   LONGS_EQUAL(200, answer.status);
 }
+
+// A server closes its connection within the head of its response. Guards
+// against a 200 with an empty body that the caller takes for the answer.
+TEST(FaultyBackendsEntryProcess, AHeadThatIsCutIsNoAnswer)
+{
+  const auto whole = MakeAnswer(200, "item", "text/plain");
+  std::size_t sent = 0;
+  StartEntry(false, [&](const ScriptedRequest&) -> ScriptedReply {
+    return { .bytes = whole.substr(0, sent), .after = AfterReply::kClose };
+  });
+  for (; sent < whole.size(); ++sent) {
+    const auto answer = http.SendRequest(
+      "POST", deployment->EntryUrl(0) + "/services/desk/lookup");
+    const auto text = "after " + whole.substr(0, sent);
+    CHECK_TRUE_TEXT(answer.status >= 500, text.c_str());
+  }
+  CHECK(
+    http.SendRequest("POST", deployment->EntryUrl(0) + "/services/desk/lookup")
+      .body == "item");
+}
+
+// An engine breaks a stream off, and the next attempt gets something else than
+// the rest. Guards against foreign text in an answer, and against a part of an
+// answer that ends as if it were whole.
+TEST(FaultyBackendsEntryProcess, OnlyTheRestOfAStreamIsJoinedToIt)
+{
+  using MakeReply = std::function<ScriptedReply(const std::string&)>;
+  const std::string error = R"({"error":"out of memory"})";
+  const std::string type = "text/event-stream";
+  const auto events = [&](const std::string& aEvents) -> ScriptedReply {
+    return { .bytes = MakeAnswer(200, aEvents, type) };
+  };
+  const std::vector<std::pair<const char*, MakeReply>> cases{
+    { "500",
+      [&](const auto&) -> ScriptedReply {
+        return { .bytes = MakeAnswer(500, error, "application/json") };
+      } },
+    { "404",
+      [&](const auto&) -> ScriptedReply {
+        return { .bytes = MakeAnswer(404, error, "application/json") };
+      } },
+    { "200 with JSON",
+      [&](const auto&) -> ScriptedReply {
+        return { .bytes = MakeAnswer(200, error, "application/json") };
+      } },
+    { "cut within the head",
+      [&](const auto&) -> ScriptedReply {
+        return { .bytes = "HTTP/1.1 200 OK\r\nContent-Ty",
+                 .after = AfterReply::kClose };
+      } },
+    { "no HTTP",
+      [&](const auto&) -> ScriptedReply {
+        return { .bytes = "out of memory\r\n\r\n",
+                 .after = AfterReply::kClose };
+      } },
+    { "an error as an event",
+      [&](const auto&) { return events("data: " + error + "\n\n"); } },
+    { "an empty stream", [&](const auto&) { return events(""); } },
+    { "the end mark only",
+      [&](const auto&) { return events("data: [DONE]\n\n"); } },
+    { "a token missing",
+      [&](const auto& aId) {
+        return events(MakeToken(aId, 2) + MakeStreamEnd(aId, kTokens));
+      } },
+    { "another stream",
+      [&](const auto&) {
+        return events(MakeToken("other", 1) + MakeToken("other", 2) +
+                      MakeStreamEnd("other", kTokens));
+      } },
+  };
+  std::size_t current = 0;
+  int attempts = 0;
+  const auto script = [&](const ScriptedRequest& aRequest) -> ScriptedReply {
+    if (aRequest.head.method != "POST") {
+      return AnswerControlCall(aRequest);
+    }
+    const auto id = AttemptIdOf(aRequest);
+    if (++attempts == 1) {
+      return { .bytes = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                        "Content-Length: 9999\r\n\r\n" +
+                        MakeToken(id, 0),
+               .after = AfterReply::kClose };
+    }
+    return cases[current].second(id);
+  };
+  for (; current < cases.size(); ++current) {
+    const auto* name = cases[current].first;
+    attempts = 0;
+    StartEntry(true, script, 2);
+    const auto url = deployment->EntryUrl(0);
+    const auto port = std::stoi(url.substr(url.rfind(':') + 1));
+    const auto body =
+      CompletionBody("prompt " + std::to_string(current), kTokens, true);
+    RawTcpClient caller(http.Executor(), static_cast<std::uint16_t>(port));
+    caller.Send("POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+                "Content-Type: application/json\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body);
+    CHECK_TRUE_TEXT(http.RunUntil([&] {
+      return caller.IsClosed() || caller.HasReceived("[DONE]");
+    }),
+                    name);
+    CHECK_TRUE_TEXT(attempts > 1, name);
+    CHECK_TRUE_TEXT(caller.HasReceived("\"text\":\"t0\""), name);
+    CHECK_TRUE_TEXT(caller.HasReceived("event: error"), name);
+    for (const auto* it : { "[DONE]", "out of memory", "t1", "t2" }) {
+      CHECK_FALSE_TEXT(caller.HasReceived(it), name);
+    }
+  }
+}
--- a/tests/servers/relay/broken_streams_test.cpp
+++ b/tests/servers/relay/broken_streams_test.cpp
@@ -94,8 +94,7 @@
       { MakeAnswer(503, error, json + "Fireflyrouter-Not-Run: 1\r\n") } },
     { "204", { "HTTP/1.1 204 X\r\n" + kStamp + "\r\n" } },
     { "200 with JSON", { MakeAnswer(200, error, json) } },
-    { "200 with an error's text",
-      { MakeAnswer(200, error + "\n\n", json) } },
+    { "200 with an error's text", { MakeAnswer(200, error + "\n\n", json) } },
     { "an error as an event", { MakeStream("data: " + error + "\n\n", true) } },
     { "an error as an event with an old id",
       { MakeStream("id: 0\ndata: " + error + "\n\n", true) } },
@@ -158,8 +157,8 @@
 TEST(BrokenStreamsTest, OnlyTheRestOfTheStreamIsJoinedToIt)
 {
   for (const bool isEngine : { false, true }) {
-    const auto request = isEngine ? MakePromptRequest("/resume/1")
-                                  : MakeGet("/events/1");
+    const auto request =
+      isEngine ? MakePromptRequest("/resume/1") : MakeGet("/events/1");
     for (const auto& it : MakeCases()) {
       const auto received =
         Play(request,
@@ -180,8 +179,8 @@
 TEST(BrokenStreamsTest, TheRestOfTheStreamIsJoinedToIt)
 {
   for (const bool isEngine : { false, true }) {
-    const auto request = isEngine ? MakePromptRequest("/resume/1")
-                                  : MakeGet("/events/1");
+    const auto request =
+      isEngine ? MakePromptRequest("/resume/1") : MakeGet("/events/1");
     const auto received =
       Play(request,
            isEngine,
@@ -213,9 +212,9 @@
 // server that begins at the first event.
 TEST(BrokenStreamsTest, ACallerThatResumesGetsNoEarlierEvents)
 {
-  const auto request =
-    MakePromptRequest("/resume/1")
-      .insert(MakePromptRequest("/resume/1").size() - 2, "Last-Event-Id: 3\r\n");
+  const auto request = MakePromptRequest("/resume/1")
+                         .insert(MakePromptRequest("/resume/1").size() - 2,
+                                 "Last-Event-Id: 3\r\n");
   const auto again = MakeStream(MakeEvents(1, kEvents), true);
   const auto rest = MakeStream(MakeEvents(4, kEvents), true);
   const auto failed = Play(request, true, again, { again });
--- a/tests/servers/relay/event_sequence_test.cpp
+++ b/tests/servers/relay/event_sequence_test.cpp
@@ -44,8 +44,7 @@
   CHECK_TRUE(After("9", {}).OrderOf(Event("1")) == EventOrder::kRepeated);
   CHECK_TRUE(After("9", {}).OrderOf(Event("10")) == EventOrder::kNext);
   // Compared as numbers.
-  CHECK_TRUE(After("", { "8", "9" }).OrderOf(Event("10")) ==
-             EventOrder::kNext);
+  CHECK_TRUE(After("", { "8", "9" }).OrderOf(Event("10")) == EventOrder::kNext);
 }
 
 // Guards against a server that leaves out events.
@@ -53,15 +52,13 @@
 {
   CHECK_TRUE(After("", { "1", "2", "3" }).OrderOf(Event("5")) ==
              EventOrder::kSkipped);
-  CHECK_TRUE(After("2", { "4", "6" }).OrderOf(Event("8")) ==
-             EventOrder::kNext);
+  CHECK_TRUE(After("2", { "4", "6" }).OrderOf(Event("8")) == EventOrder::kNext);
   CHECK_TRUE(After("2", { "4", "6" }).OrderOf(Event("7")) ==
              EventOrder::kSkipped);
   // The ids increase by varying steps, or it is not known yet.
   CHECK_TRUE(After("", { "1", "3", "4" }).OrderOf(Event("9")) ==
              EventOrder::kNext);
-  CHECK_TRUE(After("", { "1", "2" }).OrderOf(Event("4")) ==
-             EventOrder::kNext);
+  CHECK_TRUE(After("", { "1", "2" }).OrderOf(Event("4")) == EventOrder::kNext);
 }
 
 TEST(EventSequenceTest, OtherIdsAreComparedWithTheFirstAndTheLastOne)
@@ -77,9 +74,9 @@
 {
   const auto sequence = After("", { "1" });
   CHECK_TRUE(sequence.OrderOf(Event("")) == EventOrder::kUnknown);
-  CHECK_TRUE(sequence.OrderOf({ .bytes = ": still here\n\n",
-                                .id = {},
-                                .isComment = true }) == EventOrder::kComment);
+  CHECK_TRUE(sequence.OrderOf(
+               { .bytes = ": still here\n\n", .id = {}, .isComment = true }) ==
+             EventOrder::kComment);
 }
 
 // Guards against a resumption that repeats events behind the last id.
