Notice events that are missing early in a resumed stream

What callers saw: a stream that broke off after one or two events and was resumed by a server that skips an event lost it, and ended as if it were whole.

Cause: a missing event was noticed only after two equal steps of ids.

Evidence: EventSequenceTest.MissingEventsAreNoticedAtOnceIfIdsCountTheEvents failed.

Change: if the ids count the events from 0 or 1, the next one is known after the first.

Result: the test passes.

--- a/servers/relay/event_sequence.cpp
+++ b/servers/relay/event_sequence.cpp
@@ -37,6 +37,7 @@
 
 EventSequence::EventSequence(std::string aLastId)
   : mLastId(std::move(aLastId))
+  , mIsWhole(mLastId.empty())
 {
 }
 
@@ -78,8 +79,12 @@
   if (!step) {
     return EventOrder::kRepeated;
   }
+  const bool counts = mIsWhole && (mFirstId == "0" || mFirstId == "1") &&
+                      (mStepCount == 0 || mStep == 1U);
   const bool isRegular = mStep && mStepCount >= kMinSteps;
-  return isRegular && step != mStep ? EventOrder::kSkipped : EventOrder::kNext;
+  const auto expected = counts ? std::optional<std::uint64_t>(1) : mStep;
+  return (counts || isRegular) && step != expected ? EventOrder::kSkipped
+                                                   : EventOrder::kNext;
 }
 
 } // namespace firefly
--- a/servers/relay/event_sequence.h
+++ b/servers/relay/event_sequence.h
@@ -48,14 +48,17 @@
   }
 
   // Returns how the event follows LastId(), which must not be empty. Missing
-  // events are noticed only if all ids are numbers that have increased by the
-  // same step, at least twice; otherwise larger numbers follow smaller ones.
-  // Ids that are no numbers are compared with the first and the last one.
+  // events are noticed only if the ids count the events from 0 or 1, or are
+  // numbers that have increased by the same step, at least twice; otherwise
+  // larger numbers follow smaller ones. Ids that are no numbers are compared
+  // with the first and the last one.
   [[nodiscard]] EventOrder OrderOf(const StreamEvent& aEvent) const;
 
 private:
   std::string mFirstId;
   std::string mLastId;
+  // Whether the first event of the stream was passed on here.
+  bool mIsWhole = false;
   bool mHasUnmarkedEvent = false;
   // The difference between successive ids, and how often it has occurred; none
   // if it varies.
