Accept a response without an id only on a new connection

Cause: a response that names no request was accepted from any connection. On one that was kept, all earlier responses have named theirs, or it would have ended.

Change: ConnectionReuse::OnResponse accepts such a response for the first call of a connection only; later, the call fails as one that may have run.

--- a/servers/http1/backend_connection.cpp
+++ b/servers/http1/backend_connection.cpp
@@ -239,7 +239,10 @@
       if (mState != State::kBusy) {
         return;
       }
-      mReuse.OnResponse(match);
+      if (!mReuse.OnResponse(match)) {
+        Fail(BackendCallFault::kMalformed);
+        return;
+      }
       if (match == ResponseMatch::kOtherCall) {
         mSkippingResponse = true;
       } else {
--- a/servers/http1/connection_reuse.cpp
+++ b/servers/http1/connection_reuse.cpp
@@ -39,10 +39,14 @@
   mCarried.push_back(HashOf(aRequest));
 }
 
-void
+bool
 ConnectionReuse::OnResponse(ResponseMatch aMatch)
 {
-  mIsExclusive = mIsExclusive || aMatch == ResponseMatch::kUnidentified;
+  if (aMatch != ResponseMatch::kUnidentified) {
+    return true;
+  }
+  mIsExclusive = true;
+  return mCarried.size() == 1;
 }
 
 bool
--- a/servers/http1/connection_reuse.h
+++ b/servers/http1/connection_reuse.h
@@ -40,7 +40,12 @@
 
   // Records a call that the connection carries.
   void OnCall(const RequestId& aRequest, bool aNoBody);
-  void OnResponse(ResponseMatch aMatch);
+
+  // Records a response. Returns false if it can't be the response to the
+  // running call: all earlier responses on the connection have named their
+  // requests, or it would have ended, so that one that names none belongs to no
+  // request.
+  bool OnResponse(ResponseMatch aMatch);
 
   // Whether the connection may carry any further call.
   [[nodiscard]] bool MayCarryMore() const;
--- a/tests/servers/http1/connection_reuse_test.cpp
+++ b/tests/servers/http1/connection_reuse_test.cpp
@@ -64,6 +64,20 @@
   CHECK_FALSE(reuse.MayCarryMore());
 }
 
+// Guards against a refusal or an answer that belongs to no request and is taken
+// for the response to the running call.
+TEST(ConnectionReuseTest, AnUnidentifiedResponseIsAcceptedByTheFirstCallOnly)
+{
+  reuse.OnCall(RequestId("q1"), false);
+  CHECK_TRUE(reuse.OnResponse(ResponseMatch::kThisCall));
+  reuse.OnCall(RequestId("q2"), false);
+  CHECK_TRUE(reuse.OnResponse(ResponseMatch::kOtherCall));
+  CHECK_FALSE(reuse.OnResponse(ResponseMatch::kUnidentified));
+  ConnectionReuse fresh;
+  fresh.OnCall(RequestId("q1"), false);
+  CHECK_TRUE(fresh.OnResponse(ResponseMatch::kUnidentified));
+}
+
 // Guards against ids that accumulate without bound on a busy connection.
 TEST(ConnectionReuseTest, EndsAfterTheMaximumNumberOfCalls)
 {
--- a/tests/servers/relay/relay_trouble_test.cpp
+++ b/tests/servers/relay/relay_trouble_test.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -159,6 +160,52 @@
   LONGS_EQUAL(1, runs);
 }
 
+// A server refuses one request, and later, on the same connection, writes a
+// refusal without an id before it runs another one. Guards against a refusal
+// that belongs to no request being taken for the answer: the caller would be
+// told that a booking did not run while it runs, or it would run twice.
+TEST(RelayTroubleTest, ARefusalWithoutAnIdOnAKeptConnectionIsNoAnswer)
+{
+  for (const int status : { 503, 429, 421, 400 }) {
+    std::map<std::string, int> runs;
+    std::set<std::size_t> carried;
+    first = StartBackend([&](const ScriptedRequest& aRequest) -> ScriptedReply {
+      const std::string id(
+        FindHeader(aRequest.head.headers, "Fireflyrouter-Request-Id"));
+      const auto refusal = "Fireflyrouter-Not-Run: 1\r\n";
+      const bool isKept = !carried.insert(aRequest.connection).second;
+      if (id == "q1" && aRequest.connection == 1) {
+        return {
+          .bytes = MakeAnswer(
+            503, "", "Fireflyrouter-Request-Id: q1\r\n" + std::string(refusal))
+        };
+      }
+      runs[id]++;
+      return { .bytes = (id == "q2" && isKept ? MakeAnswer(status, "", refusal)
+                                              : std::string()) +
+                        MakeAnswerTo(id, "booked") };
+    });
+    Register("b" + std::to_string(status), *first);
+    SetRoutingTable();
+    for (const auto* id : { "q1", "q2" }) {
+      RawTcpClient caller(executor, callers.Port());
+      caller.Send("GET /rebook/" + std::to_string(status) +
+                  " HTTP/1.1\r\nHost: h.example\r\n"
+                  "Fireflyrouter-Request-Id: " +
+                  id + "\r\nFireflyrouter-Deadline-Ms: 5000\r\n\r\n");
+      Await([&] { return caller.HasReceived("HTTP/1.1 "); });
+      Await([&] { return relay.LiveRequests() == 0; });
+      const auto text = std::string(id) + ": " + caller.Received();
+      CHECK_TRUE_TEXT(runs[id] <= 1, text.c_str());
+      CHECK_TRUE_TEXT(runs[id] == 0 || caller.HasReceived("HTTP/1.1 200") ||
+                        caller.HasReceived("HTTP/1.1 502"),
+                      text.c_str());
+    }
+    LONGS_EQUAL(1, runs["q2"]);
+    backendRegistry.RemoveAllExcept({});
+  }
+}
+
 namespace {
 
 // A backend server that rejects some requests and sends second copies of its
