--- a/coord/keyed_feed.h
+++ b/coord/keyed_feed.h
@@ -118,7 +118,7 @@
   void Refresh();
 
   // Reads the newest records of all keys, unless that is in progress.
-  // OnSnapshot() or OnLost() follows.
+  // OnSnapshot() follows, or OnLost() if the feed is not lost already.
   void ReadNewest();
 
   // Sets the size of one answer for the next reads.
--- a/tests/servers/relay/broken_streams_test.cpp
+++ b/tests/servers/relay/broken_streams_test.cpp
@@ -14,7 +14,6 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace std::chrono_literals;
-using firefly::ComposeChunk;
 using firefly::LastChunk;
 using firefly::policy::EngineRole;
 using firefly::testing::AfterReply;
--- a/tests/servers/relay/routing_table_updater_test.cpp
+++ b/tests/servers/relay/routing_table_updater_test.cpp
@@ -49,7 +49,6 @@
 using firefly::coord::KeyedLogClient;
 using firefly::coord::KeyedReadTerms;
 using firefly::coord::KeyedRecord;
-using firefly::coord::LogError;
 using firefly::coord::LogOffset;
 using firefly::coord::NewestPage;
 using firefly::coord::StreamName;
