Keep the rate limits that backend servers name

Cause: nothing read the limit. Requests were placed by predicted waits alone, by each host for itself. Class: a bound over all hosts that no host can keep alone.

Change: the dialect decodes the limit; hosts share one schedule for each limited backend server (policy/rate_limit), in which each send, also a retry, a decode attempt or a suspect, takes the next place and is announced at once. The wait for a place is part of the predicted wait. What gets no place soon enough is refused at once. Log lines and metrics name limits, waits and refusals. The run of a backend server is known to the fleet view, as a limit belongs to a run.

--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -334,7 +334,7 @@
     for (const auto& backend : mPlannedFleet.All()) {
       mEntries.back()->Fleet().Upsert(backend);
     }
-    mEntries.back()->Router().SetEntries(hosts);
+    mEntries.back()->Router().SetEntries(hosts, Instant{});
   }
   return {};
 }
--- a/policy/admission.cpp
+++ b/policy/admission.cpp
@@ -64,6 +64,8 @@
       return "quarantined";
     case RefusalReason::kRetryBudget:
       return "retry-budget";
+    case RefusalReason::kRateLimit:
+      return "rate-limit";
   }
   return "unknown";
 }
--- a/policy/admission.h
+++ b/policy/admission.h
@@ -29,6 +29,9 @@
   kQuarantined,
   // The request needs another attempt and the retry budget is exhausted.
   kRetryBudget,
+  // All backend servers that offer the model or the service limit the rate of
+  // requests, and none takes this one soon enough.
+  kRateLimit,
 };
 
 // The reason in text form for problem+json and metrics, such as "deadline".
--- a/policy/backend_selector.h
+++ b/policy/backend_selector.h
@@ -14,6 +14,7 @@
 #include "policy/handover_estimator.h"
 #include "policy/plain_service_estimator.h"
 #include "policy/prompt_queue_estimator.h"
+#include "policy/rate_limit/backend_rate_limiter.h"
 #include "policy/request_info.h"
 #include "policy/size_estimator.h"
 
@@ -41,6 +42,9 @@
   // The engine to copy the KV cache of the shared prefix from, if copying
   // replaces prefilling it again.
   std::optional<BackendId> copyFrom{};
+  // Time until the backend server's rate limit allows the request; part of
+  // expectedWait.
+  Duration startAfter{};
 };
 
 enum class SelectFailure : std::uint8_t
@@ -49,12 +53,16 @@
   kNoBackend,
   // All candidates are at capacity; the request may be queued.
   kNoCapacity,
+  // All candidates limit the rate of requests, and none takes this one soon
+  // enough.
+  kRateLimit,
 };
 
 struct SelectError
 {
   SelectFailure failure = SelectFailure::kNoBackend;
-  // With kNoCapacity: the shortest expected wait among the candidates.
+  // With kNoCapacity: the shortest expected wait among the candidates. With
+  // kRateLimit: the time until the first of them takes a request.
   Duration expectedWait{};
 };
 
@@ -97,6 +105,8 @@
     // The sender could not reach it, or its host no longer acknowledges
     // anything that is sent to it.
     kSilent,
+    // The sender was told the limit, or took places in its schedule.
+    kRateLimit,
   };
   Kind kind = Kind::kPromptDispatched;
   // FleetView::HashAt of the backend server.
@@ -107,6 +117,9 @@
   Tokens uncached{};
   EngineUrgency urgency{};
   std::vector<std::uint64_t> prefixes{};
+  // With kRateLimit: what the sender knows, and the number of places.
+  RateLimitNews limit{};
+  std::uint32_t places = 0;
 };
 
 // A dispatched attempt, as passed to the selector's feedback calls.
--- a/policy/fleet_view.h
+++ b/policy/fleet_view.h
@@ -102,6 +102,8 @@
 struct Backend
 {
   BackendId id;
+  // Start time of its process, which identifies the run; 0 if unknown.
+  std::uint64_t startedAt = 0;
   DomainId domain;
   BackendKind kind = BackendKind::kEngine;
   EngineRole role = EngineRole::kMixed;
--- a/policy/learning_selector.cpp
+++ b/policy/learning_selector.cpp
@@ -5,6 +5,8 @@
 #include <limits>
 #include <utility>
 
+#include "policy/rate_limit/rate_limited_selection.h"
+
 namespace firefly::policy {
 
 namespace {
@@ -115,11 +117,17 @@
   Prediction best;
   best.score = std::numeric_limits<double>::max();
   bool found = false;
+  bool isLimited = true;
   auto minWait = Duration::max();
+  auto minStart = Duration::max();
   for (const auto slot : mCandidates) {
-    const auto prediction = Predict(aRequest, aQuery, aFleet, slot, aNow);
+    auto prediction = Predict(aRequest, aQuery, aFleet, slot, aNow);
+    AddLimitWait(prediction, aRequest, aQuery, aFleet.At(slot), aNow);
     minWait = std::min(minWait, prediction.choice.expectedWait);
-    const bool usable = prediction.hasCapacity || aQuery.ignoreCapacity;
+    minStart = std::min(minStart, prediction.choice.startAfter);
+    isLimited = isLimited && prediction.isLimited;
+    const bool usable = !prediction.isLimited &&
+                        (prediction.hasCapacity || aQuery.ignoreCapacity);
     if (usable && prediction.score < best.score) {
       best = prediction;
       found = true;
@@ -127,7 +135,8 @@
   }
   if (!found) {
     return tl::make_unexpected(
-      SelectError{ SelectFailure::kNoCapacity, minWait });
+      isLimited ? SelectError{ SelectFailure::kRateLimit, minStart }
+                : SelectError{ SelectFailure::kNoCapacity, minWait });
   }
   return best.choice;
 }
@@ -269,6 +278,13 @@
 void
 LearningSelector::OnRejection(const AttemptInfo& aAttempt, Instant aNow)
 {
+  const auto& limiter = mOptions.rateLimiter;
+  if (!aAttempt.plainCall && limiter && limiter->IsLimited(aAttempt.slot)) {
+    // It rejects what exceeds its limit and is not slow otherwise.
+    OnFinish(aAttempt, aNow);
+    RemoveHolder(aAttempt);
+    return;
+  }
   if (!aAttempt.plainCall) {
     OnError(aAttempt, aNow);
     return;
@@ -468,6 +484,9 @@
   if (mOpen.empty()) {
     return;
   }
+  if (mOptions.rateLimiter) {
+    KeepLeastLimited(mOpen, *mOptions.rateLimiter, aFleet, aNow);
+  }
   AddRandomCandidates(mOpen);
   if (aQuery.kvCacheDomain) {
     std::vector<BackendSlot> near;
@@ -669,6 +688,26 @@
   return prediction;
 }
 
+void
+LearningSelector::AddLimitWait(Prediction& aPrediction,
+                               const RequestInfo& aRequest,
+                               const SelectQuery& aQuery,
+                               const Backend& aBackend,
+                               Instant aNow) const
+{
+  if (!mOptions.rateLimiter || !mOptions.rateLimiter->HasLimits()) {
+    return;
+  }
+  auto& choice = aPrediction.choice;
+  choice.startAfter =
+    mOptions.rateLimiter->WaitAt(choice.slot, aBackend.startedAt, aNow);
+  choice.expectedWait += choice.startAfter;
+  aPrediction.score += ToSeconds(choice.startAfter);
+  aPrediction.isLimited =
+    choice.startAfter > Duration::zero() &&
+    !MayWaitForPlace(aRequest, aQuery, choice.expectedWait, aNow);
+}
+
 void
 LearningSelector::AddDistance(Prediction& aPrediction,
                               const Backend& aBackend,
--- a/policy/learning_selector.h
+++ b/policy/learning_selector.h
@@ -4,6 +4,7 @@
 // observed speed of backend servers and from the contents of prefix caches.
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -16,6 +17,7 @@
 #include "policy/plain_service_estimator.h"
 #include "policy/prefix_cache_tracker.h"
 #include "policy/prompt_queue_estimator.h"
+#include "policy/rate_limit/backend_rate_limiter.h"
 
 namespace firefly::policy {
 
@@ -64,6 +66,8 @@
     // (BackendNotice::Kind::kPromptDispatched). Engine queues and prefix caches
     // are then estimated prompt by prompt.
     bool peersAnnouncePrompts = false;
+    // The limits that backend servers name; null if they name none.
+    std::shared_ptr<const BackendRateLimiter> rateLimiter{};
     // Switches for ablation studies.
     bool usePeers = true;
     bool useSpeed = true;
@@ -166,6 +170,8 @@
     // selected.
     double score = 0;
     bool hasCapacity = false;
+    // Whether the backend server's rate limit delays the request too long.
+    bool isLimited = false;
   };
 
   Load& LoadAt(BackendSlot aSlot);
@@ -189,6 +195,12 @@
                           const Backend& aBackend,
                           BackendSlot aSlot,
                           Instant aNow);
+  // Adds the wait for the backend server's rate limit.
+  void AddLimitWait(Prediction& aPrediction,
+                    const RequestInfo& aRequest,
+                    const SelectQuery& aQuery,
+                    const Backend& aBackend,
+                    Instant aNow) const;
   // Adds the penalty for a backend server in another failure domain than aFrom.
   void AddDistance(Prediction& aPrediction,
                    const Backend& aBackend,
--- a/policy/policy_set.cpp
+++ b/policy/policy_set.cpp
@@ -56,6 +56,7 @@
     .domain = aOptions.domain,
     .crossDomainPenalty = aOptions.crossDomainPenalty,
     .peersAnnouncePrompts = aOptions.peersAnnouncePrompts,
+    .rateLimiter = set.rateLimiter,
     .usePeers = has("peers"),
     .useSpeed = has("speed"),
     .useAffinity = has("affinity"),
--- a/policy/policy_set.h
+++ b/policy/policy_set.h
@@ -14,6 +14,7 @@
 #include "policy/crash_correlator.h"
 #include "policy/hedger.h"
 #include "policy/poison_quarantine.h"
+#include "policy/rate_limit/backend_rate_limiter.h"
 #include "policy/request_limiter.h"
 #include "policy/request_queue.h"
 #include "policy/retry_budget.h"
@@ -38,6 +39,9 @@
   std::unique_ptr<Hedger> hedger;
   std::unique_ptr<PoisonQuarantine> poisonQuarantine;
   std::unique_ptr<CrashCorrelator> crashCorrelator;
+  // Shared with the selector.
+  std::shared_ptr<BackendRateLimiter> rateLimiter =
+    std::make_shared<BackendRateLimiter>();
 };
 
 struct PolicyOptions
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -6,6 +6,8 @@
 #include <optional>
 #include <utility>
 
+#include "policy/rate_limit/rate_limited_selection.h"
+
 namespace firefly::policy {
 
 namespace {
@@ -119,6 +121,12 @@
       id, RefusalReason::kNoBackend, TimeUntilReopened(aRequest.info, aNow));
     return;
   }
+  if (!choice && choice.error().failure == SelectFailure::kRateLimit) {
+    Refuse(id,
+           RefusalReason::kRateLimit,
+           ReturnAfter(aRequest.info, choice.error().expectedWait));
+    return;
+  }
   const auto cached = mPolicies.selector->ExpectedCached(aRequest.info);
   aRequest.engineSeconds = EngineSeconds(aRequest, cached);
   mPolicies.selector->OnArrival(aRequest.info);
@@ -370,6 +378,7 @@
     mPolicies.selector->OnErrorAnswer(attempt.info, aNow);
   } else if (aError == AttemptError::kRejected) {
     mPolicies.selector->OnRejection(attempt.info, aNow);
+    mPolicies.rateLimiter->OnRejection(attempt.info.slot, aNow);
   } else if (aError == AttemptError::kNotSent ||
              aError == AttemptError::kSilent) {
     mPolicies.selector->OnUnreachable(attempt.info, aNow);
@@ -495,11 +504,16 @@
   if (!first) {
     return Duration::zero();
   }
+  return ReturnAfter(aInfo, *first - aNow);
+}
+
+Duration
+RequestRouter::ReturnAfter(const RequestInfo& aInfo, Duration aWait)
+{
   constexpr std::uint64_t kSteps = 64;
   const auto step = StableHash(aInfo.requestId.Value()) % kSteps;
-  const Duration wait = *first - aNow;
-  return wait + kReturnSpread * static_cast<Duration::rep>(step) /
-                  static_cast<Duration::rep>(kSteps);
+  return aWait + kReturnSpread * static_cast<Duration::rep>(step) /
+                   static_cast<Duration::rep>(kSteps);
 }
 
 std::uint32_t
@@ -527,6 +541,7 @@
 {
   HandleExpired(aNow);
   EndHeldRequests(aNow);
+  StartPlaced(aNow);
   for (auto& [id, request] : mRequests) {
     if (!request.attempts.empty()) {
       HedgeOrResume(request, aNow);
@@ -544,8 +559,9 @@
 }
 
 void
-RequestRouter::SetEntries(const std::vector<HostId>& aEntries)
+RequestRouter::SetEntries(const std::vector<HostId>& aEntries, Instant aNow)
 {
+  mPolicies.rateLimiter->SetHostCount(aEntries.size(), aNow);
   mEntries = aEntries;
   std::sort(mEntries.begin(), mEntries.end());
   mPolicies.limits->SetEntries(aEntries);
@@ -571,12 +587,12 @@
   OnPeerCrashSuspicions(aDigest.crashSuspicions, aNow);
 }
 
-void
+bool
 RequestRouter::OnPeerNotice(const BackendNotice& aNotice, Instant aNow)
 {
   const auto slot = mFleet.SlotOfHash(aNotice.backend);
   if (!slot) {
-    return;
+    return false;
   }
   switch (aNotice.kind) {
     case BackendNotice::Kind::kPromptDispatched:
@@ -585,7 +601,13 @@
     case BackendNotice::Kind::kSilent:
       mPolicies.selector->OnPeerSilent(*slot, aNow);
       break;
+    case BackendNotice::Kind::kRateLimit: {
+      const bool changed = mPolicies.rateLimiter->OnNews(*slot, aNotice.limit);
+      mPolicies.rateLimiter->TakePlaces(*slot, aNotice.places, aNow);
+      return changed;
+    }
   }
+  return false;
 }
 
 Digest
@@ -665,6 +687,7 @@
   if (!prefill) {
     const bool harmless =
       whole && StallPenalty(aRequest, *whole) <= Duration::zero();
+    // Rate limits of the engines that prefill end later than a stall does.
     const bool full = prefill.error().failure == SelectFailure::kNoCapacity;
     return full && !harmless ? prefill : whole;
   }
@@ -681,6 +704,13 @@
       whole->expectedWait + StallPenalty(aRequest, *whole) <= separateWait) {
     return whole;
   }
+  // The engine that decodes must not get the prompt too early for its limit.
+  if (output->startAfter > prefill->expectedWait &&
+      !MayWaitForPlace(aRequest.info, aQuery, separateWait, aNow)) {
+    return whole ? whole
+                 : tl::make_unexpected(SelectError{ SelectFailure::kRateLimit,
+                                                    output->startAfter });
+  }
   return prefill;
 }
 
@@ -772,6 +802,18 @@
                      const Choice& aChoice,
                      bool aIsHedge,
                      Instant aNow)
+{
+  if (!WaitForPlace(aRequest, aChoice, aIsHedge, aNow)) {
+    StartNow(aRequest, aChoice, aIsHedge, aNow);
+  }
+}
+
+void
+RequestRouter::StartNow(Request& aRequest,
+                        const Choice& aChoice,
+                        bool aIsHedge,
+                        Instant aNow,
+                        Duration aLimitWait)
 {
   const AttemptNumber number(++aRequest.attemptCount);
   if (aChoice.phase == WorkPhase::kPrefill) {
@@ -807,7 +849,8 @@
                    .phase = aChoice.phase,
                    .copyFrom = aChoice.copyFrom,
                    .expectedWait = aChoice.expectedWait,
-                   .cachedTokens = aChoice.cachedTokens });
+                   .cachedTokens = aChoice.cachedTokens,
+                   .limitWait = aLimitWait });
 }
 
 void
@@ -819,6 +862,9 @@
   }
   const auto choice =
     mPolicies.selector->Select(aRequest.info, query, mFleet, aNow);
+  if (choice && choice->startAfter > Duration::zero()) {
+    return;
+  }
   // The answer of a plain service that is overdue is more likely lost than
   // late, so that another attempt counts as a retry.
   auto& budget =
@@ -838,7 +884,8 @@
   query.excluded.push_back(aRequest.attempts.at(aAttempt).info.slot);
   const auto choice =
     mPolicies.selector->Select(aRequest.info, query, mFleet, aNow);
-  if (!choice || !mPolicies.hedges->TrySpend()) {
+  if (!choice || choice->startAfter > Duration::zero() ||
+      !mPolicies.hedges->TrySpend()) {
     return;
   }
   aRequest.answeringAttempt = {};
@@ -998,6 +1045,7 @@
     return;
   }
   mPolicies.queue->Remove(aId);
+  std::erase(mPlaced, aId);
   mPolicies.limits->Finish(it->second.permit);
   mRequests.erase(it);
 }
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -45,6 +45,8 @@
   // The estimates behind the choice of the backend server, for the log.
   Duration expectedWait{};
   Tokens cachedTokens;
+  // How long the attempt has waited for the backend server's rate limit.
+  Duration limitWait{};
 };
 
 // A refusal means that no backend server ran the request: it was never sent, or
@@ -213,7 +215,7 @@
   void Configure(const std::vector<LimitRow>& aRows);
 
   // Sets the list of all live entries, including this one.
-  void SetEntries(const std::vector<HostId>& aEntries);
+  void SetEntries(const std::vector<HostId>& aEntries, Instant aNow);
 
   // Called when a load report of a backend server arrives.
   void OnReport(const LoadReport& aReport, Instant aNow);
@@ -223,8 +225,16 @@
   void OnPeerDigest(const Digest& aDigest, Instant aNow);
 
   // Called when a peer's notice about a backend server arrives; ignores notices
-  // about unknown backend servers.
-  void OnPeerNotice(const BackendNotice& aNotice, Instant aNow);
+  // about unknown backend servers. Returns whether the notice changes a rate
+  // limit.
+  bool OnPeerNotice(const BackendNotice& aNotice, Instant aNow);
+
+  // Called when an answer of a backend server names its limit, or none. Returns
+  // whether the limit has changed.
+  bool OnRateLimit(const BackendId& aBackend,
+                   std::uint64_t aStartedAt,
+                   std::optional<RequestRate> aRate,
+                   Instant aNow);
 
   // Called when a peer's crash suspicions arrive.
   void OnPeerCrashSuspicions(const std::vector<CrashSuspicion>& aSuspicions,
@@ -273,6 +283,14 @@
     bool isHedge = false;
     WorkPhase phase = WorkPhase::kWhole;
   };
+  // A start that a backend server's rate limit delays.
+  struct Placed
+  {
+    Choice choice;
+    bool isHedge = false;
+    Instant at{};
+    Duration wait{};
+  };
   struct Request
   {
     RequestInfo info;
@@ -302,6 +320,8 @@
     // Expected processing time, in seconds of one whole engine.
     double engineSeconds = 0;
     bool wasHedged = false;
+    // The place that it waits for in a backend server's schedule.
+    std::optional<Placed> placed{};
     // Whether it runs as a test of a crash suspicion.
     bool isTrial = false;
     // Whether a backend server may have run an attempt.
@@ -342,10 +362,30 @@
   // engines, whose own queues are part of it.
   [[nodiscard]] Duration PlainTimeOf(const RequestInfo& aInfo) const;
   void RefuseEvicted(const std::optional<QueuedRequest>& aEvicted);
+  // Starts an attempt, at once or when the backend server's rate limit allows
+  // it.
   void Start(Request& aRequest,
              const Choice& aChoice,
              bool aIsHedge,
              Instant aNow);
+  // Takes a place in the backend server's schedule if it has a limit. Returns
+  // whether the attempt has to wait for it.
+  bool WaitForPlace(Request& aRequest,
+                    const Choice& aChoice,
+                    bool aIsHedge,
+                    Instant aNow);
+  // Starts the attempts whose places are due.
+  void StartPlaced(Instant aNow);
+  void StartNow(Request& aRequest,
+                const Choice& aChoice,
+                bool aIsHedge,
+                Instant aNow,
+                Duration aLimitWait = {});
+  // The time after which a request may return that all backend servers' limits
+  // exclude now, a little longer for some so that their callers do not return
+  // together.
+  [[nodiscard]] static Duration ReturnAfter(const RequestInfo& aInfo,
+                                            Duration aWait);
   // Reports to the load of its stage that the attempt has passed it.
   void RecordStage(const Request& aRequest,
                    const Attempt& aAttempt,
@@ -389,6 +429,8 @@
   const FleetView& mFleet;
   RouterSink& mSink;
   Requests mRequests;
+  // Requests that wait for a place in a backend server's schedule.
+  std::vector<RequestId> mPlaced;
   // Suspects that wait for their turn, in order of arrival.
   std::vector<RequestId> mSuspectQueue;
   RequestId mRunningSuspect;
--- a/servers/entry/entry_server.cpp
+++ b/servers/entry/entry_server.cpp
@@ -182,7 +182,7 @@
           },
         .onLiveEntries =
           [this](const std::vector<HostId>& aEntries) {
-            mDispatcher->Router().SetEntries(aEntries);
+            mDispatcher->Router().SetEntries(aEntries, mExecutor.Now());
             mLedgerClient.SetLedgers(LedgersOf(mSettings, aEntries));
           } });
     mTableReplica.emplace(
--- a/servers/relay/backend_registry.cpp
+++ b/servers/relay/backend_registry.cpp
@@ -78,6 +78,7 @@
 {
   policy::Backend backend;
   backend.id = aRecord.id;
+  backend.startedAt = aRecord.startedAt;
   backend.domain = aRecord.domain;
   backend.state = StateOf(aRecord);
   const policy::BackendRun run{ .id = aRecord.id,
--- a/servers/relay/dialect.h
+++ b/servers/relay/dialect.h
@@ -17,6 +17,7 @@
 #include "core/ids.h"
 #include "policy/access/credentials.h"
 #include "policy/fleet_view.h"
+#include "policy/rate_limit/backend_rate_limiter.h"
 #include "policy/request_info.h"
 #include "servers/http1/caller_server.h"
 #include "servers/http1/connection_reuse.h"
@@ -158,6 +159,9 @@
   std::optional<Duration> wait{};
   // It took the request.
   bool hasAccepted = false;
+  // The requests a second that it takes from all hosts together; empty if the
+  // answer names no limit.
+  std::optional<policy::RequestRate> rateLimit{};
 };
 
 struct OwnAnswer
--- a/servers/relay/peer_group.cpp
+++ b/servers/relay/peer_group.cpp
@@ -157,7 +157,7 @@
       hosts.push_back(it.host);
     }
   }
-  mRouter.SetEntries(hosts);
+  mRouter.SetEntries(hosts, mExecutor.Now());
   UpdatePeerLists();
   mOnPeerCount(mPeerAddresses.size());
 }
--- a/servers/relay/peer_update_channel.cpp
+++ b/servers/relay/peer_update_channel.cpp
@@ -27,13 +27,17 @@
 // Older feed updates state no age. Far longer than any bound on the staleness
 // of a routing table, and short enough that sums of ages do not overflow.
 constexpr Duration kMaxAge = std::chrono::hours(1);
+// Bounds of the numbers in a notice about a limit.
+constexpr double kMaxRequestRate = 1e6;
+constexpr std::uint32_t kMaxPlaces = 1000;
+constexpr double kMilli = 1000;
 // Size of the encoded age: a type and four bytes.
 constexpr std::size_t kMaxAgeBytes = 5;
 // Maximum time that the network is assumed to take for a datagram.
 constexpr Duration kNetworkAllowance = std::chrono::milliseconds(500);
 constexpr auto kLastFeed = static_cast<std::uint64_t>(SharedFeed::kRouting);
 constexpr auto kLastNoticeKind =
-  static_cast<std::uint64_t>(policy::BackendNotice::Kind::kSilent);
+  static_cast<std::uint64_t>(policy::BackendNotice::Kind::kRateLimit);
 
 std::string
 EncodeRecord(const coord::KeyedRecord& aRecord)
@@ -119,6 +123,50 @@
   return datagrams;
 }
 
+std::string
+EncodeRateLimit(const policy::BackendNotice& aNotice, Instant aNow)
+{
+  const auto& limit = aNotice.limit;
+  const auto age = std::clamp(aNow - limit.heardAt, Duration::zero(), kMaxAge);
+  return coord::FieldWriter()
+    .Number(kNotice)
+    .Number(static_cast<std::uint64_t>(aNotice.kind))
+    .Number(aNotice.backend)
+    .Number(limit.startedAt)
+    .Flag(limit.rate.has_value())
+    .Number(static_cast<std::uint64_t>(
+      std::min(limit.rate.value_or(policy::RequestRate(0)).Value(),
+               kMaxRequestRate) *
+      kMilli))
+    .Number(static_cast<std::uint64_t>(
+      std::chrono::floor<std::chrono::milliseconds>(age).count()))
+    .Number(aNotice.places)
+    .Take();
+}
+
+// Reads what follows the kind of a notice.
+std::optional<policy::BackendNotice>
+DecodeRateLimit(coord::FieldReader& aReader, Instant aNow)
+{
+  policy::BackendNotice notice;
+  notice.kind = policy::BackendNotice::Kind::kRateLimit;
+  notice.backend = aReader.Number();
+  notice.limit.startedAt = aReader.Number();
+  const bool hasRate = aReader.Flag();
+  const auto rate = static_cast<double>(aReader.Number()) / kMilli;
+  const std::chrono::milliseconds age(aReader.Number());
+  notice.places = static_cast<std::uint32_t>(aReader.Number());
+  if (!aReader.Ok() || !aReader.AtEnd() || rate > kMaxRequestRate ||
+      age.count() < 0 || age > kMaxAge || notice.places > kMaxPlaces) {
+    return std::nullopt;
+  }
+  if (hasRate) {
+    notice.limit.rate = policy::RequestRate(rate);
+  }
+  notice.limit.heardAt = aNow - age;
+  return notice;
+}
+
 std::optional<Duration>
 AgeAt(const coord::FeedProgress& aProgress, Instant aNow)
 {
@@ -241,8 +289,11 @@
 }
 
 std::string
-EncodeNotice(const policy::BackendNotice& aNotice)
+EncodeNotice(const policy::BackendNotice& aNotice, Instant aNow)
 {
+  if (aNotice.kind == policy::BackendNotice::Kind::kRateLimit) {
+    return EncodeRateLimit(aNotice, aNow);
+  }
   coord::FieldWriter writer;
   writer.Number(kNotice)
     .Number(static_cast<std::uint64_t>(aNotice.kind))
@@ -257,13 +308,17 @@
 }
 
 std::optional<policy::BackendNotice>
-DecodeNotice(std::string_view aBytes)
+DecodeNotice(std::string_view aBytes, Instant aNow)
 {
   coord::FieldReader reader(aBytes);
   if (reader.Number() != kNotice) {
     return std::nullopt;
   }
   const auto kind = reader.Number();
+  if (kind ==
+      static_cast<std::uint64_t>(policy::BackendNotice::Kind::kRateLimit)) {
+    return DecodeRateLimit(reader, aNow);
+  }
   policy::BackendNotice notice;
   notice.backend = reader.Number();
   notice.uncached = policy::Tokens(static_cast<std::uint32_t>(reader.Number()));
@@ -394,7 +449,7 @@
 void
 PeerUpdateChannel::Deliver(std::string_view aBytes, bool aIsForwarder)
 {
-  if (const auto notice = DecodeNotice(aBytes)) {
+  if (const auto notice = DecodeNotice(aBytes, mExecutor.Now())) {
     mHandlers.onNotice(*notice);
     Forward(aBytes, aIsForwarder);
     return;
@@ -469,7 +524,7 @@
 PeerUpdateChannel::Send(const policy::BackendNotice& aNotice,
                         const PeerTargets& aTargets)
 {
-  SendTo(EncodeNotice(aNotice), aTargets);
+  SendTo(EncodeNotice(aNotice, mExecutor.Now()), aTargets);
 }
 
 void
--- a/servers/relay/peer_update_channel.h
+++ b/servers/relay/peer_update_channel.h
@@ -91,13 +91,14 @@
 std::optional<ReadFailure>
 DecodeReadFailure(std::string_view aBytes);
 
-// Encodes a notice; only the longest prefixes of its prompt are included.
+// Encodes a notice; only the longest prefixes of its prompt are included, and
+// the age of what it says about a limit instead of an instant.
 std::string
-EncodeNotice(const policy::BackendNotice& aNotice);
+EncodeNotice(const policy::BackendNotice& aNotice, Instant aNow);
 
 // Returns nothing if the bytes are not a valid notice.
 std::optional<policy::BackendNotice>
-DecodeNotice(std::string_view aBytes);
+DecodeNotice(std::string_view aBytes, Instant aNow);
 
 // Encodes suspicions as datagrams, each with as many as fit.
 std::vector<std::string>
--- a/servers/relay/relay_attempt.cpp
+++ b/servers/relay/relay_attempt.cpp
@@ -71,7 +71,14 @@
 {
   mAnswer.head = aHead;
   mAnswerKind = mDialect.Classify(aHead);
-  mListener.OnAvailability(mOptions.backend, mDialect.ReadAvailability(aHead));
+  const auto notice = mDialect.ReadAvailability(aHead);
+  mListener.OnAvailability(mOptions.backend, notice);
+  // Engines do not sign the answer to a prefill request. Any other answer
+  // without a signature may be from somebody else, and names no limit.
+  if (notice.rateLimit || mOptions.promptOnly ||
+      mAnswerKind != AnswerKind::kForeign) {
+    mListener.OnRateLimit(mOptions.backend, notice.rateLimit);
+  }
   // Engines do not sign the answer to a prefill request.
   if (!mOptions.promptOnly && mAnswerKind == AnswerKind::kForeign) {
     FailAttempt("not a backend server's answer");
--- a/servers/relay/relay_attempt.h
+++ b/servers/relay/relay_attempt.h
@@ -34,6 +34,9 @@
   // The head of an answer arrived.
   virtual void OnAvailability(const policy::BackendRun& aBackend,
                               const AvailabilityNotice& aNotice) = 0;
+  // An answer of the backend server names its limit, or none.
+  virtual void OnRateLimit(const policy::BackendRun& aBackend,
+                           std::optional<policy::RequestRate> aRate) = 0;
   // The attempt ended without an answer for the caller.
   virtual void OnAttemptError(policy::AttemptNumber aAttempt,
                               policy::AttemptError aError,
--- a/servers/relay/relay_metrics.cpp
+++ b/servers/relay/relay_metrics.cpp
@@ -58,6 +58,13 @@
   , heldSuspicions(aRegistry.Gauges(
       { .name = "firefly_relay_held_crash_suspicions",
         .help = "Crash suspicions for which requests are held back" }))
+  , rateLimitedBackends(aRegistry.Gauges(
+      { .name = "firefly_relay_rate_limited_backends",
+        .help = "Backend servers that limit the rate of requests" }))
+  , limitWaits(aRegistry.Counters(
+      { .name = "firefly_relay_limit_waits_total",
+        .help = "Attempts that waited for a backend server's rate limit",
+        .labelNames = { "service" } }))
   , connections(
       aRegistry.Gauges({ .name = "firefly_relay_connections",
                          .help = "Connections to callers and backend servers",
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -23,6 +23,8 @@
   MetricFamily<Gauge>& live;
   MetricFamily<Gauge>& queued;
   MetricFamily<Gauge>& heldSuspicions;
+  MetricFamily<Gauge>& rateLimitedBackends;
+  MetricFamily<Counter>& limitWaits;
   MetricFamily<Gauge>& connections;
   MetricFamily<Gauge>& connectionLimit;
   MetricFamily<Gauge>& callerMemory;
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -425,7 +425,14 @@
       mLog.Info("a peer found a backend server silent",
                 { { "backend", mFleet.At(*slot).id.Value() } });
     }
-    mRelay.Router().OnPeerNotice(aNotice, mExecutor.Now());
+    const bool changed = mRelay.Router().OnPeerNotice(aNotice, mExecutor.Now());
+    if (slot && changed) {
+      const auto& rate = aNotice.limit.rate;
+      mLog.Info(
+        "a peer was told a rate limit",
+        { { "backend", mFleet.At(*slot).id.Value() },
+          { "per_second", rate ? std::to_string(rate->Value()) : "" } });
+    }
   }
 
   // Logs what more than one crash has in common, and what was disproved.
@@ -526,6 +533,8 @@
     mMetrics.queued.With({}).Set(static_cast<double>(mRelay.Router().Queued()));
     mMetrics.heldSuspicions.With({}).Set(static_cast<double>(
       mRelay.Router().Policies().crashCorrelator->HeldCount(now)));
+    mMetrics.rateLimitedBackends.With({}).Set(static_cast<double>(
+      mRelay.Router().Policies().rateLimiter->LimitCount()));
     mMetrics.connections.With({ "callers" })
       .Set(static_cast<double>(mCallers.Connections()));
     mMetrics.connections.With({ "backends-idle" })
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -138,8 +138,12 @@
       { "urgency", std::to_string(aOrder.urgency.Value()) },
       { "expected_ms", Millis(aOrder.expectedWait) },
       { "cached", std::to_string(aOrder.cachedTokens.Value()) },
+      { "limit_ms", Millis(aOrder.limitWait) },
       { "copy_from", aOrder.copyFrom ? aOrder.copyFrom->Value() : "" },
       { "ms", Millis(Now() - mArrival) } });
+  if (aOrder.limitWait > Duration::zero()) {
+    mContext.metrics->limitWaits.With({ mOptions.service.Value() }).Add();
+  }
   BackendPool::Call call;
   call.backend = aOrder.backend;
   call.address = BackendAddress(AddressOf(aOrder.backend));
@@ -229,6 +233,21 @@
   }
 }
 
+void
+RelayTask::OnRateLimit(const policy::BackendRun& aBackend,
+                       std::optional<policy::RequestRate> aRate)
+{
+  const bool changed =
+    mContext.router->OnRateLimit(aBackend.id, aBackend.startedAt, aRate, Now());
+  if (changed) {
+    mContext.log->Info(
+      "backend server names its rate limit",
+      { { "backend", aBackend.id.Value() },
+        { "per_second", aRate ? std::to_string(aRate->Value()) : "" },
+        { "request", mOptions.request.id.Value() } });
+  }
+}
+
 void
 RelayTask::OnAttemptError(AttemptNumber aAttempt,
                           AttemptError aError,
--- a/servers/relay/relay_task.h
+++ b/servers/relay/relay_task.h
@@ -88,6 +88,8 @@
 
   void OnAvailability(const policy::BackendRun& aBackend,
                       const AvailabilityNotice& aNotice) override;
+  void OnRateLimit(const policy::BackendRun& aBackend,
+                   std::optional<policy::RequestRate> aRate) override;
   void OnAttemptError(policy::AttemptNumber aAttempt,
                       policy::AttemptError aError,
                       const std::string& aWhy) override;
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -393,3 +393,23 @@
     read(503, { { "Retry-After", std::string(300, '9') } }).wait.value_or(0s) >=
     0s);
 }
+
+TEST(PlatformDialectTest, ReadsTheRateLimitThatAServerNames)
+{
+  const auto read = [&](int aStatus, firefly::HttpHeaders aHeaders) {
+    firefly::MessageHead head;
+    head.status = aStatus;
+    head.headers = std::move(aHeaders);
+    return dialect.ReadAvailability(head).rateLimit;
+  };
+  for (const int status : { 200, 503 }) {
+    CHECK(read(status, { { "Server-Limit", "6.2" } }) ==
+          firefly::policy::RequestRate(6.2));
+  }
+  CHECK(read(200, { { "server-limit", "0" } }) ==
+        firefly::policy::RequestRate(0));
+  CHECK_FALSE(read(200, {}).has_value());
+  for (const auto* odd : { "", "-1", "nan", "inf", "6 a second", "0x10" }) {
+    CHECK_FALSE(read(200, { { "Server-Limit", odd } }).has_value());
+  }
+}
--- a/tests/servers/relay/peer_update_channel_test.cpp
+++ b/tests/servers/relay/peer_update_channel_test.cpp
@@ -164,7 +164,7 @@
   LONGS_EQUAL(900, decoded->bytes);
   STRCMP_EQUAL("10.0.0.1", decoded->host.c_str());
   CHECK_FALSE(DecodeFeedUpdate(bytes).has_value());
-  CHECK_FALSE(DecodeNotice(bytes).has_value());
+  CHECK_FALSE(DecodeNotice(bytes, firefly::Instant{}).has_value());
 }
 
 TEST(PeerUpdateChannelTest, SurvivesDamagedBytes)
@@ -177,7 +177,7 @@
       bytes[random.Below(bytes.size())] = static_cast<char>(random.Below(256));
     }
     (void)DecodeFeedUpdate(bytes);
-    (void)DecodeNotice(bytes);
+    (void)DecodeNotice(bytes, firefly::Instant{});
     (void)DecodeRoutingUpdate(bytes);
     (void)DecodeReadFailure(bytes);
   }
@@ -190,7 +190,7 @@
   const auto failure = DecodeReadFailure(bytes);
   CHECK(failure->feed == SharedFeed::kRouting);
   STRCMP_EQUAL("10.0.0.7", failure->host.c_str());
-  CHECK_FALSE(DecodeNotice(bytes).has_value());
+  CHECK_FALSE(DecodeNotice(bytes, firefly::Instant{}).has_value());
   CHECK_FALSE(DecodeReadFailure(EncodeFeedUpdate(update).at(0)).has_value());
 }
 
@@ -200,15 +200,39 @@
                             .backend = ~0ULL,
                             .uncached = Tokens(3720),
                             .prefixes = { 1, 2, 3, 4, 5, 6 } };
-  const auto bytes = EncodeNotice(sent);
+  const auto bytes = EncodeNotice(sent, firefly::Instant{});
   CHECK_FALSE(DecodeFeedUpdate(bytes).has_value());
-  const auto notice = DecodeNotice(bytes);
+  const auto notice = DecodeNotice(bytes, firefly::Instant{});
   CHECK(notice->kind == BackendNotice::Kind::kPromptDispatched);
   CHECK(notice->backend == ~0ULL);
   LONGS_EQUAL(3720, notice->uncached.Value());
   LONGS_EQUAL(4, notice->prefixes.size());
   CHECK(notice->prefixes.back() == 6);
-  CHECK_FALSE(DecodeNotice(EncodeFeedUpdate(update).at(0)).has_value());
+  CHECK_FALSE(DecodeNotice(EncodeFeedUpdate(update).at(0), firefly::Instant{})
+                .has_value());
+}
+
+TEST(PeerUpdateChannelTest, ANoticeOfARateLimitStatesItsAge)
+{
+  using firefly::policy::RequestRate;
+  const firefly::Instant sentAt{ 50s };
+  const firefly::Instant receivedAt{ 90s };
+  BackendNotice sent{ .kind = BackendNotice::Kind::kRateLimit,
+                      .backend = 5,
+                      .limit = { .startedAt = 1771376889069,
+                                 .rate = RequestRate(6.25),
+                                 .heardAt = sentAt - 1500ms },
+                      .places = 1 };
+  const auto decoded = DecodeNotice(EncodeNotice(sent, sentAt), receivedAt);
+  CHECK(decoded->kind == BackendNotice::Kind::kRateLimit);
+  CHECK(decoded->backend == 5);
+  CHECK(decoded->limit.startedAt == 1771376889069);
+  CHECK(decoded->limit.rate == RequestRate(6.25));
+  CHECK(decoded->limit.heardAt == receivedAt - 1500ms);
+  LONGS_EQUAL(1, decoded->places);
+  sent.limit.rate.reset();
+  const auto ended = DecodeNotice(EncodeNotice(sent, sentAt), receivedAt);
+  CHECK_FALSE(ended->limit.rate.has_value());
 }
 
 TEST(PeerUpdateChannelTest, DecodesCrashSuspicionsOfSeveralDatagrams)
@@ -245,14 +269,16 @@
     const auto decoded = DecodeCrashSuspicions(bytes.substr(0, n));
     CHECK(!decoded || decoded->empty());
   }
-  CHECK_FALSE(DecodeCrashSuspicions(EncodeNotice({})).has_value());
+  CHECK_FALSE(
+    DecodeCrashSuspicions(EncodeNotice({}, firefly::Instant{})).has_value());
 }
 
 TEST(PeerUpdateChannelTest, DecodesAForwardedDatagram)
 {
   STRCMP_EQUAL("bytes", DecodeForwarded(EncodeForwarded("bytes"))->c_str());
   CHECK_FALSE(DecodeForwarded("bytes").has_value());
-  CHECK_FALSE(DecodeNotice(EncodeForwarded("bytes")).has_value());
+  CHECK_FALSE(
+    DecodeNotice(EncodeForwarded("bytes"), firefly::Instant{}).has_value());
 }
 
 // A forwarder that passes an update on as it came hides the time for which it
@@ -371,7 +397,7 @@
   CHECK(DecodeHostUsage(bytes) == usage);
   CHECK_FALSE(DecodeHostUsage(bytes + "x").has_value());
   CHECK_FALSE(DecodeHostUsage(bytes.substr(0, bytes.size() - 1)).has_value());
-  CHECK_FALSE(DecodeNotice(bytes).has_value());
+  CHECK_FALSE(DecodeNotice(bytes, firefly::Instant{}).has_value());
   const auto time = EncodeTimeMessage(
     { .host = HostId("h"), .time = WallTime(std::chrono::seconds(5)) });
   CHECK(DecodeTimeMessage(time)->time == WallTime(std::chrono::seconds(5)));
