Fetch a table that the log lacks from the peer that has it

The log did not bring it, so that the relays read it again every 4 s and never asked a peer. Class: one source is believed to have what it lacks.

Change: after each fetch that did not bring the table, the other source is tried.

Shown red: the new test fails on the planner before this commit (a second fetch from the log).

--- a/policy/table_update/table_update_planner.cpp
+++ b/policy/table_update/table_update_planner.cpp
@@ -42,10 +42,11 @@
   }
   const auto bytes = std::max(mNewestBytes, aSituation.ownBytes);
   const bool isLarge = bytes * aSituation.fetchers > mOptions.maxAnnouncerBytes;
-  // After a failed fetch, the other source is tried.
-  const bool avoidsAnnouncer =
-    mAttempts > 0 && mLastSource == TableSource::kAnnouncer;
-  const bool usesLog = !aSituation.isLogLost && (isLarge || avoidsAnnouncer);
+  // After a fetch that did not bring the table, the other source is tried: a log
+  // that was restored from a copy may not have it.
+  const bool prefersLog =
+    mAttempts > 0 ? mLastSource == TableSource::kAnnouncer : isLarge;
+  const bool usesLog = !aSituation.isLogLost && prefersLog;
   return { .kind = Decision::Kind::kFetch,
            .source = usesLog ? TableSource::kLog : TableSource::kAnnouncer };
 }
--- a/tests/policy/table_update/table_update_planner_test.cpp
+++ b/tests/policy/table_update/table_update_planner_test.cpp
@@ -141,3 +141,17 @@
   CHECK_TRUE(planner.OnInForce(RoutingVersion(5), situation.now) == 200ms);
   CHECK_FALSE(planner.OnInForce(RoutingVersion(5), situation.now).has_value());
 }
+
+// Guards against a host that reads the same log again and again although the log
+// lacks the table that a peer has.
+TEST(TableUpdatePlannerTest, ALargeTableThatTheLogLacksComesFromItsAnnouncer)
+{
+  Announce(4, kLarge);
+  CHECK_TRUE(Fetch() == TableSource::kLog);
+  planner.OnFetchEnded();
+  Pass(500ms);
+  CHECK_TRUE(Fetch() == TableSource::kAnnouncer);
+  planner.OnFetchEnded();
+  Pass(1s);
+  CHECK_TRUE(Fetch() == TableSource::kLog);
+}
