Order offsets by the era of the log before their position

Cause: a restored store gives out offsets again. The feeds dropped each record whose offset was not larger than the newest one of its key, so that a table that the operator wrote again was not delivered, and read on from offsets that belonged to other records. Class: an offset of the store taken as growing for ever. Other places with it: peers' progress and announcements, the readers of streams, and fencing numbers, which are offsets.

Change: an offset holds the era of the log in its upper bits, so that the order of two offsets is that of their eras and then their positions, in records, progress, announcements and fences alike. The platform's client puts the era of each answer into the offsets and reports a read from an offset of another era as trimmed, which makes each reader start anew. The feed tells its observer of a restore; a log line and a counter show it. In the first era of a store that names none, offsets are what they were.

Shown red: KeyedFeedTest.RecordsWrittenAfterARestoreAreDelivered and .ARestoreThatEndsAtThe- SamePositionIsNoticed stand on the era; without it, offsets of the fake log decrease and the records are dropped as DeliverIfNewer drops them.

--- a/coord/keyed_feed.cpp
+++ b/coord/keyed_feed.cpp
@@ -98,6 +98,10 @@
   if (mFirstPage) {
     // Start from the end at the first page, so that records that are appended
     // while the pages are read are not missed. Some are read twice.
+    const auto before = EraOf(mKnownEnd);
+    if (mIsLoaded && EraOf(aPage->end) > before) {
+      mObserver.OnRestored(before, EraOf(aPage->end));
+    }
     SetNext(aPage->end);
     mFirstPage = false;
     if (aPage->end < mKnownEndAtRead) {
--- a/coord/keyed_feed.h
+++ b/coord/keyed_feed.h
@@ -57,6 +57,10 @@
   // stream at that time. OnSnapshot() follows when the newest records of all
   // keys have been read.
   virtual void OnBehind(LogOffset /*aNext*/, LogOffset /*aEnd*/) {}
+  // Called when the log turns out to have been restored from a copy, before the
+  // records of the new era are delivered. What was read before may be missing
+  // there, and the copy may hold older records of a key. OnSnapshot() follows.
+  virtual void OnRestored(LogEra /*aBefore*/, LogEra /*aNow*/) {}
   // Called when a read fails, unless the feed is lost already. Until
   // OnRegained(), the known records may be out of date.
   virtual void OnLost(const LogError& aError) = 0;
--- a/coord/log_client.h
+++ b/coord/log_client.h
@@ -14,9 +14,38 @@
 
 namespace firefly::coord {
 
-// A record's position in its stream; increases by one with each record.
+// Counts how often the log has been restored from a copy. A copy lacks the
+// newest records, whose positions are then given to other records.
+using LogEra = StrongType<struct LogEraTag, std::uint64_t>;
+
+// A record's place in its stream: the era of the log and, within it, the
+// position, which increases by one with each record. The order of two offsets
+// is that of their eras and then their positions, so that whatever was read or
+// written after a restore is newer than all that was before, and fencing
+// numbers made from offsets never decrease. The era is in the upper bits.
 using LogOffset = StrongType<struct LogOffsetTag, std::uint64_t>;
 
+// 10^12 records in one era of a stream.
+inline constexpr unsigned kPositionBits = 40;
+
+[[nodiscard]] constexpr LogOffset
+OffsetIn(LogEra aEra, std::uint64_t aPosition)
+{
+  return LogOffset((aEra.Value() << kPositionBits) | aPosition);
+}
+
+[[nodiscard]] constexpr LogEra
+EraOf(LogOffset aOffset)
+{
+  return LogEra(aOffset.Value() >> kPositionBits);
+}
+
+[[nodiscard]] constexpr std::uint64_t
+PositionOf(LogOffset aOffset)
+{
+  return aOffset.Value() & ((std::uint64_t{ 1 } << kPositionBits) - 1);
+}
+
 // A stream's name, such as "authority" or "booking-17".
 using StreamName = StrongType<struct StreamNameTag, std::string>;
 
@@ -40,7 +69,8 @@
 {
   kUnavailable, // refused or not sent: the call had no effect
   kUnknown,     // no answer: an append may or may not have taken effect
-  kTrimmed,     // the offset asked for is older than the retention time
+  // The offset asked for is older than the retention time, or of another era.
+  kTrimmed,
 };
 
 // Why a call to the log failed.
--- a/coord/stream_fold.cpp
+++ b/coord/stream_fold.cpp
@@ -82,7 +82,7 @@
 StreamFold::OnRestart(LogOffset aFirst)
 {
   mFirst = aFirst;
-  mHasBase = aFirst == LogOffset(0) || !mFold.NeedsHistory();
+  mHasBase = PositionOf(aFirst) == 0 || !mFold.NeedsHistory();
   mBufferedRecords.clear();
   mLastCheckpoint = mExecutor.Now();
   mFold.Reset();
--- a/coord/stream_reader.h
+++ b/coord/stream_reader.h
@@ -23,7 +23,8 @@
   // they were read, or all records that were read, or because the stream ends
   // before the position of the reader. The listener must discard its state,
   // since a new reader could not reproduce it. aFirst is the offset of the
-  // first record to be delivered; zero means that the complete history follows.
+  // first record to be delivered; position zero means that the complete history
+  // follows.
   virtual void OnRestart(LogOffset aFirst) = 0;
 
   // The next record; each offset is delivered once between two restarts.
--- a/coord/testing/fake_log.cpp
+++ b/coord/testing/fake_log.cpp
@@ -160,13 +160,37 @@
 {
   auto& stream = mStreams[aStream];
   const auto end = stream.first + stream.payloads.size();
-  const auto first = std::clamp(aBefore.Value(), stream.first, end);
+  const auto first = std::clamp(PositionOf(aBefore), stream.first, end);
   const auto dropped = static_cast<std::ptrdiff_t>(first - stream.first);
   stream.payloads.erase(stream.payloads.begin(),
                         stream.payloads.begin() + dropped);
   stream.first = first;
 }
 
+FakeLog::Copy
+FakeLog::MakeCopy() const
+{
+  Copy copy;
+  for (const auto& [name, stream] : mStreams) {
+    copy[name] = stream.first + stream.payloads.size();
+  }
+  return copy;
+}
+
+void
+FakeLog::Restore(const Copy& aCopy)
+{
+  mEra = LogEra(mEra.Value() + 1);
+  for (auto& [name, stream] : mStreams) {
+    const auto it = aCopy.find(name);
+    const auto end = it == aCopy.end() ? 0 : it->second;
+    stream.first = std::min<std::uint64_t>(stream.first, end);
+    stream.payloads.resize(std::min(stream.payloads.size(),
+                                    static_cast<std::size_t>(end) -
+                                      static_cast<std::size_t>(stream.first)));
+  }
+}
+
 LogOffset
 FakeLog::End(const StreamName& aStream) const
 {
@@ -174,7 +198,7 @@
   if (it == mStreams.end()) {
     return LogOffset(0);
   }
-  return LogOffset(it->second.first + it->second.payloads.size());
+  return OffsetIn(mEra, it->second.first + it->second.payloads.size());
 }
 
 std::vector<LogRecord>
@@ -185,9 +209,10 @@
   if (it == mStreams.end()) {
     return records;
   }
-  auto offset = it->second.first;
+  auto position = it->second.first;
   for (const auto& payload : it->second.payloads) {
-    records.push_back({ .offset = LogOffset(offset++), .payload = payload });
+    records.push_back(
+      { .offset = OffsetIn(mEra, position++), .payload = payload });
   }
   return records;
 }
@@ -197,7 +222,7 @@
                const std::vector<std::string>& aPayloads)
 {
   auto& stream = mStreams[aStream];
-  const LogOffset first(stream.first + stream.payloads.size());
+  const auto first = OffsetIn(mEra, stream.first + stream.payloads.size());
   ++mAppends;
   for (const auto& it : aPayloads) {
     mAppendedBytes += it.size();
@@ -213,18 +238,19 @@
   const auto& stream = mStreams[aStream];
   const auto end = stream.first + stream.payloads.size();
   const bool oldest = aFrom == LogOffset(0);
-  if (aFrom.Value() < stream.first && !oldest) {
+  const bool isOtherEra = EraOf(aFrom) != mEra;
+  if ((PositionOf(aFrom) < stream.first || isOtherEra) && !oldest) {
     return tl::unexpected(
       LogError{ .kind = LogErrorKind::kTrimmed, .message = "trimmed" });
   }
   LogBatch batch{ .records = {},
-                  .first = LogOffset(stream.first),
-                  .end = LogOffset(end) };
-  auto offset = std::max(aFrom.Value(), stream.first);
-  for (; offset < end && batch.records.size() < aLimit; ++offset) {
+                  .first = OffsetIn(mEra, stream.first),
+                  .end = OffsetIn(mEra, end) };
+  auto position = std::max(PositionOf(aFrom), stream.first);
+  for (; position < end && batch.records.size() < aLimit; ++position) {
     batch.records.push_back(
-      { .offset = LogOffset(offset),
-        .payload = stream.payloads.at(offset - stream.first) });
+      { .offset = OffsetIn(mEra, position),
+        .payload = stream.payloads.at(position - stream.first) });
   }
   return batch;
 }
--- a/coord/testing/fake_log.h
+++ b/coord/testing/fake_log.h
@@ -59,6 +59,12 @@
   // Removes the stream's records before the offset.
   void Trim(const StreamName& aStream, LogOffset aBefore);
 
+  // A copy of all streams, and the return to it: what was appended since is
+  // gone, and a new era begins.
+  using Copy = std::map<StreamName, std::size_t>;
+  [[nodiscard]] Copy MakeCopy() const;
+  void Restore(const Copy& aCopy);
+
   [[nodiscard]] LogOffset End(const StreamName& aStream) const;
   // The kept records.
   [[nodiscard]] std::vector<LogRecord> Records(const StreamName& aStream) const;
@@ -91,6 +97,7 @@
   std::map<StreamName, Stream> mStreams;
   std::map<std::string, bool> mPartitioned;
   bool mDown = false;
+  LogEra mEra;
   std::uint64_t mAppends = 0;
   std::uint64_t mReads = 0;
   std::uint64_t mAppendedBytes = 0;
--- a/servers/relay/feed_listener.cpp
+++ b/servers/relay/feed_listener.cpp
@@ -27,11 +27,21 @@
 {
   mLog.Info("feed behind the log",
             { { "feed", mName },
-              { "next", std::to_string(aNext.Value()) },
-              { "end", std::to_string(aEnd.Value()) } });
+              { "next", std::to_string(coord::PositionOf(aNext)) },
+              { "end", std::to_string(coord::PositionOf(aEnd)) } });
   mHandlers.onBehind();
 }
 
+void
+FeedListener::OnRestored(coord::LogEra aBefore, coord::LogEra aNow)
+{
+  mLog.Warning("log restored from a copy",
+               { { "feed", mName },
+                 { "era", std::to_string(aNow.Value()) },
+                 { "before", std::to_string(aBefore.Value()) } });
+  mHandlers.onRestored();
+}
+
 void
 FeedListener::OnReadFailing()
 {
--- a/servers/relay/feed_listener.h
+++ b/servers/relay/feed_listener.h
@@ -23,6 +23,7 @@
     std::function<void(const std::vector<std::string>&)> onSnapshot;
     std::function<void()> onLost = [] {};
     std::function<void()> onRegained = [] {};
+    std::function<void()> onRestored = [] {};
   };
 
   // aName is the feed's name in log lines.
@@ -31,6 +32,7 @@
   bool OnRecord(const coord::KeyedRecord& aRecord) override;
   void OnProgress(const coord::FeedProgress& aProgress) override;
   void OnBehind(coord::LogOffset aNext, coord::LogOffset aEnd) override;
+  void OnRestored(coord::LogEra aBefore, coord::LogEra aNow) override;
   void OnReadFailing() override;
   void OnSnapshot(const std::vector<std::string>& aKeys) override;
   void OnLost(const coord::LogError& aError) override;
--- a/servers/relay/relay_metrics.cpp
+++ b/servers/relay/relay_metrics.cpp
@@ -99,6 +99,10 @@
       { .name = "firefly_relay_feed_catch_ups_total",
         .help = "Reads whose answer ended before the end of the stream",
         .labelNames = { "feed" } }))
+  , logRestores(aRegistry.Counters(
+      { .name = "firefly_relay_log_restores_total",
+        .help = "Times that a feed found the log restored from a copy",
+        .labelNames = { "feed" } }))
   , tableDecodeSeconds(
       aRegistry.Summaries({ .name = "firefly_relay_table_decode_seconds",
                             .help = "Time to decode a routing table's record",
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -36,6 +36,7 @@
   MetricFamily<Gauge>& feedAge;
   MetricFamily<Gauge>& confirmationAge;
   MetricFamily<Counter>& feedCatchUps;
+  MetricFamily<Counter>& logRestores;
   MetricFamily<Summary>& tableDecodeSeconds;
   MetricFamily<Gauge>& tableBehind;
   MetricFamily<Summary>& tableUpdateSeconds;
--- a/servers/relay/routing_table_updater.cpp
+++ b/servers/relay/routing_table_updater.cpp
@@ -51,6 +51,8 @@
     .onReadFailing = [this] { mParts.peers->ShareReadFailure(); },
     .onSnapshot = [this](const std::vector<std::string>&) { OnSnapshot(); },
     .onLost = [this] { EndLogRead(); },
+    .onRestored =
+      [this] { mParts.metrics->logRestores.With({ "routing" }).Add(); },
   };
 }
 
--- a/tests/coord/keyed_feed_test.cpp
+++ b/tests/coord/keyed_feed_test.cpp
@@ -21,6 +21,7 @@
 using firefly::coord::KeyedLogClient;
 using firefly::coord::KeyedReadTerms;
 using firefly::coord::KeyedRecord;
+using firefly::coord::LogEra;
 using firefly::coord::LogError;
 using firefly::coord::LogErrorKind;
 using firefly::coord::LogOffset;
@@ -42,7 +43,22 @@
 
   void Put(const std::string& aKey, std::optional<std::string> aValue)
   {
-    records.push_back({ aKey, std::move(aValue), LogOffset(records.size()) });
+    records.push_back({ aKey, std::move(aValue), OffsetAt(records.size()) });
+  }
+
+  // Returns to a copy that has the first records only.
+  void Restore(std::size_t aRecords)
+  {
+    records.resize(aRecords);
+    era = LogEra(era.Value() + 1);
+    for (std::size_t i = 0; i < records.size(); ++i) {
+      records[i].offset = OffsetAt(i);
+    }
+  }
+
+  [[nodiscard]] LogOffset OffsetAt(std::uint64_t aPosition) const
+  {
+    return OffsetIn(era, aPosition);
   }
 
   void DropHistory() { first = records.size(); }
@@ -63,7 +79,7 @@
         newest[it.key] = it;
       }
       NewestPage page;
-      page.end = LogOffset(records.size());
+      page.end = OffsetAt(records.size());
       for (const auto& [key, it] : newest) {
         if (!it.value || key <= aAfterKey) {
           continue;
@@ -94,14 +110,14 @@
             tl::make_unexpected(LogError{ LogErrorKind::kUnavailable, "" }));
           return;
         }
-        if (aFrom.Value() < first) {
+        if (PositionOf(aFrom) < first || EraOf(aFrom) != era) {
           aCallback(
             tl::make_unexpected(LogError{ LogErrorKind::kTrimmed, "" }));
           return;
         }
         KeyedBatch batch;
         std::size_t bytes = 0;
-        auto next = aFrom.Value();
+        auto next = PositionOf(aFrom);
         for (; next < records.size(); ++next) {
           bytes += records[next].value.value_or("").size();
           if (bytes > maxBytes) {
@@ -110,9 +126,9 @@
           batch.records.push_back(records[next]);
         }
         readBytes += bytes;
-        batch.end = LogOffset(records.size());
+        batch.end = OffsetAt(records.size());
         // A rewound log has no records after the offset.
-        batch.next = LogOffset(next);
+        batch.next = OffsetAt(next);
         aCallback(batch);
       },
       aTerms.wait);
@@ -120,6 +136,7 @@
 
   std::deque<KeyedRecord> records;
   std::uint64_t first = 0;
+  LogEra era;
   bool isUnavailable = false;
   // Whether reads that wait for new records get no answer.
   bool ignoresWaitingReads = false;
@@ -175,6 +192,11 @@
     });
     snapshotCount++;
   }
+  void OnRestored(LogEra aBefore, LogEra aNow) override
+  {
+    CHECK(aBefore < aNow);
+    restoredCount++;
+  }
   void OnLost(const LogError& /*aError*/) override { lostCount++; }
   void OnRegained(Duration aAway) override { outage = aAway; }
 
@@ -184,6 +206,7 @@
   int deliveredRecords = 0;
   int snapshotCount = 0;
   int lostCount = 0;
+  int restoredCount = 0;
   Duration outage{};
 };
 
@@ -889,3 +912,70 @@
   CHECK_TRUE(OldestConfirmation(3s, Peers::kNone) < 3s);
   CHECK_TRUE(OldestConfirmation(0s, Peers::kNone) > 20s);
 }
+
+// Guards against records of a restored log that are taken for old ones because
+// their positions were given to others before.
+TEST(KeyedFeedTest, RecordsWrittenAfterARestoreAreDelivered)
+{
+  for (const auto* value : { "10", "11", "12", "13" }) {
+    log.Put("config", value);
+  }
+  log.Put("b1", "open");
+  feed.Start();
+  executor.RunFor(1s);
+  STRCMP_EQUAL("13", observer.values["config"].c_str());
+  log.Restore(1);
+  executor.RunFor(1s);
+  LONGS_EQUAL(1, observer.restoredCount);
+  LONGS_EQUAL(0, observer.values.count("b1"));
+  log.Put("config", "13");
+  log.Put("b1", "leaving");
+  executor.RunFor(300ms);
+  STRCMP_EQUAL("13", observer.values["config"].c_str());
+  STRCMP_EQUAL("leaving", observer.values["b1"].c_str());
+  // Once more, before the log has reached the position of the first time.
+  log.Restore(2);
+  log.Put("config", "14");
+  executor.RunFor(1s);
+  LONGS_EQUAL(2, observer.restoredCount);
+  STRCMP_EQUAL("14", observer.values["config"].c_str());
+}
+
+TEST(KeyedFeedTest, ARestoreThatEndsAtTheSamePositionIsNoticed)
+{
+  log.Put("a", "1");
+  log.Put("a", "2");
+  feed.Start();
+  executor.RunFor(1s);
+  log.Restore(1);
+  log.Put("b", "3");
+  executor.RunFor(1s);
+  LONGS_EQUAL(1, observer.restoredCount);
+  STRCMP_EQUAL("1", observer.values["a"].c_str());
+  STRCMP_EQUAL("3", observer.values["b"].c_str());
+}
+
+TEST(KeyedFeedTest, ProgressOfAPeerOfAnotherEraIsNotJoined)
+{
+  log.Put("a", "1");
+  log.Put("a", "2");
+  feed.Start();
+  executor.RunFor(1s);
+  const auto next = feed.Next();
+  const auto later = firefly::coord::OffsetIn(LogEra(1), 0);
+  feed.ApplyPeerProgress({ .from = later,
+                           .next = firefly::coord::OffsetIn(LogEra(1), 1),
+                           .newRecords = { { "a", "3", later } } });
+  CHECK(feed.Next() == next);
+  STRCMP_EQUAL("2", observer.values["a"].c_str());
+  log.Restore(0);
+  log.Put("a", "3");
+  executor.RunFor(1s);
+  const auto restored = feed.Next();
+  STRCMP_EQUAL("3", observer.values["a"].c_str());
+  feed.ApplyPeerProgress({ .from = next,
+                           .next = LogOffset(next.Value() + 1),
+                           .newRecords = { { "a", "9", next } } });
+  CHECK(feed.Next() == restored);
+  STRCMP_EQUAL("3", observer.values["a"].c_str());
+}
--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -12,10 +12,12 @@
 using firefly::HttpTransfer;
 using firefly::HttpTransferPtr;
 using firefly::coord::KeyedBatch;
+using firefly::coord::LogEra;
 using firefly::coord::LogError;
 using firefly::coord::LogErrorKind;
 using firefly::coord::LogOffset;
 using firefly::coord::NewestPage;
+using firefly::coord::OffsetIn;
 using firefly::coord::StreamName;
 using firefly::platform::PlatformStore;
 
@@ -38,9 +40,11 @@
     return std::make_unique<NullTransfer>();
   }
 
-  void Answer(int aStatus, std::string_view aBody) const
+  void Answer(int aStatus,
+              std::string_view aBody,
+              const firefly::HttpHeaders& aHeaders = {}) const
   {
-    handlers.onHead(aStatus, {});
+    handlers.onHead(aStatus, aHeaders);
     handlers.onBody(aBody);
     handlers.onDone({});
   }
@@ -121,6 +125,44 @@
   CHECK((*batch).error().kind == LogErrorKind::kTrimmed);
 }
 
+// Guards against positions of a restored store that are taken for those of the
+// records that it has lost.
+TEST(PlatformStoreTest, OffsetsOfALaterEraAreLarger)
+{
+  const firefly::HttpHeaders era{ { "store-era", "3" } };
+  const auto body =
+    EncodeNumber(7, 8) + EncodeNumber(0, 8) + EncodeRecord("a", "one");
+  store.ReadFrom(StreamName("keyed.op"),
+                 OffsetIn(LogEra(3), 6),
+                 {},
+                 [this](auto aIt) { batch = std::move(aIt); });
+  STRCMP_CONTAINS("source=6&", client.calls.back().url.c_str());
+  client.Answer(200, body, era);
+  CHECK((*batch)->records.at(0).offset == OffsetIn(LogEra(3), 6));
+  CHECK((*batch)->next == OffsetIn(LogEra(3), 7));
+  CHECK((*batch)->end == OffsetIn(LogEra(3), 7));
+  store.ReadFrom(StreamName("keyed.op"),
+                 OffsetIn(LogEra(2), 6),
+                 {},
+                 [this](auto aIt) { batch = std::move(aIt); });
+  client.Answer(200, body, era);
+  CHECK((*batch).error().kind == LogErrorKind::kTrimmed);
+  store.ReadNewest(
+    StreamName("keyed.op"), "", [this](auto aIt) { page = std::move(aIt); });
+  client.Answer(
+    200,
+    R"({"items":[{"key":"c","value":"b25l","offset":4}],"hasMore":false,)"
+    R"("endOffset":6})",
+    era);
+  CHECK((*page)->end == OffsetIn(LogEra(3), 6));
+  CHECK((*page)->records.at(0).offset == OffsetIn(LogEra(3), 4));
+  tl::expected<LogOffset, LogError> appended;
+  store.Append(
+    StreamName("s"), { "x" }, [&](const auto& aIt) { appended = aIt; });
+  client.Answer(200, R"({"offset":2,"endOffset":3})", era);
+  CHECK(appended.value() == OffsetIn(LogEra(3), 2));
+}
+
 TEST(PlatformStoreTest, ReadsTheNewestRecordOfEachKeyInPages)
 {
   store.ReadNewest(
