Believe nothing across a restore of the log without a check

What callers would see after the store has come back from a copy: work for a run that is leaving or gone, backend servers dropped that are up, two holders of a duty, a usage window reported with two contents.

Cause: the copy holds records that were replaced or removed, lacks the newest ones, claims and renewals of leases among them, and whatever the relays had recorded before they acted. Class: an acknowledgement of the store taken as lasting.

Change: a run that has said that it is leaving stays so. Records that are missing in the copy count as gone after 4 s, in which their writers write them again; a removed run, or one that was replaced, returns only if its record is still there then. The authority over roles and the duties are given up and claimed again after two lease times, the former holder of the duties first; what it recorded is recorded again unchanged, and another holder leaves out the windows that may have been reported.

Looked for elsewhere: the routing table and membership do not depend on offsets (versions and incarnations only grow); API keys follow the table's version; bookings and their ledger run on a log of the product that names no eras, where an offset is what it was.

Tests: BackendRegistryTest.*Restored*, DutyHolderTest.*Restore*, UsageReportSenderTest.*, with a fake log that returns to a copy.

--- a/policy/table_update/table_update_planner.cpp
+++ b/policy/table_update/table_update_planner.cpp
@@ -42,8 +42,8 @@
   }
   const auto bytes = std::max(mNewestBytes, aSituation.ownBytes);
   const bool isLarge = bytes * aSituation.fetchers > mOptions.maxAnnouncerBytes;
-  // After a fetch that did not bring the table, the other source is tried: a log
-  // that was restored from a copy may not have it.
+  // After a fetch that did not bring the table, the other source is tried: a
+  // log that was restored from a copy may not have it.
   const bool prefersLog =
     mAttempts > 0 ? mLastSource == TableSource::kAnnouncer : isLarge;
   const bool usesLog = !aSituation.isLogLost && prefersLog;
--- a/servers/duties/duty_holder.cpp
+++ b/servers/duties/duty_holder.cpp
@@ -14,6 +14,9 @@
 // A candidate whose rank changes stays one until its successor has joined and
 // read the stream.
 constexpr Duration kLeaveDelay = std::chrono::seconds(10);
+// After a restore of the log, the former holder becomes a candidate this much
+// earlier than others.
+constexpr Duration kFormerHolderLead = std::chrono::seconds(3);
 // Time between polls of the stream.
 constexpr Duration kPollInterval = std::chrono::milliseconds(1000);
 
@@ -73,6 +76,18 @@
   return fence ? std::optional(TokenOf(*fence)) : std::nullopt;
 }
 
+void
+DutyHolder::OnLogRestored()
+{
+  const auto now = mParts.executor->Now();
+  mNotCandidateBefore = now + 2 * mOptions.lease +
+                        (mWasLastHolder ? Duration::zero() : kFormerHolderLead);
+  if (mCandidacy) {
+    mLog.Info("candidacy for the duties ended");
+    mCandidacy.reset();
+  }
+}
+
 void
 DutyHolder::Abandon()
 {
@@ -102,7 +117,8 @@
     mHasRank = hasRank;
     mRankSince = now;
   }
-  if (hasRank && !mCandidacy && now - mRankSince >= kJoinDelay) {
+  if (hasRank && !mCandidacy && now - mRankSince >= kJoinDelay &&
+      now >= mNotCandidateBefore) {
     BecomeCandidate();
   } else if (!hasRank && mCandidacy && now - mRankSince >= kLeaveDelay) {
     // The lease is not released but expires: calls of this relay may still be
@@ -142,6 +158,7 @@
 void
 DutyHolder::OnAcquired(FencingNumber aFence)
 {
+  mWasLastHolder = true;
   mLog.Info("duties acquired",
             { { "token", std::to_string(TokenOf(aFence).Value()) } });
 }
@@ -155,6 +172,7 @@
 void
 DutyHolder::OnHolderChanged(const coord::LeaseHolder& aHolder)
 {
+  mWasLastHolder = mWasLastHolder && aHolder.host == mOptions.host;
   mLog.Info("duty holder changed",
             { { "holder", aHolder.host.Value() },
               { "token", std::to_string(TokenOf(aHolder.fence).Value()) } });
--- a/servers/duties/duty_holder.h
+++ b/servers/duties/duty_holder.h
@@ -54,6 +54,14 @@
   // call.
   [[nodiscard]] std::optional<DutyToken> Held() const;
 
+  // The log was restored from a copy. Gives up the duties; this relay becomes a
+  // candidate again only when each lease that the copy may lack has expired.
+  // The former holder comes first, since it knows what it wrote to the log.
+  void OnLogRestored();
+
+  // Whether this relay held the duties last, as far as it knows.
+  [[nodiscard]] bool WasLastHolder() const { return mWasLastHolder; }
+
   // Gives up a token that the platform has rejected. The relay may become a
   // candidate again and gets a higher one.
   void Abandon();
@@ -81,6 +89,8 @@
   Instant mRankSince{};
   bool mHasRank = false;
   std::unique_ptr<Candidacy> mCandidacy;
+  Instant mNotCandidateBefore{};
+  bool mWasLastHolder = false;
   Timer mTimer;
 };
 
--- a/servers/duties/usage_report_sender.cpp
+++ b/servers/duties/usage_report_sender.cpp
@@ -18,6 +18,8 @@
 // at most one append in progress.
 constexpr std::uint64_t kTailRecords = 64;
 constexpr std::size_t kReadLimit = 256;
+// Valid records that are kept to be written again after a restore of the log.
+constexpr std::size_t kMaxRemembered = 16;
 constexpr Duration kLogRetryDelay = std::chrono::seconds(1);
 // While the API does not answer, it gets one call a second.
 constexpr Duration kProbeInterval = std::chrono::seconds(1);
@@ -78,11 +80,44 @@
     FindEnd();
   } else if (mPhase == Phase::kReading || mMustRead) {
     Read();
-  } else if (const auto* report = mParts.firstAfter(mJournal.Newest())) {
+  } else if (const auto* report = NextReport()) {
     Record(*report);
   }
 }
 
+void
+UsageReportSender::OnLogRestored(bool aWasLastHolder)
+{
+  if (aWasLastHolder) {
+    return; // this relay recorded what the copy may lack
+  }
+  auto newest = mUncertainThrough;
+  while (const auto* report = mParts.firstAfter(newest)) {
+    newest = report->window;
+  }
+  mUncertainThrough = newest;
+}
+
+void
+UsageReportSender::Remember(const UsageReport& aReport)
+{
+  mValid[aReport.window] = aReport;
+  while (mValid.size() > kMaxRemembered) {
+    mValid.erase(mValid.begin());
+  }
+}
+
+const UsageReport*
+UsageReportSender::NextReport() const
+{
+  const auto newest = mJournal.Newest();
+  const auto known = newest ? mValid.upper_bound(*newest) : mValid.begin();
+  if (known != mValid.end()) {
+    return &known->second;
+  }
+  return mParts.firstAfter(std::max(newest, mUncertainThrough));
+}
+
 void
 UsageReportSender::FindEnd()
 {
@@ -150,7 +185,12 @@
     }
     mNext = coord::LogOffset(mNext.Value() + 1);
     const auto record = DecodeUsageRecord(it.payload);
-    if (record && !mJournal.Apply(ToJournal(it.offset), *record)) {
+    if (!record) {
+      continue;
+    }
+    if (mJournal.Apply(ToJournal(it.offset), *record)) {
+      Remember(record->report);
+    } else {
       mLog.Info(
         "late record of a window ignored",
         { { "window", std::to_string(record->report.window.Value()) } });
@@ -228,7 +268,9 @@
     mMustRead = true;
   } else {
     mNext = coord::LogOffset(mNext.Value() + 1);
-    mJournal.Apply(ToJournal(aOffset), aRecord);
+    if (mJournal.Apply(ToJournal(aOffset), aRecord)) {
+      Remember(aRecord.report);
+    }
     LimitUnanswered();
   }
   Tick();
--- a/servers/duties/usage_report_sender.h
+++ b/servers/duties/usage_report_sender.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 
 #include "coord/callback_guard.h"
@@ -58,6 +59,12 @@
   // Does what is due; call it at least once a second.
   void Tick();
 
+  // The log was restored from a copy that may lack the newest records. Reports
+  // that this relay knows of are recorded again with the same counts. If
+  // another relay held the duties, the windows that it may have reported are
+  // left out: a window must not be reported with different counts.
+  void OnLogRestored(bool aWasLastHolder);
+
   [[nodiscard]] const std::optional<Answered>& LastAnswered() const
   {
     return mLastAnswered;
@@ -83,6 +90,9 @@
                   coord::LogOffset aOffset);
   void OnLogError(const char* aCall, const coord::LogError& aError);
   void LimitUnanswered();
+  void Remember(const policy::UsageReport& aReport);
+  // The next report to record, or null.
+  [[nodiscard]] const policy::UsageReport* NextReport() const;
   void Send();
   void OnOutcome(policy::UsageWindow aWindow,
                  DutyToken aToken,
@@ -109,6 +119,10 @@
   Instant mClientNotBefore{};
   Duration mBackoff{};
   std::optional<Answered> mLastAnswered;
+  // The newest reports with valid records, as this relay wrote or read them.
+  std::map<policy::UsageWindow, policy::UsageReport> mValid;
+  // Windows up to this one may have been reported by another relay.
+  std::optional<policy::UsageWindow> mUncertainThrough;
   Timer mTimer; // of the next call
   coord::CallbackGuard mGuard;
 };
--- a/servers/duties/usage_reporter.h
+++ b/servers/duties/usage_reporter.h
@@ -56,6 +56,12 @@
   // Sends the last counts; nothing is reported any more.
   void Stop();
 
+  // The log was restored from a copy.
+  void OnLogRestored()
+  {
+    mSender.OnLogRestored(mParts.holder->WasLastHolder());
+  }
+
   // A backend server began to run a request of the customer.
   void OnRequestStarted(const CustomerId& aCustomer);
 
--- a/servers/relay/backend_registry.cpp
+++ b/servers/relay/backend_registry.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+// Removed runs are remembered for this time, and no more than this many of
+// them.
+constexpr Duration kRemovedMemory = std::chrono::minutes(5);
+constexpr std::size_t kMaxRemovedRuns = 4096;
+
 policy::BackendState
 StateOf(const BackendRecord& aRecord)
 {
@@ -43,7 +48,12 @@
 bool
 BackendRegistry::Apply(const BackendRecord& aRecord)
 {
-  const bool lapsed = std::erase(mPendingRemovals, aRecord.id) > 0;
+  if (IsDoubtful(aRecord)) {
+    mDoubtful[aRecord.id] = aRecord;
+    return false;
+  }
+  mDoubtful.erase(aRecord.id);
+  const bool lapsed = mPendingRemovals.erase(aRecord.id) > 0;
   const auto it = mRecords.find(aRecord.id);
   const bool known = it != mRecords.end();
   const bool changed = !known || it->second.slots != aRecord.slots ||
@@ -62,6 +72,11 @@
     mHoldoff.Forget(aRecord.id);
   }
   mRecords[aRecord.id] = aRecord;
+  if (aRecord.isLeaving && aRecord.startedAt != 0) {
+    // A run that is leaving does not come back, whatever an older record says.
+    mHoldoff.OnLeaving({ .id = aRecord.id, .startedAt = aRecord.startedAt },
+                       mExecutor.Now());
+  }
   Publish(aRecord);
   if (changed) {
     mLog.Info("backend server changed",
@@ -168,14 +183,52 @@
   return { .id = aId, .startedAt = record == nullptr ? 0 : record->startedAt };
 }
 
+bool
+BackendRegistry::IsDoubtful(const BackendRecord& aRecord) const
+{
+  if (mExecutor.Now() >= mRestoreGraceEnd || aRecord.startedAt == 0) {
+    return false;
+  }
+  const auto* known = Find(aRecord.id);
+  return known != nullptr
+           ? aRecord.startedAt < known->startedAt
+           : mRemovedRuns.contains(
+               { .id = aRecord.id, .startedAt = aRecord.startedAt });
+}
+
+void
+BackendRegistry::OnLogRestored()
+{
+  mRestoreGraceEnd = mExecutor.Now() + mOptions.restoreGrace;
+  mRestoreTimer =
+    mExecutor.RunAfter(mOptions.restoreGrace, [this] { ApplyDoubtful(); });
+}
+
+void
+BackendRegistry::ApplyDoubtful()
+{
+  for (const auto& [id, record] : std::exchange(mDoubtful, {})) {
+    Apply(record);
+  }
+}
+
 bool
 BackendRegistry::Remove(const BackendId& aId)
+{
+  mDoubtful.erase(aId);
+  return RemoveAt(aId, mGraceEnd);
+}
+
+bool
+BackendRegistry::RemoveAt(const BackendId& aId, Instant aTime)
 {
   if (!mRecords.contains(aId)) {
     return false;
   }
-  if (mExecutor.Now() < mGraceEnd) {
-    mPendingRemovals.push_back(aId);
+  if (mExecutor.Now() < aTime) {
+    const auto [it, isNew] = mPendingRemovals.try_emplace(aId, aTime);
+    it->second = std::min(it->second, aTime);
+    RemovePending();
   } else {
     RemoveNow(aId, "record removed");
   }
@@ -192,24 +245,36 @@
       gone.push_back(id);
     }
   }
+  const auto due = std::max(mGraceEnd, mRestoreGraceEnd);
   for (const auto& id : gone) {
-    Remove(id);
+    RemoveAt(id, due);
   }
+  std::erase_if(mDoubtful, [&](const auto& aIt) {
+    return !kept.contains(aIt.first.Value());
+  });
 }
 
 void
 BackendRegistry::OnLogRegained()
 {
   mGraceEnd = mExecutor.Now() + mOptions.returnGrace;
-  mTimer =
-    mExecutor.RunAfter(mOptions.returnGrace, [this] { RemovePending(); });
 }
 
 void
 BackendRegistry::RemovePending()
 {
-  for (const auto& id : std::exchange(mPendingRemovals, {})) {
-    RemoveNow(id, "record still missing after the log outage");
+  const auto now = mExecutor.Now();
+  std::optional<Instant> next;
+  for (const auto& [id, due] : std::map(mPendingRemovals)) {
+    if (due <= now) {
+      mPendingRemovals.erase(id);
+      RemoveNow(id, "record still missing after the log outage");
+    } else {
+      next = std::min(next.value_or(due), due);
+    }
+  }
+  if (next) {
+    mTimer = mExecutor.RunAfter(*next - now, [this] { RemovePending(); });
   }
 }
 
@@ -223,6 +288,14 @@
   if (it->second.startedAt == 0) {
     mHoldoff.Forget(aId); // another run could not be told from this one
   }
+  const auto now = mExecutor.Now();
+  std::erase_if(mRemovedRuns, [&](const auto& aIt) {
+    return aIt.second + kRemovedMemory < now;
+  });
+  if (mRemovedRuns.size() < kMaxRemovedRuns) {
+    mRemovedRuns[{ .id = aId, .startedAt = it->second.startedAt }] = now;
+  }
+  mPendingRemovals.erase(aId);
   mRecords.erase(it);
   mReopenTimers.erase(aId);
   mFleet.Remove(aId);
--- a/servers/relay/backend_registry.h
+++ b/servers/relay/backend_registry.h
@@ -51,6 +51,9 @@
     // again take effect only at its end: records may have expired during the
     // outage although their backend servers still run.
     Duration returnGrace = std::chrono::milliseconds(1500);
+    // The backend servers have written their records again within this time
+    // after the log was restored from a copy.
+    Duration restoreGrace = std::chrono::milliseconds(4000);
   };
 
   // The fleet view and the pool must outlive the registry.
@@ -76,6 +79,11 @@
   // records is reachable again.
   void OnLogRegained();
 
+  // The log was restored from a copy. For some time, records that are missing
+  // may only be missing in the copy, and records of runs that are gone or were
+  // replaced may only be left in it: they take effect at the end of that time.
+  void OnLogRestored();
+
   // A backend server said in an answer that it is leaving.
   void OnLeaving(const policy::BackendRun& aRun);
 
@@ -94,7 +102,13 @@
 
 private:
   void RemoveNow(const BackendId& aId, const std::string& aWhy);
+  // Removes it now, or at that time.
+  bool RemoveAt(const BackendId& aId, Instant aTime);
+  // Removes those whose time has come, and waits for the next one.
   void RemovePending();
+  // Whether the record may be an old one that is left in a restored log.
+  [[nodiscard]] bool IsDoubtful(const BackendRecord& aRecord) const;
+  void ApplyDoubtful();
   // Updates the fleet view from the record and from what the backend server
   // said in its answers.
   void Publish(const BackendRecord& aRecord);
@@ -109,10 +123,17 @@
   policy::BackendHoldoff mHoldoff;
   // End the time that a backend server asked for.
   std::map<BackendId, Timer> mReopenTimers;
-  // Backend servers whose records were deleted within the grace period.
-  std::vector<BackendId> mPendingRemovals;
+  // Backend servers whose records were deleted or missing within a grace
+  // period, and when they are removed.
+  std::map<BackendId, Instant> mPendingRemovals;
   Instant mGraceEnd{};
+  Instant mRestoreGraceEnd{};
+  // The newest doubtful record of each backend server.
+  std::map<BackendId, BackendRecord> mDoubtful;
+  // When runs were removed, the latest ones.
+  std::map<policy::BackendRun, Instant> mRemovedRuns;
   Timer mTimer;
+  Timer mRestoreTimer;
 };
 
 } // namespace firefly
--- a/servers/relay/relay_duties.cpp
+++ b/servers/relay/relay_duties.cpp
@@ -64,6 +64,13 @@
   mHolder.Stop();
 }
 
+void
+RelayDuties::OnLogRestored()
+{
+  mUsage.OnLogRestored();
+  mHolder.OnLogRestored();
+}
+
 void
 RelayDuties::SetGauges()
 {
--- a/servers/relay/relay_duties.h
+++ b/servers/relay/relay_duties.h
@@ -42,6 +42,9 @@
   void Start();
   void Stop();
 
+  // The log was restored from a copy.
+  void OnLogRestored();
+
   [[nodiscard]] UsageReporter& Usage() { return mUsage; }
 
   void SetGauges();
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -404,9 +404,22 @@
           // outage.
           mTableUpdater.Feed().RefreshHangingRead();
         },
+      .onRestored = [this] { OnLogRestored(); },
     };
   }
 
+  void OnLogRestored()
+  {
+    mMetrics.logRestores.With({ "backends" }).Add();
+    mBackendRegistry.OnLogRestored();
+    mRoleOrderIssuer.OnLogRestored();
+    if (mDuties) {
+      mDuties->OnLogRestored();
+    }
+    // It learns of the restore at its next read, or from a peer; sooner here.
+    mTableUpdater.Feed().Refresh();
+  }
+
   coord::KeyedFeed& FeedOf(SharedFeed aFeed)
   {
     return aFeed == SharedFeed::kRouting ? mTableUpdater.Feed() : mBackendFeed;
--- a/servers/relay/role_order_issuer.cpp
+++ b/servers/relay/role_order_issuer.cpp
@@ -159,9 +159,24 @@
   }
 }
 
+void
+RoleOrderIssuer::OnLogRestored()
+{
+  // The copy may lack the newest claims and renewals, so that a lease that it
+  // does not show can still be held.
+  mNotCandidateBefore = mParts.executor->Now() + 2 * mOptions.lease;
+  if (mCandidacy) {
+    mLog.Info("candidacy for the authority ended");
+    mCandidacy.reset();
+  }
+}
+
 void
 RoleOrderIssuer::BecomeCandidate()
 {
+  if (mParts.executor->Now() < mNotCandidateBefore) {
+    return;
+  }
   mLog.Info("candidacy for the authority started");
   mCandidacy = std::make_unique<Candidacy>(
     coord::AuthorityStream::Options{
--- a/servers/relay/role_order_issuer.h
+++ b/servers/relay/role_order_issuer.h
@@ -68,6 +68,10 @@
   // Replaces the plan.
   void SetPlan(const policy::PrefillSharePlanner::Options& aPlan);
 
+  // The log was restored from a copy. Gives up the authority and claims it
+  // again only when each lease that the copy may lack has expired.
+  void OnLogRestored();
+
 private:
   class OrderCall;
   struct Candidacy;
@@ -92,6 +96,7 @@
   // When changes were last wanted.
   Instant mLastWanted{};
   std::unique_ptr<Candidacy> mCandidacy;
+  Instant mNotCandidateBefore{};
   // Orders that wait for an answer, and the time before which an engine is sent
   // no further order.
   std::map<BackendId, std::unique_ptr<OrderCall>> mCalls;
--- a/tests/policy/table_update/table_update_planner_test.cpp
+++ b/tests/policy/table_update/table_update_planner_test.cpp
@@ -142,8 +142,8 @@
   CHECK_FALSE(planner.OnInForce(RoutingVersion(5), situation.now).has_value());
 }
 
-// Guards against a host that reads the same log again and again although the log
-// lacks the table that a peer has.
+// Guards against a host that reads the same log again and again although the
+// log lacks the table that a peer has.
 TEST(TableUpdatePlannerTest, ALargeTableThatTheLogLacksComesFromItsAnnouncer)
 {
   Announce(4, kLarge);
--- a/tests/servers/duties/duty_holder_test.cpp
+++ b/tests/servers/duties/duty_holder_test.cpp
@@ -1,5 +1,6 @@
 #include "servers/duties/duty_holder.h"
 
+#include <algorithm>
 #include <memory>
 
 #include "coord/testing/fake_log.h"
@@ -108,3 +109,48 @@
   executor.RunFor(10s);
   CHECK_TRUE(host.holder.Held() > token);
 }
+
+// Guards against two holders at once, and against tokens that decrease, after
+// the log has lost the newest claims and renewals.
+TEST(DutyHolderTest, ARestoredLogLeadsToOneHolderWithAHigherToken)
+{
+  const auto copy = log.MakeCopy();
+  Host a(executor, log, "a", 0);
+  executor.RunFor(10s);
+  const auto token = a.holder.Held();
+  CHECK_TRUE(token.has_value());
+  Host b(executor, log, "b", 1);
+  executor.RunFor(10s);
+  log.Restore(copy);
+  const auto restored = executor.Now();
+  executor.RunFor(300ms);
+  b.holder.OnLogRestored();
+  while (!b.holder.Held() && executor.Now() < restored + 3s) {
+    executor.RunFor(10ms);
+    CHECK_FALSE(a.holder.Held() && b.holder.Held());
+  }
+  CHECK_FALSE(b.holder.Held().has_value());
+  a.holder.OnLogRestored();
+  CHECK_FALSE(a.holder.Held().has_value());
+  executor.RunFor(20s);
+  CHECK_TRUE(a.holder.Held().has_value() != b.holder.Held().has_value());
+  CHECK_TRUE(std::max(a.holder.Held(), b.holder.Held()) > token);
+}
+
+// The former holder knows what it wrote to the log and the copy lacks.
+TEST(DutyHolderTest, TheFormerHolderComesFirstAfterARestoreOfTheLog)
+{
+  const auto copy = log.MakeCopy();
+  Host a(executor, log, "a", 0);
+  executor.RunFor(10s);
+  Host b(executor, log, "b", 1);
+  executor.RunFor(10s);
+  log.Restore(copy);
+  b.holder.OnLogRestored();
+  executor.RunFor(1s);
+  a.holder.OnLogRestored();
+  executor.RunFor(8s);
+  CHECK_TRUE(a.holder.Held().has_value());
+  executor.RunFor(20s);
+  CHECK_FALSE(b.holder.Held().has_value());
+}
--- a/tests/servers/duties/usage_report_sender_test.cpp
+++ b/tests/servers/duties/usage_report_sender_test.cpp
@@ -19,6 +19,7 @@
 using firefly::VirtualExecutor;
 using firefly::coord::FakeLog;
 using firefly::coord::FakeProcess;
+using firefly::coord::StreamName;
 using firefly::policy::UsageReport;
 using firefly::policy::UsageWindow;
 using firefly::testing::FakeDutyApi;
@@ -34,7 +35,8 @@
        FakeDutyApi& aApi,
        const std::string& aName,
        std::uint64_t aCount)
-    : process(aExecutor)
+    : count(aCount)
+    , process(aExecutor)
     , client(aApi, process)
     , sender({ .host = HostId(aName) },
              { .executor = &process,
@@ -42,11 +44,11 @@
                .client = &client,
                .held = [this] { return token; },
                .onRejected = [this] { token.reset(); },
-               .firstAfter = [this, aCount](std::optional<UsageWindow> aWindow)
+               .firstAfter = [this](std::optional<UsageWindow> aWindow)
                  -> const UsageReport* {
                  const auto next = aWindow ? *aWindow + 1 : UsageWindow(100);
                  report = { .window = next,
-                            .counts = { { CustomerId("c"), aCount } } };
+                            .counts = { { CustomerId("c"), count } } };
                  return next <= lastClosed ? &report : nullptr;
                },
                .onOutcome = [](DutyOutcome) {} })
@@ -60,6 +62,7 @@
     timer = process.RunAfter(500ms, [this] { Tick(); });
   }
 
+  std::uint64_t count;
   std::optional<DutyToken> token;
   UsageWindow lastClosed{ 100 };
   UsageReport report;
@@ -197,3 +200,44 @@
   executor.RunFor(20s);
   LONGS_EQUAL(1, Reported(130));
 }
+
+// Guards against a window that is reported with two contents because the log
+// has lost its record.
+TEST(UsageReportSenderTest,
+     ReportsThatARestoredLogLacksAreRecordedAgainUnchanged)
+{
+  const auto copy = log.MakeCopy();
+  a->token = DutyToken(1);
+  a->lastClosed = UsageWindow(102);
+  executor.RunFor(5s);
+  LONGS_EQUAL(1, Reported(102));
+  log.Restore(copy);
+  a->sender.OnLogRestored(true);
+  b->lastClosed = UsageWindow(102);
+  b->sender.OnLogRestored(false);
+  a->token.reset();
+  executor.RunFor(1s);
+  // Its own counts of a window may have changed meanwhile.
+  a->count = 7;
+  a->token = DutyToken(2);
+  executor.RunFor(5s);
+  LONGS_EQUAL(1, Reported(101));
+  LONGS_EQUAL(3, log.Records(StreamName("usage")).size());
+}
+
+TEST(UsageReportSenderTest, AnotherHolderLeavesOutWhatMayHaveBeenReported)
+{
+  const auto copy = log.MakeCopy();
+  a->token = DutyToken(1);
+  a->lastClosed = UsageWindow(102);
+  executor.RunFor(5s);
+  a->process.Kill();
+  log.Restore(copy);
+  b->lastClosed = UsageWindow(102);
+  b->sender.OnLogRestored(false);
+  b->lastClosed = UsageWindow(103);
+  b->token = DutyToken(2);
+  executor.RunFor(5s);
+  LONGS_EQUAL(1, Reported(102));
+  LONGS_EQUAL(2, Reported(103));
+}
--- a/tests/servers/relay/backend_registry_test.cpp
+++ b/tests/servers/relay/backend_registry_test.cpp
@@ -153,3 +153,75 @@
   backendRegistry.OnAccepted(run);
   LONGS_EQUAL(8, fleet.Find(record.id)->capacity.slots);
 }
+
+// Guards against a restored log that returns a leaving run to service.
+TEST(BackendRegistryTest, ARunThatIsLeavingStaysSoInARestoredLog)
+{
+  auto record = MakeRecord("b1");
+  record.startedAt = 5;
+  backendRegistry.Apply(record);
+  record.isLeaving = true;
+  backendRegistry.Apply(record);
+  backendRegistry.OnLogRestored();
+  record.isLeaving = false;
+  backendRegistry.Apply(record);
+  CHECK(StateOf("b1") == BackendState::kDraining);
+  executor.RunFor(10s);
+  CHECK(StateOf("b1") == BackendState::kDraining);
+}
+
+TEST(BackendRegistryTest, RecordsThatARestoredLogLacksMayBeWrittenAgain)
+{
+  auto record = MakeRecord("b1");
+  record.startedAt = 5;
+  backendRegistry.Apply(record);
+  backendRegistry.Apply(MakeRecord("b2"));
+  backendRegistry.OnLogRestored();
+  backendRegistry.OnLogRegained();
+  backendRegistry.RemoveAllExcept({});
+  executor.RunFor(2s);
+  CHECK(StateOf("b1") == BackendState::kOpen);
+  CHECK_TRUE(backendRegistry.Apply(record));
+  executor.RunFor(5s);
+  CHECK(StateOf("b1") == BackendState::kOpen);
+  CHECK(StateOf("b2") == BackendState::kClosed);
+}
+
+// Guards against work for a run that is gone and is left in a restored log.
+TEST(BackendRegistryTest, ARunThatIsGoneReturnsFromARestoredLogOnlyIfItStays)
+{
+  auto old = MakeRecord("b1");
+  old.startedAt = 5;
+  backendRegistry.Apply(old);
+  backendRegistry.Remove(BackendId("b1"));
+  auto replaced = MakeRecord("b2");
+  replaced.startedAt = 5;
+  auto present = replaced;
+  present.startedAt = 6;
+  present.address = BackendAddress("127.0.0.1:2");
+  backendRegistry.Apply(replaced);
+  backendRegistry.Apply(present);
+  backendRegistry.OnLogRestored();
+  CHECK_FALSE(backendRegistry.Apply(old));
+  CHECK_FALSE(backendRegistry.Apply(replaced));
+  CHECK(StateOf("b1") == BackendState::kClosed);
+  CHECK(backendRegistry.Find(BackendId("b2"))->startedAt == 6);
+  // What a run writes again counts at once.
+  backendRegistry.Apply(present);
+  executor.RunFor(5s);
+  CHECK(StateOf("b1") == BackendState::kOpen);
+  CHECK(backendRegistry.Find(BackendId("b2"))->startedAt == 6);
+}
+
+TEST(BackendRegistryTest,
+     ARemovalAfterARestoreIsNotDelayedLongerThanAfterAnOutage)
+{
+  backendRegistry.Apply(MakeRecord("b1"));
+  backendRegistry.OnLogRestored();
+  backendRegistry.OnLogRegained();
+  executor.RunFor(500ms);
+  backendRegistry.Remove(BackendId("b1"));
+  CHECK(StateOf("b1") == BackendState::kOpen);
+  executor.RunFor(1100ms);
+  CHECK(StateOf("b1") == BackendState::kClosed);
+}
