--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -163,6 +163,31 @@
   CHECK(appended.value() == OffsetIn(LogEra(3), 2));
 }
 
+// Guards against a reader that starts after the first records have expired and
+// never gets any.
+TEST(PlatformStoreTest, AReadFromZeroStartsAtTheOldestKeptRecord)
+{
+  tl::expected<firefly::coord::LogBatch, LogError> records;
+  store.Read(StreamName("authority"), LogOffset(0), 10, [&](const auto& aIt) {
+    records = aIt;
+  });
+  client.Answer(410, R"({"first":9})", { { "Store-Era", "1" } });
+  LONGS_EQUAL(2, client.calls.size());
+  STRCMP_CONTAINS("source=9&", client.calls.back().url.c_str());
+  client.Answer(200,
+                EncodeNumber(10, 8) + EncodeNumber(9, 8) + EncodeNumber(1, 4) +
+                  "x",
+                { { "Store-Era", "1" } });
+  CHECK(records->first == OffsetIn(LogEra(1), 9));
+  CHECK(records->records.at(0).offset == OffsetIn(LogEra(1), 9));
+  store.Read(StreamName("authority"),
+             OffsetIn(LogEra(1), 3),
+             10,
+             [&](const auto& aIt) { records = aIt; });
+  client.Answer(410, R"({"first":9})", { { "Store-Era", "1" } });
+  CHECK(records.error().kind == LogErrorKind::kTrimmed);
+}
+
 TEST(PlatformStoreTest, ReadsTheNewestRecordOfEachKeyInPages)
 {
   store.ReadNewest(
