Take a body without a length for whole only once its request is sent

Cause: the reset is reported once by the operating system. If the write in progress gets it, reading finds an end without an error, which is the orderly end of such a body.

Change: an end that is read while the request is being written counts as orderly once the write has succeeded, and as a lost connection if it fails. Bodies with a length or in chunks are whole with their last byte, as before, and an early answer that ends in an orderly way still counts.

--- a/servers/http1/backend_connection.cpp
+++ b/servers/http1/backend_connection.cpp
@@ -69,6 +69,8 @@
   mRequestBody = std::move(aCall.body);
   mNoBody = aCall.noBody;
   mRequestSent = false;
+  mWriteFailed = false;
+  mHasReadEnd = false;
   mAnyByteSent = false;
   mHeadDelivered = false;
   mSkippingResponse = false;
@@ -157,11 +159,14 @@
     return;
   }
   mRequestSent = !aCode;
+  mWriteFailed = static_cast<bool>(aCode);
   // After a write error, a response that the backend server sent early may
   // still be in the receive buffer. If some bytes were sent, the call therefore
   // fails only when reading reaches the end of the connection.
   if (aCode && !mAnyByteSent) {
     Fail(BackendCallFault::kNotSent);
+  } else if (mHasReadEnd) {
+    OnConnectionEnded(asio::error::eof);
   }
 }
 
@@ -220,9 +225,17 @@
     Fail(BackendCallFault::kUnacknowledged);
     return;
   }
+  mHasReadEnd = aCode == asio::error::eof;
+  if (mHasReadEnd && !mRequestSent && !mWriteFailed) {
+    // A reset is reported only once, either to the write that is in progress or
+    // to the read. The end that was read is an orderly one if the write
+    // succeeds.
+    return;
+  }
   // A body without a length is complete only if the backend server closed the
   // connection in an orderly way.
-  if (aCode != asio::error::eof || !mReader.FeedEof() || mSkippingResponse) {
+  if (aCode != asio::error::eof || mWriteFailed || !mReader.FeedEof() ||
+      mSkippingResponse) {
     Fail(BackendCallFault::kConnectionLost);
     return;
   }
--- a/servers/http1/backend_connection.h
+++ b/servers/http1/backend_connection.h
@@ -91,6 +91,9 @@
   std::string mRequestBytes;
   std::shared_ptr<const std::string> mRequestBody;
   bool mRequestSent = false;
+  bool mWriteFailed = false;
+  // Reading has reached the end of the connection.
+  bool mHasReadEnd = false;
   bool mAnyByteSent = false;
   bool mHeadDelivered = false;
   bool mSkippingResponse = false;
--- a/tests/servers/http/cut_response_test.cpp
+++ b/tests/servers/http/cut_response_test.cpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "servers/http/http_client.h"
+#include "tests/helpers/early_answer_server.h"
 #include "tests/helpers/run_until.h"
 #include "tests/helpers/scripted_backend.h"
 
@@ -16,6 +17,7 @@
 using firefly::HttpErrorKind;
 using firefly::HttpResult;
 using firefly::testing::AfterReply;
+using firefly::testing::EarlyAnswerServer;
 using firefly::testing::RunUntil;
 using firefly::testing::ScriptedBackend;
 using firefly::testing::ScriptedReply;
@@ -112,3 +114,24 @@
             .after = AfterReply::kClose };
   CHECK(Fetch().value().body == kBody);
 }
+
+// Guards against a part of a response without a length that counts as the whole
+// one after the connection was reset during the upload.
+TEST(CutResponseTest, AnEarlyResponseThatIsResetDuringTheUploadIsNotReported)
+{
+  constexpr int kCalls = 60;
+  for (int i = 0; i < kCalls; ++i) {
+    const std::string body = i % 2 == 0 ? "" : "part of the text";
+    EarlyAnswerServer early(executor,
+                            "HTTP/1.1 200 OK\r\n\r\n" + body,
+                            EarlyAnswerServer::End::kReset,
+                            std::chrono::milliseconds(i % 10));
+    std::optional<Result> result;
+    client.Fetch({ .method = "POST",
+                   .url = "http://" + early.Address() + "/",
+                   .body = std::string(std::size_t{ 3 } << 20U, 'x') },
+                 [&](Result aResult) { result = std::move(aResult); });
+    CHECK_TRUE(RunUntil(executor, [&] { return result.has_value(); }));
+    CHECK_FALSE(result->has_value());
+  }
+}
--- a/tests/servers/http1/backend_pool_test.cpp
+++ b/tests/servers/http1/backend_pool_test.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "tests/helpers/early_answer_server.h"
 #include "tests/helpers/run_until.h"
 #include "tests/helpers/scripted_backend.h"
 
@@ -25,6 +26,7 @@
 using firefly::RequestId;
 using firefly::ResponseMatch;
 using firefly::testing::AfterReply;
+using firefly::testing::EarlyAnswerServer;
 using firefly::testing::RunUntil;
 using firefly::testing::ScriptedBackend;
 using firefly::testing::ScriptedReply;
@@ -239,3 +241,46 @@
   CHECK_TRUE(observer.fault == BackendCallFault::kMalformed);
   Await([&] { return endless.ClosedConnections() == 1; });
 }
+
+// Guards against a part of an answer without a length that counts as the whole
+// one: once an error ends the upload, the reset looks like an orderly end.
+TEST(BackendPoolTest, AnEarlyAnswerThatIsResetDuringTheUploadIsNotWhole)
+{
+  constexpr std::size_t kUploadBytes = 3U << 20U;
+  constexpr int kCalls = 60;
+  for (int i = 0; i < kCalls; ++i) {
+    const std::string body = i % 2 == 0 ? "" : "part of the answer";
+    EarlyAnswerServer server(executor,
+                             "HTTP/1.1 200 OK\r\n\r\n" + body,
+                             EarlyAnswerServer::End::kReset,
+                             std::chrono::milliseconds(i % 10));
+    auto call = MakeCall("/1");
+    call.address = BackendAddress(server.Address());
+    call.bytes = "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                 std::to_string(kUploadBytes) + "\r\n\r\n";
+    call.body = std::make_shared<const std::string>(kUploadBytes, 'x');
+    RecordingObserver observer;
+    const auto running = pool.Start(std::move(call), observer);
+    Await([&] { return observer.ended || observer.fault; });
+    CHECK_FALSE(observer.ended);
+    CHECK(observer.fault == BackendCallFault::kConnectionLost);
+  }
+}
+
+TEST(BackendPoolTest, AnEarlyAnswerThatEndsInAnOrderlyWayIsWhole)
+{
+  constexpr std::size_t kUploadBytes = 3U << 20U;
+  EarlyAnswerServer server(executor,
+                           "HTTP/1.1 200 OK\r\n\r\nthe whole answer",
+                           EarlyAnswerServer::End::kOrderly);
+  auto call = MakeCall("/1");
+  call.address = BackendAddress(server.Address());
+  call.bytes = "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+               std::to_string(kUploadBytes) + "\r\n\r\n";
+  call.body = std::make_shared<const std::string>(kUploadBytes, 'x');
+  RecordingObserver observer;
+  const auto running = pool.Start(std::move(call), observer);
+  Await([&] { return observer.ended || observer.fault; });
+  CHECK_TRUE(observer.ended);
+  STRCMP_EQUAL("the whole answer", observer.body.c_str());
+}
