Take a status outside of 100 to 599 for no answer

Change: the reader of HTTP/1.1 rejects such a response as malformed, so that the attempt counts as broken; the HTTP client reports a lost connection and passes on no body.

Shown red: MessageReaderTest.RejectsAStatusOutsideOfTheDefinedClasses and CutResponseTest.AResponseWithAnInvalidStatusIsNotReported failed on the code before, each with 000; they cover 000, 001, 099, 600, 700 and 999.

--- a/servers/http/curl_transfer.cpp
+++ b/servers/http/curl_transfer.cpp
@@ -207,8 +207,14 @@
   }
   long status = 0;
   curl_easy_getinfo(mEasy, CURLINFO_RESPONSE_CODE, &status);
+  constexpr long kFirstStatus = 100;
   constexpr long kFirstFinalStatus = 200;
-  if (!TrimSpace(aLine).empty() || status < kFirstFinalStatus) {
+  constexpr long kLastStatus = 599;
+  if (!TrimSpace(aLine).empty()) {
+    return;
+  }
+  mIsInvalid = status < kFirstStatus || status > kLastStatus;
+  if (mIsInvalid || status < kFirstFinalStatus) {
     return;
   }
   mStatus = static_cast<int>(status);
@@ -227,7 +233,7 @@
 size_t
 CurlTransfer::HandleBody(std::string_view aBytes)
 {
-  if (mCancelled) {
+  if (mCancelled || mIsInvalid) {
     return 0;
   }
   mLastReceivedAt = mMulti->GetExecutor().Now();
@@ -267,7 +273,9 @@
   } else if (aCode == CURLE_OPERATION_TIMEDOUT) {
     error.kind = HttpErrorKind::kTimeout;
   }
-  if (aCode == CURLE_OK) {
+  if (mIsInvalid) {
+    error.message = "the response has an invalid status";
+  } else if (aCode == CURLE_OK) {
     error.message = "the connection ended within the head of the response";
   }
   if (mStalled) {
@@ -286,7 +294,7 @@
   mStallTimer.Cancel();
   // libcurl reports success if the connection ends after the status line or any
   // other line of the head.
-  const bool isWhole = aCode == CURLE_OK && mStatus != 0;
+  const bool isWhole = aCode == CURLE_OK && mStatus != 0 && !mIsInvalid;
   const auto error = ToError(aCode);
   const auto self = shared_from_this();
   mMulti->Remove(self);
--- a/servers/http/curl_transfer.h
+++ b/servers/http/curl_transfer.h
@@ -63,6 +63,8 @@
   std::size_t mBodyBytes = 0;
   bool mPaused = false;
   bool mIsCurlPaused = false; // HandleBody told curl to pause
+  // The status of the response is none.
+  bool mIsInvalid = false;
   bool mTooLarge = false;
   bool mStalled = false;
   bool mCancelled = false;
--- a/servers/http1/message_reader.cpp
+++ b/servers/http1/message_reader.cpp
@@ -30,6 +30,7 @@
 constexpr int kContinue = 100;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kSwitchingProtocols = 101;
+constexpr int kLastStatus = 599;
 
 // Whether a header continues on a further line. Parsers read such lines in
 // different ways, which allows request smuggling.
@@ -317,6 +318,10 @@
   aBytes.remove_prefix(size);
   mHeadBytes = size;
   const auto status = mParser->head.status;
+  if (mOptions.side == Side::kResponses &&
+      (status < kContinue || status > kLastStatus)) {
+    return tl::make_unexpected(MessageFault::kMalformed);
+  }
   if (mOptions.side == Side::kResponses && status >= kContinue &&
       status < kFirstFinalStatus) {
     // Skips an interim response. Status 101 is a fault, because no request asks
--- a/tests/servers/http/cut_response_test.cpp
+++ b/tests/servers/http/cut_response_test.cpp
@@ -135,3 +135,17 @@
     CHECK_FALSE(result->has_value());
   }
 }
+
+// Guards against a status that is none and reaches the caller as an answer.
+TEST(CutResponseTest, AResponseWithAnInvalidStatusIsNotReported)
+{
+  for (const auto* status : { "000", "001", "099", "600", "700", "999" }) {
+    reply = { .bytes = "HTTP/1.1 " + std::string(status) +
+                       " OK\r\nContent-Length: 4\r\n\r\ntext",
+              .after = AfterReply::kClose };
+    const auto result = Fetch();
+    CHECK_FALSE_TEXT(result.has_value(), status);
+    CHECK_TRUE_TEXT(result.error().kind == HttpErrorKind::kConnectionLost,
+                    status);
+  }
+}
--- a/tests/servers/http1/message_reader_test.cpp
+++ b/tests/servers/http1/message_reader_test.cpp
@@ -140,6 +140,27 @@
   CHECK_FALSE(responses.FeedEof().has_value());
 }
 
+// Guards against a status that is none and reaches the caller as an answer.
+TEST(MessageReaderTest, RejectsAStatusOutsideOfTheDefinedClasses)
+{
+  for (const auto* status :
+       { "000", "001", "099", "600", "700", "999", "20", "2000", "-20", "0" }) {
+    MessageReader reader{ { .side = MessageReader::Side::kResponses } };
+    const auto fed = reader.Feed("HTTP/1.1 " + std::string(status) +
+                                 " OK\r\nContent-Length: 0\r\n\r\n");
+    CHECK_FALSE_TEXT(fed.has_value() && reader.HasHead(), status);
+  }
+  for (const auto* status : { "200", "299", "404", "599" }) {
+    MessageReader reader{ { .side = MessageReader::Side::kResponses } };
+    CHECK_TRUE_TEXT(reader
+                      .Feed("HTTP/1.1 " + std::string(status) +
+                            " OK\r\nContent-Length: 0\r\n\r\n")
+                      .has_value(),
+                    status);
+    CHECK_TRUE(reader.Done());
+  }
+}
+
 TEST(MessageReaderTest, SkipsAnInterimResponse)
 {
   CHECK_TRUE(responses
