Let the next suspect run when one ends before its place is due

Found by reading the change for rate limits: a suspect that waited for a place under a limit and was refused or failed then stayed the running one, so that no other suspect ran at that relay.

Shown red: RequestRouterTest.ASuspectThatEndsBeforeItsPlaceIsDueLetsTheNextOneRun fails without the change.

--- a/policy/request_router_rate_limits.cpp
+++ b/policy/request_router_rate_limits.cpp
@@ -72,6 +72,7 @@
     auto& request = mRequests.at(id);
     const auto placed = *std::exchange(request.placed, std::nullopt);
     if (EndIfHeld(id, aNow)) {
+      EndSuspectRun(id, aNow);
       continue;
     }
     const auto& backend = mFleet.At(placed.choice.slot);
@@ -86,6 +87,7 @@
       Start(request, *choice, placed.isHedge, aNow);
     } else {
       RefuseOrFail(id, RefusalReason::kNoBackend, aNow);
+      EndSuspectRun(id, aNow);
     }
   }
 }
--- a/tests/policy/rate_limit/rate_limit_load_test.cpp
+++ b/tests/policy/rate_limit/rate_limit_load_test.cpp
@@ -41,7 +41,6 @@
 using firefly::policy::MakePolicySet;
 using firefly::policy::Refusal;
 using firefly::policy::RefusalReason;
-using firefly::policy::RequestInfo;
 using firefly::policy::RequestRate;
 using firefly::policy::RequestRouter;
 using firefly::policy::RouterSink;
--- a/tests/policy/request_router_test.cpp
+++ b/tests/policy/request_router_test.cpp
@@ -659,3 +659,40 @@
   CHECK(sink.refused.at(id) == RefusalReason::kNoBackend);
   LONGS_EQUAL(5, sink.Dispatched(id));
 }
+
+// Guards against suspects that wait for ever for one that ended while it waited
+// for a place under a rate limit.
+TEST(RequestRouterTest, ASuspectThatEndsBeforeItsPlaceIsDueLetsTheNextOneRun)
+{
+  auto router = MakeRouter(2);
+  for (const auto* const name : { "a", "b" }) {
+    router.OnArrival(MakeRequest(name), Instant{});
+  }
+  const auto setStates = [&](BackendState aState) {
+    fleet.SetState(firefly::BackendId("e0"), aState);
+    fleet.SetState(firefly::BackendId("e1"), aState);
+  };
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    router.OnPeerNotice(
+      { .kind = BackendNotice::Kind::kRateLimit,
+        .backend = fleet.HashAt(firefly::policy::BackendSlot(i)),
+        .limit = { .rate = firefly::policy::RequestRate(1),
+                   .heardAt = Instant(5ms) },
+        .places = 3 },
+      Instant(5ms));
+  }
+  for (const auto* const name : { "a", "b" }) {
+    router.OnError(
+      RequestId(name), AttemptNumber(1), AttemptError::kBroken, Instant(10ms));
+  }
+  LONGS_EQUAL(2, sink.orders.size());
+  setStates(BackendState::kClosed);
+  router.Tick(Instant(5s));
+  CHECK(sink.failed.contains(RequestId("a")));
+  setStates(BackendState::kOpen);
+  for (int i = 0; i < 100; ++i) {
+    router.Tick(Instant(6s + i * 100ms));
+  }
+  CHECK(sink.Dispatched(RequestId("b")) == 2 ||
+        sink.failed.contains(RequestId("b")));
+}
