Restore the store from a copy in the soak

In four of ten schedules the soak's store goes away and comes back from a copy of up to 8 s of age, sometimes twice; what operators and backend servers wrote since is written again, what the relays wrote is lost, offsets are given out again and answers name the era. The restores are drawn apart, so that the other faults of known seeds stay what they were.

--- a/tests/soak/fake_store.cpp
+++ b/tests/soak/fake_store.cpp
@@ -1,5 +1,6 @@
 #include "tests/soak/fake_store.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -19,6 +20,9 @@
 constexpr Duration kMinAnswerTime = std::chrono::milliseconds(2);
 constexpr Duration kMinLateAppendDelay = std::chrono::seconds(1);
 constexpr double kLateAppendSpreadSeconds = 3;
+constexpr Duration kCopyInterval = std::chrono::milliseconds(500);
+constexpr Duration kCopyMemory = std::chrono::seconds(12);
+constexpr Duration kRewriteDelay = std::chrono::milliseconds(50);
 
 bool
 IsCompacted(const std::string& aTopic)
@@ -89,6 +93,7 @@
   , mRandom(aSeed)
   , mServer(aExecutor, { .liveness = {}, .limits = {} }, *this)
 {
+  MakeCopies();
 }
 
 FakeStore::~FakeStore() = default;
@@ -109,6 +114,7 @@
   }
   auto record =
     std::string(1, static_cast<char>(aKey.size())) + aKey + aValue.value_or("");
+  mWrites.push_back({ mExecutor.Now(), aTopic, record });
   AddRecords(aTopic, { std::move(record) });
   return true;
 }
@@ -119,6 +125,56 @@
   AddRecords(aTopic, { std::move(aBytes) });
 }
 
+void
+FakeStore::MakeCopies()
+{
+  const auto now = mExecutor.Now();
+  mCopies.push_back({ now, mTopics });
+  while (mCopies.front().at + kCopyMemory < now) {
+    mCopies.pop_front();
+  }
+  while (!mWrites.empty() && mWrites.front().at + 2 * kCopyMemory < now) {
+    mWrites.pop_front();
+  }
+  mCopyTimer = mExecutor.RunAfter(kCopyInterval, [this] { MakeCopies(); });
+}
+
+void
+FakeStore::Restore(Duration aAge)
+{
+  const auto now = mExecutor.Now();
+  const auto it = std::ranges::find_if(
+    mCopies, [&](const Copy& aCopy) { return aCopy.at >= now - aAge; });
+  const auto copy = it == mCopies.end() ? mCopies.back() : *it;
+  mEra++;
+  mTopics = copy.topics;
+  mCopies.clear();
+  mCopies.push_back({ now, mTopics });
+  auto delay = kRewriteDelay;
+  for (const auto& write : mWrites) {
+    if (write.at >= copy.at) {
+      mPendingTimers.push_back(
+        mExecutor.RunAfter(delay, [this, write, now] { Rewrite(write, now); }));
+      delay += std::chrono::milliseconds(1);
+    }
+  }
+}
+
+void
+FakeStore::Rewrite(const Write& aWrite, Instant aRestored)
+{
+  const auto key = [](const Write& aIt) {
+    return aIt.record.substr(0, 1 + static_cast<unsigned char>(aIt.record[0]));
+  };
+  const bool isOutdated = std::ranges::any_of(mWrites, [&](const Write& aIt) {
+    return aIt.at > aRestored && aIt.topic == aWrite.topic &&
+           key(aIt) == key(aWrite);
+  });
+  if (!isOutdated) {
+    AddRecords(aWrite.topic, { aWrite.record });
+  }
+}
+
 void
 FakeStore::Compact()
 {
@@ -234,7 +290,7 @@
 FakeStore::AnswerReader(Reader& aReader)
 {
   const auto& topic = mTopics[aReader.topic];
-  if (aReader.from < topic.first) {
+  if (aReader.from < topic.first || aReader.from > topic.End()) {
     Send(
       aReader.answer, 410, nlohmann::json{ { "first", topic.first } }.dump());
     return;
@@ -294,11 +350,15 @@
 {
   std::erase_if(mPendingTimers,
                 [](const auto& aTimer) { return !aTimer.IsPending(); });
-  mPendingTimers.push_back(mExecutor.RunAfter(
-    std::max(kMinAnswerTime, mFaults.delay),
-    [aAnswer, aStatus, body = std::move(aBody)] {
-      aAnswer->Send(aStatus, "", { { "Content-Type", "x" } }, body);
-    }));
+  mPendingTimers.push_back(
+    mExecutor.RunAfter(std::max(kMinAnswerTime, mFaults.delay),
+                       [aAnswer, aStatus, era = mEra, body = std::move(aBody)] {
+                         aAnswer->Send(aStatus,
+                                       "",
+                                       { { "Content-Type", "x" },
+                                         { "Store-Era", std::to_string(era) } },
+                                       body);
+                       }));
 }
 
 } // namespace firefly::soak
--- a/tests/soak/fake_store.h
+++ b/tests/soak/fake_store.h
@@ -57,6 +57,11 @@
   // each key stays available.
   void Compact();
 
+  // Returns to a copy that is about so old. What operators and backend servers
+  // have written since is written again soon after; the rest is lost, and
+  // offsets are given out again. Answers name the new era.
+  void Restore(Duration aAge);
+
   [[nodiscard]] std::uint64_t Calls() const { return mCalls; }
 
 private:
@@ -77,8 +82,24 @@
     std::shared_ptr<CallerAnswer> answer;
     Timer timer;
   };
+  struct Copy
+  {
+    Instant at{};
+    std::map<std::string, Topic> topics;
+  };
+  struct Write
+  {
+    Instant at{};
+    std::string topic;
+    std::string record;
+  };
   using Query = std::map<std::string, std::string>;
 
+  // Copies the topics regularly.
+  void MakeCopies();
+  // Writes the record again unless its key was written since the restore.
+  void Rewrite(const Write& aWrite, Instant aRestored);
+
   void OnRequest(CallerRequest aRequest,
                  std::shared_ptr<CallerAnswer> aAnswer) override;
   void OnRejected(const CallerRejection& /*aRejection*/) override {}
@@ -106,6 +127,11 @@
   std::list<Reader> mReaders;
   std::list<Timer> mPendingTimers;
   std::uint64_t mCalls = 0;
+  std::uint64_t mEra = 1;
+  std::deque<Copy> mCopies;
+  // What operators and backend servers have written, the oldest first.
+  std::deque<Write> mWrites;
+  Timer mCopyTimer;
 };
 
 } // namespace firefly::soak
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -16,7 +16,7 @@
 };
 
 // Reports contain these names, so they stay if an enumerator is renamed.
-constexpr std::array<KindName, kFaultKinds> kNames{ {
+constexpr std::array<KindName, kFaultKinds + 1> kNames{ {
   { FaultKind::kRelayKill, "relay-kill" },
   { FaultKind::kRelayStop, "relay-stop" },
   { FaultKind::kRelayRollingStop, "relay-rolling-stop" },
@@ -46,6 +46,7 @@
   { FaultKind::kBackendBlackholed, "runner-lost" },
   { FaultKind::kTableChange, "change" },
   { FaultKind::kTableChangeBurst, "change-storm" },
+  { FaultKind::kStoreRestored, "store-restored" },
 } };
 
 // The length of a fault in seconds.
@@ -55,6 +56,34 @@
 // The share of table changes. They are more frequent than any other kind,
 // because most promises are about them.
 constexpr double kTableChangeShare = 0.2;
+// The share of schedules with a restore of the store, and of these, those in
+// which a second one follows the first.
+constexpr double kRestoreShare = 0.4;
+constexpr double kSecondRestoreShare = 0.4;
+constexpr double kMaxRestoreSeconds = 2;
+
+// Adds restores of the store, drawn apart from the other faults.
+void
+AddRestores(const FaultPlanOptions& aOptions, std::vector<Fault>& aFaults)
+{
+  Random random(~aOptions.seed);
+  if (!random.Chance(kRestoreShare)) {
+    return;
+  }
+  const auto spread = ToSeconds(aOptions.until - aOptions.from);
+  auto at = aOptions.from + FromSeconds(spread * random.Uniform());
+  const int n = random.Chance(kSecondRestoreShare) ? 2 : 1;
+  for (int i = 0; i < n && at < aOptions.until; ++i) {
+    const auto length = FromSeconds(
+      kMinSeconds + (kMaxRestoreSeconds - kMinSeconds) * random.Uniform());
+    aFaults.push_back({ .kind = FaultKind::kStoreRestored,
+                        .at = at,
+                        .length = length,
+                        .share = 0.2 + 0.8 * random.Uniform() });
+    at += length + FromSeconds(3 * random.Uniform());
+  }
+  std::ranges::stable_sort(aFaults, {}, &Fault::at);
+}
 
 } // namespace
 
@@ -84,6 +113,7 @@
     fault.share = 0.2 + 0.8 * random.Uniform();
     faults.push_back(fault);
   }
+  AddRestores(aOptions, faults);
   return faults;
 }
 
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -49,8 +49,12 @@
   // Changes of the routing table by operators.
   kTableChange,
   kTableChangeBurst,
+  // The store is away and returns to a copy. Not among the kinds that are drawn
+  // for each fault, so that the schedules of known seeds stay what they were.
+  kStoreRestored,
 };
 
+// The kinds that are drawn for each fault.
 inline constexpr std::size_t kFaultKinds =
   static_cast<std::size_t>(FaultKind::kTableChangeBurst) + 1;
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -28,6 +28,7 @@
 constexpr Duration kBurstInterval = std::chrono::milliseconds(250);
 constexpr int kBurstChanges = 6;
 constexpr Duration kCrashDowntime = std::chrono::milliseconds(1500);
+constexpr Duration kMaxCopyAge = std::chrono::seconds(8);
 constexpr Duration kSlowStoreDelay = std::chrono::milliseconds(300);
 constexpr Duration kCallersDelay = std::chrono::milliseconds(80);
 // The interval of counts; also the length that is recorded for faults without
@@ -179,7 +180,9 @@
 
   void BeginFault(const Fault& aFault)
   {
-    if (aFault.kind < FaultKind::kCallersDelay) {
+    if (aFault.kind == FaultKind::kStoreRestored) {
+      BeginStoreFault(aFault);
+    } else if (aFault.kind < FaultKind::kCallersDelay) {
       BeginRelayFault(aFault, Host(aFault));
     } else if (aFault.kind < FaultKind::kStoreBusy) {
       BeginNetworkFault(aFault, Host(aFault));
@@ -288,6 +291,12 @@
       case FaultKind::kStoreCompact:
         mStore.Compact();
         break;
+      case FaultKind::kStoreRestored:
+        faults.isUnavailable = true;
+        ScheduleAfter(aFault.length, [this, share = aFault.share] {
+          mStore.Restore(FromSeconds(ToSeconds(kMaxCopyAge) * share));
+        });
+        break;
       default:
         mStore.AppendGarbage("keyed.servers", "\xff not a record");
         mStore.Put("keyed.servers", "stranger", "{\"service\": 7");
