--- a/coord/log_client.h
+++ b/coord/log_client.h
@@ -27,6 +27,7 @@
 
 // 10^12 records in one era of a stream.
 inline constexpr unsigned kPositionBits = 40;
+inline constexpr std::uint64_t kMaxEra = (std::uint64_t{ 1 } << 24U) - 1;
 
 [[nodiscard]] constexpr LogOffset
 OffsetIn(LogEra aEra, std::uint64_t aPosition)
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -541,7 +541,7 @@
 {
   HandleExpired(aNow);
   EndHeldRequests(aNow);
-  StartPlaced(aNow);
+  StartDelayed(aNow);
   for (auto& [id, request] : mRequests) {
     if (!request.attempts.empty()) {
       HedgeOrResume(request, aNow);
@@ -1045,7 +1045,7 @@
     return;
   }
   mPolicies.queue->Remove(aId);
-  std::erase(mPlaced, aId);
+  std::erase(mDelayedStarts, aId);
   mPolicies.limits->Finish(it->second.permit);
   mRequests.erase(it);
 }
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -284,7 +284,7 @@
     WorkPhase phase = WorkPhase::kWhole;
   };
   // A start that a backend server's rate limit delays.
-  struct Placed
+  struct DelayedStart
   {
     Choice choice;
     bool isHedge = false;
@@ -320,8 +320,8 @@
     // Expected processing time, in seconds of one whole engine.
     double engineSeconds = 0;
     bool wasHedged = false;
-    // The place that it waits for in a backend server's schedule.
-    std::optional<Placed> placed{};
+    // The start that waits for a place in a backend server's schedule.
+    std::optional<DelayedStart> delayedStart{};
     // Whether it runs as a test of a crash suspicion.
     bool isTrial = false;
     // Whether a backend server may have run an attempt.
@@ -374,8 +374,8 @@
                     const Choice& aChoice,
                     bool aIsHedge,
                     Instant aNow);
-  // Starts the attempts whose places are due.
-  void StartPlaced(Instant aNow);
+  // Starts the attempts whose time has come.
+  void StartDelayed(Instant aNow);
   void StartNow(Request& aRequest,
                 const Choice& aChoice,
                 bool aIsHedge,
@@ -430,7 +430,7 @@
   RouterSink& mSink;
   Requests mRequests;
   // Requests that wait for a place in a backend server's schedule.
-  std::vector<RequestId> mPlaced;
+  std::vector<RequestId> mDelayedStarts;
   // Suspects that wait for their turn, in order of arrival.
   std::vector<RequestId> mSuspectQueue;
   RequestId mRunningSuspect;
--- a/policy/request_router_rate_limits.cpp
+++ b/policy/request_router_rate_limits.cpp
@@ -49,42 +49,42 @@
   if (wait == Duration::zero()) {
     return false;
   }
-  aRequest.placed = Placed{
+  aRequest.delayedStart = DelayedStart{
     .choice = aChoice, .isHedge = aIsHedge, .at = aNow + wait, .wait = wait
   };
-  auto& choice = aRequest.placed->choice;
+  auto& choice = aRequest.delayedStart->choice;
   choice.expectedWait -= std::exchange(choice.startAfter, Duration::zero());
-  mPlaced.push_back(aRequest.info.requestId);
+  mDelayedStarts.push_back(aRequest.info.requestId);
   return true;
 }
 
 void
-RequestRouter::StartPlaced(Instant aNow)
+RequestRouter::StartDelayed(Instant aNow)
 {
   std::vector<RequestId> due;
-  for (const auto& id : mPlaced) {
-    if (mRequests.at(id).placed->at <= aNow) {
+  for (const auto& id : mDelayedStarts) {
+    if (mRequests.at(id).delayedStart->at <= aNow) {
       due.push_back(id);
     }
   }
   for (const auto& id : due) {
-    std::erase(mPlaced, id);
+    std::erase(mDelayedStarts, id);
     auto& request = mRequests.at(id);
-    const auto placed = *std::exchange(request.placed, std::nullopt);
+    const auto delayed = *std::exchange(request.delayedStart, std::nullopt);
     if (EndIfHeld(id, aNow)) {
       EndSuspectRun(id, aNow);
       continue;
     }
-    const auto& backend = mFleet.At(placed.choice.slot);
+    const auto& backend = mFleet.At(delayed.choice.slot);
     if (backend.state == BackendState::kOpen &&
-        backend.Serves(request.info, placed.choice.phase)) {
-      StartNow(request, placed.choice, placed.isHedge, aNow, placed.wait);
+        backend.Serves(request.info, delayed.choice.phase)) {
+      StartNow(request, delayed.choice, delayed.isHedge, aNow, delayed.wait);
       continue;
     }
     auto query = QueryFor(request);
     query.ignoreCapacity = true;
     if (const auto choice = Choose(request, query, aNow)) {
-      Start(request, *choice, placed.isHedge, aNow);
+      Start(request, *choice, delayed.isHedge, aNow);
     } else {
       RefuseOrFail(id, RefusalReason::kNoBackend, aNow);
       EndSuspectRun(id, aNow);
