--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -416,7 +416,7 @@
     if (mDuties) {
       mDuties->OnLogRestored();
     }
-    // It learns of the restore at its next read, or from a peer; sooner here.
+    // The routing feed would notice the restore only at its next read.
     mTableUpdater.Feed().Refresh();
   }
 
