--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -180,14 +180,15 @@
 
   void BeginFault(const Fault& aFault)
   {
-    if (aFault.kind == FaultKind::kStoreRestored) {
+    const bool isStoreFault = aFault.kind == FaultKind::kStoreRestored ||
+                              (aFault.kind >= FaultKind::kStoreBusy &&
+                               aFault.kind < FaultKind::kBackendCrash);
+    if (isStoreFault) {
       BeginStoreFault(aFault);
     } else if (aFault.kind < FaultKind::kCallersDelay) {
       BeginRelayFault(aFault, Host(aFault));
     } else if (aFault.kind < FaultKind::kStoreBusy) {
       BeginNetworkFault(aFault, Host(aFault));
-    } else if (aFault.kind < FaultKind::kBackendCrash) {
-      BeginStoreFault(aFault);
     } else if (aFault.kind < FaultKind::kTableChange) {
       BeginBackendFault(aFault, *mBackends[aFault.target % mBackends.size()]);
     } else {
