Pass on the removal of a key that was set in the same answer

Cause: a read passes on records that a later one of the same answer replaces, but the later one only if it changes something at the reader. The removal of a key that the reader never had does not, so that peers got the engine and not its removal.

Change: the last record of a key is passed on whenever an earlier one of the same answer is.

Shown red: KeyedFeedTest.PeersLearnTheRemovalOfAKeyThatWasSetInTheSameAnswer fails without the change.

--- a/coord/keyed_feed.cpp
+++ b/coord/keyed_feed.cpp
@@ -245,18 +245,23 @@
     progress.readAt = mReadAt;
   }
   const auto newest = NewestOffsetsOf(aBatch->records);
+  std::set<std::string_view> replacedKeys;
   for (const auto& it : aBatch->records) {
     if (it.offset < newest.at(it.key)) {
       // Replaced within the answer. Another process may learn of this record
       // and not of the newer one, if that is too large for a datagram.
       progress.newRecords.push_back(it);
+      replacedKeys.insert(it.key);
       continue;
     }
     // A record that was appended while the newest records of all keys were
     // read, or a newer one of its key, is known here, but not to processes that
     // have read up to mNext.
     const bool isKnownAhead = it.offset >= mNext && IsDelivered(it);
-    if (DeliverIfNewer(it) || isKnownAhead) {
+    // The last record of a key whose earlier ones are passed on may change
+    // nothing here, such as the removal of a key that was never known.
+    const bool isReplacement = replacedKeys.contains(it.key);
+    if (DeliverIfNewer(it) || isKnownAhead || isReplacement) {
       progress.newRecords.push_back(it);
     }
   }
--- a/tests/coord/keyed_feed_test.cpp
+++ b/tests/coord/keyed_feed_test.cpp
@@ -979,3 +979,28 @@
   CHECK(feed.Next() == restored);
   STRCMP_EQUAL("3", observer.values["a"].c_str());
 }
+
+// Guards against a key that peers keep although it was set and removed within
+// one answer: the reader does not know it before, so that nothing changes
+// there.
+TEST(KeyedFeedTest, PeersLearnTheRemovalOfAKeyThatWasSetInTheSameAnswer)
+{
+  log.Put("a", "1");
+  RecordingObserver peerObserver;
+  KeyedFeed peer{ { .stream = StreamName("s"), .pause = 1h, .wait = 100ms },
+                  executor,
+                  log,
+                  peerObserver };
+  peer.Start();
+  feed.Start();
+  executor.RunFor(50ms);
+  observer.onProgress = [&](const FeedProgress& aProgress) {
+    peer.ApplyPeerProgress(aProgress);
+  };
+  log.Put("b", "open");
+  log.Put("b", std::nullopt);
+  executor.RunFor(1s);
+  CHECK(peer.Next() == feed.Next());
+  LONGS_EQUAL(0, observer.values.count("b"));
+  LONGS_EQUAL(0, peerObserver.values.count("b"));
+}
