Log version, source and age of the table behind each 404

Callers that get 404 for a route that exists leave no trace of which table said so: the line "request turned away" names the table for API keys only, so that a table that came late, one from a peer and one that was never confirmed can't be told from each other.

Each refusal by the routing table now has the version of the table, where it came from (log or peer) and the age of its confirmation. RelayAccessTest.LogsReasonsButNoKeys checks the fields.

--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -99,13 +99,17 @@
   }
   const auto* route = table->Match(read->host, read->path);
   if (route == nullptr) {
-    RejectRequest(*aAnswer, OwnAnswerKind::kNoRoute, id, "no route matches");
+    RejectRequest(*aAnswer,
+                  OwnAnswerKind::kNoRoute,
+                  id,
+                  "no route matches",
+                  TableFields(GetAccessTime()));
     return;
   }
   const auto accessTime = GetAccessTime();
   const auto access =
     policy::Decide(*table, *route, read->credentials, accessTime);
-  ApplyDecision(access, *table, accessTime, *aAnswer, id);
+  ApplyDecision(access, accessTime, *aAnswer, id);
   if (access.outcome != policy::AccessOutcome::kAdmitted) {
     return;
   }
@@ -194,6 +198,15 @@
   aAnswer.Send(own.status, own.reason, own.headers, own.body);
 }
 
+LogFields
+Relay::TableFields(const policy::AccessTime& aTime) const
+{
+  return { { "table",
+             std::to_string(mParts.routing->Current()->Version().Value()) },
+           { "source", mParts.routing->Source() },
+           { "age_ms", AgeText(aTime) } };
+}
+
 policy::AccessTime
 Relay::GetAccessTime() const
 {
@@ -222,12 +235,11 @@
 
 void
 Relay::ApplyDecision(const policy::AccessDecision& aDecision,
-                     const policy::RoutingTable& aTable,
                      const policy::AccessTime& aTime,
                      CallerAnswer& aAnswer,
                      const RequestId& aId)
 {
-  if (!aTable.HasCustomers()) {
+  if (!mParts.routing->Current()->HasCustomers()) {
     return;
   }
   LogStalenessChange(aTime);
@@ -250,8 +262,7 @@
                               : OwnAnswerKind::kUnauthenticated,
                 aId,
                 outcome,
-                { { "table", std::to_string(aTable.Version().Value()) },
-                  { "age_ms", AgeText(aTime) } });
+                TableFields(aTime));
 }
 
 void
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -104,13 +104,14 @@
                      const RequestId& aId,
                      const std::string& aDetail,
                      const LogFields& aMoreFields = {});
+  // The current table's version, source and age, which must exist.
+  [[nodiscard]] LogFields TableFields(const policy::AccessTime& aTime) const;
   [[nodiscard]] policy::AccessTime GetAccessTime() const;
   // Logs that keys are no longer accepted because the table is not confirmed,
   // or that they are accepted again.
   void LogStalenessChange(const policy::AccessTime& aTime);
   // Counts the decision, and answers the request unless it is admitted.
   void ApplyDecision(const policy::AccessDecision& aDecision,
-                     const policy::RoutingTable& aTable,
                      const policy::AccessTime& aTime,
                      CallerAnswer& aAnswer,
                      const RequestId& aId);
--- a/servers/relay/routing_table_replica.cpp
+++ b/servers/relay/routing_table_replica.cpp
@@ -22,6 +22,7 @@
   const auto before = mCurrent ? mCurrent->Version().Value() : 0;
   mCurrent = std::make_shared<const policy::RoutingTable>(std::move(aTable));
   mRecord = std::move(aRecord);
+  mSource = aSource;
   LogFields fields{ { "version", std::to_string(mCurrent->Version().Value()) },
                     { "before", std::to_string(before) },
                     { "routes", std::to_string(mCurrent->RouteCount()) },
--- a/servers/relay/routing_table_replica.h
+++ b/servers/relay/routing_table_replica.h
@@ -28,6 +28,10 @@
   // The record of the current table; empty until a table is known.
   [[nodiscard]] const std::string& Record() const { return mRecord; }
 
+  // Where the current table came from, such as "log"; empty until a table is
+  // known.
+  [[nodiscard]] const std::string& Source() const { return mSource; }
+
   // The current table; null until the first one is known. A request keeps the
   // table that was current when it arrived.
   [[nodiscard]] const Table& Current() const { return mCurrent; }
@@ -36,6 +40,7 @@
   Log mLog{ "routing" };
   Table mCurrent;
   std::string mRecord;
+  std::string mSource;
   std::function<void(const policy::RoutingTable&)> mCallback;
 };
 
--- a/tests/servers/relay/relay_access_test.cpp
+++ b/tests/servers/relay/relay_access_test.cpp
@@ -351,6 +351,7 @@
     Ask("/look/1", "Authorization: Token berts-key\r\n" + bertsKey);
     Ask("/open/1", bertsKey);
     Ask("/look/1", kAnnasKey, true);
+    Ask("/nowhere/1");
     confirmedAt = executor.Now();
     Ask("/look/1", kAnnasKey, true);
     confirmedAt = executor.Now() - 60s;
@@ -361,13 +362,15 @@
   }
   CHECK(lines.find("-key") == std::string::npos);
   CHECK(registry.Expose().find("-key") == std::string::npos);
-  for (const auto* text : { "customer=anna",
-                            "status=401 why=\"unknown key\" table=17",
-                            "why=\"malformed key\"",
-                            "status=503 why=\"routing table not confirmed\"",
-                            "keys not accepted: routing table not confirmed",
-                            "keys accepted: routing table confirmed",
-                            "age_ms=6000" }) {
+  for (const auto* text :
+       { "customer=anna",
+         "status=401 why=\"unknown key\" table=17 source=test",
+         "why=\"no route matches\" table=17 source=test",
+         "why=\"malformed key\"",
+         "status=503 why=\"routing table not confirmed\"",
+         "keys not accepted: routing table not confirmed",
+         "keys accepted: routing table confirmed",
+         "age_ms=6000" }) {
     STRCMP_CONTAINS(text, lines.c_str());
   }
 }
