Refuse for good only with a routing table that is known to be in force

What callers saw: 404 for a route that exists, from a host that holds an older version of the table; 404 is final, so nobody tries again.

Cause: the relay answered 404 and 401 out of whatever table it held and never asked when that table was last confirmed. A host that has started with a table of a peer, that thawed, or whose read of the store hangs knows only that a route is not in its table of so many seconds ago. The class is a definite answer out of unconfirmed knowledge.

Change: such a refusal needs a confirmation within the time for changes (relay.change_bound_ms, the platform's bound, 2 s by default). Otherwise the answer is "not ready": not run, with Retry-After, and the relay reads the store at once. While neither this relay nor a peer can read the store, nothing can have changed unseen: then the age counts up to the beginning of that time, and 404 stays 404.

--- a/coord/keyed_feed.cpp
+++ b/coord/keyed_feed.cpp
@@ -16,6 +16,9 @@
 // after another one, but each at least once in kMinTurns turns' time.
 constexpr Duration kRetryTurn = std::chrono::milliseconds(20);
 constexpr std::size_t kMinTurns = 50;
+// Peers that can't read the log either are heard of again within this time,
+// since all of them take turns within a second or, if they are many, two.
+constexpr Duration kPeerFailureMemory = std::chrono::seconds(3);
 
 // How long newly found peers may postpone a read.
 constexpr Duration kMaxDiscoveryTime = std::chrono::seconds(2);
@@ -346,6 +349,7 @@
 void
 KeyedFeed::OnPeerReadFailing(const std::string& aPeer)
 {
+  mPeerFailedAt = mExecutor.Now();
   const bool isNew = mFailingPeers.insert(aPeer).second;
   const bool fails = mOwnBackoff > Duration::zero();
   const auto round = kRetryTurn * std::max(mPeerCount, kMinTurns);
@@ -357,6 +361,21 @@
   }
 }
 
+std::optional<Instant>
+KeyedFeed::AwaySince() const
+{
+  const bool failsForOthers =
+    mPeerFailedAt && mExecutor.Now() - *mPeerFailedAt < kPeerFailureMemory;
+  return mIsLost && failsForOthers ? std::optional(mFirstFailedReadAt)
+                                   : std::nullopt;
+}
+
+void
+KeyedFeed::ConfirmSoon()
+{
+  ReadSoon(mOptions.pause);
+}
+
 void
 KeyedFeed::SkipTo(LogOffset aNext)
 {
@@ -428,6 +447,7 @@
 {
   if (!std::exchange(mIsLost, true)) {
     mLostAt = mExecutor.Now();
+    mFirstFailedReadAt = mReadAt;
     mObserver.OnLost(aError);
   }
   const auto firstRetry = IsShared() ? mOptions.pause : mOptions.firstRetry;
--- a/coord/keyed_feed.h
+++ b/coord/keyed_feed.h
@@ -167,6 +167,15 @@
   // The offset up to which the stream is known.
   [[nodiscard]] LogOffset Next() const { return mNext; }
 
+  // Since when neither this process nor any other that it hears of has been
+  // able to read the log; empty if one of them has, or if this process hears of
+  // none.
+  [[nodiscard]] std::optional<Instant> AwaySince() const;
+
+  // Reads soon, unless a read is in progress, because this process must know
+  // whether something has changed.
+  void ConfirmSoon();
+
   // When this process last learned the newest state of the log, by its own read
   // or another process's progress; the epoch if never.
   [[nodiscard]] Instant CurrentAt() const { return mCurrentAt; }
@@ -237,6 +246,10 @@
   Duration mOwnBackoff{};
   // Peers whose reads have failed since the last progress.
   std::set<std::string> mFailingPeers;
+  // When a read of a peer last failed.
+  std::optional<Instant> mPeerFailedAt;
+  // When the first read that failed in the current outage began.
+  Instant mFirstFailedReadAt{};
   // When this process last began to read, taken before the call.
   Instant mReadAt{};
   std::optional<Instant> mConfirmedAt;
--- a/policy/access/access_control.cpp
+++ b/policy/access/access_control.cpp
@@ -1,5 +1,7 @@
 #include "policy/access/access_control.h"
 
+#include <algorithm>
+
 namespace firefly::policy {
 
 std::optional<Duration>
@@ -21,6 +23,13 @@
   return !age || *age >= *stalenessBound;
 }
 
+bool
+AccessTime::IsInForce() const
+{
+  const auto until = std::min(now, logAwaySince.value_or(now));
+  return confirmedAt && until - *confirmedAt < changeBound;
+}
+
 std::string_view
 ToString(AccessOutcome aOutcome)
 {
@@ -57,9 +66,13 @@
   if (aRoute.isPublic || customer != nullptr) {
     return { .outcome = AccessOutcome::kAdmitted, .customer = customer };
   }
+  // A refusal for good needs a table that is in force: a newer one may contain
+  // the key, or need none for this route.
+  if (!aTime.IsInForce() || (key != nullptr && isStale)) {
+    return { .outcome = AccessOutcome::kUnconfirmed };
+  }
   if (key != nullptr) {
-    return { .outcome = isStale ? AccessOutcome::kUnconfirmed
-                                : AccessOutcome::kUnknown };
+    return { .outcome = AccessOutcome::kUnknown };
   }
   const bool isAbsent = std::holds_alternative<AbsentCredentials>(aCredentials);
   return { .outcome =
--- a/policy/access/access_control.h
+++ b/policy/access/access_control.h
@@ -22,6 +22,11 @@
   // From this age of the confirmation on, keys can't be trusted; none if
   // revocation is not strict.
   std::optional<Duration> stalenessBound{};
+  // Within which a change of the table must be in force.
+  Duration changeBound = std::chrono::seconds(2);
+  // Since when no host has been able to read the log that the table comes from,
+  // if that is so.
+  std::optional<Instant> logAwaySince{};
 
   // The age of the confirmation; none if there is no confirmation.
   [[nodiscard]] std::optional<Duration> Age() const;
@@ -29,6 +34,10 @@
   // Whether a key may have been revoked too long ago without this process
   // knowing it.
   [[nodiscard]] bool IsStale() const;
+
+  // Whether the table is known to be in force, so that what it does not contain
+  // does not exist. While the log is away, there are no changes to miss.
+  [[nodiscard]] bool IsInForce() const;
 };
 
 enum class AccessOutcome : std::uint8_t
@@ -42,7 +51,8 @@
   kMalformed,
   // No customer has the key.
   kUnknown,
-  // The table may be out of date, so that nothing is known about the key.
+  // The table may be out of date, so that nothing is known about the key, or
+  // about the need for one.
   kUnconfirmed,
 };
 
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -99,11 +99,7 @@
   }
   const auto* route = table->Match(read->host, read->path);
   if (route == nullptr) {
-    RejectRequest(*aAnswer,
-                  OwnAnswerKind::kNoRoute,
-                  id,
-                  "no route matches",
-                  TableFields(GetAccessTime()));
+    RejectUnrouted(*aAnswer, id);
     return;
   }
   const auto accessTime = GetAccessTime();
@@ -179,6 +175,35 @@
   }
 }
 
+void
+Relay::RejectUnrouted(CallerAnswer& aAnswer, const RequestId& aId)
+{
+  const auto time = GetAccessTime();
+  if (time.IsInForce()) {
+    RejectRequest(aAnswer,
+                  OwnAnswerKind::kNoRoute,
+                  aId,
+                  "no route matches",
+                  TableFields(time));
+    return;
+  }
+  OnTableInDoubt("no route");
+  RejectRequest(aAnswer,
+                OwnAnswerKind::kNotReady,
+                aId,
+                "no route matches, and the routing table is not confirmed",
+                TableFields(time));
+}
+
+void
+Relay::OnTableInDoubt(std::string_view aDecision)
+{
+  mParts.metrics->doubtfulRefusals.With({ std::string(aDecision) }).Add();
+  if (mParts.confirmTable) {
+    mParts.confirmTable();
+  }
+}
+
 void
 Relay::RejectRequest(CallerAnswer& aAnswer,
                      OwnAnswerKind aKind,
@@ -211,10 +236,14 @@
 Relay::GetAccessTime() const
 {
   policy::AccessTime time{ .now = mParts.executor->Now(),
-                           .stalenessBound = mOptions.stalenessBound };
+                           .stalenessBound = mOptions.stalenessBound,
+                           .changeBound = mOptions.changeBound };
   if (mParts.tableConfirmedAt) {
     time.confirmedAt = mParts.tableConfirmedAt();
   }
+  if (mParts.logAwaySince) {
+    time.logAwaySince = mParts.logAwaySince();
+  }
   return time;
 }
 
@@ -257,6 +286,9 @@
   mParts.metrics->accessDecisions.With({ outcome }).Add();
   const bool isUnconfirmed =
     aDecision.outcome == policy::AccessOutcome::kUnconfirmed;
+  if (isUnconfirmed) {
+    OnTableInDoubt("access");
+  }
   RejectRequest(aAnswer,
                 isUnconfirmed ? OwnAnswerKind::kNotReady
                               : OwnAnswerKind::kUnauthenticated,
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -36,6 +36,8 @@
     // From this age of the routing table's confirmation on, keys of customers
     // are not accepted; none if revocation is not strict.
     std::optional<Duration> stalenessBound{};
+    // Within which a change of the routing table must be in force.
+    Duration changeBound = std::chrono::seconds(2);
   };
 
   // All of these must outlive the relay.
@@ -57,6 +59,11 @@
     // The time up to which the routing table is known to contain all changes.
     // Without this function, no table is ever confirmed.
     std::function<std::optional<Instant>()> tableConfirmedAt{};
+    // Since when no host can read the log of the routing table, if that is so.
+    std::function<std::optional<Instant>()> logAwaySince{};
+    // Asks for a confirmation of the routing table, because a request could not
+    // be refused without one.
+    std::function<void()> confirmTable{};
     // Called once for each request that a backend server began to run.
     std::function<void(const CustomerId&)> onRequestStarted{};
   };
@@ -99,14 +106,18 @@
   void AnnounceCrashSuspicions(
     const std::vector<policy::CrashSuspicion>& aChanges) override;
 
+  // Answers a request that matches no route.
+  void RejectUnrouted(CallerAnswer& aAnswer, const RequestId& aId);
   void RejectRequest(CallerAnswer& aAnswer,
                      OwnAnswerKind aKind,
                      const RequestId& aId,
                      const std::string& aDetail,
                      const LogFields& aMoreFields = {});
-  // The current table's version, source and age, which must exist.
+  // The version, source and age of the current table, which must exist.
   [[nodiscard]] LogFields TableFields(const policy::AccessTime& aTime) const;
   [[nodiscard]] policy::AccessTime GetAccessTime() const;
+  // Asks for a confirmation of the routing table and counts the request.
+  void OnTableInDoubt(std::string_view aDecision);
   // Logs that keys are no longer accepted because the table is not confirmed,
   // or that they are accepted again.
   void LogStalenessChange(const policy::AccessTime& aTime);
--- a/servers/relay/relay_metrics.cpp
+++ b/servers/relay/relay_metrics.cpp
@@ -41,6 +41,11 @@
                            .help = "Admitted requests of known customers",
                            .labelNames = { "customer" },
                            .maxSeries = kMaxCustomerSeries }))
+  , doubtfulRefusals(
+      aRegistry.Counters({ .name = "firefly_relay_doubtful_refusals_total",
+                           .help = "Requests that a routing table refuses of "
+                                   "which it isn't known that it is in force",
+                           .labelNames = { "decision" } }))
   , firstAnswer(
       aRegistry.Histograms({ .name = "firefly_relay_first_answer_seconds",
                              .help = "From arrival to the first event "
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -18,6 +18,7 @@
   MetricFamily<Counter>& callerRejections;
   MetricFamily<Counter>& accessDecisions;
   MetricFamily<Counter>& customerRequests;
+  MetricFamily<Counter>& doubtfulRefusals;
   MetricFamily<Histogram>& firstAnswer;
   MetricFamily<Summary>& requestSeconds;
   MetricFamily<Gauge>& live;
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -36,9 +36,11 @@
 // are resent within 600 ms.
 constexpr Duration kBackendAckTimeout = std::chrono::milliseconds(700);
 constexpr std::chrono::seconds kKeepAliveProbeDelay{ 1 };
-// Interval at which the socket for updates is checked where the staleness of
-// the routing table is bounded; up to this time is added to a peer's age.
-constexpr Duration kSocketCheck = std::chrono::milliseconds(100);
+// Interval at which the socket for updates is checked; up to this time is added
+// to a peer's age. It is shorter where the staleness of the routing table is
+// bounded.
+constexpr Duration kSocketCheck = std::chrono::milliseconds(250);
+constexpr Duration kStrictSocketCheck = std::chrono::milliseconds(100);
 
 // Descriptors that are reserved for files, and the fraction of the others that
 // callers may use. The rest is for backend servers, peers and the log.
@@ -78,7 +80,8 @@
 Duration
 ConfirmWithin(const RelaySettings& aSettings)
 {
-  return aSettings.stalenessBound.value_or(Duration::zero()) * 2 / 3;
+  const auto bound = aSettings.stalenessBound.value_or(aSettings.changeBound);
+  return bound * 2 / 3;
 }
 
 LivenessOptions
@@ -106,38 +109,42 @@
                        mExecutor,
                        mFleet,
                        mPool)
-    , mRelay({ .self = aSettings.host,
-               .incarnation = mIncarnation,
-               .seed = mSeed,
-               .domain = aSettings.domain,
-               .crossDomainPenalty = aSettings.crossDomainPenalty,
-               .queueBound = aSettings.queueBound,
-               .stalenessBound = aSettings.stalenessBound },
-             { .executor = &mExecutor,
-               .dialect = aParts.dialect,
-               .pool = &mPool,
-               .backendRegistry = &mBackendRegistry,
-               .fleet = &mFleet,
-               .routing = &mRouting,
-               .metrics = &mMetrics,
-               .memory = mCallerMemory,
-               .announce =
-                 [this](const policy::BackendNotice& aNotice) {
-                   mPeerUpdates.Send(aNotice, AllPeers());
-                 },
-               .announceCrashSuspicions =
-                 [this](const std::vector<policy::CrashSuspicion>& aChanges) {
-                   LogCrashSuspicions(aChanges);
-                   mPeerUpdates.Send(aChanges, AllPeers());
-                 },
-               .tableConfirmedAt =
-                 [this] { return mTableUpdater.Feed().ConfirmedAt(); },
-               .onRequestStarted =
-                 [this](const CustomerId& aCustomer) {
-                   if (mDuties) {
-                     mDuties->Usage().OnRequestStarted(aCustomer);
-                   }
-                 } })
+    , mRelay(
+        { .self = aSettings.host,
+          .incarnation = mIncarnation,
+          .seed = mSeed,
+          .domain = aSettings.domain,
+          .crossDomainPenalty = aSettings.crossDomainPenalty,
+          .queueBound = aSettings.queueBound,
+          .stalenessBound = aSettings.stalenessBound,
+          .changeBound = aSettings.changeBound },
+        { .executor = &mExecutor,
+          .dialect = aParts.dialect,
+          .pool = &mPool,
+          .backendRegistry = &mBackendRegistry,
+          .fleet = &mFleet,
+          .routing = &mRouting,
+          .metrics = &mMetrics,
+          .memory = mCallerMemory,
+          .announce =
+            [this](const policy::BackendNotice& aNotice) {
+              mPeerUpdates.Send(aNotice, AllPeers());
+            },
+          .announceCrashSuspicions =
+            [this](const std::vector<policy::CrashSuspicion>& aChanges) {
+              LogCrashSuspicions(aChanges);
+              mPeerUpdates.Send(aChanges, AllPeers());
+            },
+          .tableConfirmedAt =
+            [this] { return mTableUpdater.Feed().ConfirmedAt(); },
+          .logAwaySince = [this] { return mTableUpdater.Feed().AwaySince(); },
+          .confirmTable = [this] { mTableUpdater.Feed().ConfirmSoon(); },
+          .onRequestStarted =
+            [this](const CustomerId& aCustomer) {
+              if (mDuties) {
+                mDuties->Usage().OnRequestStarted(aCustomer);
+              }
+            } })
     , mPeers(
         { .host = aSettings.host,
           .domain = aSettings.domain,
@@ -161,7 +168,7 @@
         { .address = aSettings.callers.host,
           .port = aSettings.updatePort,
           .socketCheck =
-            aSettings.stalenessBound ? kSocketCheck : Duration::zero() },
+            aSettings.stalenessBound ? kStrictSocketCheck : kSocketCheck },
         mExecutor,
         { .onFeedUpdate =
             [this](const FeedUpdate& aUpdate) {
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -35,6 +35,7 @@
 constexpr std::int64_t kRoutingWait = 20'000;
 constexpr std::int64_t kLogTimeout = 1'500;
 constexpr std::int64_t kStopGrace = 8'000;
+constexpr std::int64_t kChangeBound = 2'000;
 constexpr std::int64_t kUnreadyGrace = 3'000;
 constexpr std::int64_t kLease = 3'000;
 constexpr double kUsageWindowSeconds = 5;
@@ -165,6 +166,8 @@
   }
   aSettings.callerMemoryShare =
     aReader.Real("caller_memory_share", kMemoryShares, kCallerMemoryShare);
+  aSettings.changeBound =
+    aReader.Millis("change_bound_ms", kShortMillis, kChangeBound);
   aSettings.queueBound = static_cast<std::size_t>(
     aReader.Integer("queue_bound", kCounts, kQueueBound));
   aSettings.stopGrace =
--- a/servers/relay/relay_settings.h
+++ b/servers/relay/relay_settings.h
@@ -85,6 +85,8 @@
   // The maximum age of the routing table's confirmation. Without a value,
   // revocation is not strict and the age is not bounded.
   std::optional<Duration> stalenessBound{};
+  // Within which a change of the routing table must be in force.
+  Duration changeBound = std::chrono::seconds(2);
   // Directory of the state charts.
   std::filesystem::path chartsDirectory;
   LogSettings log;
--- a/tests/coord/keyed_feed_test.cpp
+++ b/tests/coord/keyed_feed_test.cpp
@@ -272,6 +272,30 @@
   CHECK_TRUE(observer.outage > 9s);
 }
 
+// Guards against a process that only it is cut off from the log taking it for
+// away, so that it misses what others wrote.
+TEST(KeyedFeedTest, TheLogIsAwayOnlyIfPeersCannotReadItEither)
+{
+  log.Put("a", "1");
+  feed.Start();
+  executor.RunFor(1s);
+  CHECK_FALSE(feed.AwaySince().has_value());
+  log.isUnavailable = true;
+  const auto began = executor.Now();
+  executor.RunFor(1s);
+  CHECK_FALSE(feed.AwaySince().has_value());
+  feed.OnPeerReadFailing("peer");
+  CHECK_TRUE(feed.AwaySince().has_value());
+  CHECK_TRUE(*feed.AwaySince() >= began && *feed.AwaySince() < began + 300ms);
+  executor.RunFor(4s);
+  CHECK_FALSE(feed.AwaySince().has_value()); // the peer no longer says so
+  feed.OnPeerReadFailing("peer");
+  CHECK_TRUE(feed.AwaySince().has_value());
+  log.isUnavailable = false;
+  executor.RunFor(1300ms);
+  CHECK_FALSE(feed.AwaySince().has_value());
+}
+
 TEST(KeyedFeedTest, RetriesDuringAnOutageAreLimited)
 {
   feed.Start();
--- a/tests/servers/relay/relay_settings_test.cpp
+++ b/tests/servers/relay/relay_settings_test.cpp
@@ -175,5 +175,6 @@
   CHECK(load("[access]\nrevocation_ms = 5000")->stalenessBound == 4500ms);
   CHECK_FALSE(load("[access]\nrevocation_ms = 5").has_value());
   CHECK_FALSE(load("[access]\nrevocation_ms = -1").has_value());
+  CHECK(load("[access]\nrevocation_ms = 0")->changeBound == 2s);
   CHECK_FALSE(load("[access]\nrevocations_ms = 5000").has_value());
 }
