Log the software versions of backend servers and what a caller resumes

A stream whose parts come from two versions of a service's software can't be told from a sound one: neither the record's version nor the header that names the request that began a stream is read, and no log line has them.

--- a/policy/fleet_view.cpp
+++ b/policy/fleet_view.cpp
@@ -152,6 +152,13 @@
   return MixHash(hash, 0);
 }
 
+SoftwareVersion
+SoftwareVersionOf(const ServiceId& aService, const std::string& aVersion)
+{
+  return SoftwareVersion(
+    MixHash(StableHash(aService.Value()), StableHash(aVersion)));
+}
+
 std::uint64_t
 MixHash(std::uint64_t aLeft, std::uint64_t aRight)
 {
--- a/policy/fleet_view.h
+++ b/policy/fleet_view.h
@@ -104,6 +104,7 @@
   BackendId id;
   // Start time of its process, which identifies the run; 0 if unknown.
   std::uint64_t startedAt = 0;
+  SoftwareVersion softwareVersion{};
   DomainId domain;
   BackendKind kind = BackendKind::kEngine;
   EngineRole role = EngineRole::kMixed;
@@ -184,6 +185,9 @@
 std::uint64_t
 StableHash(const std::string& aText);
 
+SoftwareVersion
+SoftwareVersionOf(const ServiceId& aService, const std::string& aVersion);
+
 // Mixes two hashes into one.
 std::uint64_t
 MixHash(std::uint64_t aLeft, std::uint64_t aRight);
--- a/policy/request_info.h
+++ b/policy/request_info.h
@@ -27,6 +27,10 @@
 // why they crash backend servers, such as a part of its prompt or its model.
 using CrashTrait = StrongType<struct CrashTraitTag, std::uint64_t>;
 
+// The software of a backend server: a hash of its service and of the version
+// that it states. 0 if versions are not known.
+using SoftwareVersion = StrongType<struct SoftwareVersionTag, std::uint64_t>;
+
 // Sorted and without duplicates.
 using CrashTraits = std::vector<CrashTrait>;
 
--- a/servers/relay/backend_registry.cpp
+++ b/servers/relay/backend_registry.cpp
@@ -63,6 +63,7 @@
                        it->second.domain != aRecord.domain ||
                        it->second.address != aRecord.address ||
                        it->second.startedAt != aRecord.startedAt ||
+                       it->second.version != aRecord.version ||
                        it->second.role != aRecord.role;
   if (known && (it->second.address != aRecord.address ||
                 it->second.startedAt != aRecord.startedAt)) {
@@ -83,6 +84,7 @@
               { { "backend", aRecord.id.Value() },
                 { "service", aRecord.service.Value() },
                 { "address", aRecord.address.Value() },
+                { "version", aRecord.version },
                 { "state", DescribeState(aRecord) } });
   }
   return changed || lapsed;
@@ -94,6 +96,8 @@
   policy::Backend backend;
   backend.id = aRecord.id;
   backend.startedAt = aRecord.startedAt;
+  backend.softwareVersion =
+    policy::SoftwareVersionOf(aRecord.service, aRecord.version);
   backend.domain = aRecord.domain;
   backend.state = StateOf(aRecord);
   const policy::BackendRun run{ .id = aRecord.id,
--- a/servers/relay/backend_registry.h
+++ b/servers/relay/backend_registry.h
@@ -30,6 +30,8 @@
   // Start time of the process. A different value under the same id means that
   // the backend server was restarted.
   std::uint64_t startedAt = 0;
+  // Of its software. What two versions write does not fit together.
+  std::string version{};
   // Set for model engines only.
   std::optional<policy::EngineRole> role{};
   std::vector<std::string> models{};
--- a/servers/relay/dialect.h
+++ b/servers/relay/dialect.h
@@ -60,6 +60,9 @@
   // Id of the last event that the caller received of this stream; empty for a
   // new stream.
   std::string lastEventId;
+  // Id of the request that began the stream, if the caller resumes one and
+  // names it.
+  RequestId resumes{};
   std::optional<PromptInfo> prompt;
   // The parts that other requests may share, also of a request that has no
   // prompt for an engine.
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -134,6 +134,7 @@
     { { "request", mOptions.request.id.Value() },
       { "attempt", std::to_string(aOrder.attempt.Value()) },
       { "backend", aOrder.backend.Value() },
+      { "version", VersionOf(aOrder.backend) },
       { "phase", std::string(ToString(aOrder.phase)) },
       { "urgency", std::to_string(aOrder.urgency.Value()) },
       { "expected_ms", Millis(aOrder.expectedWait) },
@@ -194,6 +195,13 @@
   return record == nullptr ? "" : record->address.Value();
 }
 
+std::string
+RelayTask::VersionOf(const BackendId& aBackend) const
+{
+  const auto* record = mContext.backendRegistry->Find(aBackend);
+  return record == nullptr ? "" : record->version;
+}
+
 void
 RelayTask::Cancel(AttemptNumber aAttempt)
 {
@@ -603,6 +611,10 @@
   if (mOptions.customer != nullptr) {
     fields.push_back({ "customer", mOptions.customer->name.Value() });
   }
+  if (!mOptions.request.lastEventId.empty()) {
+    fields.push_back({ "resumes", mOptions.request.resumes.Value() });
+    fields.push_back({ "after_event", mOptions.request.lastEventId });
+  }
   mContext.log->Info("request ended", fields);
   mContext.executor->Post(
     [onDone = mOptions.onDone, id = mOptions.request.id] { onDone(id); });
--- a/servers/relay/relay_task.h
+++ b/servers/relay/relay_task.h
@@ -118,6 +118,8 @@
   // removed.
   [[nodiscard]] std::string AddressOf(
     const std::optional<BackendId>& aBackend) const;
+  // Returns the version of its software, or nothing if it was removed.
+  [[nodiscard]] std::string VersionOf(const BackendId& aBackend) const;
   [[nodiscard]] policy::RequestInfo MakeInfo() const;
   [[nodiscard]] Instant Now() const;
   [[nodiscard]] bool MayHaveRun() const;
