Continue a stream only at the software version that began it

Cause: the version of a backend server was not known to any decision. The relay's own resumption and a caller's take-up took any engine with the model and any KV cache of the prompt, and a split route sent a take-up to the service that the new request's id selects. The class is a part of a request's state that its next step needs and that nobody keeps.

Change: the version that brings the first event binds all further attempts of the request, their prefills and copies included. Hosts announce their sends of streams to each other while more than one version can have begun them, before the request leaves; a take-up goes on at the version that is recorded, or at the only one, and is refused at once, as not run, if neither is known or no server of the version is open. A server that changes its version under its id leaves its streams to nobody. While one version serves, no message is sent and nothing is recorded.

Tried and dropped: to hand over prompts only within a version before the first event, too. Nothing of the answer has been written then.

BrokenStreamsTest resumes without naming the stream; its fixture now knows which versions serve.

--- a/policy/fleet_view.cpp
+++ b/policy/fleet_view.cpp
@@ -50,7 +50,8 @@
 bool
 Backend::Serves(const RequestInfo& aRequest, WorkPhase aPhase) const
 {
-  if (isPrefillOnly != (aPhase == WorkPhase::kPrefill)) {
+  if (isPrefillOnly != (aPhase == WorkPhase::kPrefill) ||
+      aRequest.requiredVersion.value_or(softwareVersion) != softwareVersion) {
     return false;
   }
   if (aRequest.NeedsEngine()) {
--- a/policy/fleet_view.h
+++ b/policy/fleet_view.h
@@ -122,7 +122,7 @@
   bool isPrefillOnly = false;
 
   // Whether it has the model or the service that this phase of the request
-  // needs. Does not check the state.
+  // needs, and the version that it requires. Does not check the state.
   [[nodiscard]] bool Serves(const RequestInfo& aRequest,
                             WorkPhase aPhase = WorkPhase::kWhole) const;
 };
--- a/policy/learning_selector.cpp
+++ b/policy/learning_selector.cpp
@@ -770,8 +770,10 @@
   for (const auto& it :
        mPrefixCaches.HoldersOf(aRequest.prefixHashes.back(), aNow)) {
     const auto& holder = aFleet.At(it.slot);
+    const bool isRequired = aRequest.requiredVersion.value_or(
+                              holder.softwareVersion) == holder.softwareVersion;
     if (it.slot == aSlot || aNow < it.readyAt ||
-        holder.state != BackendState::kOpen) {
+        holder.state != BackendState::kOpen || !isRequired) {
       continue;
     }
     const double distance =
--- a/policy/request_info.h
+++ b/policy/request_info.h
@@ -31,6 +31,10 @@
 // that it states. 0 if versions are not known.
 using SoftwareVersion = StrongType<struct SoftwareVersionTag, std::uint64_t>;
 
+// Required by a request that no backend server may continue, because it is not
+// known which version began its stream.
+constexpr SoftwareVersion kNoVersion{ ~std::uint64_t{ 0 } };
+
 // Sorted and without duplicates.
 using CrashTraits = std::vector<CrashTrait>;
 
@@ -110,6 +114,9 @@
   // one. Separate prefills and attempts that were not sent do not count. The
   // router's limit applies too, and alone if this is 0.
   std::uint32_t maxAttempts = 0;
+  // The only version that may run the request, because it began the stream that
+  // the request continues; empty if all may.
+  std::optional<SoftwareVersion> requiredVersion{};
   // The weight that operators gave the request's row; the default is 1.
   double weight = 1.0;
   Fingerprint fingerprint;
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -187,6 +187,7 @@
   running.firstToken = aNow;
   running.lastTokens = aNow;
   request.answeringAttempt = aAttempt;
+  request.info.requiredVersion = running.version;
   request.mayHaveRun = true;
   CancelOthers(request, aAttempt, aNow);
   DispatchQueued(aNow);
@@ -281,6 +282,23 @@
   }
 }
 
+void
+RequestRouter::OnVersionChanged(const BackendId& aBackend)
+{
+  const auto slot = mFleet.SlotOf(aBackend);
+  for (auto& [id, request] : mRequests) {
+    for (auto& [number, attempt] : request.attempts) {
+      if (attempt.info.slot != slot) {
+        continue;
+      }
+      attempt.version = kNoVersion;
+      if (request.answeringAttempt == number) {
+        request.info.requiredVersion = kNoVersion;
+      }
+    }
+  }
+}
+
 void
 RequestRouter::OnUnrepeatable(const RequestId& aId)
 {
@@ -830,6 +848,7 @@
   attempt.lastTokens = aNow;
   attempt.isHedge = aIsHedge;
   attempt.phase = aChoice.phase;
+  attempt.version = mFleet.At(aChoice.slot).softwareVersion;
   if (number.Value() == 1) {
     aRequest.dispatchedFirst = aNow;
   }
@@ -850,7 +869,8 @@
                    .copyFrom = aChoice.copyFrom,
                    .expectedWait = aChoice.expectedWait,
                    .cachedTokens = aChoice.cachedTokens,
-                   .limitWait = aLimitWait });
+                   .limitWait = aLimitWait,
+                   .version = attempt.version });
 }
 
 void
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -47,6 +47,8 @@
   Tokens cachedTokens;
   // How long the attempt has waited for the backend server's rate limit.
   Duration limitWait{};
+  // The version of the backend server's software.
+  SoftwareVersion version{};
 };
 
 // A refusal means that no backend server ran the request: it was never sent, or
@@ -180,6 +182,11 @@
                          AttemptNumber aAttempt,
                          Instant aNow);
 
+  // Called when the version of a backend server's software has changed under
+  // its id. Answers that it has begun are continued nowhere, since they may
+  // come from either version.
+  void OnVersionChanged(const BackendId& aBackend);
+
   // Called when the answering attempt has produced more output tokens.
   void OnTokens(const RequestId& aId,
                 AttemptNumber aAttempt,
@@ -282,6 +289,8 @@
     bool isHarmless = false;
     bool isHedge = false;
     WorkPhase phase = WorkPhase::kWhole;
+    // The version of the backend server's software.
+    SoftwareVersion version{};
   };
   // A start that a backend server's rate limit delays.
   struct DelayedStart
--- a/policy/routing_table.cpp
+++ b/policy/routing_table.cpp
@@ -108,6 +108,18 @@
   return nullptr;
 }
 
+Duration
+RoutingTable::LongestStreamTimeout() const
+{
+  Duration longest{};
+  for (const auto& it : mOptions.routes) {
+    if (it.IsStream()) {
+      longest = std::max(longest, it.timeout);
+    }
+  }
+  return longest;
+}
+
 const ServiceTraits*
 RoutingTable::Service(const ServiceId& aId) const
 {
--- a/policy/routing_table.h
+++ b/policy/routing_table.h
@@ -139,6 +139,9 @@
   [[nodiscard]] const Route* Match(std::string_view aHost,
                                    std::string_view aPath) const;
 
+  // The longest timeout of a route that carries streams; zero without one.
+  [[nodiscard]] Duration LongestStreamTimeout() const;
+
   // The service with that id, or null.
   [[nodiscard]] const ServiceTraits* Service(const ServiceId& aId) const;
 
--- a/servers/relay/backend_registry.cpp
+++ b/servers/relay/backend_registry.cpp
@@ -72,13 +72,25 @@
   if (known && it->second.startedAt != aRecord.startedAt) {
     mHoldoff.Forget(aRecord.id);
   }
+  const bool isOtherVersion = known && (it->second.version != aRecord.version ||
+                                        it->second.service != aRecord.service);
   mRecords[aRecord.id] = aRecord;
+  if (mStreamOrigins != nullptr) {
+    mStreamOrigins->OnBackend(
+      aRecord.id,
+      aRecord.service,
+      policy::SoftwareVersionOf(aRecord.service, aRecord.version),
+      mExecutor.Now());
+  }
   if (aRecord.isLeaving && aRecord.startedAt != 0) {
     // A run that is leaving does not come back, whatever an older record says.
     mHoldoff.OnLeaving({ .id = aRecord.id, .startedAt = aRecord.startedAt },
                        mExecutor.Now());
   }
   Publish(aRecord);
+  if (isOtherVersion && mOnVersionChange) {
+    mOnVersionChange(aRecord.id);
+  }
   if (changed) {
     mLog.Info("backend server changed",
               { { "backend", aRecord.id.Value() },
@@ -299,6 +311,9 @@
   if (mRemovedRuns.size() < kMaxRemovedRuns) {
     mRemovedRuns[{ .id = aId, .startedAt = it->second.startedAt }] = now;
   }
+  if (mStreamOrigins != nullptr) {
+    mStreamOrigins->OnBackendGone(aId, now);
+  }
   mPendingRemovals.erase(aId);
   mRecords.erase(it);
   mReopenTimers.erase(aId);
--- a/servers/relay/backend_registry.h
+++ b/servers/relay/backend_registry.h
@@ -4,6 +4,7 @@
 // from the records that the backend servers write to the log, and updates the
 // fleet view and the connection pool with each change.
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 #include "core/executor.h"
 #include "policy/backend_holdoff.h"
 #include "policy/fleet_view.h"
+#include "policy/stream_origin/stream_origin_tracker.h"
 #include "servers/http1/backend_pool.h"
 #include "servers/log/log.h"
 
@@ -86,6 +88,20 @@
   // replaced may only be left in it: they take effect at the end of that time.
   void OnLogRestored();
 
+  // Reports which versions serve, and which of them have gone, to the tracker,
+  // which must outlive the registry.
+  void ReportVersionsTo(policy::StreamOriginTracker& aTracker)
+  {
+    mStreamOrigins = &aTracker;
+  }
+
+  // Sets the callback for a backend server whose version has changed under its
+  // id.
+  void OnVersionChange(std::function<void(const BackendId&)> aCallback)
+  {
+    mOnVersionChange = std::move(aCallback);
+  }
+
   // A backend server said in an answer that it is leaving.
   void OnLeaving(const policy::BackendRun& aRun);
 
@@ -123,6 +139,9 @@
   Log mLog{ "directory" };
   std::map<BackendId, BackendRecord> mRecords;
   policy::BackendHoldoff mHoldoff;
+  // May be null.
+  policy::StreamOriginTracker* mStreamOrigins = nullptr;
+  std::function<void(const BackendId&)> mOnVersionChange;
   // End the time that a backend server asked for.
   std::map<BackendId, Timer> mReopenTimers;
   // Backend servers whose records were deleted or missing within a grace
--- a/servers/relay/peer_update_channel.cpp
+++ b/servers/relay/peer_update_channel.cpp
@@ -22,6 +22,7 @@
 constexpr std::uint64_t kReadFailure = 5;
 constexpr std::uint64_t kCrashSuspicions = 6;
 // kHostUsageMessage = 7 and kTimeMessage = 8, servers/duties/usage_messages.h.
+constexpr std::uint64_t kStreamSend = 9;
 // The age of a feed update that states none.
 constexpr std::int64_t kNoAge = -1;
 // Older feed updates state no age. Far longer than any bound on the staleness
@@ -288,6 +289,36 @@
   return failure;
 }
 
+std::string
+EncodeStreamSend(const policy::StreamSend& aSend)
+{
+  return coord::FieldWriter()
+    .Number(kStreamSend)
+    .Number(aSend.stream.Value())
+    .Number(aSend.version.Value())
+    .Number(aSend.backend)
+    .Flag(aSend.hasBegun)
+    .Take();
+}
+
+std::optional<policy::StreamSend>
+DecodeStreamSend(std::string_view aBytes)
+{
+  coord::FieldReader reader(aBytes);
+  if (reader.Number() != kStreamSend) {
+    return std::nullopt;
+  }
+  policy::StreamSend send;
+  send.stream = policy::StreamHash(reader.Number());
+  send.version = policy::SoftwareVersion(reader.Number());
+  send.backend = reader.Number();
+  send.hasBegun = reader.Flag();
+  if (!reader.Ok() || !reader.AtEnd()) {
+    return std::nullopt;
+  }
+  return send;
+}
+
 std::string
 EncodeNotice(const policy::BackendNotice& aNotice, Instant aNow)
 {
@@ -454,6 +485,11 @@
     Forward(aBytes, aIsForwarder);
     return;
   }
+  if (const auto send = DecodeStreamSend(aBytes)) {
+    mHandlers.onStreamSend(*send);
+    Forward(aBytes, aIsForwarder);
+    return;
+  }
   if (auto update = DecodeFeedUpdate(aBytes)) {
     update->progress.readAt = ReadInstant(*update, mSocket.EmptyAt());
     mHandlers.onFeedUpdate(*update);
@@ -527,6 +563,13 @@
   SendTo(EncodeNotice(aNotice, mExecutor.Now()), aTargets);
 }
 
+void
+PeerUpdateChannel::Send(const policy::StreamSend& aSend,
+                        const PeerTargets& aTargets)
+{
+  SendTo(EncodeStreamSend(aSend), aTargets);
+}
+
 void
 PeerUpdateChannel::Send(const std::vector<policy::CrashSuspicion>& aSuspicions,
                         const PeerTargets& aTargets)
--- a/servers/relay/peer_update_channel.h
+++ b/servers/relay/peer_update_channel.h
@@ -3,8 +3,9 @@
 // Exchanges updates between the relays over UDP: records that one of them read
 // from the log, so that few relays need to read it, and notices of the prompts
 // that it sends to engines and of backend servers that stopped responding, so
-// that all can estimate the engines' load, and what requests that crash backend
-// servers have in common. A relay that a datagram does not reach reads the log
+// that all can estimate the engines' load, what requests that crash backend
+// servers have in common, and which software version a stream was sent to. A
+// relay that a datagram does not reach reads the log
 // itself, has a less accurate estimate, or learns it from the digests.
 
 #include <cstdint>
@@ -17,6 +18,7 @@
 #include "coord/keyed_feed.h"
 #include "policy/backend_selector.h"
 #include "policy/crash_correlator.h"
+#include "policy/stream_origin/stream_origin_tracker.h"
 #include "servers/duties/usage_messages.h"
 #include "servers/gossip/gossip_socket.h"
 
@@ -91,6 +93,14 @@
 std::optional<ReadFailure>
 DecodeReadFailure(std::string_view aBytes);
 
+// Encodes that a stream was sent to a backend server.
+std::string
+EncodeStreamSend(const policy::StreamSend& aSend);
+
+// Returns nothing if the bytes are not a valid send of a stream.
+std::optional<policy::StreamSend>
+DecodeStreamSend(std::string_view aBytes);
+
 // Encodes a notice; only the longest prefixes of its prompt are included, and
 // the age of what it says about a limit instead of an instant.
 std::string
@@ -149,6 +159,7 @@
     std::function<void(const RoutingUpdate&, bool aIsForwarder)>
       onRoutingUpdate;
     std::function<void(const policy::BackendNotice&)> onNotice;
+    std::function<void(const policy::StreamSend&)> onStreamSend;
     std::function<void(const std::vector<policy::CrashSuspicion>&)>
       onCrashSuspicions;
     // Not set where the usage is not reported.
@@ -170,6 +181,7 @@
   // Sets the host of the update to this relay's address.
   void Send(RoutingUpdate aUpdate, const PeerTargets& aTargets);
   void Send(const policy::BackendNotice& aNotice, const PeerTargets& aTargets);
+  void Send(const policy::StreamSend& aSend, const PeerTargets& aTargets);
   void Send(const std::vector<policy::CrashSuspicion>& aSuspicions,
             const PeerTargets& aTargets);
   // Sets the host of the failure to this relay's address.
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -73,6 +73,12 @@
                .log = &mLog,
                .memory = mParts.memory,
                .onRequestStarted = mParts.onRequestStarted };
+  if (mParts.streamOrigins != nullptr) {
+    mContext.onStreamSend = [this](const ServiceId& aService,
+                                   const policy::StreamSend& aSend) {
+      OnStreamSend(aService, aSend);
+    };
+  }
 }
 
 Relay::~Relay() = default;
@@ -114,7 +120,22 @@
       *aAnswer, OwnAnswerKind::kRefused, id, "request id is running");
     return;
   }
-  const auto& service = route->TargetFor(id);
+  // A stream goes on at the service that began it.
+  const auto& service =
+    route->TargetFor(read->resumes.Value().empty() ? id : read->resumes);
+  std::optional<policy::SoftwareVersion> origin;
+  if (mParts.streamOrigins != nullptr && route->IsStream() &&
+      !read->lastEventId.empty()) {
+    origin = FindOrigin(*read, service);
+    if (!origin) {
+      RejectRequest(*aAnswer,
+                    OwnAnswerKind::kRefused,
+                    id,
+                    "version that began the stream is not known",
+                    { { "resumes", read->resumes.Value() } });
+      return;
+    }
+  }
   const auto* traits = table->Service(service);
   const bool hasEngine = traits != nullptr && traits->engine;
   if (!hasEngine) {
@@ -128,6 +149,7 @@
       .route = route,
       .customer = access.customer,
       .service = service,
+      .requiredVersion = origin,
       .tokensPerEvent = hasEngine ? traits->engine->tokensPerEvent : 1,
       .answer = std::move(aAnswer),
       .onDone = [this](const RequestId& aId) { mTasks.erase(aId); } });
@@ -140,6 +162,42 @@
   }
 }
 
+std::optional<policy::SoftwareVersion>
+Relay::FindOrigin(const RelayRequest& aRequest, const ServiceId& aService)
+{
+  const auto& first = aRequest.resumes;
+  const auto stream = first.Value().empty()
+                        ? std::nullopt
+                        : std::optional(policy::StreamHashOf(first));
+  const auto now = mParts.executor->Now();
+  const auto origin = mParts.streamOrigins->OriginOf(aService, stream, now);
+  const std::string source(ToString(origin.source));
+  mParts.metrics->streamResumptions.With({ aService.Value(), source }).Add();
+  mLog.Info(
+    "caller resumes a stream",
+    { { "request", aRequest.id.Value() },
+      { "resumes", first.Value() },
+      { "after_event", aRequest.lastEventId },
+      { "origin", source },
+      { "versions",
+        std::to_string(mParts.streamOrigins->VersionCount(aService, now)) } });
+  if (origin.source == policy::OriginSource::kUnknown) {
+    return std::nullopt;
+  }
+  return origin.version;
+}
+
+void
+Relay::OnStreamSend(const ServiceId& aService, const policy::StreamSend& aSend)
+{
+  auto& origins = *mParts.streamOrigins;
+  const auto now = mParts.executor->Now();
+  if (origins.NeedsRecords(aService, now) && origins.OnSend(aSend, now) &&
+      mParts.announceStreamSend) {
+    mParts.announceStreamSend(aSend);
+  }
+}
+
 void
 Relay::OnRejected(const CallerRejection& aRejection)
 {
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -10,6 +10,7 @@
 
 #include "policy/access/access_control.h"
 #include "policy/request_router.h"
+#include "policy/stream_origin/stream_origin_tracker.h"
 #include "servers/http1/caller_server.h"
 #include "servers/relay/relay_task.h"
 #include "servers/relay/routing_table_replica.h"
@@ -51,6 +52,11 @@
     const RoutingTableReplica* routing = nullptr;
     RelayMetrics* metrics = nullptr;
     std::shared_ptr<MemoryBudget> memory{};
+    // Knows which versions began the streams that callers resume; null if
+    // versions are not told apart.
+    policy::StreamOriginTracker* streamOrigins = nullptr;
+    // Tells the other relays that a stream was sent to a backend server.
+    std::function<void(const policy::StreamSend&)> announceStreamSend{};
     // Sends a notice about a backend server to the other relays.
     std::function<void(const policy::BackendNotice&)> announce{};
     // Sends changed crash suspicions to the other relays.
@@ -106,6 +112,12 @@
   void AnnounceCrashSuspicions(
     const std::vector<policy::CrashSuspicion>& aChanges) override;
 
+  // Returns the version that began the stream which the request resumes, or
+  // nothing if that is not known.
+  std::optional<policy::SoftwareVersion> FindOrigin(
+    const RelayRequest& aRequest,
+    const ServiceId& aService);
+  void OnStreamSend(const ServiceId& aService, const policy::StreamSend& aSend);
   // Answers a request that matches no route.
   void RejectUnrouted(CallerAnswer& aAnswer, const RequestId& aId);
   void RejectRequest(CallerAnswer& aAnswer,
--- a/servers/relay/relay_attempt.h
+++ b/servers/relay/relay_attempt.h
@@ -75,6 +75,8 @@
     RequestId request;
     policy::AttemptNumber number;
     policy::BackendRun backend;
+    // The version of the backend server's software.
+    policy::SoftwareVersion version{};
     // The engine only prefills the prompt.
     bool promptOnly = false;
     // The answer is a stream of server-sent events.
@@ -98,6 +100,11 @@
   void Resume() { mCall->Resume(); }
 
   [[nodiscard]] policy::AttemptNumber Number() const { return mOptions.number; }
+  [[nodiscard]] const BackendId& Backend() const { return mOptions.backend.id; }
+  [[nodiscard]] policy::SoftwareVersion Version() const
+  {
+    return mOptions.version;
+  }
   [[nodiscard]] const std::optional<KvCacheRef>& KvCache() const
   {
     return mOptions.kvCache;
--- a/servers/relay/relay_metrics.cpp
+++ b/servers/relay/relay_metrics.cpp
@@ -46,6 +46,14 @@
                            .help = "Requests that a routing table refuses of "
                                    "which it isn't known that it is in force",
                            .labelNames = { "decision" } }))
+  , streamResumptions(aRegistry.Counters(
+      { .name = "firefly_relay_stream_resumptions_total",
+        .help = "Requests that resume a stream, by how the version that began "
+                "it is known",
+        .labelNames = { "service", "origin" } }))
+  , recordedStreams(
+      aRegistry.Gauges({ .name = "firefly_relay_recorded_streams",
+                         .help = "Streams whose version is recorded" }))
   , firstAnswer(
       aRegistry.Histograms({ .name = "firefly_relay_first_answer_seconds",
                              .help = "From arrival to the first event "
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -19,6 +19,8 @@
   MetricFamily<Counter>& accessDecisions;
   MetricFamily<Counter>& customerRequests;
   MetricFamily<Counter>& doubtfulRefusals;
+  MetricFamily<Counter>& streamResumptions;
+  MetricFamily<Gauge>& recordedStreams;
   MetricFamily<Histogram>& firstAnswer;
   MetricFamily<Summary>& requestSeconds;
   MetricFamily<Gauge>& live;
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -42,6 +42,11 @@
 constexpr Duration kSocketCheck = std::chrono::milliseconds(250);
 constexpr Duration kStrictSocketCheck = std::chrono::milliseconds(100);
 
+// Streams can be resumed for at least this long after their beginning.
+constexpr Duration kMinStreamLifetime = std::chrono::seconds(10);
+// Interval at which it is noted how current the known backend servers are.
+constexpr Duration kBackendConfirmation = std::chrono::milliseconds(500);
+
 // Descriptors that are reserved for files, and the fraction of the others that
 // callers may use. The rest is for backend servers, peers and the log.
 constexpr std::size_t kReservedDescriptors = 200;
@@ -126,6 +131,11 @@
           .routing = &mRouting,
           .metrics = &mMetrics,
           .memory = mCallerMemory,
+          .streamOrigins = &mStreamOrigins,
+          .announceStreamSend =
+            [this](const policy::StreamSend& aSend) {
+              mPeerUpdates.Send(aSend, AllPeers());
+            },
           .announce =
             [this](const policy::BackendNotice& aNotice) {
               mPeerUpdates.Send(aNotice, AllPeers());
@@ -186,6 +196,10 @@
             [this](const policy::BackendNotice& aNotice) {
               HandlePeerNotice(aNotice);
             },
+          .onStreamSend =
+            [this](const policy::StreamSend& aSend) {
+              mStreamOrigins.OnSend(aSend, mExecutor.Now());
+            },
           .onCrashSuspicions =
             [this](const std::vector<policy::CrashSuspicion>& aSuspicions) {
               mRelay.Router().OnPeerCrashSuspicions(aSuspicions,
@@ -271,12 +285,20 @@
   {
     mRouting.OnChange([this](const policy::RoutingTable& aTable) {
       mPeers.SetRouting(aTable.Version().Value());
+      // The tries of one caller take no longer than its deadline, which may be
+      // a little later than the timeout.
+      mStreamOrigins.SetStreamLifetime(
+        std::max(kMinStreamLifetime, 2 * aTable.LongestStreamTimeout()));
       const auto& limits = aTable.Limits();
       mCallers.SetLimits({ .maxHeadBytes = limits.maxHeadBytes,
                            .maxBodyBytes = limits.maxBodyBytes,
                            .headTimeout = limits.headTimeout,
                            .idleTimeout = limits.idleTimeout });
     });
+    mBackendRegistry.ReportVersionsTo(mStreamOrigins);
+    mBackendRegistry.OnVersionChange([this](const BackendId& aBackend) {
+      mRelay.Router().OnVersionChanged(aBackend);
+    });
     mRegistry.OnExpose([this] { SetGauges(); });
     if (mSettings.duties && mSettings.duties->usage) {
       mDuties.emplace(
@@ -312,6 +334,7 @@
     mTableUpdater.Start();
     mBackendFeed.Start();
     mStalenessMonitor.Start();
+    ConfirmBackends();
     mRoleOrderIssuer.Start();
     if (mDuties) {
       mDuties->Start();
@@ -427,6 +450,22 @@
     mTableUpdater.Feed().Refresh();
   }
 
+  // Passes the time up to which the backend servers are known to the tracker of
+  // streams.
+  void ConfirmBackends()
+  {
+    auto confirmedAt = mBackendFeed.ConfirmedAt();
+    const auto awaySince = mBackendFeed.AwaySince();
+    if (confirmedAt && awaySince) {
+      // While no relay can read the log, there are no changes to miss.
+      *confirmedAt =
+        mExecutor.Now() - std::max(Duration::zero(), *awaySince - *confirmedAt);
+    }
+    mStreamOrigins.OnConfirmed(confirmedAt);
+    mConfirmTimer =
+      mExecutor.RunAfter(kBackendConfirmation, [this] { ConfirmBackends(); });
+  }
+
   coord::KeyedFeed& FeedOf(SharedFeed aFeed)
   {
     return aFeed == SharedFeed::kRouting ? mTableUpdater.Feed() : mBackendFeed;
@@ -549,6 +588,8 @@
     const auto age = [now](const coord::KeyedFeed& aFeed) {
       return aFeed.Loaded() ? ToSeconds(now - aFeed.CurrentAt()) : -1.0;
     };
+    mMetrics.recordedStreams.With({}).Set(
+      static_cast<double>(mStreamOrigins.RecordedStreams()));
     mMetrics.live.With({}).Set(static_cast<double>(mRelay.LiveRequests()));
     mMetrics.queued.With({}).Set(static_cast<double>(mRelay.Router().Queued()));
     mMetrics.heldSuspicions.With({}).Set(static_cast<double>(
@@ -608,6 +649,7 @@
   RelayMetrics mMetrics;
   std::shared_ptr<MemoryBudget> mCallerMemory;
   policy::FleetView mFleet;
+  policy::StreamOriginTracker mStreamOrigins;
   RoutingTableReplica mRouting;
   BackendPool mPool;
   BackendRegistry mBackendRegistry;
@@ -623,6 +665,7 @@
   RoutingTableUpdater mTableUpdater;
   coord::KeyedFeed mBackendFeed;
   StalenessMonitor mStalenessMonitor;
+  Timer mConfirmTimer;
   bool mIsDraining = false;
   Instant mDrainStart{};
   std::function<void()> mOnDrained;
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -91,6 +91,7 @@
     info.rank = customer->rank.value_or(route.rank);
   }
   info.maxAttempts = route.maxAttempts;
+  info.requiredVersion = mOptions.requiredVersion;
   info.fingerprint = request.fingerprint;
   std::vector<std::uint64_t> parts;
   for (const auto& it : request.sharedParts) {
@@ -176,6 +177,7 @@
       .request = mOptions.request.id,
       .number = aOrder.attempt,
       .backend = mContext.backendRegistry->RunOf(aOrder.backend),
+      .version = aOrder.version,
       .promptOnly = promptOnly,
       .isStream = mOptions.route->IsStream() && !promptOnly,
       .isContinuation = !mEvents.LastId().empty(),
@@ -183,10 +185,45 @@
       .memory = { mContext.memory, MemoryUse::kAnswers } },
     *mContext.dialect,
     static_cast<RelayAttemptListener&>(*this));
+  if (mOptions.route->IsStream() && !promptOnly) {
+    // Before the request, so that others know it whatever becomes of this host.
+    ReportStreamSend(aOrder.backend, aOrder.version, false);
+  }
   attempt->Start(*mContext.pool, std::move(call));
   mAttempts[aOrder.attempt] = std::move(attempt);
 }
 
+void
+RelayTask::ReportStreamSend(const BackendId& aBackend,
+                            policy::SoftwareVersion aVersion,
+                            bool aHasBegun) const
+{
+  if (!mContext.onStreamSend) {
+    return;
+  }
+  const auto& request = mOptions.request;
+  const auto& first =
+    request.resumes.Value().empty() ? request.id : request.resumes;
+  mContext.onStreamSend(mOptions.service,
+                        { .stream = policy::StreamHashOf(first),
+                          .version = aVersion,
+                          .backend = policy::StableHash(aBackend.Value()),
+                          .hasBegun = aHasBegun });
+}
+
+void
+RelayTask::ReportStreamBegin(const RelayAttempt& aAttempt) const
+{
+  // If the backend server has got another version under its id meanwhile, the
+  // stream may come from either.
+  const auto* record = mContext.backendRegistry->Find(aAttempt.Backend());
+  const bool isSame = record == nullptr ||
+                      policy::SoftwareVersionOf(
+                        record->service, record->version) == aAttempt.Version();
+  ReportStreamSend(
+    aAttempt.Backend(), isSame ? aAttempt.Version() : policy::kNoVersion, true);
+}
+
 std::string
 RelayTask::AddressOf(const std::optional<BackendId>& aBackend) const
 {
@@ -384,6 +421,7 @@
   }
   if (!mHasBegun) {
     mHasBegun = true;
+    ReportStreamBegin(*mAttempts.at(aAttempt));
     mStatus = aHead.status;
     RecordFirstAnswer();
     mOptions.answer->Begin(aHead.status,
--- a/servers/relay/relay_task.h
+++ b/servers/relay/relay_task.h
@@ -36,6 +36,10 @@
   // Called once for each request that a backend server began to run, if set;
   // the customer may be empty.
   std::function<void(const CustomerId&)> onRequestStarted{};
+  // Called when a stream is sent to a backend server, and when its first event
+  // has arrived from there, if set.
+  std::function<void(const ServiceId&, const policy::StreamSend&)>
+    onStreamSend{};
 };
 
 class RelayTask
@@ -54,6 +58,8 @@
     // known.
     const policy::Customer* customer = nullptr;
     ServiceId service;
+    // The version that began the stream which the request continues.
+    std::optional<policy::SoftwareVersion> requiredVersion{};
     // Maximum number of output tokens in one event.
     std::uint32_t tokensPerEvent = 1;
     std::shared_ptr<CallerAnswer> answer;
@@ -128,6 +134,11 @@
                      Duration aRetryAfter = {});
   void SendFailure(const BackendAnswer& aFailure);
   void RecordFirstAnswer();
+  // Reports that the first event of the stream came from this attempt.
+  void ReportStreamBegin(const RelayAttempt& aAttempt) const;
+  void ReportStreamSend(const BackendId& aBackend,
+                        policy::SoftwareVersion aVersion,
+                        bool aHasBegun) const;
   // Reports that a backend server ran the request, once for all attempts.
   void RecordStart();
   // The same for an answer; a stream has run only if it had an event.
--- /dev/null
+++ b/tests/policy/stream_origin/stream_origin_tracker_test.cpp
@@ -0,0 +1,205 @@
+#include "policy/stream_origin/stream_origin_tracker.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using firefly::BackendId;
+using firefly::Duration;
+using firefly::Instant;
+using firefly::RequestId;
+using firefly::ServiceId;
+using firefly::policy::kNoVersion;
+using firefly::policy::OriginSource;
+using firefly::policy::SoftwareVersion;
+using firefly::policy::SoftwareVersionOf;
+using firefly::policy::StableHash;
+using firefly::policy::StreamHash;
+using firefly::policy::StreamHashOf;
+using firefly::policy::StreamOriginTracker;
+
+namespace {
+
+const ServiceId kService("llm");
+const SoftwareVersion kOld = SoftwareVersionOf(kService, "v1");
+const SoftwareVersion kNew = SoftwareVersionOf(kService, "v1.1");
+const StreamHash kStream = StreamHashOf(RequestId("q1"));
+const BackendId kOldServer("old");
+const BackendId kNewServer("new");
+
+} // namespace
+
+TEST_GROUP(StreamOriginTrackerTest)
+{
+  Instant now{ 1000s };
+  StreamOriginTracker tracker{ { .lifetime = 10s,
+                                 .lateSends = 5s,
+                                 .maxConfirmationGap = 3s,
+                                 .maxStreams = 100 } };
+
+  void setup() override
+  {
+    tracker.OnBackend(kOldServer, kService, kOld, now);
+    tracker.OnConfirmed(now);
+  }
+
+  // Passes time in which all changes become known soon.
+  void Pass(Duration aTime)
+  {
+    for (const auto end = now + aTime; now < end;) {
+      now += 1s;
+      tracker.OnConfirmed(now - 500ms);
+    }
+  }
+
+  void AddNewVersion()
+  {
+    tracker.OnBackend(kNewServer, kService, kNew, now);
+  }
+
+  void Send(SoftwareVersion aVersion, bool aHasBegun = false)
+  {
+    const auto& server = aVersion == kOld ? kOldServer : kNewServer;
+    tracker.OnSend({ .stream = kStream,
+                     .version = aVersion,
+                     .backend = StableHash(server.Value()),
+                     .hasBegun = aHasBegun },
+                   now);
+  }
+
+  // Returns the source, and after a slash the version.
+  std::string Origin()
+  {
+    const auto origin = tracker.OriginOf(kService, kStream, now);
+    const std::string source(ToString(origin.source));
+    if (origin.source == OriginSource::kUnknown) {
+      return source;
+    }
+    return source + (origin.version == kOld   ? "/old"
+                     : origin.version == kNew ? "/new"
+                                              : "/none");
+  }
+};
+
+// Guards against refusals, records and announcements in a deployment that never
+// changes its version.
+TEST(StreamOriginTrackerTest, TheOnlyVersionBeganEachStream)
+{
+  Pass(20s);
+  CHECK_FALSE(tracker.NeedsRecords(kService, now));
+  STRCMP_EQUAL("only version/old", Origin().c_str());
+  const auto unnamed = tracker.OriginOf(kService, std::nullopt, now);
+  CHECK(unnamed.source == OriginSource::kOnlyVersion);
+}
+
+// Guards against a guess between two versions.
+TEST(StreamOriginTrackerTest, OnlyRecordedStreamsAreKnownWithTwoVersions)
+{
+  Pass(20s);
+  AddNewVersion();
+  CHECK_TRUE(tracker.NeedsRecords(kService, now));
+  STRCMP_EQUAL("unknown", Origin().c_str());
+  Send(kNew);
+  STRCMP_EQUAL("recorded/new", Origin().c_str());
+  const auto unnamed = tracker.OriginOf(kService, std::nullopt, now);
+  CHECK(unnamed.source == OriginSource::kUnknown);
+}
+
+// Guards against a stream of a version whose last server has left going on at
+// the version that remains.
+TEST(StreamOriginTrackerTest, AVersionThatHasLeftMayHaveBegunStreams)
+{
+  Pass(20s);
+  AddNewVersion();
+  Pass(2s);
+  tracker.OnBackendGone(kOldServer, now);
+  Pass(10s);
+  STRCMP_EQUAL("unknown", Origin().c_str());
+  LONGS_EQUAL(2, tracker.VersionCount(kService, now));
+  Pass(6s);
+  STRCMP_EQUAL("only version/new", Origin().c_str());
+}
+
+// Guards against a choice between two versions that both got the stream.
+TEST(StreamOriginTrackerTest, TheFirstEventTellsSendsToTwoVersionsApart)
+{
+  AddNewVersion();
+  Send(kOld);
+  Send(kNew);
+  STRCMP_EQUAL("unknown", Origin().c_str());
+  Send(kNew, true);
+  STRCMP_EQUAL("recorded/new", Origin().c_str());
+  Send(kOld); // a late notice of a send that brought nothing
+  STRCMP_EQUAL("recorded/new", Origin().c_str());
+}
+
+// Guards against notices for what other hosts know already, and against none
+// for what they do not.
+TEST(StreamOriginTrackerTest, SaysWhichSendsAreNews)
+{
+  const auto send = [this](SoftwareVersion aVersion, bool aHasBegun) {
+    return tracker.OnSend({ .stream = kStream,
+                            .version = aVersion,
+                            .backend = 1,
+                            .hasBegun = aHasBegun },
+                          now);
+  };
+  CHECK_TRUE(send(kOld, false));
+  CHECK_FALSE(send(kOld, false));
+  CHECK_FALSE(send(kOld, true));
+  CHECK_FALSE(send(kNew, false));
+  CHECK_TRUE(send(kNew, true));
+}
+
+// Guards against a host that is cut off and does not see a version that has
+// come.
+TEST(StreamOriginTrackerTest, NothingIsKnownWithoutARecentConfirmation)
+{
+  Pass(20s);
+  now += 4s;
+  STRCMP_EQUAL("unknown", Origin().c_str());
+  tracker.OnConfirmed(now);
+  STRCMP_EQUAL("only version/old", Origin().c_str());
+}
+
+// Guards against a server that starts again under its id with another version:
+// its streams may come from either.
+TEST(StreamOriginTrackerTest, StreamsOfAServerThatChangedItsVersionAreUnknown)
+{
+  AddNewVersion();
+  Send(kOld, true);
+  tracker.OnBackend(kOldServer, kService, kNew, now);
+  STRCMP_EQUAL("unknown", Origin().c_str());
+}
+
+// Guards against equal names of versions of two services.
+TEST(StreamOriginTrackerTest, VersionsOfOtherServicesDoNotCount)
+{
+  const ServiceId other("desk");
+  CHECK(SoftwareVersionOf(other, "v1") != kOld);
+  tracker.OnBackend(BackendId("d"), other, SoftwareVersionOf(other, "v2"), now);
+  Pass(20s);
+  STRCMP_EQUAL("only version/old", Origin().c_str());
+  CHECK(tracker.OriginOf(ServiceId("none"), kStream, now).source ==
+        OriginSource::kUnknown);
+}
+
+// Guards against memory that grows with the streams of a long roll-out.
+TEST(StreamOriginTrackerTest, RecordsAreBoundedInNumberAndTime)
+{
+  AddNewVersion();
+  for (std::uint64_t i = 0; i < 1000; ++i) {
+    tracker.OnSend({ .stream = StreamHash(i), .version = kNew, .backend = 1 },
+                   now);
+  }
+  CHECK_TRUE(tracker.RecordedStreams() <= 100);
+  Pass(10s);
+  Send(kOld);
+  Pass(10s);
+  Send(kOld); // used again
+  tracker.OnSend({ .stream = StreamHash(1), .version = kNew, .backend = 1 },
+                 now);
+  LONGS_EQUAL(2, tracker.RecordedStreams());
+  STRCMP_EQUAL("recorded/old", Origin().c_str());
+}
--- a/tests/servers/relay/broken_streams_test.cpp
+++ b/tests/servers/relay/broken_streams_test.cpp
@@ -138,6 +138,7 @@
     fixture.Register("s1", *fixture.first, role);
     fixture.Register("s2", *fixture.second, role);
     fixture.SetRoutingTable();
+    fixture.KnowVersions();
     RawTcpClient caller(fixture.executor, fixture.callers.Port());
     caller.Send(aRequest);
     fixture.Await([&] {
--- a/tests/servers/relay/peer_update_channel_test.cpp
+++ b/tests/servers/relay/peer_update_channel_test.cpp
@@ -23,6 +23,7 @@
 using firefly::DecodeNotice;
 using firefly::DecodeReadFailure;
 using firefly::DecodeRoutingUpdate;
+using firefly::DecodeStreamSend;
 using firefly::DecodeTimeMessage;
 using firefly::EncodeCrashSuspicions;
 using firefly::EncodeFeedUpdate;
@@ -31,6 +32,7 @@
 using firefly::EncodeNotice;
 using firefly::EncodeReadFailure;
 using firefly::EncodeRoutingUpdate;
+using firefly::EncodeStreamSend;
 using firefly::EncodeTimeMessage;
 using firefly::FeedUpdate;
 using firefly::HostId;
@@ -180,6 +182,7 @@
     (void)DecodeNotice(bytes, firefly::Instant{});
     (void)DecodeRoutingUpdate(bytes);
     (void)DecodeReadFailure(bytes);
+    (void)DecodeStreamSend(bytes);
   }
 }
 
@@ -194,6 +197,24 @@
   CHECK_FALSE(DecodeReadFailure(EncodeFeedUpdate(update).at(0)).has_value());
 }
 
+TEST(PeerUpdateChannelTest, DecodesAnEncodedSendOfAStream)
+{
+  const firefly::policy::StreamSend sent{ .stream =
+                                            firefly::policy::StreamHash(~0ULL),
+                                          .version =
+                                            firefly::policy::SoftwareVersion(7),
+                                          .backend = 9,
+                                          .hasBegun = true };
+  const auto bytes = EncodeStreamSend(sent);
+  const auto decoded = DecodeStreamSend(bytes);
+  CHECK(decoded->stream == sent.stream);
+  CHECK(decoded->version == sent.version);
+  CHECK(decoded->backend == sent.backend);
+  CHECK_TRUE(decoded->hasBegun);
+  CHECK_FALSE(DecodeNotice(bytes, firefly::Instant{}).has_value());
+  CHECK_FALSE(DecodeStreamSend(bytes + "x").has_value());
+}
+
 TEST(PeerUpdateChannelTest, DecodesAnEncodedNoticeWithItsLongestPrefixes)
 {
   const BackendNotice sent{ .kind = BackendNotice::Kind::kPromptDispatched,
@@ -308,6 +329,7 @@
         .onReadFailure = {},
         .onRoutingUpdate = {},
         .onNotice = {},
+        .onStreamSend = {},
         .onCrashSuspicions = {},
         .domainPeers = [aDomainPeers] { return aDomainPeers; } });
     CHECK_TRUE(channel->Start().has_value());
@@ -354,6 +376,7 @@
             announced[host] += aIsForwarder ? 1 : 100;
           },
         .onNotice = count,
+        .onStreamSend = count,
         .onCrashSuspicions = count,
         .domainPeers =
           [host] {
@@ -367,17 +390,18 @@
   channels[0]->Send(BackendNotice{ .backend = 7 }, targets);
   channels[0]->Send(update, targets);
   channels[0]->Send(firefly::ReadFailure{}, targets);
+  channels[0]->Send(firefly::policy::StreamSend{}, targets);
   channels[0]->Send(
     firefly::RoutingUpdate{ .version = 3, .next = {}, .host = {} }, targets);
   CHECK_TRUE(RunUntil(
     executor,
-    [&] { return received["127.0.1.3"] > 2; },
+    [&] { return received["127.0.1.3"] > 3; },
     std::chrono::seconds(2)));
   RunUntil(
     executor, [] { return false; }, std::chrono::seconds(1));
   LONGS_EQUAL(0, received["127.0.1.1"]);
-  LONGS_EQUAL(3, received["127.0.1.2"]);
-  LONGS_EQUAL(3, received["127.0.1.3"]);
+  LONGS_EQUAL(4, received["127.0.1.2"]);
+  LONGS_EQUAL(4, received["127.0.1.3"]);
   LONGS_EQUAL(1, announced["127.0.1.2"]);
   LONGS_EQUAL(0, announced["127.0.1.3"]);
 }
--- a/tests/servers/relay/relay_fixture.h
+++ b/tests/servers/relay/relay_fixture.h
@@ -99,6 +99,7 @@
   RoutingTableReplica routing;
   BackendPool pool{ executor, {} };
   BackendRegistry backendRegistry{ {}, executor, fleet, pool };
+  policy::StreamOriginTracker streamOrigins;
   Relay relay{
     { .self = HostId("self"), .incarnation = Incarnation(1) },
     { .executor = &executor,
@@ -108,6 +109,7 @@
       .fleet = &fleet,
       .routing = &routing,
       .metrics = &metrics,
+      .streamOrigins = &streamOrigins,
       .tableConfirmedAt = [this] { return std::optional(executor.Now()); },
       .onRequestStarted = [this](const CustomerId&) { started++; } }
   };
@@ -115,7 +117,11 @@
   std::unique_ptr<ScriptedBackend> first;
   std::unique_ptr<ScriptedBackend> second;
 
-  void setup() override { CHECK_TRUE(callers.Start().has_value()); }
+  void setup() override
+  {
+    backendRegistry.ReportVersionsTo(streamOrigins);
+    CHECK_TRUE(callers.Start().has_value());
+  }
 
   void SetRoutingTable()
   {
@@ -141,18 +147,29 @@
 
   void Register(const std::string& aId,
                 const ScriptedBackend& aBackend,
-                std::optional<policy::EngineRole> aRole = {})
+                std::optional<policy::EngineRole> aRole = {},
+                const std::string& aVersion = "v1")
   {
     backendRegistry.Apply({ .id = BackendId(aId),
                             .service = ServiceId(aRole ? "llm" : "desk"),
                             .address = BackendAddress(aBackend.Address()),
                             .domain = {},
                             .slots = 8,
+                            .version = aVersion,
                             .role = aRole,
                             .models = aRole ? std::vector<std::string>{ "m" }
                                             : std::vector<std::string>{} });
   }
 
+  // Makes the relay know for the last minute which versions serve.
+  void KnowVersions()
+  {
+    const auto now = executor.Now();
+    for (auto at = now - 60s; at <= now; at += 1s) {
+      streamOrigins.OnConfirmed(at);
+    }
+  }
+
   std::unique_ptr<ScriptedBackend> StartBackend(ScriptedBackend::Script aScript)
   {
     return std::make_unique<ScriptedBackend>(executor, std::move(aScript));
