Continue no stream of before on a host that has just started

What callers saw: all hosts were killed at once while two versions served; clients took their streams up again and got 200 and a text whose first part came from the old version and the rest from the new one.

Cause: a host that has just started, thawed or was cut off takes the only version that it sees now for the only one that can have begun streams. The old servers had left while the hosts were down. The class is the absence of a record taken for a record of absence.

Change: a host concludes from the versions that it sees only if it has known all changes of the backend servers, without a gap of over 3 s, for as long as a stream may live. Until then sends are recorded and announced, and a take-up that nobody has heard of is refused at once, as not run. One write to the store for each stream would exceed its rates, and what is in the hosts' memory is gone, so that no stream goes on over the end of all hosts.

--- a/policy/stream_origin/stream_origin_tracker.cpp
+++ b/policy/stream_origin/stream_origin_tracker.cpp
@@ -80,10 +80,14 @@
 void
 StreamOriginTracker::OnConfirmed(std::optional<Instant> aConfirmedAt)
 {
-  if (aConfirmedAt) {
-    mConfirmedAt =
-      std::max(mConfirmedAt.value_or(*aConfirmedAt), *aConfirmedAt);
+  if (!aConfirmedAt || (mConfirmedAt && *aConfirmedAt <= *mConfirmedAt)) {
+    return;
+  }
+  if (!mConfirmedAt ||
+      *aConfirmedAt - *mConfirmedAt > mOptions.maxConfirmationGap) {
+    mCompleteSince = aConfirmedAt;
   }
+  mConfirmedAt = aConfirmedAt;
 }
 
 std::size_t
@@ -104,7 +108,8 @@
 {
   const bool isCurrent =
     mConfirmedAt && aNow - *mConfirmedAt <= mOptions.maxConfirmationGap;
-  if (!isCurrent || VersionCount(aService, aNow) != 1) {
+  if (!isCurrent || aNow - *mCompleteSince < Memory() ||
+      VersionCount(aService, aNow) != 1) {
     return std::nullopt;
   }
   const auto& versions = mVersions.at(aService);
--- a/policy/stream_origin/stream_origin_tracker.h
+++ b/policy/stream_origin/stream_origin_tracker.h
@@ -9,7 +9,9 @@
 // before, while two or more versions serve. While only one version can have
 // begun streams, nothing is recorded or announced. Otherwise each host
 // announces its sends of streams to the others, and a stream that no host
-// vouches for is not continued.
+// vouches for is not continued. What a host knows ends with its process, so
+// that after a start it continues no earlier stream until all of them have
+// ended.
 
 #include <cstdint>
 #include <deque>
@@ -75,7 +77,7 @@
     // streams to it for this time.
     Duration lateSends = std::chrono::seconds(5);
     // If the known backend servers were not confirmed for longer than this, a
-    // version may have come meanwhile.
+    // version may have come or gone meanwhile.
     Duration maxConfirmationGap = std::chrono::seconds(3);
     // Maximum number of streams that are remembered.
     std::size_t maxStreams = 16384;
@@ -94,7 +96,8 @@
                  Instant aNow);
   void OnBackendGone(const BackendId& aId, Instant aNow);
 
-  // Sets the time up to which the known backend servers contain all changes.
+  // Sets the time up to which the known backend servers contain all changes;
+  // must be called several times in each maxConfirmationGap.
   void OnConfirmed(std::optional<Instant> aConfirmedAt);
 
   // Whether the versions that can have begun streams of the service are more
@@ -151,6 +154,8 @@
   std::unordered_map<BackendId, KnownBackend> mBackends;
   std::map<ServiceId, std::map<SoftwareVersion, Presence>> mVersions;
   std::optional<Instant> mConfirmedAt;
+  // Since when no change of the backend servers can have been missed.
+  std::optional<Instant> mCompleteSince;
   std::unordered_map<StreamHash, Record> mStreams;
   // The streams by the time of their last known send, or an earlier one.
   std::deque<std::pair<Instant, StreamHash>> mStreamsByAge;
--- a/tests/policy/stream_origin/stream_origin_load_test.cpp
+++ b/tests/policy/stream_origin/stream_origin_load_test.cpp
@@ -313,3 +313,23 @@
     CHECK_TRUE(count.wentOn * 2 >= count.takenUp);
   }
 }
+
+// Guards against streams that are joined from two versions when all hosts end
+// at once and the old servers leave before the hosts are back.
+TEST(StreamOriginLoadTest, NoStreamIsJoinedWhenAllHostsEndAtOnce)
+{
+  Deployment deployment({ .streamsPerSecond = 500 });
+  deployment.Serve({ "v1" });
+  deployment.Play(20s);
+  for (int i = 2; i < 5; ++i) {
+    deployment.Serve({ "v" + std::to_string(i - 1), "v" + std::to_string(i) });
+    deployment.Play(6s);
+    deployment.Kill(1);
+    deployment.Serve({ "v" + std::to_string(i) });
+    deployment.Play(8s);
+  }
+  const auto& count = deployment.Count();
+  Report("all hosts", count);
+  CHECK_TRUE(count.takenUp > 50);
+  LONGS_EQUAL(0, count.joined);
+}
--- a/tests/policy/stream_origin/stream_origin_tracker_test.cpp
+++ b/tests/policy/stream_origin/stream_origin_tracker_test.cpp
@@ -152,14 +152,16 @@
   CHECK_TRUE(send(kNew, true));
 }
 
-// Guards against a host that is cut off and does not see a version that has
-// come.
-TEST(StreamOriginTrackerTest, NothingIsKnownWithoutARecentConfirmation)
+// Guards against a host that was frozen or cut off and missed a version that
+// came and went.
+TEST(StreamOriginTrackerTest, NothingIsKnownAfterAGapInWhatIsConfirmed)
 {
   Pass(20s);
   now += 4s;
   STRCMP_EQUAL("unknown", Origin().c_str());
   tracker.OnConfirmed(now);
+  STRCMP_EQUAL("unknown", Origin().c_str());
+  Pass(16s);
   STRCMP_EQUAL("only version/old", Origin().c_str());
 }
 
@@ -203,3 +205,24 @@
   LONGS_EQUAL(2, tracker.RecordedStreams());
   STRCMP_EQUAL("recorded/old", Origin().c_str());
 }
+
+// Guards against a host that has just started and takes the version that it
+// sees for the only one: all hosts were killed, and the servers that began the
+// streams left meanwhile.
+TEST(StreamOriginTrackerTest, AStartedHostKnowsNoEarlierStream)
+{
+  STRCMP_EQUAL("unknown", Origin().c_str());
+  Pass(14s);
+  STRCMP_EQUAL("unknown", Origin().c_str());
+  CHECK_TRUE(tracker.NeedsRecords(kService, now));
+  Pass(2s);
+  STRCMP_EQUAL("only version/old", Origin().c_str());
+  CHECK_FALSE(tracker.NeedsRecords(kService, now));
+}
+
+// Guards against refusals of streams that began after the start.
+TEST(StreamOriginTrackerTest, AStartedHostKnowsStreamsThatItHasHeardOf)
+{
+  Send(kOld);
+  STRCMP_EQUAL("recorded/old", Origin().c_str());
+}
--- a/tests/servers/relay/stream_version_test.cpp
+++ b/tests/servers/relay/stream_version_test.cpp
@@ -238,3 +238,18 @@
     LONGS_EQUAL(before + (beganAtFirst ? 2 : 0), first->Requests().size());
   }
 }
+
+// Guards against a relay that has just started and continues a stream of before
+// at the only version that it sees: all hosts were killed at once, and the
+// servers that began the stream have left.
+TEST(RelayStreamVersionTest, AStartedRelayContinuesNoStreamOfBefore)
+{
+  first = StartBackend(StallOrGoOn);
+  Register("b1", *first, {}, "v2");
+  SetRoutingTable();
+  streamOrigins.OnConfirmed(executor.Now());
+  const auto answer = TakeUp("/events/1", "q2", "q1");
+  STRCMP_CONTAINS("HTTP/1.1 503 ", answer.c_str());
+  STRCMP_CONTAINS("\r\nRetry-After: ", answer.c_str());
+  LONGS_EQUAL(0, first->Requests().size());
+}
