--- a/review/7/case.py
+++ b/review/7/case.py
@@ -39,7 +39,8 @@
 
     async def answer(self, request, reader, writer):
         if self.misdirected(request):
-            writer.write(r.compose(421, [("Fireflyrouter-Instance-Id", self.id)], b"", "Misdirected"))
+            writer.write(r.compose(421, [("Fireflyrouter-Request-Id", request.get("Fireflyrouter-Request-Id")),
+                                       ("Fireflyrouter-Instance-Id", self.id)], b"", "Misdirected"))
             await writer.drain()
             return True
         await asyncio.sleep(self.work_s)
--- a/review/rig/engines.py
+++ b/review/rig/engines.py
@@ -40,22 +40,25 @@
         self.extra = {"stage": stage, "version": version,
                       "models": [{"name": "m", "version": 1, "adapters": []}]}
 
-    async def reply(self, writer, status, headers, body=b"", reason="OK"):
+    async def reply(self, request, writer, status, headers, body=b"", reason="OK"):
+        name = "Fireflyrouter-Request-Id"
+        if request.get(name):
+            headers = [(name, request.get(name))] + headers
         writer.write(r.compose(status, headers, body, reason))
         await writer.drain()
         return True
 
     async def order(self, request, writer):
         if self.misdirected(request):
-            return await self.reply(writer, 421, [("Fireflyrouter-Instance-Id", self.id)])
+            return await self.reply(request, writer, 421, [("Fireflyrouter-Instance-Id", self.id)])
         body = json.loads(request.body)
         if self.switching:
-            return await self.reply(writer, 409, [], reason="Conflict")
+            return await self.reply(request, writer, 409, [], reason="Conflict")
         if body["stage"] == self.extra["stage"]:
-            return await self.reply(writer, 200, [])
+            return await self.reply(request, writer, 200, [])
         self.orders += 1
         self.switching = asyncio.create_task(self.switch(body["stage"]))
-        return await self.reply(writer, 202, [], reason="Accepted")
+        return await self.reply(request, writer, 202, [], reason="Accepted")
 
     async def switch(self, stage):
         await asyncio.sleep(self.switch_s)
@@ -67,22 +70,21 @@
             return await self.order(request, writer)
         if request.start.startswith("DELETE /-/kv-handle/"):
             self.handles.pop(request.start.split(" ")[1].rsplit("/", 1)[1], None)
-            return await self.reply(writer, 200, [])
+            return await self.reply(request, writer, 200, [])
         if self.misdirected(request):
-            return await self.reply(writer, 421, [("Fireflyrouter-Instance-Id", self.id)])
+            return await self.reply(request, writer, 421, [("Fireflyrouter-Instance-Id", self.id)])
         if self.switching:
-            return await self.reply(writer, 503, [("Fireflyrouter-Not-Run", "1")], reason="Busy")
+            return await self.reply(request, writer, 503, [("Fireflyrouter-Not-Run", "1")], reason="Busy")
         prefill = request.get("Fireflyrouter-Stage") == "prefill"
         if prefill != (self.extra["stage"] == "prefill"):
-            return await self.reply(writer, 421, [("Fireflyrouter-Instance-Id", self.id)])
+            return await self.reply(request, writer, 421, [("Fireflyrouter-Instance-Id", self.id)])
         if prefill:
             await asyncio.sleep(self.prefill_s)
             handle = "%012x" % random.getrandbits(48)
             self.handles[handle] = time.monotonic()
             body = json.dumps({"kvHandle": handle, "tokens": 1460, "version": 1}).encode()
             return await self.reply(
-                writer, 200, [("Fireflyrouter-Request-Id", request.get("Fireflyrouter-Request-Id")),
-                              ("Content-Type", "application/json")], body)
+                request, writer, 200, [("Content-Type", "application/json")], body)
         return await self.stream(request, writer)
 
     async def stream(self, request, writer):
@@ -105,6 +107,8 @@
     """What one client saw of one stream, over its tries."""
 
     def __init__(self):
+        self.own = random.getrandbits(32)
+        self.body = b"%040x" % random.getrandbits(160)
         self.first = None  # id of the try that brought the first event
         self.events = []  # (id, data)
         self.tries = []  # (time, relay, resumed, status, events got)
@@ -117,8 +121,9 @@
     headers = [f"POST {PATH}2f HTTP/1.1", f"Host: {HOST}",
                f"Fireflyrouter-Request-Id: {request}", "Fireflyrouter-Model: m",
                "Fireflyrouter-Token-Count: 1460,80",
-               f"Fireflyrouter-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,{random.getrandbits(32):x}:250",
-               f"Fireflyrouter-Deadline-Ms: {int(timeout * 1000)}", "Content-Length: 0"]
+               f"Fireflyrouter-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,{stream.own:x}:250",
+               f"Fireflyrouter-Deadline-Ms: {int(timeout * 1000)}",
+               f"Content-Length: {len(stream.body)}"]
     resumed = bool(stream.events)
     if resumed:
         headers += [f"Last-Event-Id: {stream.events[-1][0]}", f"Resumes: {stream.first}"]
@@ -126,7 +131,7 @@
     writer = None
     try:
         reader, writer = await asyncio.wait_for(asyncio.open_connection(*relay.front), 1)
-        writer.write(("\r\n".join(headers) + "\r\n\r\n").encode())
+        writer.write(("\r\n".join(headers) + "\r\n\r\n").encode() + stream.body)
         head = await asyncio.wait_for(r.read_head(reader), timeout)
         status = int(head.start.split(" ")[1])
         if status == 200:
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -21,6 +21,9 @@
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+# Machines and runners have loopback addresses of their own; cases that run side by
+# side use other ones.
+NET = f"127.{20 + os.getpid() % 200}"
 
 
 def free_port(host="127.0.0.1", kind=socket.SOCK_STREAM):
@@ -392,7 +395,9 @@
 
     async def answer(self, request, reader, writer):
         if self.misdirected(request):
-            writer.write(compose(421, [("Fireflyrouter-Instance-Id", self.id)], b"", "Misdirected"))
+            writer.write(compose(421, [
+                ("Fireflyrouter-Request-Id", request.get("Fireflyrouter-Request-Id")),
+                ("Fireflyrouter-Instance-Id", self.id)], b"", "Misdirected"))
             await writer.drain()
             return True
         self.ran.append(request)
@@ -527,12 +532,12 @@
         for i in range(count):
             zone = self.zones[i % len(self.zones)]
             # Every machine has an address of its own; the ports are the same.
-            relay = Relay(self, f"edge-{zone}-{i // len(self.zones) + 1}", f"127.0.7.{i + 1}", zone)
+            relay = Relay(self, f"edge-{zone}-{i // len(self.zones) + 1}", f"{NET}.7.{i + 1}", zone)
             self.relays.append(relay)
         self.seeds = [f"{it.ip}:{self.ports['control']}" for it in self.relays[:3]]
 
     def add_runner(self, service, zone, cls=Runner, **options):
-        host = f"127.0.8.{len(self.runners) + 1}"
+        host = f"{NET}.8.{len(self.runners) + 1}"
         runner = cls(host, free_port(host), self.store, service, zone, self.record, **options)
         self.runners.append(runner)
         return runner
