--- a/review/7/case.py
+++ b/review/7/case.py
@@ -87,6 +87,11 @@
                     key = f"{it[1].name} {it[3]}"
                     statuses[key] = statuses.get(key, 0) + 1
         rig.record(f"streams: {len(streams)}, whole {sum(it.whole for it in streams)}")
+        for stream in streams:
+            if len(stream.tries) > 1:
+                rig.record(f"stream {stream.first}, {len(stream.events)} events: " + "; ".join(
+                    f"{it[0] - rig.begin:.2f} {'taken up' if it[2] else 'sent'} at {it[1].name}, "
+                    f"answered {it[3]}, {it[4]} events" for it in stream.tries))
         rig.record(f"new streams at machines in touch: {len(new)}, began {began}")
         rig.record(f"taken up again at machines in touch: {taken}, went on {went_on}; {statuses}")
         for name, line in rig.logs("version that began the stream")[:5]:
