Keep one holder of a lease when its records expire

Cause: the holder's claim is removed by the log, while the renewals that follow it are kept. The checkpoint that should state it again came every 10 minutes, whatever the log keeps. A candidate that read no claim concluded that there was no holder, wrote a checkpoint of an empty state and claimed from it; readers with the history ignored that, those without went on from it.

Evidence: the records of the log and both relays' lines of acquisition.

Change: a holder of a stream that holds nothing but a lease states it with renewals, twice a lease. A candidate that cannot see the beginning of its stream waits until a lease that it cannot see has expired; its claim names the part of the stream that it waited through, and readers with and without the history judge it alike. A holder whose history is removed states its lease again. The same default stood in the stream of the engines' roles.

--- a/coord/authority_state.cpp
+++ b/coord/authority_state.cpp
@@ -1,5 +1,6 @@
 #include "coord/authority_state.h"
 
+#include <algorithm>
 #include <array>
 #include <tuple>
 #include <utility>
@@ -89,6 +90,36 @@
   return lease;
 }
 
+// A claim, as its record states it.
+struct Claim
+{
+  // Whether it names the lease that it replaces, with its newest renewal;
+  // otherwise it names a silent span.
+  bool expectsLease = false;
+  FencingNumber fence{};
+  LogOffset renewed{};
+  HostId holder{};
+  Incarnation incarnation{};
+  SilentSpan silent{};
+};
+
+std::optional<Claim>
+ReadClaim(const std::string& aBody)
+{
+  FieldReader reader(aBody);
+  Claim claim;
+  claim.expectsLease = reader.Flag();
+  claim.fence = FencingNumber(reader.Number());
+  claim.renewed = LogOffset(reader.Number());
+  claim.holder = HostId(reader.Text());
+  claim.incarnation = Incarnation(reader.Number());
+  if (reader.Ok() && !reader.AtEnd()) {
+    claim.silent.from = LogOffset(reader.Number());
+    claim.silent.to = LogOffset(reader.Number());
+  }
+  return reader.Ok() ? std::optional(claim) : std::nullopt;
+}
+
 void
 WriteEntry(FieldWriter& aWriter, const PlanEntry& aEntry)
 {
@@ -164,24 +195,47 @@
   return ApplyUnderFence(aOffset, aRecord);
 }
 
+bool
+AuthorityState::ConcernsLease(RecordKind aKind)
+{
+  return aKind == RecordKind::kClaim || aKind == RecordKind::kRenewal ||
+         aKind == RecordKind::kRelease;
+}
+
+bool
+AuthorityState::BeginsWith(const Envelope& aRecord,
+                           LogOffset aFirst,
+                           const std::vector<UndecidedRecord>& aEarlier) const
+{
+  if (aRecord.kind != RecordKind::kClaim) {
+    return false;
+  }
+  const auto claim = ReadClaim(aRecord.body);
+  if (!claim || claim->expectsLease || claim->silent.to < aFirst) {
+    return false;
+  }
+  return std::ranges::none_of(aEarlier, [&](const UndecidedRecord& aIt) {
+    return aIt.offset >= claim->silent.from && ConcernsLease(aIt.record.kind);
+  });
+}
+
 bool
 AuthorityState::ApplyClaim(LogOffset aOffset, const Envelope& aRecord)
 {
-  FieldReader reader(aRecord.body);
-  const bool expects = reader.Flag();
-  const FencingNumber fence(reader.Number());
-  const LogOffset renewed(reader.Number());
-  const HostId holder(reader.Text());
-  const Incarnation incarnation(reader.Number());
-  if (!reader.Ok() || expects != mLease.has_value()) {
+  const auto claim = ReadClaim(aRecord.body);
+  if (!claim) {
     return false;
   }
-  if (mLease && (mLease->fence != fence || mLease->renewed != renewed)) {
+  const bool isNewest = claim->expectsLease
+                          ? mLease && mLease->fence == claim->fence &&
+                              mLease->renewed == claim->renewed
+                          : !mLease || mLease->renewed < claim->silent.from;
+  if (!isNewest) {
     return false;
   }
   mLease = LeaseView{ .fence = FencingNumber(aOffset.Value()),
-                      .holder = holder,
-                      .incarnation = incarnation,
+                      .holder = claim->holder,
+                      .incarnation = claim->incarnation,
                       .renewed = aOffset,
                       .released = false,
                       .newest = aRecord.id };
@@ -377,7 +431,8 @@
 std::string
 AuthorityState::ClaimBody(const std::optional<LeaseView>& aExpects,
                           const HostId& aHolder,
-                          Incarnation aIncarnation)
+                          Incarnation aIncarnation,
+                          const SilentSpan& aSilent)
 {
   const auto expects = aExpects.value_or(LeaseView{});
   return FieldWriter()
@@ -386,6 +441,8 @@
     .Number(expects.renewed.Value())
     .Text(aHolder.Value())
     .Number(aIncarnation.Value())
+    .Number(aSilent.from.Value())
+    .Number(aSilent.to.Value())
     .Take();
 }
 
--- a/coord/authority_state.h
+++ b/coord/authority_state.h
@@ -99,6 +99,15 @@
   RecordId newest{};
 };
 
+// The part of a stream in which a candidate has found no claim, renewal or
+// release, and for which it has waited until each lease that was renewed before
+// it has expired. A claim that names it needs no older record.
+struct SilentSpan
+{
+  LogOffset from{};
+  LogOffset to{};
+};
+
 // Folds the records of the "authority" stream.
 class AuthorityState : public Fold
 {
@@ -110,6 +119,15 @@
   bool Apply(LogOffset aOffset, const Envelope& aRecord) override;
   [[nodiscard]] std::string Save() const override;
   bool Load(std::string_view aState) override;
+  // A claim that names a silent span begins the history if no record after the
+  // span's beginning can contradict it.
+  [[nodiscard]] bool BeginsWith(
+    const Envelope& aRecord,
+    LogOffset aFirst,
+    const std::vector<UndecidedRecord>& aEarlier) const override;
+
+  // Whether records of this kind state who holds the lease.
+  [[nodiscard]] static bool ConcernsLease(RecordKind aKind);
 
   // The newest valid claim, or nothing before the first one.
   [[nodiscard]] const std::optional<LeaseView>& Lease() const { return mLease; }
@@ -130,7 +148,8 @@
   // Encode the bodies of the stream's records.
   static std::string ClaimBody(const std::optional<LeaseView>& aExpects,
                                const HostId& aHolder,
-                               Incarnation aIncarnation);
+                               Incarnation aIncarnation,
+                               const SilentSpan& aSilent = {});
   static std::string RenewalBody(FencingNumber aFence);
   static std::string ReleaseBody(FencingNumber aFence);
   static std::string IntentBody(const Order& aOrder);
--- a/coord/authority_stream.cpp
+++ b/coord/authority_stream.cpp
@@ -1,5 +1,7 @@
 #include "coord/authority_stream.h"
 
+#include <utility>
+
 namespace firefly::coord {
 
 namespace {
@@ -41,12 +43,35 @@
   UpdateLeaseReadAt();
 }
 
+void
+AuthorityStream::OnUndecided(LogOffset aOffset, const Envelope& aRecord)
+{
+  if (AuthorityState::ConcernsLease(aRecord.kind)) {
+    mLeaseReadAt = mExecutor.Now();
+    mSilentFrom = LogOffset(aOffset.Value() + 1);
+  }
+}
+
 void
 AuthorityStream::OnCaughtUp()
 {
+  NoteRestart();
   UpdateLeaseReadAt();
 }
 
+void
+AuthorityStream::NoteRestart()
+{
+  const auto restarts = mFold.Reader().Restarts();
+  if (std::exchange(mRestarts, restarts) == restarts) {
+    return;
+  }
+  mMayHideLease =
+    PositionOf(mFold.First()) > 0 && mOptions.formerEnd != mFold.Position();
+  mLeaseReadAt = mExecutor.Now();
+  mSilentFrom = mFold.Position();
+}
+
 void
 AuthorityStream::UpdateLeaseReadAt()
 {
@@ -63,15 +88,20 @@
 void
 AuthorityStream::MaintainCheckpoint()
 {
-  const bool lost = mFold.State() == StreamFold::Status::kLost;
-  const bool old =
+  const bool isLost = mFold.State() == StreamFold::Status::kLost;
+  const bool isOld =
     mExecutor.Now() - mFold.LastCheckpoint() >= mOptions.checkpointInterval;
-  if (mIsCheckpointing || !(lost || (mFold.Ready() && old))) {
+  if (mIsCheckpointing || !(isLost || (mFold.Ready() && isOld))) {
+    return;
+  }
+  auto checkpoint = isLost ? mFold.MakeCheckpointFromBefore()
+                           : std::optional(mFold.MakeCheckpoint());
+  if (!checkpoint) {
     return;
   }
   mIsCheckpointing = true;
   mWriter.Append(RecordKind::kCheckpoint,
-                 mFold.MakeCheckpoint(),
+                 std::move(*checkpoint),
                  mExecutor.Now() + kCheckpointTimeout,
                  [this](const tl::expected<Confirmation, WriteError>&) {
                    mIsCheckpointing = false;
--- a/coord/authority_stream.h
+++ b/coord/authority_stream.h
@@ -22,8 +22,13 @@
     const StateChart* backendChart = nullptr; // charts/backend.toml
     Duration pollInterval = std::chrono::seconds(1);
     // How often the authority appends a new checkpoint. Must be well below the
-    // log's retention time.
-    Duration checkpointInterval = std::chrono::minutes(10);
+    // log's retention time. A stream that holds nothing but a lease needs one
+    // within each lease only: an older lease has expired.
+    Duration checkpointInterval = std::chrono::seconds(3);
+    // Where the stream ended when this process, as the newest holder of its
+    // lease, last read it; empty if it was not that. If the stream ends there
+    // still, no other process can hold the lease.
+    std::optional<LogOffset> formerEnd{};
     std::uint64_t seed = 1; // of the jitter
   };
 
@@ -47,13 +52,23 @@
   // Writes to the stream and reports what the fold made of each record.
   [[nodiscard]] ConfirmedWriter& Writer() { return mWriter; }
 
+  // The part of the stream in which no lease was stated since LeaseReadAt().
+  [[nodiscard]] SilentSpan Silent() const
+  {
+    return { .from = mSilentFrom, .to = mFold.Position() };
+  }
+
   // When this process read the newest claim or renewal. A candidate's waiting
   // time starts then. If the stream has no claim, this is when that was found.
   [[nodiscard]] Instant LeaseReadAt() const { return mLeaseReadAt; }
 
-  // Appends a checkpoint if the last one is older than the checkpoint interval
-  // or if the start of the history was lost without a checkpoint. The lease
-  // holder calls it on each tick, a candidate while the state is not ready.
+  // Whether another process may hold the lease although the state has none: the
+  // claim and its renewals may be among the records that the log has removed.
+  [[nodiscard]] bool MayHideLease() const { return mMayHideLease; }
+
+  // Appends a checkpoint if the last one is older than the checkpoint interval,
+  // or if the log has removed the history, with the state from before. The
+  // lease holder calls it with each renewal.
   void MaintainCheckpoint();
 
 private:
@@ -62,6 +77,8 @@
                  bool aAccepted) override;
   void OnCaughtUp() override;
   void UpdateLeaseReadAt();
+  void OnUndecided(LogOffset aOffset, const Envelope& aRecord) override;
+  void NoteRestart();
 
   Options mOptions;
   Executor& mExecutor;
@@ -71,6 +88,10 @@
   std::optional<LogOffset> mLeaseRecord;
   bool mHasReadLease = false;
   Instant mLeaseReadAt{};
+  // Of the reader, when the end of the stream was last reached.
+  std::uint64_t mRestarts = 0;
+  bool mMayHideLease = false;
+  LogOffset mSilentFrom{};
   bool mIsCheckpointing = false;
 };
 
--- a/coord/lease.cpp
+++ b/coord/lease.cpp
@@ -74,8 +74,9 @@
   TickHolder();
 }
 
-// A follower sends a claim once the newest lease that it read has expired, its
-// random delay has passed, and a read sent after that found no newer lease.
+// A follower sends a claim once the newest lease that it read, or one that the
+// log may no longer show, has expired, its random delay has passed, and a read
+// sent after that found no newer lease.
 void
 Lease::TickFollower()
 {
@@ -92,10 +93,6 @@
     mStream.Folding().ReadNow();
     return;
   }
-  if (!mStream.Folding().Ready()) {
-    mStream.MaintainCheckpoint();
-    return;
-  }
   SendClaim();
 }
 
@@ -104,12 +101,12 @@
 {
   const auto& lease = mStream.State().Lease();
   const auto read = mStream.LeaseReadAt();
-  if (!lease || lease->released) {
+  if (lease ? lease->released : !mStream.MayHideLease()) {
     return read;
   }
   // This process held the lease through a former object that no longer exists,
   // so there is no need to wait for it to expire.
-  if (lease->holder == mOptions.host &&
+  if (lease && lease->holder == mOptions.host &&
       lease->incarnation == mOptions.incarnation) {
     return read;
   }
@@ -124,8 +121,10 @@
   const auto sent = mExecutor.Now();
   mStream.Writer().Append(
     RecordKind::kClaim,
-    AuthorityState::ClaimBody(
-      mStream.State().Lease(), mOptions.host, mOptions.incarnation),
+    AuthorityState::ClaimBody(mStream.State().Lease(),
+                              mOptions.host,
+                              mOptions.incarnation,
+                              mStream.Silent()),
     sent + mOptions.duration,
     mGuard.Wrap(
       [this, sent](const tl::expected<Confirmation, WriteError>& aResult) {
@@ -161,9 +160,15 @@
   }
   if (mExecutor.Now() >= mValidUntil) {
     Lapse();
+    if (mStream.Folding().State() == StreamFold::Status::kLost) {
+      // Nobody can tell any more whether the lease is still the newest.
+      OnSuperseded();
+      return;
+    }
   }
-  mStream.MaintainCheckpoint();
   if (mExecutor.Now() - mRenewSent >= mOptions.renewInterval) {
+    // Both share one append.
+    mStream.MaintainCheckpoint();
     SendRenewal();
   }
 }
--- a/coord/stream_fold.cpp
+++ b/coord/stream_fold.cpp
@@ -78,9 +78,21 @@
     { .next = mReader.Position(), .state = mFold.Save() });
 }
 
+std::optional<std::string>
+StreamFold::MakeCheckpointFromBefore() const
+{
+  if (!mStateBefore) {
+    return std::nullopt;
+  }
+  return EncodeCheckpoint({ .next = mFirst, .state = *mStateBefore });
+}
+
 void
 StreamFold::OnRestart(LogOffset aFirst)
 {
+  if (mHasBase) {
+    mStateBefore = mFold.Save();
+  }
   mFirst = aFirst;
   mHasBase = PositionOf(aFirst) == 0 || !mFold.NeedsHistory();
   mBufferedRecords.clear();
@@ -98,10 +110,18 @@
   if (record->kind == RecordKind::kCheckpoint) {
     OnCheckpoint(*record);
   }
+  if (!mHasBase && mFold.BeginsWith(*record, mFirst, mBufferedRecords)) {
+    mHasBase = true;
+    mBufferedRecords.clear();
+  }
   if (mHasBase) {
     ApplyOne(aRecord.offset, *record);
     return;
   }
+  const auto observers = mObservers;
+  for (auto* it : observers) {
+    it->OnUndecided(aRecord.offset, *record);
+  }
   mBufferedRecords.push_back(
     { .offset = aRecord.offset, .record = std::move(*record) });
 }
--- a/coord/stream_fold.h
+++ b/coord/stream_fold.h
@@ -15,6 +15,13 @@
 
 namespace firefly::coord {
 
+// A record that was read before the state that it applies to was known.
+struct UndecidedRecord
+{
+  LogOffset offset{};
+  Envelope record;
+};
+
 // A state that records change. The same records always yield the same state.
 class Fold
 {
@@ -32,6 +39,17 @@
   // is folded from the kept records alone, without checkpoints.
   [[nodiscard]] virtual bool NeedsHistory() const { return true; }
 
+  // Whether the record settles the state of a stream whose earlier records were
+  // removed, so that the fold may begin with it on an empty state. aEarlier
+  // holds the records between aFirst and this one.
+  [[nodiscard]] virtual bool BeginsWith(
+    const Envelope& /*aRecord*/,
+    LogOffset /*aFirst*/,
+    const std::vector<UndecidedRecord>& /*aEarlier*/) const
+  {
+    return false;
+  }
+
   // Encodes the state for a checkpoint.
   [[nodiscard]] virtual std::string Save() const = 0;
 
@@ -53,6 +71,12 @@
                          LogOffset aOffset,
                          bool aAccepted) = 0;
 
+  // A record was read that cannot be processed: the start of the history was
+  // removed, and no checkpoint has been read.
+  virtual void OnUndecided(LogOffset /*aOffset*/, const Envelope& /*aRecord*/)
+  {
+  }
+
   // All records up to the end of the stream were folded.
   virtual void OnCaughtUp() {}
 };
@@ -92,6 +116,8 @@
     return mReader.FreshAt();
   }
   [[nodiscard]] LogOffset Position() const { return mReader.Position(); }
+  // The oldest record that was kept when reading last started.
+  [[nodiscard]] LogOffset First() const { return mFirst; }
   [[nodiscard]] const StreamReader& Reader() const { return mReader; }
 
   // When a checkpoint was last read, or when reading started.
@@ -102,6 +128,11 @@
   // the stream.
   [[nodiscard]] std::string MakeCheckpoint() const;
 
+  // With the status kLost: encodes the state from before the history was
+  // removed, as that at the oldest kept record. Only right for a process whose
+  // records alone change the state. Empty if there was no state before.
+  [[nodiscard]] std::optional<std::string> MakeCheckpointFromBefore() const;
+
 private:
   void OnRestart(LogOffset aFirst) override;
   void OnRecord(const LogRecord& aRecord) override;
@@ -109,18 +140,14 @@
   void OnCheckpoint(const Envelope& aRecord);
   void ApplyOne(LogOffset aOffset, const Envelope& aRecord);
 
-  struct BufferedRecord
-  {
-    LogOffset offset{};
-    Envelope record;
-  };
-
   Executor& mExecutor;
   Fold& mFold;
   StreamReader mReader;
   std::vector<FoldObserver*> mObservers;
   // Records to apply once a checkpoint was read.
-  std::vector<BufferedRecord> mBufferedRecords;
+  std::vector<UndecidedRecord> mBufferedRecords;
+  // The state before the history was removed.
+  std::optional<std::string> mStateBefore;
   LogOffset mFirst;
   bool mHasBase = false; // the fold began at the stream's start or a checkpoint
   Instant mLastCheckpoint{};
--- a/coord/testing/fake_log.cpp
+++ b/coord/testing/fake_log.cpp
@@ -228,6 +228,13 @@
     mAppendedBytes += it.size();
     stream.payloads.push_back(it);
   }
+  if (mOptions.retention > Duration::zero()) {
+    After(mOptions.retention, [this, aStream, end = End(aStream)] {
+      if (EraOf(end) == mEra) {
+        Trim(aStream, end);
+      }
+    });
+  }
   return first;
 }
 
--- a/coord/testing/fake_log.h
+++ b/coord/testing/fake_log.h
@@ -37,6 +37,8 @@
     double lateAppend = 0;  // the append takes effect after the time-out
     // The maximum delay of a late append after the time-out.
     Duration lateness = std::chrono::seconds(5);
+    // How long records are kept; 0 keeps them until Trim().
+    Duration retention{};
   };
 
   FakeLog(const Options& aOptions, VirtualExecutor& aExecutor);
--- a/servers/duties/duty_holder.cpp
+++ b/servers/duties/duty_holder.cpp
@@ -141,6 +141,7 @@
         std::to_string(mParts.executor->Now().time_since_epoch().count())),
       .backendChart = mOptions.backendChart,
       .pollInterval = kPollInterval,
+      .checkpointInterval = mOptions.lease / 2,
       .seed = mOptions.seed },
     coord::Lease::Options{ .host = mOptions.host,
                            .incarnation = mOptions.incarnation,
--- a/servers/relay/role_order_issuer.cpp
+++ b/servers/relay/role_order_issuer.cpp
@@ -138,8 +138,7 @@
     if (mCandidacy && now - mLastWanted > kCandidacyIdleTimeout) {
       // The lease is not released but expires: a successor must not send orders
       // at once.
-      mLog.Info("candidacy for the authority ended");
-      mCandidacy.reset();
+      EndCandidacy();
     }
     return;
   }
@@ -166,11 +165,22 @@
   // does not show can still be held.
   mNotCandidateBefore = mParts.executor->Now() + 2 * mOptions.lease;
   if (mCandidacy) {
-    mLog.Info("candidacy for the authority ended");
-    mCandidacy.reset();
+    EndCandidacy();
   }
 }
 
+void
+RoleOrderIssuer::EndCandidacy()
+{
+  mLog.Info("candidacy for the authority ended");
+  const auto holder = mCandidacy->lease.CurrentHolder();
+  if (holder && holder->host == mOptions.host &&
+      holder->incarnation == mOptions.incarnation) {
+    mFormerEnd = mCandidacy->stream.Folding().Position();
+  }
+  mCandidacy.reset();
+}
+
 void
 RoleOrderIssuer::BecomeCandidate()
 {
@@ -186,6 +196,8 @@
         std::to_string(mParts.executor->Now().time_since_epoch().count())),
       .backendChart = mOptions.backendChart,
       .pollInterval = kPollInterval,
+      .checkpointInterval = mOptions.lease / 2,
+      .formerEnd = mFormerEnd,
       .seed = mOptions.seed },
     coord::Lease::Options{ .host = mOptions.host,
                            .incarnation = mOptions.incarnation,
--- a/servers/relay/role_order_issuer.h
+++ b/servers/relay/role_order_issuer.h
@@ -82,6 +82,7 @@
 
   void Tick();
   void BecomeCandidate();
+  void EndCandidacy();
   void SendOrders(const std::vector<policy::RoleChange>& aChanges);
   void SendOrder(const policy::RoleChange& aChange, FencingNumber aFence);
   void OnAnswer(const BackendId& aBackend, const std::string& aOutcome);
@@ -96,6 +97,8 @@
   // When changes were last wanted.
   Instant mLastWanted{};
   std::unique_ptr<Candidacy> mCandidacy;
+  // See AuthorityStream::Options::formerEnd.
+  std::optional<coord::LogOffset> mFormerEnd;
   Instant mNotCandidateBefore{};
   // Orders that wait for an answer, and the time before which an engine is sent
   // no further order.
--- a/tests/coord/authority_test.cpp
+++ b/tests/coord/authority_test.cpp
@@ -1,7 +1,9 @@
 // Tests the rules of the authority stream and the lease.
 
+#include <algorithm>
 #include <cstdio>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,13 +74,15 @@
   Candidate(VirtualExecutor& aExecutor,
             FakeLog& aLog,
             int aIndex,
-            const std::string& aWriterSuffix = "1")
+            const std::string& aWriterSuffix = "1",
+            std::optional<LogOffset> aFormerEnd = {})
     : name("host-" + std::to_string(aIndex))
     , process(aExecutor)
     , stream({ .stream = kStream,
                .writer = WriterId(name + "/" + aWriterSuffix),
                .backendChart = &TestChart("backend"),
                .checkpointInterval = 20s,
+               .formerEnd = aFormerEnd,
                .seed = 1U + aIndex },
              process,
              aLog.MakeClient(name, process))
@@ -404,4 +408,107 @@
         *fresh.lease.Held());
 }
 
+// Guards against two holders: a candidate that finds no claim in a log that has
+// removed records must not conclude that there is no holder.
+TEST(LeaseTest, ACandidateWithoutHistoryWaitsForALeaseThatItCannotSee)
+{
+  Cluster cluster(1);
+  auto& holder = cluster.RunUntilHeld();
+  cluster.executor.RunFor(10s);
+  const auto fence = *holder.lease.Held();
+  cluster.log.SetPartitioned(holder.name, true);
+  cluster.log.Trim(kStream, cluster.log.End(kStream));
+  Candidate fresh(cluster.executor, cluster.log, 7);
+  while (!fresh.lease.Held()) {
+    cluster.executor.RunFor(10ms);
+    CHECK_FALSE(holder.lease.Held() && fresh.lease.Held());
+  }
+  CHECK(*fresh.lease.Held() > fence);
+  cluster.log.SetPartitioned(holder.name, false);
+  cluster.executor.RunFor(10s);
+  CHECK_FALSE(holder.lease.Held().has_value());
+  CHECK(holder.lease.CurrentHolder()->fence == *fresh.lease.Held());
+}
+
+// Two candidates may end their waiting at the same time. Both claims name no
+// older lease, so only the first one may count, for readers that have read all
+// records as well as for those that have not.
+TEST(LeaseTest, OnlyTheFirstOfTwoClaimsWithoutHistoryCounts)
+{
+  Cluster cluster(2);
+  cluster.RunUntilHeld();
+  cluster.candidates[0]->process.Kill();
+  cluster.candidates[1]->process.Kill();
+  cluster.log.Trim(kStream, cluster.log.End(kStream));
+  std::vector<std::unique_ptr<Candidate>> fresh;
+  for (int n = 0; n < 8; ++n) {
+    fresh.push_back(
+      std::make_unique<Candidate>(cluster.executor, cluster.log, 10 + n));
+  }
+  for (int n = 0; n < 600; ++n) {
+    cluster.executor.RunFor(50ms);
+    CHECK_TRUE(std::ranges::count_if(fresh, [](const auto& aIt) {
+                 return aIt->lease.Held().has_value();
+               }) <= 1);
+  }
+  for (const auto& it : fresh) {
+    CHECK(it->lease.CurrentHolder()->fence ==
+          fresh.front()->lease.CurrentHolder()->fence);
+  }
+}
+
+// Guards against a pause of all duties, and against a second holder, when the
+// log removes its history while the lease is held.
+TEST(LeaseTest, AHolderStatesItsLeaseAgainWhenTheLogRemovesTheHistory)
+{
+  Cluster cluster(2);
+  auto& holder = cluster.RunUntilHeld();
+  holder.journal.Advance(
+    *holder.lease.Held(), kBackend, "close", [](const auto&) {});
+  cluster.executor.RunFor(10s);
+  const auto fence = *holder.lease.Held();
+  cluster.log.Trim(kStream, cluster.log.End(kStream));
+  for (int n = 0; n < 300; ++n) {
+    cluster.executor.RunFor(100ms);
+    CHECK(holder.lease.Held() == fence);
+  }
+  Candidate late(cluster.executor, cluster.log, 7);
+  cluster.executor.RunFor(5s);
+  CHECK(late.lease.CurrentHolder()->fence == fence);
+  STRCMP_EQUAL("closing", late.stream.State().Find(kBackend)->state.c_str());
+}
+
+// Guards against a holder that never claims again after its lease has lapsed
+// and the log has removed its claim.
+TEST(LeaseTest, ALapsedHolderWithoutHistoryBecomesACandidateAgain)
+{
+  Cluster cluster(1);
+  const auto& holder = cluster.RunUntilHeld();
+  const auto fence = *holder.lease.Held();
+  cluster.log.SetPartitioned(holder.name, true);
+  cluster.executor.RunFor(10s);
+  cluster.log.Trim(kStream, cluster.log.End(kStream));
+  cluster.log.SetPartitioned(holder.name, false);
+  CHECK(*cluster.RunUntilHeld().lease.Held() > fence);
+}
+
+// Guards against waiting for a lease that nobody can hold: engines would keep
+// their roles for its duration.
+TEST(LeaseTest, AFormerHolderDoesNotWaitIfNothingWasWrittenSince)
+{
+  VirtualExecutor executor;
+  FakeLog log({}, executor);
+  auto first = std::make_unique<Candidate>(executor, log, 0, "1");
+  executor.RunFor(10s);
+  const auto fence = *first->lease.Held();
+  first->process.Kill();
+  executor.RunFor(1s);
+  log.Trim(kStream, log.End(kStream));
+  Candidate again(executor, log, 0, "2", log.End(kStream));
+  // Enough for the stagger and one tick, but not for a lease to expire.
+  executor.RunFor(4s);
+  CHECK_TRUE(again.lease.Held().has_value());
+  CHECK(again.lease.Held()->Value() > fence.Value());
+}
+
 } // namespace firefly::coord
--- a/tests/servers/duties/duty_holder_test.cpp
+++ b/tests/servers/duties/duty_holder_test.cpp
@@ -137,6 +137,27 @@
   CHECK_TRUE(std::max(a.holder.Held(), b.holder.Held()) > token);
 }
 
+// Guards against two holders after a planned restart of the one that does not
+// hold the duties, when the holder's claim has expired in the log: the
+// restarted one took an empty history for duties that nobody holds.
+TEST(DutyHolderTest, ARestartedRelayFindsTheHolderWhoseClaimHasExpired)
+{
+  FakeLog shortLog({ .retention = 20s }, executor);
+  Host a(executor, shortLog, "a", 0);
+  executor.RunFor(10s);
+  Host b(executor, shortLog, "b", 1);
+  executor.RunFor(30s);
+  const auto token = a.holder.Held();
+  CHECK_TRUE(token.has_value());
+  b.holder.Stop();
+  b.process.Kill();
+  Host restarted(executor, shortLog, "b", 1);
+  executor.RunFor(20s);
+  CHECK_TRUE(restarted.holder.CurrentHolder().has_value());
+  CHECK_TRUE(a.holder.Held() == token);
+  CHECK_FALSE(restarted.holder.Held().has_value());
+}
+
 // The former holder knows what it wrote to the log and the copy lacks.
 TEST(DutyHolderTest, TheFormerHolderComesFirstAfterARestoreOfTheLog)
 {
