Report no usage window again after its record has expired

What callers saw: none has reported it.

Cause: a new holder takes the newest record for the newest report. With all records expired it began with the oldest window that it had counted itself, and a former holder wrote its reports again one append at a time, so that a successor could find a part of them.

Change: a holder that finds no valid record in a stream whose start was removed leaves out the windows that have closed and logs it, unless the stream ends where it left it itself. A holder that remembers reports records all of them in one append.

Measured: UsageReportSenderTest.AnotherHolderLeavesOutWindowsWhoseRecordsExpired and .ExpiredRecordsAreWrittenAgainTogether failed before and pass.

--- a/servers/duties/usage_report_sender.cpp
+++ b/servers/duties/usage_report_sender.cpp
@@ -25,6 +25,9 @@
 constexpr Duration kProbeInterval = std::chrono::seconds(1);
 constexpr Duration kMaxBackoff = std::chrono::seconds(8);
 constexpr double kShareOfCalls = 0.25;
+// Counts in the reports that are recorded again in one append, unless a single
+// report has more.
+constexpr std::size_t kMaxCountsPerAppend = 10'000;
 // Counts in reports that wait for the API, about 15 MB.
 constexpr std::size_t kMaxUnansweredCounts = 200'000;
 
@@ -80,8 +83,8 @@
     FindEnd();
   } else if (mPhase == Phase::kReading || mMustRead) {
     Read();
-  } else if (const auto* report = NextReport()) {
-    Record(*report);
+  } else if (const auto reports = NextReports(); !reports.empty()) {
+    Record(reports);
   }
 }
 
@@ -91,6 +94,12 @@
   if (aWasLastHolder) {
     return; // this relay recorded what the copy may lack
   }
+  MarkUncertain();
+}
+
+void
+UsageReportSender::MarkUncertain()
+{
   auto newest = mUncertainThrough;
   while (const auto* report = mParts.firstAfter(newest)) {
     newest = report->window;
@@ -107,15 +116,28 @@
   }
 }
 
-const UsageReport*
-UsageReportSender::NextReport() const
+std::vector<UsageReport>
+UsageReportSender::NextReports() const
 {
+  std::vector<UsageReport> reports;
+  std::size_t counts = 0;
   const auto newest = mJournal.Newest();
-  const auto known = newest ? mValid.upper_bound(*newest) : mValid.begin();
-  if (known != mValid.end()) {
-    return &known->second;
+  auto known = newest ? mValid.upper_bound(*newest) : mValid.begin();
+  for (; known != mValid.end(); ++known) {
+    counts += known->second.counts.size();
+    if (!reports.empty() && counts > kMaxCountsPerAppend) {
+      break;
+    }
+    reports.push_back(known->second);
+  }
+  if (!reports.empty()) {
+    return reports;
+  }
+  if (const auto* report =
+        mParts.firstAfter(std::max(newest, mUncertainThrough))) {
+    reports.push_back(*report);
   }
-  return mParts.firstAfter(std::max(newest, mUncertainThrough));
+  return reports;
 }
 
 void
@@ -138,6 +160,7 @@
       }
       const auto end = aIt->end.Value();
       mFirst = aIt->first;
+      mMayHideRecords = coord::PositionOf(mFirst) > 0 && aIt->end != mFormerEnd;
       mReadFrom = coord::LogOffset(
         std::max(mFirst.Value(), end < kTailRecords ? 0 : end - kTailRecords));
       mNext = mReadFrom;
@@ -207,6 +230,7 @@
 UsageReportSender::OnCaughtUp()
 {
   mMustRead = false;
+  mFormerEnd = mNext;
   if (mPhase == Phase::kReady) {
     return;
   }
@@ -219,6 +243,11 @@
     return;
   }
   mPhase = Phase::kReady;
+  if (mMayHideRecords && !mJournal.Newest()) {
+    mLog.Warning("usage windows left out",
+                 { { "why", "their records may have expired" } });
+    MarkUncertain();
+  }
   mLog.Info(
     "usage reports resumed",
     { { "token", std::to_string(mToken->Value()) },
@@ -228,51 +257,62 @@
 }
 
 void
-UsageReportSender::Record(const UsageReport& aReport)
+UsageReportSender::Record(const std::vector<UsageReport>& aReports)
 {
   const auto newest = mJournal.Newest();
-  if (newest && *newest + 1 != aReport.window) {
+  const auto first = aReports.front().window;
+  if (newest && *newest + 1 != first) {
     mLog.Warning("usage windows not reported",
                  { { "after", std::to_string(newest->Value()) },
-                   { "before", std::to_string(aReport.window.Value()) } });
+                   { "before", std::to_string(first.Value()) } });
+  }
+  const auto oldest =
+    mJournal.OldestUnansweredOffset().value_or(ToJournal(mNext));
+  std::vector<policy::UsageJournal::Record> records;
+  std::vector<std::string> payloads;
+  for (const auto& it : aReports) {
+    records.push_back({ .report = it, .oldestUnanswered = oldest });
+    payloads.push_back(EncodeUsageRecord(records.back()));
   }
-  policy::UsageJournal::Record record{ .report = aReport,
-                                       .oldestUnanswered =
-                                         mJournal.OldestUnansweredOffset() };
   mIsLogBusy = true;
   mParts.log->Append(
     mOptions.stream,
-    { EncodeUsageRecord(record) },
-    mGuard.Wrap([this, generation = mGeneration, record](
+    std::move(payloads),
+    mGuard.Wrap([this, generation = mGeneration, records = std::move(records)](
                   const tl::expected<coord::LogOffset, coord::LogError>& aIt) {
       if (generation != mGeneration) {
         return;
       }
       mIsLogBusy = false;
       if (!aIt) {
-        // The record may be in the stream, or be added to it later.
+        // The records may be in the stream, or be added to it later.
         mMustRead = true;
         OnLogError("record", aIt.error());
         return;
       }
-      OnRecorded(record, *aIt);
+      OnRecorded(records, *aIt);
     }));
 }
 
 void
-UsageReportSender::OnRecorded(const policy::UsageJournal::Record& aRecord,
-                              coord::LogOffset aOffset)
+UsageReportSender::OnRecorded(
+  const std::vector<policy::UsageJournal::Record>& aRecords,
+  coord::LogOffset aFirst)
 {
-  if (aOffset != mNext) {
-    // Another record precedes it, which may be of the same window.
+  if (aFirst != mNext) {
+    // Another record precedes them, which may be of the same window.
     mMustRead = true;
-  } else {
-    mNext = coord::LogOffset(mNext.Value() + 1);
-    if (mJournal.Apply(ToJournal(aOffset), aRecord)) {
-      Remember(aRecord.report);
+    Tick();
+    return;
+  }
+  for (const auto& it : aRecords) {
+    if (mJournal.Apply(ToJournal(mNext), it)) {
+      Remember(it.report);
     }
-    LimitUnanswered();
+    mNext = coord::LogOffset(mNext.Value() + 1);
   }
+  mFormerEnd = mNext;
+  LimitUnanswered();
   Tick();
 }
 
--- a/servers/duties/usage_report_sender.h
+++ b/servers/duties/usage_report_sender.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "coord/callback_guard.h"
 #include "coord/log_client.h"
@@ -85,14 +86,18 @@
   void Read();
   void OnBatch(const coord::LogBatch& aBatch);
   void OnCaughtUp();
-  void Record(const policy::UsageReport& aReport);
-  void OnRecorded(const policy::UsageJournal::Record& aRecord,
-                  coord::LogOffset aOffset);
+  // Leaves out the windows that have been closed by now.
+  void MarkUncertain();
+  void Record(const std::vector<policy::UsageReport>& aReports);
+  void OnRecorded(const std::vector<policy::UsageJournal::Record>& aRecords,
+                  coord::LogOffset aFirst);
   void OnLogError(const char* aCall, const coord::LogError& aError);
   void LimitUnanswered();
   void Remember(const policy::UsageReport& aReport);
-  // The next report to record, or null.
-  [[nodiscard]] const policy::UsageReport* NextReport() const;
+  // The next reports to record. Those that this relay knows to have been
+  // recorded are recorded again at once: if only some of them were, another
+  // relay could report the others with different counts.
+  [[nodiscard]] std::vector<policy::UsageReport> NextReports() const;
   void Send();
   void OnOutcome(policy::UsageWindow aWindow,
                  DutyToken aToken,
@@ -109,6 +114,11 @@
   policy::UsageJournal mJournal;
   coord::LogOffset mFirst; // the oldest kept record
   coord::LogOffset mNext;  // the first record that has not been read
+  // The end of the stream up to which this relay last knew all records.
+  std::optional<coord::LogOffset> mFormerEnd;
+  // Whether others may have written records that the log has removed and this
+  // relay has not read.
+  bool mMayHideRecords = false;
   // Where the records read so far begin.
   coord::LogOffset mReadFrom;
   // Records that this relay has not read may precede the next append.
--- a/tests/servers/duties/duties_faults_test.cpp
+++ b/tests/servers/duties/duties_faults_test.cpp
@@ -35,6 +35,8 @@
 constexpr int kHosts = 5;
 constexpr Duration kWindow = 5s;
 constexpr Duration kLease = 3s;
+// Shorter than a schedule, so that claims and reports expire.
+constexpr Duration kRetention = 20s;
 constexpr Duration kFaultSpan = 120s;
 constexpr Duration kRecoverySpan = 90s;
 constexpr Duration kNoticeDelay = 3500ms;
@@ -84,7 +86,7 @@
 struct World
 {
   explicit World(std::uint64_t aSeed)
-    : log({ .seed = aSeed }, executor)
+    : log({ .seed = aSeed, .retention = kRetention }, executor)
     , api(aSeed + 1, executor)
     , random(aSeed + 2)
   {
--- a/tests/servers/duties/usage_report_sender_test.cpp
+++ b/tests/servers/duties/usage_report_sender_test.cpp
@@ -26,6 +26,8 @@
 
 namespace {
 
+const StreamName kUsage("usage");
+
 // A process that may hold the duties; the counts of its windows differ from
 // those of other processes.
 struct Host
@@ -241,3 +243,45 @@
   LONGS_EQUAL(1, Reported(102));
   LONGS_EQUAL(2, Reported(103));
 }
+
+// Guards against a window that is reported with two contents because its record
+// has expired: the next holder has counts of its own.
+TEST(UsageReportSenderTest, AnotherHolderLeavesOutWindowsWhoseRecordsExpired)
+{
+  a->token = DutyToken(1);
+  a->lastClosed = UsageWindow(102);
+  executor.RunFor(5s);
+  a->process.Kill();
+  log.Trim(kUsage, log.End(kUsage));
+  b->lastClosed = UsageWindow(102);
+  b->token = DutyToken(2);
+  executor.RunFor(5s);
+  LONGS_EQUAL(1, Reported(102));
+  b->lastClosed = UsageWindow(103);
+  executor.RunFor(5s);
+  LONGS_EQUAL(2, Reported(103));
+}
+
+// Guards against a former holder that records only its oldest report again: the
+// next holder would take the later ones for reports that nobody made.
+TEST(UsageReportSenderTest, ExpiredRecordsAreWrittenAgainTogether)
+{
+  a->token = DutyToken(1);
+  a->lastClosed = UsageWindow(103);
+  executor.RunFor(5s);
+  a->token.reset();
+  executor.RunFor(1s);
+  log.Trim(kUsage, log.End(kUsage));
+  a->token = DutyToken(2);
+  const auto appends = log.Appends();
+  while (log.Appends() == appends) {
+    executor.RunOne();
+  }
+  a->process.Kill();
+  LONGS_EQUAL(4, log.Records(kUsage).size());
+  b->lastClosed = UsageWindow(104);
+  b->token = DutyToken(3);
+  executor.RunFor(5s);
+  LONGS_EQUAL(1, Reported(103));
+  LONGS_EQUAL(2, Reported(104));
+}
