Let started hosts take over which versions have served

Cause: a relay concluded which versions can have begun a stream from what it had seen itself, so that it knew nothing for 15 s after each start or gap, although every other relay knew. Those that knew announced no streams, since nothing told them that others did not.

Evidence: `caller resumes a stream` had origin unknown with versions 1 on both.

Change: a relay whose knowledge is too short asks two others each half second. The answer says since when and up to which place in the log the other one has known all changes of the backend servers, and which versions served or when they left. It is taken over only if no change can lie between the two, and is passed on, so that it outlives restarts of all relays in turn. No version is guessed.

--- a/policy/stream_origin/stream_origin_tracker.cpp
+++ b/policy/stream_origin/stream_origin_tracker.cpp
@@ -78,16 +78,64 @@
 }
 
 void
-StreamOriginTracker::OnConfirmed(std::optional<Instant> aConfirmedAt)
+StreamOriginTracker::OnConfirmed(const BackendConfirmation& aConfirmation)
 {
-  if (!aConfirmedAt || (mConfirmedAt && *aConfirmedAt <= *mConfirmedAt)) {
+  const auto until = aConfirmation.unchangedUntil;
+  if (!mConfirmation ||
+      until - mConfirmation->unchangedUntil > mOptions.maxConfirmationGap) {
+    mCompleteSince = until;
+    mOwnFrom = aConfirmation.place;
+    mConfirmation = aConfirmation;
     return;
   }
-  if (!mConfirmedAt ||
-      *aConfirmedAt - *mConfirmedAt > mOptions.maxConfirmationGap) {
-    mCompleteSince = aConfirmedAt;
+  mConfirmation->unchangedUntil =
+    std::max(mConfirmation->unchangedUntil, until);
+  mConfirmation->place = std::max(mConfirmation->place, aConfirmation.place);
+}
+
+bool
+StreamOriginTracker::NeedsHistory(Instant aNow) const
+{
+  return mCompleteSince && aNow - *mCompleteSince < Memory();
+}
+
+std::optional<VersionHistory>
+StreamOriginTracker::History() const
+{
+  if (!mCompleteSince) {
+    return std::nullopt;
+  }
+  VersionHistory history{ .since = *mCompleteSince,
+                          .through = mConfirmation->place,
+                          .versions = {} };
+  for (const auto& [service, versions] : mVersions) {
+    for (const auto& [version, presence] : versions) {
+      history.versions.push_back(
+        { .service = service,
+          .version = version,
+          .goneAt = presence.backends > 0 ? std::nullopt
+                                          : std::optional(presence.goneAt) });
+    }
+  }
+  return history;
+}
+
+bool
+StreamOriginTracker::TakeOver(const VersionHistory& aHistory, Instant aNow)
+{
+  if (!mCompleteSince || aHistory.through < mOwnFrom ||
+      aHistory.since >= *mCompleteSince) {
+    return false;
+  }
+  for (const auto& it : aHistory.versions) {
+    auto& presence = mVersions[it.service][it.version];
+    if (presence.backends == 0) {
+      // One that serves there has left here, or is about to be known.
+      presence.goneAt = std::max(presence.goneAt, it.goneAt.value_or(aNow));
+    }
   }
-  mConfirmedAt = aConfirmedAt;
+  mCompleteSince = aHistory.since;
+  return true;
 }
 
 std::size_t
@@ -107,7 +155,8 @@
 StreamOriginTracker::OnlyVersion(const ServiceId& aService, Instant aNow) const
 {
   const bool isCurrent =
-    mConfirmedAt && aNow - *mConfirmedAt <= mOptions.maxConfirmationGap;
+    mConfirmation &&
+    aNow - mConfirmation->unchangedUntil <= mOptions.maxConfirmationGap;
   if (!isCurrent || aNow - *mCompleteSince < Memory() ||
       VersionCount(aService, aNow) != 1) {
     return std::nullopt;
--- a/policy/stream_origin/stream_origin_tracker.h
+++ b/policy/stream_origin/stream_origin_tracker.h
@@ -9,9 +9,14 @@
 // before, while two or more versions serve. While only one version can have
 // begun streams, nothing is recorded or announced. Otherwise each host
 // announces its sends of streams to the others, and a stream that no host
-// vouches for is not continued. What a host knows ends with its process, so
-// that after a start it continues no earlier stream until all of them have
-// ended.
+// vouches for is not continued.
+//
+// That only one version can have begun a stream is known if a host has known
+// all changes of the backend servers, without a gap, from before the stream can
+// have begun. That time begins with the host's own start, or with that of
+// another host which has known all changes up to where this one began
+// (VersionHistory). A host that has just started continues no earlier stream
+// until another one tells it.
 
 #include <cstdint>
 #include <deque>
@@ -20,6 +25,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "core/clock.h"
 #include "core/ids.h"
@@ -53,6 +59,35 @@
   SoftwareVersion version{};
 };
 
+// A place in the log of the backend servers: whoever has processed the records
+// before it knows all changes that they tell.
+using LogPlace = StrongType<struct LogPlaceTag, std::uint64_t>;
+
+// How current the known backend servers are.
+struct BackendConfirmation
+{
+  // No host can have learned of another change before this.
+  Instant unchangedUntil{};
+  LogPlace place{};
+};
+
+// The versions that a host has known without a gap.
+struct VersionHistory
+{
+  struct Presence
+  {
+    ServiceId service;
+    SoftwareVersion version;
+    // When the last backend server left; empty if there is one.
+    std::optional<Instant> goneAt;
+  };
+
+  // All changes since this instant and before this place are contained.
+  Instant since{};
+  LogPlace through{};
+  std::vector<Presence> versions;
+};
+
 // A send of a stream to a backend server, by this host or another one.
 struct StreamSend
 {
@@ -96,9 +131,20 @@
                  Instant aNow);
   void OnBackendGone(const BackendId& aId, Instant aNow);
 
-  // Sets the time up to which the known backend servers contain all changes;
-  // must be called several times in each maxConfirmationGap.
-  void OnConfirmed(std::optional<Instant> aConfirmedAt);
+  // Must be called several times in each maxConfirmationGap.
+  void OnConfirmed(const BackendConfirmation& aConfirmation);
+
+  // Whether the versions of all streams that can be taken up are not known, as
+  // after a start or a gap, so that other hosts should be asked.
+  [[nodiscard]] bool NeedsHistory(Instant aNow) const;
+
+  // What other hosts can take over; empty before the first confirmation.
+  [[nodiscard]] std::optional<VersionHistory> History() const;
+
+  // Takes over what another host has known longer than this one. Returns false
+  // if it has not, or if there may be a gap between its knowledge and what this
+  // host knows itself.
+  bool TakeOver(const VersionHistory& aHistory, Instant aNow);
 
   // Whether the versions that can have begun streams of the service are more
   // than one, or are not known. Sends of its streams then have to be recorded
@@ -153,9 +199,11 @@
   Options mOptions;
   std::unordered_map<BackendId, KnownBackend> mBackends;
   std::map<ServiceId, std::map<SoftwareVersion, Presence>> mVersions;
-  std::optional<Instant> mConfirmedAt;
+  std::optional<BackendConfirmation> mConfirmation;
   // Since when no change of the backend servers can have been missed.
   std::optional<Instant> mCompleteSince;
+  // From here on, this host has processed all changes itself.
+  LogPlace mOwnFrom{};
   std::unordered_map<StreamHash, Record> mStreams;
   // The streams by the time of their last known send, or an earlier one.
   std::deque<std::pair<Instant, StreamHash>> mStreamsByAge;
--- a/servers/relay/peer_group.cpp
+++ b/servers/relay/peer_group.cpp
@@ -189,6 +189,18 @@
   return picked;
 }
 
+std::vector<std::string>
+PeerGroup::PickPeers(std::size_t aCount)
+{
+  auto peers = mPeerAddresses;
+  const auto n = std::min(aCount, peers.size());
+  for (std::size_t i = 0; i < n; ++i) {
+    std::swap(peers[i], peers[i + mRandom.Below(peers.size() - i)]);
+  }
+  peers.resize(n);
+  return peers;
+}
+
 void
 PeerGroup::OnDigest(const coord::Member& aMember)
 {
--- a/servers/relay/peer_group.h
+++ b/servers/relay/peer_group.h
@@ -84,6 +84,9 @@
     return mFarPeerAddresses.size();
   }
 
+  // Picks up to aCount other live relays; returns their IP addresses.
+  [[nodiscard]] std::vector<std::string> PickPeers(std::size_t aCount);
+
   // Picks one live relay in each other failure domain, which forwards a message
   // to the others there, so that one copy crosses to each domain.
   [[nodiscard]] std::vector<std::string> PickForwarders();
--- a/servers/relay/peer_update_channel.cpp
+++ b/servers/relay/peer_update_channel.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint64_t kCrashSuspicions = 6;
 // kHostUsageMessage = 7 and kTimeMessage = 8, servers/duties/usage_messages.h.
 constexpr std::uint64_t kStreamSend = 9;
+// 10 and 11, servers/relay/version_history_exchange.cpp.
 // The age of a feed update that states none.
 constexpr std::int64_t kNoAge = -1;
 // Older feed updates state no age. Far longer than any bound on the staleness
@@ -509,6 +510,14 @@
     Forward(aBytes, aIsForwarder);
     return;
   }
+  if (const auto query = DecodeVersionHistoryQuery(aBytes)) {
+    mHandlers.onVersionQuery(*query);
+    return;
+  }
+  if (const auto history = DecodeVersionHistory(aBytes, mExecutor.Now())) {
+    mHandlers.onVersionHistory(*history);
+    return;
+  }
   if (const auto update = DecodeRoutingUpdate(aBytes)) {
     mHandlers.onRoutingUpdate(*update, aIsForwarder);
     return;
@@ -570,6 +579,19 @@
   SendTo(EncodeStreamSend(aSend), aTargets);
 }
 
+void
+PeerUpdateChannel::AskForVersions(const PeerTargets& aTargets)
+{
+  SendTo(EncodeVersionHistoryQuery({ .host = mOptions.address }), aTargets);
+}
+
+void
+PeerUpdateChannel::Send(const policy::VersionHistory& aHistory,
+                        const PeerTargets& aTargets)
+{
+  SendTo(EncodeVersionHistory(aHistory, mExecutor.Now()), aTargets);
+}
+
 void
 PeerUpdateChannel::Send(const std::vector<policy::CrashSuspicion>& aSuspicions,
                         const PeerTargets& aTargets)
--- a/servers/relay/peer_update_channel.h
+++ b/servers/relay/peer_update_channel.h
@@ -21,6 +21,7 @@
 #include "policy/stream_origin/stream_origin_tracker.h"
 #include "servers/duties/usage_messages.h"
 #include "servers/gossip/gossip_socket.h"
+#include "servers/relay/version_history_exchange.h"
 
 namespace firefly {
 
@@ -160,6 +161,8 @@
       onRoutingUpdate;
     std::function<void(const policy::BackendNotice&)> onNotice;
     std::function<void(const policy::StreamSend&)> onStreamSend;
+    std::function<void(const VersionHistoryQuery&)> onVersionQuery;
+    std::function<void(const policy::VersionHistory&)> onVersionHistory;
     std::function<void(const std::vector<policy::CrashSuspicion>&)>
       onCrashSuspicions;
     // Not set where the usage is not reported.
@@ -182,6 +185,10 @@
   void Send(RoutingUpdate aUpdate, const PeerTargets& aTargets);
   void Send(const policy::BackendNotice& aNotice, const PeerTargets& aTargets);
   void Send(const policy::StreamSend& aSend, const PeerTargets& aTargets);
+  // Asks the targets, which answer to this relay's address.
+  void AskForVersions(const PeerTargets& aTargets);
+  void Send(const policy::VersionHistory& aHistory,
+            const PeerTargets& aTargets);
   void Send(const std::vector<policy::CrashSuspicion>& aSuspicions,
             const PeerTargets& aTargets);
   // Sets the host of the failure to this relay's address.
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -12,6 +12,7 @@
 #include "servers/relay/role_order_issuer.h"
 #include "servers/relay/routing_table_updater.h"
 #include "servers/relay/staleness_monitor.h"
+#include "servers/relay/version_history_exchange.h"
 #include "servers/status/status_server.h"
 
 namespace firefly {
@@ -46,6 +47,8 @@
 constexpr Duration kMinStreamLifetime = std::chrono::seconds(10);
 // Interval at which it is noted how current the known backend servers are.
 constexpr Duration kBackendConfirmation = std::chrono::milliseconds(500);
+// Number of relays that are asked at a time which versions they have known.
+constexpr std::size_t kVersionSources = 2;
 
 // Descriptors that are reserved for files, and the fraction of the others that
 // callers may use. The rest is for backend servers, peers and the log.
@@ -97,7 +100,9 @@
 
 } // namespace
 
-class RelayServer::Impl : private RoutingTablePeers
+class RelayServer::Impl
+  : private RoutingTablePeers
+  , private VersionHistoryPeers
 {
 public:
   Impl(const Parts& aParts, const RelaySettings& aSettings)
@@ -200,6 +205,14 @@
             [this](const policy::StreamSend& aSend) {
               mStreamOrigins.OnSend(aSend, mExecutor.Now());
             },
+          .onVersionQuery =
+            [this](const VersionHistoryQuery& aQuery) {
+              mVersionExchange.OnQuery(aQuery);
+            },
+          .onVersionHistory =
+            [this](const policy::VersionHistory& aHistory) {
+              mVersionExchange.OnHistory(aHistory);
+            },
           .onCrashSuspicions =
             [this](const std::vector<policy::CrashSuspicion>& aSuspicions) {
               mRelay.Router().OnPeerCrashSuspicions(aSuspicions,
@@ -279,6 +292,7 @@
                    mExecutor,
                    *aParts.keyedLog,
                    mBackendListener)
+    , mVersionExchange(mExecutor, mStreamOrigins, *this)
     , mStalenessMonitor({ .bound = aSettings.stalenessBound },
                         mExecutor,
                         [this] { return mTableUpdater.Feed().ConfirmedAt(); })
@@ -334,7 +348,7 @@
     mTableUpdater.Start();
     mBackendFeed.Start();
     mStalenessMonitor.Start();
-    ConfirmBackends();
+    CheckBackends();
     mRoleOrderIssuer.Start();
     if (mDuties) {
       mDuties->Start();
@@ -403,6 +417,18 @@
     return mPeers.DomainPeerAddresses().size() + mPeers.FarDomainCount();
   }
 
+  // VersionHistoryPeers:
+  void AskForVersions() override
+  {
+    mPeerUpdates.AskForVersions(
+      { .direct = mPeers.PickPeers(kVersionSources) });
+  }
+  void SendVersions(const policy::VersionHistory& aHistory,
+                    const std::string& aHost) override
+  {
+    mPeerUpdates.Send(aHistory, { .direct = { aHost } });
+  }
+
   FeedListener::Handlers BackendHandlers()
   {
     return {
@@ -450,20 +476,30 @@
     mTableUpdater.Feed().Refresh();
   }
 
-  // Passes the time up to which the backend servers are known to the tracker of
-  // streams.
+  // Tells the tracker of streams up to when the backend servers are known.
   void ConfirmBackends()
   {
-    auto confirmedAt = mBackendFeed.ConfirmedAt();
-    const auto awaySince = mBackendFeed.AwaySince();
-    if (confirmedAt && awaySince) {
+    const auto readAt = mBackendFeed.ConfirmedAt();
+    if (!readAt) {
+      return;
+    }
+    auto unchangedUntil = *readAt;
+    if (const auto awaySince = mBackendFeed.AwaySince()) {
       // While no relay can read the log, there are no changes to miss.
-      *confirmedAt =
-        mExecutor.Now() - std::max(Duration::zero(), *awaySince - *confirmedAt);
+      unchangedUntil =
+        mExecutor.Now() - std::max(Duration::zero(), *awaySince - *readAt);
     }
-    mStreamOrigins.OnConfirmed(confirmedAt);
+    mStreamOrigins.OnConfirmed(
+      { .unchangedUntil = unchangedUntil,
+        .place = policy::LogPlace(mBackendFeed.Next().Value()) });
+  }
+
+  void CheckBackends()
+  {
+    ConfirmBackends();
+    mVersionExchange.AskIfNeeded();
     mConfirmTimer =
-      mExecutor.RunAfter(kBackendConfirmation, [this] { ConfirmBackends(); });
+      mExecutor.RunAfter(kBackendConfirmation, [this] { CheckBackends(); });
   }
 
   coord::KeyedFeed& FeedOf(SharedFeed aFeed)
@@ -664,6 +700,7 @@
   FeedListener mBackendListener;
   RoutingTableUpdater mTableUpdater;
   coord::KeyedFeed mBackendFeed;
+  VersionHistoryExchange mVersionExchange;
   StalenessMonitor mStalenessMonitor;
   Timer mConfirmTimer;
   bool mIsDraining = false;
--- a/tests/policy/stream_origin/stream_origin_load_test.cpp
+++ b/tests/policy/stream_origin/stream_origin_load_test.cpp
@@ -24,6 +24,7 @@
 using firefly::RequestId;
 using firefly::ServiceId;
 using firefly::ToSeconds;
+using firefly::policy::LogPlace;
 using firefly::policy::OriginSource;
 using firefly::policy::SoftwareVersion;
 using firefly::policy::SoftwareVersionOf;
@@ -74,6 +75,7 @@
   void Serve(const std::vector<std::string>& aVersions)
   {
     mVersions = aVersions;
+    mLogEnd++;
     for (std::size_t i = 0; i < mHosts.size(); ++i) {
       LearnServers(i);
     }
@@ -98,33 +100,43 @@
       }
       for (auto& it : mHosts) {
         if (it.tracker && it.loadedAt <= mNow) {
-          it.tracker->OnConfirmed(mNow - 800ms);
+          it.tracker->OnConfirmed(
+            { .unchangedUntil = mNow - 800ms, .place = LogPlace(it.place) });
         }
       }
+      if (mNow >= mAskAt) {
+        AskForHistories();
+      }
     }
   }
 
+  // Restarts each host in turn, with the time between two starts, but for the
+  // first one. No stream breaks.
+  void RestartInTurn(Duration aGap)
+  {
+    for (std::size_t i = 1; i < mHosts.size(); ++i) {
+      const auto isIts = [i](const auto& aStream) { return aStream.host == i; };
+      std::erase_if(mStreams, isIts);
+      mHosts[i].tracker.reset();
+      Play(aGap);
+      Start(i);
+    }
+  }
+
+  // Ends the host. The callers of its streams take them up at other hosts.
+  void KillHost(std::size_t aHost)
+  {
+    KillThose([aHost](std::size_t aIndex) { return aIndex == aHost; });
+  }
+
   // Ends a share of the hosts, which start again. The callers of their streams
   // take them up at other hosts.
   void Kill(double aShare)
   {
-    const auto killed = [&](std::size_t aHost) {
+    KillThose([&](std::size_t aHost) {
       return static_cast<double>(aHost) <
              aShare * static_cast<double>(mHosts.size());
-    };
-    for (const auto& it : mStreams) {
-      if (killed(it.host) && mNow > it.sentAt + kFirstEvent) {
-        TakeUp(it, mNow + FromSeconds(0.1 + 3 * mRandom.Uniform()));
-      }
-    }
-    std::erase_if(mStreams,
-                  [&](const auto& aStream) { return killed(aStream.host); });
-    for (std::size_t i = 0; i < mHosts.size(); ++i) {
-      if (killed(i)) {
-        mHosts[i].tracker.reset();
-        mEvents.emplace(mNow + kRestart, [this, i] { Start(i); });
-      }
-    }
+    });
   }
 
   [[nodiscard]] const Counts& Count() const { return mCounts; }
@@ -137,6 +149,8 @@
     std::unique_ptr<StreamOriginTracker> tracker;
     Instant loadedAt{};
     std::vector<std::string> versions;
+    // Up to where it has processed the log.
+    std::uint64_t place = 0;
   };
   struct Stream
   {
@@ -146,6 +160,24 @@
     Instant sentAt{};
   };
 
+  template<class Condition>
+  void KillThose(const Condition& aIsKilled)
+  {
+    for (const auto& it : mStreams) {
+      if (aIsKilled(it.host) && mNow > it.sentAt + kFirstEvent) {
+        TakeUp(it, mNow + FromSeconds(0.1 + 3 * mRandom.Uniform()));
+      }
+    }
+    std::erase_if(mStreams,
+                  [&](const auto& aStream) { return aIsKilled(aStream.host); });
+    for (std::size_t i = 0; i < mHosts.size(); ++i) {
+      if (aIsKilled(i)) {
+        mHosts[i].tracker.reset();
+        mEvents.emplace(mNow + kRestart, [this, i] { Start(i); });
+      }
+    }
+  }
+
   void Start(std::size_t aHost)
   {
     auto& host = mHosts[aHost];
@@ -165,6 +197,7 @@
       host.tracker->OnBackendGone(BackendId(it), mNow);
     }
     host.versions = mVersions;
+    host.place = mLogEnd;
     for (const auto& it : host.versions) {
       host.tracker->OnBackend(
         BackendId(it), kService, SoftwareVersionOf(kService, it), mNow);
@@ -178,6 +211,23 @@
                     [this, aHost] { Load(aHost); });
   }
 
+  // Hosts that need it ask two others for what they have known.
+  void AskForHistories()
+  {
+    mAskAt = mNow + 500ms;
+    for (auto& it : mHosts) {
+      for (int n = 0; n < 2; ++n) {
+        const auto& other = mHosts[mRandom.Below(mHosts.size())];
+        if (!it.tracker || !it.tracker->NeedsHistory(mNow) || !other.tracker) {
+          continue;
+        }
+        if (const auto history = other.tracker->History()) {
+          it.tracker->TakeOver(*history, mNow);
+        }
+      }
+    }
+  }
+
   // A host that takes requests, or none if all are down.
   Host* PickHost(std::size_t& aIndex)
   {
@@ -254,6 +304,8 @@
   std::vector<Stream> mStreams;
   std::multimap<Instant, std::function<void()>> mEvents;
   std::uint64_t mNext = 0;
+  std::uint64_t mLogEnd = 0;
+  Instant mAskAt{};
   int mNotices = 0;
   Counts mCounts;
 };
@@ -333,3 +385,25 @@
   CHECK_TRUE(count.takenUp > 50);
   LONGS_EQUAL(0, count.joined);
 }
+
+// Guards against hosts that were restarted for a release of their own and then
+// refuse the streams of the one that was not, while one version of the servers
+// has served all the time (review/7).
+TEST(StreamOriginLoadTest, StreamsGoOnAfterRestartsOfTheHosts)
+{
+  for (const std::size_t hosts : { 4, 30 }) {
+    Deployment deployment(
+      { .hosts = hosts, .streamsPerSecond = 125 * static_cast<double>(hosts) });
+    deployment.Serve({ "v1" });
+    deployment.Play(20s);
+    deployment.RestartInTurn(hosts == 4 ? 1s : 300ms);
+    deployment.Play(1s);
+    deployment.KillHost(0);
+    deployment.Play(4s);
+    const auto& count = deployment.Count();
+    Report("restarts in turn", count);
+    CHECK_TRUE(count.takenUp >= 12);
+    LONGS_EQUAL(0, count.joined);
+    CHECK_TRUE(count.wentOn * 2 >= count.takenUp);
+  }
+}
--- a/tests/policy/stream_origin/stream_origin_tracker_test.cpp
+++ b/tests/policy/stream_origin/stream_origin_tracker_test.cpp
@@ -10,6 +10,7 @@
 using firefly::Instant;
 using firefly::RequestId;
 using firefly::ServiceId;
+using firefly::policy::LogPlace;
 using firefly::policy::OriginSource;
 using firefly::policy::SoftwareVersion;
 using firefly::policy::SoftwareVersionOf;
@@ -17,6 +18,7 @@
 using firefly::policy::StreamHash;
 using firefly::policy::StreamHashOf;
 using firefly::policy::StreamOriginTracker;
+using firefly::policy::VersionHistory;
 
 namespace {
 
@@ -32,6 +34,8 @@
 TEST_GROUP(StreamOriginTrackerTest)
 {
   Instant now{ 1000s };
+  // Up to where the hosts have processed the log of the backend servers.
+  LogPlace place{ 100 };
   StreamOriginTracker tracker{ { .lifetime = 10s,
                                  .lateSends = 5s,
                                  .maxConfirmationGap = 3s,
@@ -40,7 +44,13 @@
   void setup() override
   {
     tracker.OnBackend(kOldServer, kService, kOld, now);
-    tracker.OnConfirmed(now);
+    Confirm(tracker, now);
+  }
+
+  // Confirms that all changes up to the instant are known.
+  void Confirm(StreamOriginTracker & aTracker, Instant aAt) const
+  {
+    aTracker.OnConfirmed({ .unchangedUntil = aAt, .place = place });
   }
 
   // Passes time in which all changes become known soon.
@@ -48,7 +58,7 @@
   {
     for (const auto end = now + aTime; now < end;) {
       now += 1s;
-      tracker.OnConfirmed(now - 500ms);
+      Confirm(tracker, now - 500ms);
     }
   }
 
@@ -67,10 +77,25 @@
                    now);
   }
 
+  // Makes a tracker of a host that starts now and finds one server.
+  StreamOriginTracker Start(const BackendId& aServer, SoftwareVersion aVersion)
+  {
+    StreamOriginTracker started(
+      { .lifetime = 10s, .lateSends = 5s, .maxConfirmationGap = 3s });
+    started.OnBackend(aServer, kService, aVersion, now);
+    Confirm(started, now);
+    return started;
+  }
+
   // Returns the source, and after a slash the version.
   std::string Origin()
   {
-    const auto origin = tracker.OriginOf(kService, kStream, now);
+    return Origin(tracker);
+  }
+
+  std::string Origin(const StreamOriginTracker& aTracker)
+  {
+    const auto origin = aTracker.OriginOf(kService, kStream, now);
     std::string text(ToString(origin.source));
     if (origin.source != OriginSource::kUnknown) {
       text += origin.version == kOld ? "/old" : "/new";
@@ -156,7 +181,7 @@
   Pass(20s);
   now += 4s;
   STRCMP_EQUAL("unknown", Origin().c_str());
-  tracker.OnConfirmed(now);
+  Confirm(tracker, now);
   STRCMP_EQUAL("unknown", Origin().c_str());
   Pass(16s);
   STRCMP_EQUAL("only version/old", Origin().c_str());
@@ -223,3 +248,110 @@
   Send(kOld);
   STRCMP_EQUAL("recorded/old", Origin().c_str());
 }
+
+// Guards against refusals of all streams by a host that has just started, while
+// every other host knows that one version has served (review/7).
+TEST(StreamOriginTrackerTest, AStartedHostTakesOverWhatAnotherOneHasKnown)
+{
+  Pass(20s);
+  auto started = Start(kOldServer, kOld);
+  CHECK_TRUE(started.NeedsHistory(now));
+  CHECK_FALSE(tracker.NeedsHistory(now));
+  STRCMP_EQUAL("unknown", Origin(started).c_str());
+  CHECK_TRUE(started.TakeOver(*tracker.History(), now));
+  CHECK_FALSE(started.NeedsHistory(now));
+  STRCMP_EQUAL("only version/old", Origin(started).c_str());
+}
+
+// Guards against the same refusals after a roll-out in which each host was
+// restarted, so that none has known the versions for long by itself.
+TEST(StreamOriginTrackerTest, WhatWasTakenOverIsPassedOn)
+{
+  Pass(20s);
+  auto second = Start(kOldServer, kOld);
+  second.TakeOver(*tracker.History(), now);
+  now += 2s;
+  Confirm(second, now);
+  auto third = Start(kOldServer, kOld);
+  CHECK_TRUE(third.TakeOver(*second.History(), now));
+  STRCMP_EQUAL("only version/old", Origin(third).c_str());
+}
+
+// Guards against a stream of a version that left before the host started.
+TEST(StreamOriginTrackerTest, VersionsThatLeftBeforeTheStartAreTakenOver)
+{
+  Pass(20s);
+  AddNewVersion();
+  Pass(2s);
+  tracker.OnBackendGone(kOldServer, now);
+  Pass(2s);
+  auto started = Start(kNewServer, kNew);
+  CHECK_TRUE(started.TakeOver(*tracker.History(), now));
+  STRCMP_EQUAL("unknown", Origin(started).c_str());
+  LONGS_EQUAL(2, started.VersionCount(kService, now));
+  CHECK_TRUE(started.NeedsRecords(kService, now));
+}
+
+// Guards against the same if the host that answers has not learned yet that the
+// version has left.
+TEST(StreamOriginTrackerTest, AVersionThatServesElsewhereMayHaveBegunStreams)
+{
+  Pass(20s);
+  auto started = Start(kNewServer, kNew);
+  CHECK_TRUE(started.TakeOver(*tracker.History(), now));
+  STRCMP_EQUAL("unknown", Origin(started).c_str());
+  for (int i = 0; i < 16; ++i) {
+    now += 1s;
+    Confirm(started, now);
+  }
+  STRCMP_EQUAL("only version/new", Origin(started).c_str());
+}
+
+// Guards against a version that came and left between what the other host has
+// processed and where this one began.
+TEST(StreamOriginTrackerTest, NothingIsTakenOverAcrossAGap)
+{
+  Pass(20s);
+  place = LogPlace(101);
+  auto started = Start(kOldServer, kOld);
+  CHECK_FALSE(started.TakeOver(*tracker.History(), now));
+  STRCMP_EQUAL("unknown", Origin(started).c_str());
+  Confirm(tracker, now);
+  CHECK_TRUE(started.TakeOver(*tracker.History(), now));
+  STRCMP_EQUAL("only version/old", Origin(started).c_str());
+}
+
+// Guards against the same after a gap in what this host knows: it was cut off,
+// and a version came and left meanwhile.
+TEST(StreamOriginTrackerTest, AHostThatWasCutOffTakesOverAgain)
+{
+  Pass(20s);
+  auto other = Start(kOldServer, kOld);
+  other.TakeOver(*tracker.History(), now);
+  const auto before = *other.History();
+  for (int i = 0; i < 4; ++i) {
+    now += 1s;
+    Confirm(other, now);
+  }
+  place = LogPlace(103);
+  Confirm(tracker, now);
+  CHECK_TRUE(tracker.NeedsHistory(now));
+  CHECK_FALSE(tracker.TakeOver(before, now));
+  STRCMP_EQUAL("unknown", Origin().c_str());
+  other.OnBackend(kNewServer, kService, kNew, now);
+  other.OnBackendGone(kNewServer, now);
+  Confirm(other, now);
+  CHECK_TRUE(tracker.TakeOver(*other.History(), now));
+  STRCMP_EQUAL("unknown", Origin().c_str());
+}
+
+// Guards against a history that is shorter than the host's own.
+TEST(StreamOriginTrackerTest, AShorterHistoryIsNotTakenOver)
+{
+  Pass(20s);
+  const auto started = Start(kOldServer, kOld);
+  CHECK_FALSE(tracker.TakeOver(*started.History(), now));
+  STRCMP_EQUAL("only version/old", Origin().c_str());
+  const StreamOriginTracker unconfirmed;
+  CHECK_FALSE(unconfirmed.History().has_value());
+}
--- a/tests/servers/relay/peer_update_channel_test.cpp
+++ b/tests/servers/relay/peer_update_channel_test.cpp
@@ -330,6 +330,8 @@
         .onRoutingUpdate = {},
         .onNotice = {},
         .onStreamSend = {},
+        .onVersionQuery = {},
+        .onVersionHistory = {},
         .onCrashSuspicions = {},
         .domainPeers = [aDomainPeers] { return aDomainPeers; } });
     CHECK_TRUE(channel->Start().has_value());
@@ -377,6 +379,8 @@
           },
         .onNotice = count,
         .onStreamSend = count,
+        .onVersionQuery = {},
+        .onVersionHistory = {},
         .onCrashSuspicions = count,
         .domainPeers =
           [host] {
--- a/tests/servers/relay/relay_fixture.h
+++ b/tests/servers/relay/relay_fixture.h
@@ -166,7 +166,7 @@
   {
     const auto now = executor.Now();
     for (auto at = now - 60s; at <= now; at += 1s) {
-      streamOrigins.OnConfirmed(at);
+      streamOrigins.OnConfirmed({ .unchangedUntil = at, .place = {} });
     }
   }
 
--- a/tests/servers/relay/stream_version_test.cpp
+++ b/tests/servers/relay/stream_version_test.cpp
@@ -246,7 +246,7 @@
   first = StartBackend(StallOrGoOn);
   Register("b1", *first, {}, "v2");
   SetRoutingTable();
-  streamOrigins.OnConfirmed(executor.Now());
+  streamOrigins.OnConfirmed({ .unchangedUntil = executor.Now(), .place = {} });
   const auto answer = TakeUp("/events/1", "q2", "q1");
   STRCMP_CONTAINS("HTTP/1.1 503 ", answer.c_str());
   STRCMP_CONTAINS("\r\nRetry-After: ", answer.c_str());
