Confirm the versions by a read before a take-up goes on

Cause: the only version that a host had known up to 3 s ago was taken for the only one now. What was confirmed before a stream broke says nothing of a server that has joined since, so that no smaller bound would help.

Evidence: `caller resumes a stream` has origin only version on hosts that were cut off.

Change: a take-up is answered out of the only version only if the log was read since it arrived. One peer's word that the log is away confirms no take-up any more; while the log can't be read, streams are announced.

Ruled out: a shorter bound; an answer of peers, since a host can't know whether the one that began the stream was among them.

--- a/coord/keyed_feed.cpp
+++ b/coord/keyed_feed.cpp
@@ -162,6 +162,7 @@
 {
   mIsFollowing = true;
   mIsReading = true;
+  mMayAnswerLate = aWait > Duration::zero();
   mIsReadDue = false;
   mReadAt = mExecutor.Now();
   mKnownEndAtRead = mKnownEnd;
@@ -199,6 +200,15 @@
   }
 }
 
+void
+KeyedFeed::ReadAtOnce()
+{
+  const bool isAnswerDue = mIsReading && !mMayAnswerLate;
+  if (!mIsLost && !isAnswerDue) {
+    Refresh();
+  }
+}
+
 void
 KeyedFeed::ReadNewest()
 {
--- a/coord/keyed_feed.h
+++ b/coord/keyed_feed.h
@@ -121,6 +121,12 @@
   // Does nothing while the newest records of all keys are being read.
   void Refresh();
 
+  // Reads at once, without waiting for new records, because this process must
+  // know all changes up to now. A read whose answer the log does not delay is
+  // not repeated, so that a slow log is read at all: call this again after its
+  // progress. Does nothing while the log is lost.
+  void ReadAtOnce();
+
   // Reads the newest records of all keys, unless that is in progress.
   // OnSnapshot() follows, or OnLost() if the feed is not lost already.
   void ReadNewest();
@@ -235,6 +241,8 @@
   std::size_t mPeerCount = 0;
   // Whether a read is in progress.
   bool mIsReading = false;
+  // Whether the log may delay the answer to that read.
+  bool mMayAnswerLate = false;
   // Whether a read was scheduled by ReadSoon() and has not begun.
   bool mIsReadDue = false;
   Instant mCurrentAt{};
--- a/policy/stream_origin/stream_origin_tracker.cpp
+++ b/policy/stream_origin/stream_origin_tracker.cpp
@@ -18,6 +18,8 @@
       return "recorded";
     case OriginSource::kOnlyVersion:
       return "only version";
+    case OriginSource::kUnconfirmed:
+      return "unconfirmed";
     case OriginSource::kUnknown:
       break;
   }
@@ -88,6 +90,7 @@
     mConfirmation = aConfirmation;
     return;
   }
+  mConfirmation->readAt = std::max(mConfirmation->readAt, aConfirmation.readAt);
   mConfirmation->unchangedUntil =
     std::max(mConfirmation->unchangedUntil, until);
   mConfirmation->place = std::max(mConfirmation->place, aConfirmation.place);
@@ -171,7 +174,10 @@
 bool
 StreamOriginTracker::NeedsRecords(const ServiceId& aService, Instant aNow) const
 {
-  return !OnlyVersion(aService, aNow);
+  // Without a read of the log, no take-up can be confirmed later.
+  const bool isRead = mConfirmation && aNow - mConfirmation->readAt <=
+                                         mOptions.maxConfirmationGap;
+  return !isRead || !OnlyVersion(aService, aNow);
 }
 
 bool
@@ -202,6 +208,7 @@
 StreamOrigin
 StreamOriginTracker::OriginOf(const ServiceId& aService,
                               std::optional<StreamHash> aStream,
+                              Instant aAsOf,
                               Instant aNow) const
 {
   if (aStream) {
@@ -213,8 +220,14 @@
     }
   }
   const auto only = OnlyVersion(aService, aNow);
-  return only ? StreamOrigin{ OriginSource::kOnlyVersion, *only }
-              : StreamOrigin{};
+  if (!only) {
+    return {};
+  }
+  // A read that was sent before the stream broke says nothing of a server that
+  // joined since, nor of a stream that it began since.
+  return mConfirmation->readAt >= aAsOf
+           ? StreamOrigin{ OriginSource::kOnlyVersion, *only }
+           : StreamOrigin{ OriginSource::kUnconfirmed, {} };
 }
 
 void
--- a/policy/stream_origin/stream_origin_tracker.h
+++ b/policy/stream_origin/stream_origin_tracker.h
@@ -11,12 +11,13 @@
 // announces its sends of streams to the others, and a stream that no host
 // vouches for is not continued.
 //
-// That only one version can have begun a stream is known if a host has known
-// all changes of the backend servers, without a gap, from before the stream can
-// have begun. That time begins with the host's own start, or with that of
-// another host which has known all changes up to where this one began
-// (VersionHistory). A host that has just started continues no earlier stream
-// until another one tells it.
+// That only one version can have begun a stream is known as of an instant: a
+// host must have known all changes of the backend servers, without a gap, from
+// before the stream can have begun until after it broke. That time ends with a
+// read of the log that was sent after the take-up arrived. It begins with the
+// host's own start, or with that of another host which has known all changes up
+// to where this one began (VersionHistory). A host that has just started
+// continues no earlier stream until another one tells it.
 
 #include <cstdint>
 #include <deque>
@@ -46,6 +47,9 @@
   kRecorded,
   // Only one version can have begun streams of the service.
   kOnlyVersion,
+  // The same as far as is known, but a version may have come since, which this
+  // host has not learned of.
+  kUnconfirmed,
   kUnknown,
 };
 
@@ -55,7 +59,7 @@
 struct StreamOrigin
 {
   OriginSource source = OriginSource::kUnknown;
-  // Not valid with kUnknown.
+  // Not valid with kUnconfirmed and kUnknown.
   SoftwareVersion version{};
 };
 
@@ -66,7 +70,9 @@
 // How current the known backend servers are.
 struct BackendConfirmation
 {
-  // No host can have learned of another change before this.
+  // All changes that the log had acknowledged then are known.
+  Instant readAt{};
+  // No host can have learned of another change before this; not before readAt.
   Instant unchangedUntil{};
   LogPlace place{};
 };
@@ -131,7 +137,8 @@
                  Instant aNow);
   void OnBackendGone(const BackendId& aId, Instant aNow);
 
-  // Must be called several times in each maxConfirmationGap.
+  // Must be called several times in each maxConfirmationGap, and after each
+  // read of the log.
   void OnConfirmed(const BackendConfirmation& aConfirmation);
 
   // Whether the versions of all streams that can be taken up are not known, as
@@ -156,8 +163,10 @@
   bool OnSend(const StreamSend& aSend, Instant aNow);
 
   // Which version began the stream; aStream is empty if the caller names none.
+  // aAsOf is when its take-up arrived, or another instant after it broke.
   [[nodiscard]] StreamOrigin OriginOf(const ServiceId& aService,
                                       std::optional<StreamHash> aStream,
+                                      Instant aAsOf,
                                       Instant aNow) const;
 
   // Number of versions that can have begun streams of the service, as far as
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -115,7 +115,7 @@
   if (access.outcome != policy::AccessOutcome::kAdmitted) {
     return;
   }
-  if (mTasks.contains(id)) {
+  if (mTasks.contains(id) || mTakeUps.contains(id)) {
     RejectRequest(
       *aAnswer, OwnAnswerKind::kRefused, id, "request id is running");
     return;
@@ -123,35 +123,44 @@
   // A stream goes on at the service that began it.
   const auto& service =
     route->TargetFor(read->resumes.Value().empty() ? id : read->resumes);
-  std::optional<policy::SoftwareVersion> origin;
-  if (mParts.streamOrigins != nullptr && route->IsStream() &&
-      !read->lastEventId.empty()) {
-    origin = FindOrigin(*read, service);
-    if (!origin) {
-      RejectRequest(*aAnswer,
-                    OwnAnswerKind::kRefused,
-                    id,
-                    "version that began the stream is not known",
-                    { { "resumes", read->resumes.Value() } });
-      return;
-    }
+  const bool isTakeUp = mParts.streamOrigins != nullptr && route->IsStream() &&
+                        !read->lastEventId.empty();
+  AdmittedRequest request{ .request = std::move(*read),
+                           .table = table,
+                           .route = route,
+                           .customer = access.customer,
+                           .service = service,
+                           .arrivedAt = mParts.executor->Now(),
+                           .answer = std::move(aAnswer) };
+  if (isTakeUp) {
+    ContinueStream(std::move(request));
+  } else {
+    StartTask(std::move(request), std::nullopt);
   }
-  const auto* traits = table->Service(service);
+}
+
+void
+Relay::StartTask(AdmittedRequest aRequest,
+                 std::optional<policy::SoftwareVersion> aOrigin)
+{
+  const auto* traits = aRequest.table->Service(aRequest.service);
   const bool hasEngine = traits != nullptr && traits->engine;
   if (!hasEngine) {
-    read->prompt.reset();
+    aRequest.request.prompt.reset();
   }
+  const auto id = aRequest.request.id;
   auto task = std::make_unique<RelayTask>(
     mContext,
     RelayTask::Options{
-      .request = std::move(*read),
-      .table = table,
-      .route = route,
-      .customer = access.customer,
-      .service = service,
-      .requiredVersion = origin,
+      .request = std::move(aRequest.request),
+      .table = std::move(aRequest.table),
+      .route = aRequest.route,
+      .customer = aRequest.customer,
+      .service = std::move(aRequest.service),
+      .arrivedAt = aRequest.arrivedAt,
+      .requiredVersion = aOrigin,
       .tokensPerEvent = hasEngine ? traits->engine->tokensPerEvent : 1,
-      .answer = std::move(aAnswer),
+      .answer = std::move(aRequest.answer),
       .onDone = [this](const RequestId& aId) { mTasks.erase(aId); } });
   mHasRoutedRequest = true;
   auto* started = task.get();
@@ -162,29 +171,121 @@
   }
 }
 
-std::optional<policy::SoftwareVersion>
-Relay::FindOrigin(const RelayRequest& aRequest, const ServiceId& aService)
+// A request that waits until the origin of its stream is known.
+class Relay::TakeUp : public CallerObserver
 {
-  const auto& first = aRequest.resumes;
+public:
+  TakeUp(Relay& aRelay, AdmittedRequest aRequest)
+    : mRelay(aRelay)
+    , mRequest(std::move(aRequest))
+  {
+    mRequest.answer->Observe(this);
+  }
+  TakeUp(const TakeUp&) = delete;
+  TakeUp& operator=(const TakeUp&) = delete;
+  ~TakeUp() override
+  {
+    if (mRequest.answer) {
+      mRequest.answer->Observe(nullptr);
+    }
+  }
+
+  [[nodiscard]] const AdmittedRequest& Request() const { return mRequest; }
+  [[nodiscard]] bool IsCallerGone() const { return mIsCallerGone; }
+
+  AdmittedRequest Release()
+  {
+    mRequest.answer->Observe(nullptr);
+    return std::move(mRequest);
+  }
+
+private:
+  void OnCallerGone() override
+  {
+    mIsCallerGone = true;
+    mRelay.mParts.executor->Post([relay = &mRelay, id = mRequest.request.id] {
+      relay->ResolveTakeUp(id);
+    });
+  }
+  void OnOutputAccepted() override {}
+
+  Relay& mRelay;
+  AdmittedRequest mRequest;
+  bool mIsCallerGone = false;
+};
+
+void
+Relay::ContinueStream(AdmittedRequest aRequest)
+{
+  const auto origin = FindOrigin(aRequest);
+  if (origin.source != policy::OriginSource::kUnconfirmed ||
+      !mParts.awaitBackends) {
+    DecideTakeUp(std::move(aRequest), origin);
+    return;
+  }
+  const auto id = aRequest.request.id;
+  const auto asOf = aRequest.arrivedAt;
+  mTakeUps[id] = std::make_unique<TakeUp>(*this, std::move(aRequest));
+  mParts.awaitBackends(asOf, [this, id] { ResolveTakeUp(id); });
+}
+
+void
+Relay::ResolveTakeUp(const RequestId& aId)
+{
+  const auto found = mTakeUps.extract(aId);
+  if (found.empty()) {
+    return; // it was answered, or its caller left
+  }
+  auto& takeUp = *found.mapped();
+  if (takeUp.IsCallerGone()) {
+    mLog.Info("caller left before its stream was continued",
+              { { "request", aId.Value() } });
+    return;
+  }
+  const auto origin = FindOrigin(takeUp.Request());
+  DecideTakeUp(takeUp.Release(), origin);
+}
+
+policy::StreamOrigin
+Relay::FindOrigin(const AdmittedRequest& aRequest) const
+{
+  const auto& first = aRequest.request.resumes;
   const auto stream = first.Value().empty()
                         ? std::nullopt
                         : std::optional(policy::StreamHashOf(first));
+  return mParts.streamOrigins->OriginOf(
+    aRequest.service, stream, aRequest.arrivedAt, mParts.executor->Now());
+}
+
+void
+Relay::DecideTakeUp(AdmittedRequest aRequest,
+                    const policy::StreamOrigin& aOrigin)
+{
   const auto now = mParts.executor->Now();
-  const auto origin = mParts.streamOrigins->OriginOf(aService, stream, now);
-  const std::string source(ToString(origin.source));
-  mParts.metrics->streamResumptions.With({ aService.Value(), source }).Add();
+  const auto& request = aRequest.request;
+  const auto& service = aRequest.service;
+  const std::string source(ToString(aOrigin.source));
+  mParts.metrics->streamResumptions.With({ service.Value(), source }).Add();
   mLog.Info(
     "caller resumes a stream",
-    { { "request", aRequest.id.Value() },
-      { "resumes", first.Value() },
-      { "after_event", aRequest.lastEventId },
+    { { "request", request.id.Value() },
+      { "resumes", request.resumes.Value() },
+      { "after_event", request.lastEventId },
       { "origin", source },
       { "versions",
-        std::to_string(mParts.streamOrigins->VersionCount(aService, now)) } });
-  if (origin.source == policy::OriginSource::kUnknown) {
-    return std::nullopt;
+        std::to_string(mParts.streamOrigins->VersionCount(service, now)) },
+      { "waited_ms", Millis(now - aRequest.arrivedAt) } });
+  const bool isKnown = aOrigin.source == policy::OriginSource::kRecorded ||
+                       aOrigin.source == policy::OriginSource::kOnlyVersion;
+  if (isKnown) {
+    StartTask(std::move(aRequest), aOrigin.version);
+    return;
   }
-  return origin.version;
+  RejectRequest(*aRequest.answer,
+                OwnAnswerKind::kRefused,
+                request.id,
+                "version that began the stream is not known",
+                { { "resumes", request.resumes.Value() } });
 }
 
 void
@@ -231,6 +332,10 @@
   for (const auto& [id, task] : mTasks) {
     task->EndUnanswered("before the stop");
   }
+  for (const auto& [id, takeUp] : std::exchange(mTakeUps, {})) {
+    RejectRequest(
+      *takeUp->Request().answer, OwnAnswerKind::kNotReady, id, "stopping");
+  }
 }
 
 void
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -55,6 +55,10 @@
     // Knows which versions began the streams that callers resume; null if
     // versions are not told apart.
     policy::StreamOriginTracker* streamOrigins = nullptr;
+    // Calls back, not within the call, when all changes of the backend servers
+    // up to the instant are known, or when that can't be waited for. Without
+    // this function, nothing is waited for.
+    std::function<void(Instant, std::function<void()>)> awaitBackends{};
     // Tells the other relays that a stream was sent to a backend server.
     std::function<void(const policy::StreamSend&)> announceStreamSend{};
     // Sends a notice about a backend server to the other relays.
@@ -94,7 +98,10 @@
   [[nodiscard]] bool HasRoutedRequest() const { return mHasRoutedRequest; }
 
   // Number of requests that have not ended.
-  [[nodiscard]] std::size_t LiveRequests() const { return mTasks.size(); }
+  [[nodiscard]] std::size_t LiveRequests() const
+  {
+    return mTasks.size() + mTakeUps.size();
+  }
   // The age of the routing table's confirmation; none if it is not confirmed.
   [[nodiscard]] std::optional<Duration> ConfirmationAge() const
   {
@@ -103,6 +110,20 @@
   [[nodiscard]] policy::RequestRouter& Router() { return mRouter; }
 
 private:
+  class TakeUp;
+
+  // A request that is allowed on its route.
+  struct AdmittedRequest
+  {
+    RelayRequest request;
+    std::shared_ptr<const policy::RoutingTable> table;
+    const policy::Route* route = nullptr;
+    const policy::Customer* customer = nullptr;
+    ServiceId service;
+    Instant arrivedAt{};
+    std::shared_ptr<CallerAnswer> answer;
+  };
+
   void Dispatch(const policy::DispatchOrder& aOrder) override;
   void Cancel(const RequestId& aId, policy::AttemptNumber aAttempt) override;
   void Refuse(const RequestId& aId, const policy::Refusal& aRefusal) override;
@@ -112,11 +133,20 @@
   void AnnounceCrashSuspicions(
     const std::vector<policy::CrashSuspicion>& aChanges) override;
 
-  // Returns the version that began the stream which the request resumes, or
-  // nothing if that is not known.
-  std::optional<policy::SoftwareVersion> FindOrigin(
-    const RelayRequest& aRequest,
-    const ServiceId& aService);
+  // Starts the task of a request; aOrigin is the version that began the stream
+  // which it continues.
+  void StartTask(AdmittedRequest aRequest,
+                 std::optional<policy::SoftwareVersion> aOrigin);
+  // Continues a stream at the version that began it, as soon as that is known,
+  // or refuses to.
+  void ContinueStream(AdmittedRequest aRequest);
+  // Decides about a request that waited, unless it has been answered.
+  void ResolveTakeUp(const RequestId& aId);
+  // Starts the task of a request that continues a stream, or refuses it.
+  void DecideTakeUp(AdmittedRequest aRequest,
+                    const policy::StreamOrigin& aOrigin);
+  [[nodiscard]] policy::StreamOrigin FindOrigin(
+    const AdmittedRequest& aRequest) const;
   void OnStreamSend(const ServiceId& aService, const policy::StreamSend& aSend);
   // Answers a request that matches no route.
   void RejectUnrouted(CallerAnswer& aAnswer, const RequestId& aId);
@@ -146,6 +176,8 @@
   policy::RequestRouter mRouter;
   RelayContext mContext;
   std::unordered_map<RequestId, std::unique_ptr<RelayTask>> mTasks;
+  // Requests that wait until the origin of their stream is known.
+  std::unordered_map<RequestId, std::unique_ptr<TakeUp>> mTakeUps;
   bool mIsClosed = false;
   bool mHasRoutedRequest = false;
   // Whether the table was too old at the last request for which it mattered.
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "coord/keyed_feed.h"
+#include "servers/relay/confirmation_waiter.h"
 #include "servers/relay/feed_listener.h"
 #include "servers/relay/peer_group.h"
 #include "servers/relay/peer_update_channel.h"
@@ -137,6 +138,10 @@
           .metrics = &mMetrics,
           .memory = mCallerMemory,
           .streamOrigins = &mStreamOrigins,
+          .awaitBackends =
+            [this](Instant aAsOf, std::function<void()> aDone) {
+              mConfirmationWaiter.Await(aAsOf, std::move(aDone));
+            },
           .announceStreamSend =
             [this](const policy::StreamSend& aSend) {
               mPeerUpdates.Send(aSend, AllPeers());
@@ -292,6 +297,12 @@
                    mExecutor,
                    *aParts.keyedLog,
                    mBackendListener)
+    , mConfirmationWaiter(
+        { .seed = mSeed + 4 },
+        { .executor = &mExecutor,
+          .confirmedAt = [this] { return mBackendFeed.ConfirmedAt(); },
+          .isLost = [this] { return mBackendFeed.Lost(); },
+          .read = [this] { mBackendFeed.ReadAtOnce(); } })
     , mVersionExchange(mExecutor, mStreamOrigins, *this)
     , mStalenessMonitor({ .bound = aSettings.stalenessBound },
                         mExecutor,
@@ -441,6 +452,7 @@
           mPeerUpdates.Send(
             { .feed = SharedFeed::kBackends, .progress = aProgress },
             AllPeers());
+          OnBackendsRead();
         },
       .onBehind = [this] { mMetrics.feedCatchUps.With({ "backends" }).Add(); },
       .onReadFailing =
@@ -452,7 +464,9 @@
       .onSnapshot =
         [this](const std::vector<std::string>& aKeys) {
           mBackendRegistry.RemoveAllExcept(aKeys);
+          OnBackendsRead();
         },
+      .onLost = [this] { mConfirmationWaiter.OnRead(); },
       .onRegained =
         [this] {
           mBackendRegistry.OnLogRegained();
@@ -476,6 +490,12 @@
     mTableUpdater.Feed().Refresh();
   }
 
+  void OnBackendsRead()
+  {
+    ConfirmBackends();
+    mConfirmationWaiter.OnRead();
+  }
+
   // Tells the tracker of streams up to when the backend servers are known.
   void ConfirmBackends()
   {
@@ -490,7 +510,8 @@
         mExecutor.Now() - std::max(Duration::zero(), *awaySince - *readAt);
     }
     mStreamOrigins.OnConfirmed(
-      { .unchangedUntil = unchangedUntil,
+      { .readAt = *readAt,
+        .unchangedUntil = unchangedUntil,
         .place = policy::LogPlace(mBackendFeed.Next().Value()) });
   }
 
@@ -700,6 +721,7 @@
   FeedListener mBackendListener;
   RoutingTableUpdater mTableUpdater;
   coord::KeyedFeed mBackendFeed;
+  ConfirmationWaiter mConfirmationWaiter;
   VersionHistoryExchange mVersionExchange;
   StalenessMonitor mStalenessMonitor;
   Timer mConfirmTimer;
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -45,7 +45,7 @@
 RelayTask::RelayTask(const RelayContext& aContext, Options aOptions)
   : mContext(aContext)
   , mOptions(std::move(aOptions))
-  , mArrival(aContext.executor->Now())
+  , mArrival(mOptions.arrivedAt)
   , mEvents(mOptions.request.lastEventId)
 {
   const auto callerTimeout =
@@ -62,11 +62,12 @@
 void
 RelayTask::Start()
 {
-  mDeadlineTimer = mContext.executor->RunAfter(
-    mDeadline - mArrival, [this] { EndUnanswered("in time"); });
+  mDeadlineTimer =
+    mContext.executor->RunAfter(std::max(mDeadline - Now(), Duration::zero()),
+                                [this] { EndUnanswered("in time"); });
   auto info = MakeInfo();
   mCustomer = info.customer;
-  mContext.router->OnArrival(std::move(info), mArrival);
+  mContext.router->OnArrival(std::move(info), Now());
 }
 
 policy::RequestInfo
--- a/servers/relay/relay_task.h
+++ b/servers/relay/relay_task.h
@@ -58,6 +58,8 @@
     // known.
     const policy::Customer* customer = nullptr;
     ServiceId service;
+    // When the request arrived.
+    Instant arrivedAt{};
     // The version that began the stream which the request continues.
     std::optional<policy::SoftwareVersion> requiredVersion{};
     // Maximum number of output tokens in one event.
--- a/tests/coord/keyed_feed_test.cpp
+++ b/tests/coord/keyed_feed_test.cpp
@@ -791,6 +791,55 @@
   CHECK(feed.ConfirmedAt() == sentAt);
 }
 
+// Guards against a decision that waits for as long as the log may delay an
+// answer.
+TEST(KeyedFeedTest, AReadAtOnceConfirmsNowWhileAnotherOneWaits)
+{
+  log.Put("a", "1");
+  log.delaysForWait = true;
+  KeyedFeed patient({ .stream = StreamName("s"), .pause = 100ms, .wait = 20s },
+                    executor,
+                    log,
+                    observer);
+  patient.Start();
+  executor.RunFor(1s);
+  const auto now = executor.Now();
+  CHECK_TRUE(*patient.ConfirmedAt() < now);
+  patient.ReadAtOnce();
+  executor.RunFor(kAnswerTime);
+  CHECK_TRUE(patient.ConfirmedAt() == now);
+}
+
+// Guards against a slow log whose answers are discarded for later reads, so
+// that nothing is ever confirmed.
+TEST(KeyedFeedTest, ReadsAtOnceDoNotReplaceEachOther)
+{
+  log.Put("a", "1");
+  feed.Start();
+  executor.RunFor(1s);
+  log.answerTime = 300ms;
+  for (int i = 0; i < 40; ++i) {
+    feed.ReadAtOnce();
+    executor.RunFor(50ms);
+  }
+  CHECK_TRUE(*feed.ConfirmedAt() > executor.Now() - 700ms);
+}
+
+// Guards against more calls to a log that refuses them.
+TEST(KeyedFeedTest, ALostLogIsNotReadAtOnce)
+{
+  log.Put("a", "1");
+  feed.Start();
+  executor.RunFor(1s);
+  log.isUnavailable = true;
+  executor.RunFor(1s);
+  const int before = log.calls;
+  for (int i = 0; i < 100; ++i) {
+    feed.ReadAtOnce();
+  }
+  LONGS_EQUAL(before, log.calls);
+}
+
 TEST(KeyedFeedTest, OnlyContiguousProgressOfAPeerConfirms)
 {
   const auto offer = [this](int aFrom, int aNext, firefly::Instant aReadAt) {
--- a/tests/policy/stream_origin/stream_origin_load_test.cpp
+++ b/tests/policy/stream_origin/stream_origin_load_test.cpp
@@ -99,9 +99,8 @@
         run();
       }
       for (auto& it : mHosts) {
-        if (it.tracker && it.loadedAt <= mNow) {
-          it.tracker->OnConfirmed(
-            { .unchangedUntil = mNow - 800ms, .place = LogPlace(it.place) });
+        if (it.tracker && it.loadedAt <= mNow && it.cutUntil <= mNow) {
+          Confirm(it, mNow - 800ms);
         }
       }
       if (mNow >= mAskAt) {
@@ -123,6 +122,28 @@
     }
   }
 
+  // Cuts off a share of the hosts from the log and from each other. The others
+  // go on, and so do all servers. Streams of the hosts that are not cut off
+  // break some time into the cut, and are taken up at any host.
+  void CutOff(double aShare, Duration aTime, Duration aBreakAfter)
+  {
+    for (std::size_t i = 0; i < mHosts.size(); ++i) {
+      if (static_cast<double>(i) <
+          aShare * static_cast<double>(mHosts.size())) {
+        mHosts[i].cutUntil = mNow + aTime;
+        mEvents.emplace(mHosts[i].cutUntil, [this, i] { Load(i); });
+      }
+    }
+    mEvents.emplace(mNow + aBreakAfter, [this] {
+      for (const auto& it : mStreams) {
+        if (mHosts[it.host].cutUntil <= mNow &&
+            mNow > it.sentAt + kFirstEvent) {
+          TakeUp(it, mNow + FromSeconds(0.1 * mRandom.Uniform()));
+        }
+      }
+    });
+  }
+
   // Ends the host. The callers of its streams take them up at other hosts.
   void KillHost(std::size_t aHost)
   {
@@ -151,6 +172,8 @@
     std::vector<std::string> versions;
     // Up to where it has processed the log.
     std::uint64_t place = 0;
+    // It reaches neither the log nor other hosts before.
+    Instant cutUntil{};
   };
   struct Stream
   {
@@ -190,7 +213,7 @@
   void Load(std::size_t aHost)
   {
     auto& host = mHosts[aHost];
-    if (!host.tracker) {
+    if (!host.tracker || host.cutUntil > mNow) {
       return;
     }
     for (const auto& it : host.versions) {
@@ -218,7 +241,8 @@
     for (auto& it : mHosts) {
       for (int n = 0; n < 2; ++n) {
         const auto& other = mHosts[mRandom.Below(mHosts.size())];
-        if (!it.tracker || !it.tracker->NeedsHistory(mNow) || !other.tracker) {
+        if (!it.tracker || !it.tracker->NeedsHistory(mNow) || !other.tracker ||
+            std::max(it.cutUntil, other.cutUntil) > mNow) {
           continue;
         }
         if (const auto history = other.tracker->History()) {
@@ -268,7 +292,8 @@
     }
     mNotices++;
     for (std::size_t i = 0; i < mHosts.size(); ++i) {
-      if (mRandom.Uniform() >= mOptions.loss) {
+      const bool isCut = std::max(aHost.cutUntil, mHosts[i].cutUntil) > mNow;
+      if (mRandom.Uniform() >= mOptions.loss && !isCut) {
         mEvents.emplace(mNow + kStep, [this, i, send] {
           if (mHosts[i].tracker) {
             mHosts[i].tracker->OnSend(send, mNow);
@@ -287,15 +312,40 @@
         return;
       }
       mCounts.takenUp++;
-      const auto origin =
-        host->tracker->OriginOf(kService, StreamHashOf(stream.id), mNow);
-      if (origin.source != OriginSource::kUnknown) {
-        mCounts.wentOn++;
-        mCounts.joined += origin.version == stream.version ? 0 : 1;
+      if (!Decide(index, stream, mNow)) {
+        // The host reads the log.
+        mEvents.emplace(mNow + 2 * kStep, [this, index, stream, at = mNow] {
+          auto& reader = mHosts[index];
+          if (reader.tracker && reader.cutUntil <= mNow) {
+            Load(index);
+            Confirm(reader, at);
+            Decide(index, stream, at);
+          }
+        });
       }
     });
   }
 
+  // Lets the host decide about a take-up that arrived at the instant. Returns
+  // false if the log must be read first.
+  bool Decide(std::size_t aHost, const Stream& aStream, Instant aArrival)
+  {
+    const auto origin = mHosts[aHost].tracker->OriginOf(
+      kService, StreamHashOf(aStream.id), aArrival, mNow);
+    if (origin.source == OriginSource::kRecorded ||
+        origin.source == OriginSource::kOnlyVersion) {
+      mCounts.wentOn++;
+      mCounts.joined += origin.version == aStream.version ? 0 : 1;
+    }
+    return origin.source != OriginSource::kUnconfirmed;
+  }
+
+  static void Confirm(Host& aHost, Instant aAt)
+  {
+    aHost.tracker->OnConfirmed(
+      { .readAt = aAt, .unchangedUntil = aAt, .place = LogPlace(aHost.place) });
+  }
+
   Options mOptions;
   Random mRandom;
   Instant mNow{ 1000s };
@@ -407,3 +457,22 @@
     CHECK_TRUE(count.wentOn * 2 >= count.takenUp);
   }
 }
+
+// Guards against hosts that are out of step for a few seconds while a new
+// version joins, and continue its streams at the version that they know.
+TEST(StreamOriginLoadTest, HostsThatAreCutOffForSecondsJoinNoStream)
+{
+  for (const auto cut : { 1500ms, 2000ms, 2700ms, 3500ms }) {
+    Deployment deployment({ .hosts = 30, .streamsPerSecond = 500 });
+    deployment.Serve({ "v1" });
+    deployment.Play(20s);
+    deployment.CutOff(0.34, cut, cut - 200ms);
+    deployment.Serve({ "v1", "v2" });
+    deployment.Play(6s);
+    const auto& count = deployment.Count();
+    Report("hosts cut off", count);
+    CHECK_TRUE(count.takenUp > 50);
+    LONGS_EQUAL(0, count.joined);
+    CHECK_TRUE(count.wentOn * 2 >= count.takenUp);
+  }
+}
--- a/tests/policy/stream_origin/stream_origin_tracker_test.cpp
+++ b/tests/policy/stream_origin/stream_origin_tracker_test.cpp
@@ -50,7 +50,8 @@
   // Confirms that all changes up to the instant are known.
   void Confirm(StreamOriginTracker & aTracker, Instant aAt) const
   {
-    aTracker.OnConfirmed({ .unchangedUntil = aAt, .place = place });
+    aTracker.OnConfirmed(
+      { .readAt = aAt, .unchangedUntil = aAt, .place = place });
   }
 
   // Passes time in which all changes become known soon.
@@ -62,6 +63,17 @@
     }
   }
 
+  // Passes time in which no host can read the log.
+  void PassOutage(Duration aTime)
+  {
+    const auto readAt = now;
+    for (const auto end = now + aTime; now < end;) {
+      now += 1s;
+      tracker.OnConfirmed(
+        { .readAt = readAt, .unchangedUntil = now - 500ms, .place = place });
+    }
+  }
+
   void AddNewVersion()
   {
     tracker.OnBackend(kNewServer, kService, kNew, now);
@@ -87,7 +99,8 @@
     return started;
   }
 
-  // Returns the source, and after a slash the version.
+  // Returns the source, and after a slash the version, for a take-up that
+  // arrived half a second ago.
   std::string Origin()
   {
     return Origin(tracker);
@@ -95,9 +108,15 @@
 
   std::string Origin(const StreamOriginTracker& aTracker)
   {
-    const auto origin = aTracker.OriginOf(kService, kStream, now);
+    return OriginAsOf(aTracker, now - 500ms);
+  }
+
+  std::string OriginAsOf(const StreamOriginTracker& aTracker, Instant aAsOf)
+  {
+    const auto origin = aTracker.OriginOf(kService, kStream, aAsOf, now);
     std::string text(ToString(origin.source));
-    if (origin.source != OriginSource::kUnknown) {
+    if (origin.source == OriginSource::kRecorded ||
+        origin.source == OriginSource::kOnlyVersion) {
       text += origin.version == kOld ? "/old" : "/new";
     }
     return text;
@@ -111,7 +130,8 @@
   Pass(20s);
   CHECK_FALSE(tracker.NeedsRecords(kService, now));
   STRCMP_EQUAL("only version/old", Origin().c_str());
-  const auto unnamed = tracker.OriginOf(kService, std::nullopt, now);
+  const auto unnamed =
+    tracker.OriginOf(kService, std::nullopt, now - 500ms, now);
   CHECK(unnamed.source == OriginSource::kOnlyVersion);
 }
 
@@ -124,7 +144,8 @@
   STRCMP_EQUAL("unknown", Origin().c_str());
   Send(kNew);
   STRCMP_EQUAL("recorded/new", Origin().c_str());
-  const auto unnamed = tracker.OriginOf(kService, std::nullopt, now);
+  const auto unnamed =
+    tracker.OriginOf(kService, std::nullopt, now - 500ms, now);
   CHECK(unnamed.source == OriginSource::kUnknown);
 }
 
@@ -205,8 +226,9 @@
   tracker.OnBackend(BackendId("d"), other, SoftwareVersionOf(other, "v2"), now);
   Pass(20s);
   STRCMP_EQUAL("only version/old", Origin().c_str());
-  CHECK(tracker.OriginOf(ServiceId("none"), kStream, now).source ==
-        OriginSource::kUnknown);
+  const auto none =
+    tracker.OriginOf(ServiceId("none"), kStream, now - 500ms, now);
+  CHECK(none.source == OriginSource::kUnknown);
 }
 
 // Guards against memory that grows with the streams of a long roll-out.
@@ -355,3 +377,51 @@
   const StreamOriginTracker unconfirmed;
   CHECK_FALSE(unconfirmed.History().has_value());
 }
+
+// Guards against a host that was cut off for less than the longest gap: a
+// version came and began streams meanwhile, which the host takes for those of
+// the only version that it knows.
+TEST(StreamOriginTrackerTest, ATakeUpNeedsAReadAfterItsArrival)
+{
+  Pass(20s);
+  const auto arrival = now - 400ms;
+  STRCMP_EQUAL("unconfirmed", OriginAsOf(tracker, arrival).c_str());
+  Confirm(tracker, arrival - 1ms);
+  STRCMP_EQUAL("unconfirmed", OriginAsOf(tracker, arrival).c_str());
+  Confirm(tracker, arrival);
+  STRCMP_EQUAL("only version/old", OriginAsOf(tracker, arrival).c_str());
+}
+
+// Guards against the same where no host reads the log: that nothing can have
+// changed keeps the host's history, but confirms no take-up.
+TEST(StreamOriginTrackerTest, AnOutageOfTheLogConfirmsNoTakeUp)
+{
+  Pass(20s);
+  PassOutage(5s);
+  STRCMP_EQUAL("unconfirmed", Origin().c_str());
+  Confirm(tracker, now);
+  STRCMP_EQUAL("only version/old", Origin().c_str());
+}
+
+// Guards against refusals of all streams during an outage of the log: those
+// that begin in it are recorded.
+TEST(StreamOriginTrackerTest, StreamsThatBeginInAnOutageOfTheLogAreRecorded)
+{
+  Pass(20s);
+  PassOutage(5s);
+  CHECK_TRUE(tracker.NeedsRecords(kService, now));
+  Send(kOld);
+  STRCMP_EQUAL("recorded/old", Origin().c_str());
+  Confirm(tracker, now);
+  CHECK_FALSE(tracker.NeedsRecords(kService, now));
+}
+
+// Guards against a record that is refused because the log was not read since.
+TEST(StreamOriginTrackerTest, ARecordNeedsNoRead)
+{
+  Pass(20s);
+  AddNewVersion();
+  Send(kNew);
+  now += 4s;
+  STRCMP_EQUAL("recorded/new", Origin().c_str());
+}
--- a/tests/servers/relay/relay_fixture.h
+++ b/tests/servers/relay/relay_fixture.h
@@ -110,12 +110,24 @@
       .routing = &routing,
       .metrics = &metrics,
       .streamOrigins = &streamOrigins,
+      .awaitBackends =
+        [this](Instant aAsOf, std::function<void()> aDone) {
+          awaitBackends(aAsOf, std::move(aDone));
+        },
       .tableConfirmedAt = [this] { return std::optional(executor.Now()); },
       .onRequestStarted = [this](const CustomerId&) { started++; } }
   };
   CallerServer callers{ executor, {}, relay };
   std::unique_ptr<ScriptedBackend> first;
   std::unique_ptr<ScriptedBackend> second;
+  // Reads the log of the backend servers up to the instant.
+  std::function<void(Instant, std::function<void()>)> awaitBackends =
+    [this](Instant aAsOf, std::function<void()> aDone) {
+      executor.Post([this, aAsOf, done = std::move(aDone)] {
+        ConfirmBackends(aAsOf);
+        done();
+      });
+    };
 
   void setup() override
   {
@@ -161,12 +173,19 @@
                                             : std::vector<std::string>{} });
   }
 
+  // Makes the relay know all changes of the backend servers up to the instant.
+  void ConfirmBackends(Instant aAsOf)
+  {
+    streamOrigins.OnConfirmed(
+      { .readAt = aAsOf, .unchangedUntil = aAsOf, .place = {} });
+  }
+
   // Makes the relay know for the last minute which versions serve.
   void KnowVersions()
   {
     const auto now = executor.Now();
     for (auto at = now - 60s; at <= now; at += 1s) {
-      streamOrigins.OnConfirmed({ .unchangedUntil = at, .place = {} });
+      ConfirmBackends(at);
     }
   }
 
--- a/tests/servers/relay/stream_version_test.cpp
+++ b/tests/servers/relay/stream_version_test.cpp
@@ -2,6 +2,7 @@
 // the relay resumes it and when its caller does.
 
 #include <algorithm>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,26 @@
     Await([&] { return relay.LiveRequests() == 0; });
   }
 
+  // Serves one version, begins the stream q1 there, and keeps the reads of the
+  // log that a take-up waits for.
+  void BeginWithOneVersion()
+  {
+    first = StartBackend(StallOrGoOn);
+    second = StartBackend(StallOrGoOn);
+    Register("b1", *first, {}, "v1");
+    SetRoutingTable();
+    KnowVersions();
+    Begin("/events/1", "q1");
+    awaitBackends = [this](firefly::Instant aAsOf,
+                           std::function<void()> aDone) {
+      awaitedAt = aAsOf;
+      awaited = std::move(aDone);
+    };
+  }
+
+  firefly::Instant awaitedAt{};
+  std::function<void()> awaited;
+
   // Returns what a caller gets that resumes the stream.
   std::string TakeUp(const std::string& aTarget,
                      const std::string& aId,
@@ -246,9 +267,90 @@
   first = StartBackend(StallOrGoOn);
   Register("b1", *first, {}, "v2");
   SetRoutingTable();
-  streamOrigins.OnConfirmed({ .unchangedUntil = executor.Now(), .place = {} });
+  ConfirmBackends(executor.Now());
   const auto answer = TakeUp("/events/1", "q2", "q1");
   STRCMP_CONTAINS("HTTP/1.1 503 ", answer.c_str());
   STRCMP_CONTAINS("\r\nRetry-After: ", answer.c_str());
   LONGS_EQUAL(0, first->Requests().size());
 }
+
+// Guards against a relay that is out of step for a moment and continues a
+// stream at the only version that it knows, while another one has joined and
+// begun it.
+TEST(RelayStreamVersionTest, ATakeUpWaitsUntilTheVersionsAreConfirmed)
+{
+  BeginWithOneVersion();
+  RawTcpClient caller(executor, callers.Port());
+  caller.Send(MakeStreamRequest("/events/1", "q2", Resume("q1")));
+  Await([&] { return awaited != nullptr; });
+  LONGS_EQUAL(1, relay.LiveRequests());
+  LONGS_EQUAL(1, first->Requests().size());
+  ConfirmBackends(awaitedAt);
+  awaited();
+  Await([&] { return caller.HasReceived(LastChunk()); });
+  STRCMP_CONTAINS("data: b\n\n", caller.Received().c_str());
+  LONGS_EQUAL(2, first->Requests().size());
+}
+
+TEST(RelayStreamVersionTest, ATakeUpIsRefusedIfAnotherVersionHasJoined)
+{
+  BeginWithOneVersion();
+  RawTcpClient caller(executor, callers.Port());
+  caller.Send(MakeStreamRequest("/events/1", "q2", Resume("q0")));
+  Await([&] { return awaited != nullptr; });
+  Register("b2", *second, {}, "v2");
+  ConfirmBackends(awaitedAt);
+  awaited();
+  Await([&] { return caller.HasReceived("HTTP/1.1 503 "); });
+  STRCMP_CONTAINS("\r\nRetry-After: ", caller.Received().c_str());
+  LONGS_EQUAL(1, first->Requests().size());
+  LONGS_EQUAL(0, second->Requests().size());
+  LONGS_EQUAL(0, relay.LiveRequests());
+}
+
+// Guards against a guess when the log does not answer.
+TEST(RelayStreamVersionTest, ATakeUpIsRefusedIfTheVersionsAreNotConfirmed)
+{
+  BeginWithOneVersion();
+  RawTcpClient caller(executor, callers.Port());
+  caller.Send(MakeStreamRequest("/events/1", "q2", Resume("q1")));
+  Await([&] { return awaited != nullptr; });
+  awaited();
+  Await([&] { return caller.HasReceived("HTTP/1.1 503 "); });
+  STRCMP_CONTAINS("\r\nRetry-After: ", caller.Received().c_str());
+  LONGS_EQUAL(1, first->Requests().size());
+}
+
+// Guards against work for callers that have left, and against an id that stays
+// in use.
+TEST(RelayStreamVersionTest, ACallerMayLeaveWhileItsTakeUpWaits)
+{
+  BeginWithOneVersion();
+  RawTcpClient caller(executor, callers.Port());
+  caller.Send(MakeStreamRequest("/events/1", "q2", Resume("q1")));
+  Await([&] { return awaited != nullptr; });
+  caller.Close();
+  Await([&] { return relay.LiveRequests() == 0; });
+  ConfirmBackends(awaitedAt);
+  awaited();
+  LONGS_EQUAL(1, first->Requests().size());
+  awaitBackends = [](firefly::Instant, const std::function<void()>&) {};
+  ConfirmBackends(executor.Now() + 1s);
+  const auto answer = TakeUp("/events/1", "q2", "q1");
+  STRCMP_CONTAINS("data: b\n\n", answer.c_str());
+}
+
+// Guards against a stop that leaves waiting callers without an answer.
+TEST(RelayStreamVersionTest, AWaitingTakeUpIsAnsweredBeforeTheStop)
+{
+  BeginWithOneVersion();
+  RawTcpClient caller(executor, callers.Port());
+  caller.Send(MakeStreamRequest("/events/1", "q2", Resume("q1")));
+  Await([&] { return awaited != nullptr; });
+  relay.EndRequests();
+  Await([&] { return caller.HasReceived("HTTP/1.1 503 "); });
+  LONGS_EQUAL(0, relay.LiveRequests());
+  ConfirmBackends(awaitedAt);
+  awaited();
+  LONGS_EQUAL(1, first->Requests().size());
+}
--- a/tests/servers/relay/version_history_exchange_test.cpp
+++ b/tests/servers/relay/version_history_exchange_test.cpp
@@ -76,7 +76,9 @@
   // Confirms that all changes up to now are known, from this place on.
   void Confirm(LogPlace aPlace)
   {
-    tracker.OnConfirmed({ .unchangedUntil = executor.Now(), .place = aPlace });
+    const auto now = executor.Now();
+    tracker.OnConfirmed(
+      { .readAt = now, .unchangedUntil = now, .place = aPlace });
   }
 
   // Lets time pass in which all changes become known.
@@ -105,7 +107,8 @@
   exchange.OnHistory(history);
   exchange.AskIfNeeded();
   LONGS_EQUAL(2, peers.asked);
-  const auto origin = tracker.OriginOf(kService, std::nullopt, executor.Now());
+  const auto now = executor.Now();
+  const auto origin = tracker.OriginOf(kService, std::nullopt, now, now);
   CHECK_TRUE(origin.source == OriginSource::kOnlyVersion);
 }
 
