--- a/tests/coord/authority_test.cpp
+++ b/tests/coord/authority_test.cpp
@@ -441,6 +441,7 @@
   cluster.candidates[1]->process.Kill();
   cluster.log.Trim(kStream, cluster.log.End(kStream));
   std::vector<std::unique_ptr<Candidate>> fresh;
+  fresh.reserve(8);
   for (int n = 0; n < 8; ++n) {
     fresh.push_back(
       std::make_unique<Candidate>(cluster.executor, cluster.log, 10 + n));
--- a/tests/policy/stream_origin/stream_origin_tracker_test.cpp
+++ b/tests/policy/stream_origin/stream_origin_tracker_test.cpp
@@ -18,7 +18,6 @@
 using firefly::policy::StreamHash;
 using firefly::policy::StreamHashOf;
 using firefly::policy::StreamOriginTracker;
-using firefly::policy::VersionHistory;
 
 namespace {
 
