Show large routing tables that hosts fetch again and again

What callers saw: requests routed by a table that was replaced seconds ago.

Cause shown: a read of the log may take 1.5 s and a fetch from a peer 1 s, however large the table is. The stand-in for the log knew no such bound, so no test met it. It has it now, its tables have routes as an operator writes them, and a new test plays a table of 830,000 bytes.

--- a/tests/servers/relay/routing_table_updater_test.cpp
+++ b/tests/servers/relay/routing_table_updater_test.cpp
@@ -49,6 +49,7 @@
 using firefly::coord::KeyedLogClient;
 using firefly::coord::KeyedReadTerms;
 using firefly::coord::KeyedRecord;
+using firefly::coord::LogError;
 using firefly::coord::LogOffset;
 using firefly::coord::NewestPage;
 using firefly::coord::StreamName;
@@ -63,6 +64,8 @@
 constexpr double kLinkBytesPerSecond = 1.25e6;
 constexpr double kLogBytesPerSecond = 80e6;
 constexpr Duration kAnswerTime = std::chrono::milliseconds(4);
+// A read of the log fails if it takes longer.
+constexpr Duration kReadTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kAppendTime = std::chrono::milliseconds(13);
 // Within which a change has to be in force.
 constexpr Duration kApplyWithin = std::chrono::seconds(2);
@@ -91,11 +94,21 @@
   Instant mFreeAt{};
 };
 
+// A record whose routes are the same in all versions, as an operator writes
+// them.
 std::string
 MakeRecord(std::uint64_t aVersion, std::size_t aBytes)
 {
   auto record = std::to_string(aVersion) + ";";
-  record.resize(std::max(aBytes, record.size()), 'x');
+  Random random(1);
+  while (record.size() < aBytes) {
+    const auto number = std::to_string(random.Below(1'000'000'000));
+    record += R"({"name":"r-)" + number +
+              R"(","host":"wura96.example","pathPrefix":"/)" + number +
+              R"(/","kind":"idempotent","timeoutMs":800,)"
+              R"("targetLatencyMs":150,"priority":2,"service":"kase3b",)"
+              R"("maxAttempts":2,"public":false,"sticky":false},)";
+  }
   return record;
 }
 
@@ -179,8 +192,10 @@
 
 private:
   // Runs the step once an answer of that size has crossed the log's and this
-  // host's link.
-  void AnswerFromLog(std::size_t aBytes, std::function<void()> aStep);
+  // host's link, or the other one when that takes longer than a call may.
+  void AnswerFromLog(std::size_t aBytes,
+                     std::function<void()> aStep,
+                     std::function<void()> aTimeout);
 
   Deployment& mDeployment;
   std::size_t mIndex;
@@ -278,13 +293,19 @@
 }
 
 void
-Host::AnswerFromLog(std::size_t aBytes, std::function<void()> aStep)
+Host::AnswerFromLog(std::size_t aBytes,
+                    std::function<void()> aStep,
+                    std::function<void()> aTimeout)
 {
   mDeployment.log.calls++;
   const auto now = mDeployment.executor.Now();
   const auto sent = mDeployment.log.reads.Transfer(now + kAnswerTime, aBytes);
   const auto received = link.Transfer(sent, aBytes);
-  mDeployment.After(received - now, std::move(aStep));
+  if (received - now > kReadTimeout) {
+    mDeployment.After(kReadTimeout, std::move(aTimeout));
+  } else {
+    mDeployment.After(received - now, std::move(aStep));
+  }
 }
 
 void
@@ -300,7 +321,10 @@
     page.records.push_back(records.back());
     bytes = records.back().value->size() * 4 / 3; // base64
   }
-  AnswerFromLog(bytes, [page, aCallback] { aCallback(page); });
+  AnswerFromLog(
+    bytes,
+    [page, aCallback] { aCallback(page); },
+    [aCallback] { aCallback(tl::make_unexpected(LogError{})); });
 }
 
 void
@@ -323,7 +347,10 @@
     batch.records.push_back(records[i]);
     batch.next = LogOffset(i + 1);
   }
-  AnswerFromLog(bytes, [batch, aCallback] { aCallback(batch); });
+  AnswerFromLog(
+    bytes,
+    [batch, aCallback] { aCallback(batch); },
+    [aCallback] { aCallback(tl::make_unexpected(LogError{})); });
 }
 
 HttpTransferPtr
@@ -465,6 +492,29 @@
   }
 }
 
+// Guards against transfers of a large table that are cut before their end and
+// begin again, at all hosts at once, on links that they fill.
+TEST(RoutingTableUpdaterTest,
+     ATableThatFillsALinkForMostOfASecondIsInForceInTime)
+{
+  constexpr std::size_t kBytes = 830'000;
+  for (const std::size_t hosts : { 9, 91, 295 }) {
+    Duration longest{};
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      Deployment deployment(hosts, seed);
+      deployment.Put(kTableBytes);
+      deployment.Start();
+      CHECK_TRUE(deployment.IsInForce());
+      for (int i = 0; i < 2; ++i) {
+        deployment.Put(kBytes);
+        longest = std::max(longest, deployment.TimeUntilInForce(30s));
+      }
+    }
+    std::printf("%zu hosts: in force within %.2f s\n", hosts, Seconds(longest));
+    CHECK_TRUE(longest <= kApplyWithin);
+  }
+}
+
 // Guards against reads of the log that increase with the number of hosts on a
 // calm day, on which the table is small and seldom changes.
 TEST(RoutingTableUpdaterTest, HostsTogetherSeldomReadOnACalmDay)
