Spread large routing tables from host to host

What callers saw: requests routed by a version that the operator had replaced 3.5 to 5.4 s before, on deployments with large tables.

Cause: every host read a large table from the log by itself. 91 copies of 1.1 MB (base64) take longer to leave the log than the 1.5 s after which a host gives up the read; it then asked a peer, on a link of 10 Mbit/s that the read had filled, at most 1 s for the whole table, began again from the first byte, and with four of them asking one peer none was served. Class: transfers whose cost all pay at once and that are cut by a bound on the whole of them begin again and take the room of those that would end.

Change: the table travels compressed between hosts (a fifteenth of its size). A host that has a large one tells eight others, sends it to as many as its link carries and refuses the rest at once; they ask one of those that announced last. The log is read after an unsuccessful fetch. A fetch ends when nothing arrives for 1 s, not after 1 s.

--- a/policy/table_update/table_update_planner.cpp
+++ b/policy/table_update/table_update_planner.cpp
@@ -24,6 +24,7 @@
   mNewest = aVersion;
   mNewestBytes = aBytes;
   mAttempts = 0;
+  mBusyAnswers = 0;
   if (!mBehindSince) {
     mBehindSince = aNow;
   }
@@ -41,7 +42,7 @@
              .wait = *mLastStart + Interval() - aSituation.now };
   }
   const auto bytes = std::max(mNewestBytes, aSituation.ownBytes);
-  const bool isLarge = bytes * aSituation.fetchers > mOptions.maxAnnouncerBytes;
+  const bool isLarge = bytes > mOptions.maxAnnouncerBytes;
   // After a fetch that did not bring the table, the other source is tried: a
   // log that was restored from a copy may not have it.
   const bool prefersLog =
@@ -54,6 +55,9 @@
 Duration
 TableUpdatePlanner::Interval() const
 {
+  if (mBusyAnswers > 0) {
+    return mOptions.busyRetry;
+  }
   auto interval = mOptions.minInterval;
   for (std::uint32_t i = 1; i < mAttempts && interval < mOptions.maxInterval;
        ++i) {
@@ -72,9 +76,25 @@
 }
 
 void
-TableUpdatePlanner::OnFetchEnded()
+TableUpdatePlanner::OnFetchEnded(TableFetchOutcome aOutcome)
 {
   mIsFetching = false;
+  const bool isBusy = aOutcome == TableFetchOutcome::kBusy &&
+                      mBusyAnswers < mOptions.maxBusyAnswers;
+  if (!isBusy) {
+    mBusyAnswers = 0;
+    return;
+  }
+  mBusyAnswers++;
+  mAttempts--;
+}
+
+bool
+TableUpdatePlanner::SpreadsFromHostToHost(std::uint64_t aBytes,
+                                          std::size_t aFetchers) const
+{
+  return aBytes <= mOptions.maxAnnouncerBytes &&
+         aBytes * aFetchers > mOptions.maxSingleSourceBytes;
 }
 
 Duration
--- a/policy/table_update/table_update_planner.h
+++ b/policy/table_update/table_update_planner.h
@@ -7,6 +7,10 @@
 // succession, and each version is announced by several hosts. Only the newest
 // announced version is fetched, one fetch at a time, so that the time until the
 // last version is in force does not grow with the number of versions.
+//
+// A large table spreads from host to host: each host that has it announces it
+// to some others, and a host that is busy sending it refuses, so that the one
+// that asked tries another.
 
 #include <cstdint>
 #include <optional>
@@ -22,6 +26,14 @@
   kLog,
 };
 
+enum class TableFetchOutcome : std::uint8_t
+{
+  kReceived,
+  // The host that was asked is sending its table to others.
+  kBusy,
+  kFailed,
+};
+
 class TableUpdatePlanner
 {
 public:
@@ -31,10 +43,17 @@
     // further fetch of the same version, up to maxInterval.
     Duration minInterval = std::chrono::milliseconds(500);
     Duration maxInterval = std::chrono::milliseconds(4000);
-    // Maximum number of bytes that others fetch from one host at the same time.
-    // The smallest hosts have links of 10 Mbit/s, which take 0.5 s for them;
-    // larger tables come from the log.
+    // Time from a refusal by a busy host to the next fetch.
+    Duration busyRetry = std::chrono::milliseconds(100);
+    // After this many refusals in a row, the log is read.
+    std::uint32_t maxBusyAnswers = 12;
+    // Maximum size of a table, as it is transferred, that comes from another
+    // host. The smallest hosts have links of 10 Mbit/s, which take 0.5 s for
+    // it; larger tables come from the log.
     std::uint64_t maxAnnouncerBytes = 600'000;
+    // If all hosts that are told of a table fetch more than this from the one
+    // that told them, those that have it announce it as well.
+    std::uint64_t maxSingleSourceBytes = 250'000;
   };
 
   // What the host knows besides the announcements.
@@ -42,10 +61,8 @@
   {
     Instant now{};
     RoutingVersion ownVersion;
-    // Size of the record of the host's own table; 0 if it has none.
+    // Size of the host's own table as it is transferred; 0 if it has none.
     std::uint64_t ownBytes = 0;
-    // How many hosts an announcement is sent to.
-    std::size_t fetchers = 0;
     // Whether the log does not answer this host.
     bool isLogLost = false;
   };
@@ -76,7 +93,12 @@
   [[nodiscard]] Decision Decide(const Situation& aSituation) const;
 
   void OnFetchStarted(TableSource aSource, Instant aNow);
-  void OnFetchEnded();
+  void OnFetchEnded(TableFetchOutcome aOutcome);
+
+  // Whether each host that has a table of this size announces it, if one host
+  // announces it to aFetchers others.
+  [[nodiscard]] bool SpreadsFromHostToHost(std::uint64_t aBytes,
+                                           std::size_t aFetchers) const;
 
   [[nodiscard]] bool IsFetching() const { return mIsFetching; }
 
@@ -97,6 +119,8 @@
   std::uint64_t mNewestBytes = 0;
   // Fetches that were started since the newest version was announced.
   std::uint32_t mAttempts = 0;
+  // Refusals by busy hosts since another outcome.
+  std::uint32_t mBusyAnswers = 0;
   TableSource mLastSource = TableSource::kLog;
   bool mIsFetching = false;
   std::optional<Instant> mLastStart;
--- a/servers/http/curl_transfer.cpp
+++ b/servers/http/curl_transfer.cpp
@@ -101,6 +101,9 @@
     curl_easy_setopt(mEasy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(mEasy, CURLOPT_FORBID_REUSE, 1L);
   }
+  if (mCall.acceptsGzip) {
+    curl_easy_setopt(mEasy, CURLOPT_ACCEPT_ENCODING, "gzip");
+  }
   SetMethod();
   for (const auto& it : mCall.headers) {
     mHeaderList =
--- a/servers/http/http_client.h
+++ b/servers/http/http_client.h
@@ -51,7 +51,9 @@
   // be repeated, because libcurl resends a request if a pooled connection turns
   // out to be dead.
   bool freshConnection = false;
-  std::size_t maxBodyBytes = 64U << 20U; // of the response
+  std::size_t maxBodyBytes = 64U << 20U; // of the response, once decompressed
+  // Lets the server compress the response's body, which arrives decompressed.
+  bool acceptsGzip = false;
 };
 
 // A complete response.
--- a/servers/relay/peer_group.cpp
+++ b/servers/relay/peer_group.cpp
@@ -192,13 +192,24 @@
 std::vector<std::string>
 PeerGroup::PickPeers(std::size_t aCount)
 {
-  auto peers = mPeerAddresses;
-  const auto n = std::min(aCount, peers.size());
+  return Pick(mPeerAddresses, aCount);
+}
+
+std::vector<std::string>
+PeerGroup::PickDomainPeers(std::size_t aCount)
+{
+  return Pick(mDomainPeerAddresses, aCount);
+}
+
+std::vector<std::string>
+PeerGroup::Pick(std::vector<std::string> aFrom, std::size_t aCount)
+{
+  const auto n = std::min(aCount, aFrom.size());
   for (std::size_t i = 0; i < n; ++i) {
-    std::swap(peers[i], peers[i + mRandom.Below(peers.size() - i)]);
+    std::swap(aFrom[i], aFrom[i + mRandom.Below(aFrom.size() - i)]);
   }
-  peers.resize(n);
-  return peers;
+  aFrom.resize(n);
+  return aFrom;
 }
 
 void
--- a/servers/relay/peer_group.h
+++ b/servers/relay/peer_group.h
@@ -87,6 +87,9 @@
   // Picks up to aCount other live relays; returns their IP addresses.
   [[nodiscard]] std::vector<std::string> PickPeers(std::size_t aCount);
 
+  // The same, in the same failure domain.
+  [[nodiscard]] std::vector<std::string> PickDomainPeers(std::size_t aCount);
+
   // Picks one live relay in each other failure domain, which forwards a message
   // to the others there, so that one copy crosses to each domain.
   [[nodiscard]] std::vector<std::string> PickForwarders();
@@ -95,6 +98,8 @@
   void OnMember(const coord::Member& aMember) override;
   void OnDigest(const coord::Member& aMember) override;
   void PublishDigest();
+  std::vector<std::string> Pick(std::vector<std::string> aFrom,
+                                std::size_t aCount);
   void UpdatePeerLists();
 
   Options mOptions;
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -31,6 +31,9 @@
 constexpr Duration kRoutingReadInterval = std::chrono::milliseconds(700);
 constexpr Duration kMaxSharedRoutingReadInterval =
   std::chrono::milliseconds(1100);
+// How many relays a relay tells of a routing table that spreads from host to
+// host.
+constexpr std::size_t kSpreadTargets = 8;
 // A caller whose host acknowledges no data for this long is considered gone.
 constexpr Duration kCallerAckTimeout = std::chrono::milliseconds(2000);
 // The same for backend servers. It is shorter, since a request can be sent to
@@ -271,7 +274,8 @@
                 .handler =
                   [this](const HttpRequest& aRequest,
                          const HttpResponderPtr& aResponder) {
-                    ServeRoutingTable(aRequest, *aResponder);
+                    aResponder->Send(
+                      mRoutingServer.Answer(aRequest, mExecutor.Now()));
                   } },
               mRegistry)
     , mBackendListener("backends", BackendHandlers())
@@ -287,6 +291,7 @@
                       .client = aParts.client,
                       .decoder = aParts.decoder,
                       .replica = &mRouting,
+                      .server = &mRoutingServer,
                       .peers = this,
                       .metrics = &mMetrics })
     , mBackendFeed({ .stream = aParts.decoder->BackendStream(),
@@ -417,11 +422,19 @@
   }
   void Announce(const RoutingUpdate& aUpdate, Audience aAudience) override
   {
-    mPeerUpdates.Send(
-      aUpdate,
-      aAudience == Audience::kAll
-        ? AllPeers()
-        : PeerTargets{ .direct = mPeers.DomainPeerAddresses() });
+    mPeerUpdates.Send(aUpdate, TargetsOf(aAudience));
+  }
+  [[nodiscard]] PeerTargets TargetsOf(Audience aAudience)
+  {
+    switch (aAudience) {
+      case Audience::kAll:
+        return AllPeers();
+      case Audience::kFailureDomain:
+        return { .direct = mPeers.DomainPeerAddresses() };
+      case Audience::kSample:
+        return { .direct = mPeers.PickDomainPeers(kSpreadTargets) };
+    }
+    return {};
   }
   [[nodiscard]] std::size_t AnnouncementCount() const override
   {
@@ -571,19 +584,6 @@
     }
   }
 
-  // Serves the record of the routing table to peers, on the status port.
-  void ServeRoutingTable(const HttpRequest& aRequest,
-                         HttpResponder& aResponder) const
-  {
-    constexpr int kNotFound = 404;
-    if (aRequest.path != kRoutingPath || mRouting.Record().empty()) {
-      aResponder.Send(MakeProblem(kNotFound, "Not Found", aRequest.path));
-      return;
-    }
-    aResponder.Send(
-      { .contentType = "application/octet-stream", .body = mRouting.Record() });
-  }
-
   bool OnBackendRecord(const coord::KeyedRecord& aRecord)
   {
     if (!aRecord.value) {
@@ -708,6 +708,7 @@
   policy::FleetView mFleet;
   policy::StreamOriginTracker mStreamOrigins;
   RoutingTableReplica mRouting;
+  RoutingTableServer mRoutingServer{ mRouting };
   BackendPool mPool;
   BackendRegistry mBackendRegistry;
   Relay mRelay;
--- a/servers/relay/routing_table_fetcher.cpp
+++ b/servers/relay/routing_table_fetcher.cpp
@@ -6,9 +6,15 @@
 
 namespace {
 
+using policy::TableFetchOutcome;
+
 constexpr int kOk = 200;
+constexpr int kServiceUnavailable = 503;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
-constexpr Duration kAnswerTimeout = std::chrono::seconds(1);
+// A transfer ends when nothing arrives for this long. A bound on the whole of
+// it would end transfers that are sound but share a link.
+constexpr Duration kStallTimeout = std::chrono::seconds(1);
+constexpr Duration kTransferTimeout = std::chrono::seconds(10);
 constexpr std::size_t kMaxRecordBytes = 4U << 20U;
 
 } // namespace
@@ -28,7 +34,9 @@
   HttpCall call;
   call.url = "http://" + aPeer + kRoutingPath;
   call.connectTimeout = kConnectTimeout;
-  call.totalTimeout = kAnswerTimeout;
+  call.stallTimeout = kStallTimeout;
+  call.totalTimeout = kTransferTimeout;
+  call.acceptsGzip = true;
   call.maxBodyBytes = kMaxRecordBytes;
   mClient.Fetch(std::move(call),
                 [this, aPeer, alive = std::weak_ptr<bool>(mAlive)](
@@ -38,7 +46,11 @@
                   }
                   mIsFetching = false;
                   if (aResult && aResult->status == kOk) {
-                    mHandler(&aResult->body);
+                    mHandler(TableFetchOutcome::kReceived, aResult->body);
+                    return;
+                  }
+                  if (aResult && aResult->status == kServiceUnavailable) {
+                    mHandler(TableFetchOutcome::kBusy, {});
                     return;
                   }
                   mLog.Warning(
@@ -47,7 +59,7 @@
                       { "why",
                         aResult ? "status " + std::to_string(aResult->status)
                                 : aResult.error().message } });
-                  mHandler(nullptr);
+                  mHandler(TableFetchOutcome::kFailed, {});
                 });
 }
 
--- a/servers/relay/routing_table_fetcher.h
+++ b/servers/relay/routing_table_fetcher.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "policy/table_update/table_update_planner.h"
 #include "servers/http/http_client.h"
 #include "servers/log/log.h"
 
@@ -18,8 +19,9 @@
 class RoutingTableFetcher
 {
 public:
-  // Receives the record that a peer returned, or null if the fetch failed.
-  using Handler = std::function<void(const std::string* aRecord)>;
+  // Receives the outcome and, if it is kReceived, the record.
+  using Handler = std::function<void(policy::TableFetchOutcome aOutcome,
+                                     const std::string& aRecord)>;
 
   // The client must outlive the fetcher.
   RoutingTableFetcher(HttpClient& aClient, Handler aHandler);
--- a/servers/relay/routing_table_updater.cpp
+++ b/servers/relay/routing_table_updater.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+using policy::TableFetchOutcome;
 using policy::TableSource;
 using Audience = RoutingTablePeers::Audience;
 
@@ -15,6 +16,10 @@
 // somewhat, or many changes of a small table, but not a backlog of large ones.
 constexpr std::size_t kReadMarginBytes = 64U << 10U;
 
+// A fetch asks one of this many relays that announced last, which fewer others
+// ask than the first ones.
+constexpr std::size_t kRecentAnnouncers = 4;
+
 coord::KeyedFeed::Options
 WithStream(coord::KeyedFeed::Options aOptions, coord::StreamName aStream)
 {
@@ -28,13 +33,16 @@
 RoutingTableUpdater::RoutingTableUpdater(Options aOptions, const Parts& aParts)
   : mOptions(std::move(aOptions))
   , mParts(aParts)
+  , mRandom(mOptions.feed.seed)
   , mListener("routing", MakeHandlers())
   , mFeed(WithStream(mOptions.feed, aParts.decoder->RoutingStream()),
           *aParts.executor,
           *aParts.log,
           mListener)
   , mFetcher(*aParts.client,
-             [this](const std::string* aRecord) { OnFetched(aRecord); })
+             [this](TableFetchOutcome aOutcome, const std::string& aRecord) {
+               OnFetched(aOutcome, aRecord);
+             })
 {
 }
 
@@ -134,9 +142,15 @@
     Announce(aNext, Audience::kAll);
   } else if (mIsForwarder && version >= mNewest.version) {
     Announce(aNext, Audience::kFailureDomain);
+  } else if (version >= mNewest.version && version > mSpread &&
+             mPlanner.SpreadsFromHostToHost(
+               mParts.server->TransferBytes(),
+               mParts.peers->AnnouncementCount())) {
+    Announce(aNext, Audience::kSample);
   } else {
     return;
   }
+  mSpread = version;
   mIsForwarder = false;
 }
 
@@ -145,7 +159,7 @@
 {
   mParts.peers->Announce({ .version = OwnVersion().Value(),
                            .next = aNext,
-                           .bytes = mParts.replica->Record().size(),
+                           .bytes = mParts.server->TransferBytes(),
                            .host = {} },
                          aAudience);
 }
@@ -159,6 +173,13 @@
     return;
   }
   mIsForwarder = mIsForwarder || aIsForwarder;
+  if (aUpdate.version > mNewest.version) {
+    mAnnouncers.clear();
+  }
+  if (aUpdate.version >= mNewest.version &&
+      std::ranges::find(mAnnouncers, aUpdate.host) == mAnnouncers.end()) {
+    mAnnouncers.push_back(aUpdate.host);
+  }
   if (mPlanner.OnAnnounced(version, aUpdate.bytes, mParts.executor->Now())) {
     mNewest = aUpdate;
     Continue();
@@ -171,8 +192,7 @@
   const auto decision =
     mPlanner.Decide({ .now = mParts.executor->Now(),
                       .ownVersion = OwnVersion(),
-                      .ownBytes = mParts.replica->Record().size(),
-                      .fetchers = mParts.peers->AnnouncementCount(),
+                      .ownBytes = mParts.server->TransferBytes(),
                       .isLogLost = mFeed.Lost() });
   using Kind = policy::TableUpdatePlanner::Decision::Kind;
   if (decision.kind == Kind::kWait) {
@@ -182,19 +202,30 @@
   }
 }
 
+std::string
+RoutingTableUpdater::PickAnnouncer()
+{
+  if (mAnnouncers.empty()) {
+    return mNewest.host;
+  }
+  const auto n = std::min(mAnnouncers.size(), kRecentAnnouncers);
+  return mAnnouncers[mAnnouncers.size() - 1 - mRandom.Below(n)];
+}
+
 void
 RoutingTableUpdater::Fetch(TableSource aSource)
 {
+  mFetched = mNewest;
+  mFetched.host = PickAnnouncer();
   mLog.Info("a peer has a newer routing table",
             { { "version", std::to_string(mNewest.version) },
               { "here", std::to_string(OwnVersion().Value()) },
               { "bytes", std::to_string(mNewest.bytes) },
-              { "peer", mNewest.host },
+              { "peer", mFetched.host },
               { "from", aSource == TableSource::kLog ? "log" : "peer" } });
-  mFetched = mNewest;
   if (aSource == TableSource::kAnnouncer) {
     mPlanner.OnFetchStarted(aSource, mParts.executor->Now());
-    mFetcher.Fetch(mNewest.host + ":" + std::to_string(mOptions.statusPort));
+    mFetcher.Fetch(mFetched.host + ":" + std::to_string(mOptions.statusPort));
     return;
   }
   mIsReadingLog = true;
@@ -203,13 +234,16 @@
 }
 
 void
-RoutingTableUpdater::OnFetched(const std::string* aRecord)
+RoutingTableUpdater::OnFetched(TableFetchOutcome aOutcome,
+                               const std::string& aRecord)
 {
-  mPlanner.OnFetchEnded();
-  if (aRecord != nullptr && Apply(*aRecord, "peer") &&
+  mPlanner.OnFetchEnded(aOutcome);
+  if (aOutcome == TableFetchOutcome::kReceived && Apply(aRecord, "peer") &&
       OwnVersion().Value() >= mFetched.version) {
     mFeed.SkipTo(mFetched.next);
     AnnounceOwn(mFetched.next);
+  } else if (aOutcome != TableFetchOutcome::kBusy) {
+    std::erase(mAnnouncers, mFetched.host);
   }
   Continue();
 }
@@ -218,7 +252,7 @@
 RoutingTableUpdater::EndLogRead()
 {
   if (std::exchange(mIsReadingLog, false)) {
-    mPlanner.OnFetchEnded();
+    mPlanner.OnFetchEnded(TableFetchOutcome::kReceived);
   }
   if (mNewest.version > OwnVersion().Value()) {
     // The feed schedules its next read after its callbacks.
--- a/servers/relay/routing_table_updater.h
+++ b/servers/relay/routing_table_updater.h
@@ -6,9 +6,11 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "coord/keyed_feed.h"
 #include "core/executor.h"
+#include "core/random.h"
 #include "policy/table_update/table_update_planner.h"
 #include "servers/http/http_client.h"
 #include "servers/log/log.h"
@@ -18,6 +20,7 @@
 #include "servers/relay/relay_metrics.h"
 #include "servers/relay/routing_table_fetcher.h"
 #include "servers/relay/routing_table_replica.h"
+#include "servers/relay/routing_table_server.h"
 
 namespace firefly {
 
@@ -35,6 +38,8 @@
   {
     kAll,
     kFailureDomain,
+    // A few relays of the failure domain.
+    kSample,
   };
   // Announces the table that is in force here.
   virtual void Announce(const RoutingUpdate& aUpdate, Audience aAudience) = 0;
@@ -63,6 +68,7 @@
     HttpClient* client = nullptr;
     const RecordDecoder* decoder = nullptr;
     RoutingTableReplica* replica = nullptr;
+    RoutingTableServer* server = nullptr;
     RoutingTablePeers* peers = nullptr;
     RelayMetrics* metrics = nullptr;
   };
@@ -91,7 +97,8 @@
   void OnSnapshot();
   // Returns whether the record is a valid table.
   bool Apply(const std::string& aRecord, const std::string& aSource);
-  void OnFetched(const std::string* aRecord);
+  void OnFetched(policy::TableFetchOutcome aOutcome,
+                 const std::string& aRecord);
   // Announces the table in force to the relays that have not been told of it.
   // aNext is the offset after its record.
   void AnnounceOwn(coord::LogOffset aNext);
@@ -99,6 +106,8 @@
   // Fetches the newest announced table if it is time to.
   void Continue();
   void Fetch(policy::TableSource aSource);
+  // One of the relays that have announced the newest version.
+  std::string PickAnnouncer();
   void EndLogRead();
   [[nodiscard]] policy::RoutingVersion OwnVersion() const;
 
@@ -108,6 +117,10 @@
   policy::TableUpdatePlanner mPlanner{ {} };
   // The newest announcement.
   RoutingUpdate mNewest;
+  // IP addresses of the relays that have announced its version, without those
+  // whose table could not be fetched.
+  std::vector<std::string> mAnnouncers;
+  Random mRandom;
   // The announcement that is being fetched.
   RoutingUpdate mFetched;
   // Whether the other relays in the failure domain wait for an announcement.
@@ -116,6 +129,9 @@
   bool mIsReadingLog = false;
   // The newest version that this relay has announced to all others.
   std::uint64_t mAnnounced = 0;
+  // The newest version that this relay has announced to some others because it
+  // spreads from host to host.
+  std::uint64_t mSpread = 0;
   // Whether the newest records have been read once.
   bool mHasLoaded = false;
   FeedListener mListener;
