End reads of large records when nothing arrives, not after their time

Cause: a read of the log, of the operators' table or of a peer's copy had one bound for the whole of it (1.5 s for the platform's log), whatever the record's size and whoever shares the link. Class: transfers bounded by a total time. Looked for in all clients: appends, orders, duties and reports are small and keep their bound; the reads of records are changed.

Change: BoundByProgress() bounds the time in which nothing arrives by what bounded the whole before, and the whole by 10 s.

--- a/servers/entry/operators_table_replica.cpp
+++ b/servers/entry/operators_table_replica.cpp
@@ -106,7 +106,7 @@
   HttpCall call;
   call.url = "http://" + aPeer.address + ":" +
              std::to_string(aPeer.entryAdminPort) + "/admin/" + kSnapshotName;
-  call.totalTimeout = kFetchTimeout;
+  BoundByProgress(call, kFetchTimeout);
   call.maxBodyBytes = kMaxSnapshotBytes;
   ++mPendingFetches;
   mClient.Fetch(std::move(call),
--- a/servers/http/http_client.cpp
+++ b/servers/http/http_client.cpp
@@ -1,9 +1,24 @@
 #include "servers/http/http_client.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace firefly {
 
+namespace {
+
+// For a response that never ends.
+constexpr Duration kTransferTimeout = std::chrono::seconds(10);
+
+} // namespace
+
+void
+BoundByProgress(HttpCall& aCall, Duration aStall)
+{
+  aCall.stallTimeout = aStall;
+  aCall.totalTimeout = std::max(kTransferTimeout, 2 * aStall);
+}
+
 void
 HttpClient::Fetch(HttpCall aCall, Callback aCallback)
 {
--- a/servers/http/http_client.h
+++ b/servers/http/http_client.h
@@ -56,6 +56,13 @@
   bool acceptsGzip = false;
 };
 
+// Lets a call take long while its response keeps arriving: it fails when
+// nothing arrives for aStall. A bound on the whole of a large response ends
+// transfers that are sound but share a link, and those that follow fare no
+// better.
+void
+BoundByProgress(HttpCall& aCall, Duration aStall);
+
 // A complete response.
 struct HttpResult
 {
--- a/servers/platform/http_log_client.cpp
+++ b/servers/platform/http_log_client.cpp
@@ -157,7 +157,7 @@
   call.url += "?from=" + std::to_string(aFrom.Value()) +
               "&limit=" + std::to_string(aLimit) +
               "&wait_ms=" + std::to_string(wait.count());
-  call.totalTimeout += mOptions.readWait;
+  BoundByProgress(call, mOptions.requestTimeout + mOptions.readWait);
   mClient.Fetch(
     std::move(call),
     [alive = std::weak_ptr<bool>(mAlive), callback = std::move(aCallback)](
--- a/servers/relay/routing_table_fetcher.cpp
+++ b/servers/relay/routing_table_fetcher.cpp
@@ -11,10 +11,7 @@
 constexpr int kOk = 200;
 constexpr int kServiceUnavailable = 503;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
-// A transfer ends when nothing arrives for this long. A bound on the whole of
-// it would end transfers that are sound but share a link.
 constexpr Duration kStallTimeout = std::chrono::seconds(1);
-constexpr Duration kTransferTimeout = std::chrono::seconds(10);
 constexpr std::size_t kMaxRecordBytes = 4U << 20U;
 
 } // namespace
@@ -34,8 +31,7 @@
   HttpCall call;
   call.url = "http://" + aPeer + kRoutingPath;
   call.connectTimeout = kConnectTimeout;
-  call.stallTimeout = kStallTimeout;
-  call.totalTimeout = kTransferTimeout;
+  BoundByProgress(call, kStallTimeout);
   call.acceptsGzip = true;
   call.maxBodyBytes = kMaxRecordBytes;
   mClient.Fetch(std::move(call),
--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -209,3 +209,17 @@
   client.Answer(429, "");
   CHECK((*batch).error().kind == LogErrorKind::kUnavailable);
 }
+
+// Guards against reads of a large record that are ended while it arrives.
+TEST(PlatformStoreTest, ReadsEndWhenNothingArrivesAndAppendsAfterTheirTime)
+{
+  const auto stall = PlatformStore::Options{}.callTimeout;
+  Read();
+  CHECK_TRUE(client.calls.back().stallTimeout == stall + 2s);
+  CHECK_TRUE(client.calls.back().totalTimeout >= 10s);
+  store.ReadNewest(StreamName("keyed.op"), "", [](const auto&) {});
+  CHECK_TRUE(client.calls.back().stallTimeout == stall);
+  CHECK_TRUE(client.calls.back().totalTimeout >= 10s);
+  store.Append(StreamName("work"), { "x" }, [](const auto&) {});
+  CHECK_TRUE(client.calls.back().totalTimeout == stall);
+}
--- a/tests/servers/relay/relay_server_test.cpp
+++ b/tests/servers/relay/relay_server_test.cpp
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 
+#include "core/random.h"
 #include "core/state_chart_loader.h"
 #include "platform/platform_dialect.h"
 #include "platform/platform_records.h"
@@ -222,6 +223,19 @@
   AsioExecutor& mExecutor;
 };
 
+std::string
+IncompressibleText(std::size_t aBytes)
+{
+  constexpr std::string_view kDigits =
+    "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_";
+  firefly::Random random(1);
+  std::string text;
+  while (text.size() < aBytes) {
+    text += kDigits[random.Below(kDigits.size())];
+  }
+  return text;
+}
+
 } // namespace
 
 TEST_GROUP(RelayServerTest)
@@ -260,7 +274,7 @@
           R"(,"routes":[{"name":"r","host":"h","pathPrefix":"/v)" + version +
           R"(/","kind":"idempotent","timeoutMs":300,"service":"s"}],)"
           R"("services":[{"name":"s"}],)" +
-          aMore + R"("pad":")" + std::string(aPadding, 'x') + R"("})",
+          aMore + R"("pad":")" + IncompressibleText(aPadding) + R"("})",
         LogOffset(routing.size()) });
   }
 
