Log why each attempt is made

What callers saw: repeats of requests pile up at a model service while many of its servers fail.

It now has the cause (first, retry, retry_after_break, retry_unsent, hedge, resume) and the service, and a counter adds them up. No decision is changed.

--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -12,6 +12,19 @@
 
 namespace {
 
+AttemptCause
+CauseAfter(AttemptError aError)
+{
+  switch (aError) {
+    case AttemptError::kBroken:
+      return AttemptCause::kRetryAfterBreak;
+    case AttemptError::kNotSent:
+      return AttemptCause::kRetryUnsent;
+    default:
+      return AttemptCause::kRetry;
+  }
+}
+
 // The interval at which the selector is notified again about an overdue
 // attempt.
 constexpr Duration kOverdueNoticeInterval = std::chrono::milliseconds(250);
@@ -41,6 +54,26 @@
 
 } // namespace
 
+const char*
+ToString(AttemptCause aCause)
+{
+  switch (aCause) {
+    case AttemptCause::kFirst:
+      return "first";
+    case AttemptCause::kRetry:
+      return "retry";
+    case AttemptCause::kRetryAfterBreak:
+      return "retry_after_break";
+    case AttemptCause::kRetryUnsent:
+      return "retry_unsent";
+    case AttemptCause::kHedge:
+      return "hedge";
+    case AttemptCause::kResume:
+      return "resume";
+  }
+  return "";
+}
+
 std::string_view
 ToString(FailureReason aReason)
 {
@@ -478,6 +511,7 @@
     return;
   }
   mCounters.retries++;
+  request.cause = CauseAfter(aError);
   if (verdict == PoisonVerdict::kSuspect) {
     QueueSuspect(aId, aNow);
     return;
@@ -865,6 +899,7 @@
                    .urgency = aChoice.urgency,
                    .resumeFrom = aRequest.deliveredTokens,
                    .isHedge = aIsHedge,
+                   .cause = std::exchange(aRequest.cause, AttemptCause::kFirst),
                    .phase = aChoice.phase,
                    .copyFrom = aChoice.copyFrom,
                    .expectedWait = aChoice.expectedWait,
@@ -894,6 +929,7 @@
   }
   aRequest.wasHedged = true;
   mCounters.hedges++;
+  aRequest.cause = AttemptCause::kHedge;
   Start(aRequest, *choice, true, aNow);
 }
 
@@ -911,6 +947,7 @@
   aRequest.answeringAttempt = {};
   CancelAttempt(aRequest, aAttempt, aNow);
   mCounters.resumes++;
+  aRequest.cause = AttemptCause::kResume;
   Start(aRequest, *choice, false, aNow);
 }
 
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -24,6 +24,26 @@
 namespace firefly::policy {
 
 // An order to send a request to a backend server.
+// Why an attempt is made.
+enum class AttemptCause : std::uint8_t
+{
+  // The first attempt, or the one that goes on from a prompt that was read.
+  kFirst,
+  // The one before failed or was rejected.
+  kRetry,
+  // The connection of the one before broke.
+  kRetryAfterBreak,
+  // The one before did not reach its backend server.
+  kRetryUnsent,
+  // The one before is overdue and may still answer.
+  kHedge,
+  // The one before stopped in the middle of its answer.
+  kResume,
+};
+
+const char*
+ToString(AttemptCause aCause);
+
 struct DispatchOrder
 {
   RequestId requestId;
@@ -36,6 +56,7 @@
   Tokens resumeFrom;
   // A second attempt that is sent while the first one may still answer.
   bool isHedge = false;
+  AttemptCause cause = AttemptCause::kFirst;
   // With kPrefill the engine only prefills the prompt and keeps its KV cache
   // for a later attempt with kDecode.
   WorkPhase phase = WorkPhase::kWhole;
@@ -313,6 +334,8 @@
     std::uint32_t runAttempts = 0;
     // Attempts that did not reach their backend server.
     std::uint32_t unsentAttempts = 0;
+    // Why the next attempt is made.
+    AttemptCause cause = AttemptCause::kFirst;
     // Attempts that only prefilled the prompt.
     std::uint32_t prefillAttempts = 0;
     // Whether an engine keeps the KV cache of the prompt and no attempt has
--- a/servers/relay/relay_metrics.cpp
+++ b/servers/relay/relay_metrics.cpp
@@ -78,6 +78,10 @@
       { .name = "firefly_relay_limit_waits_total",
         .help = "Attempts that waited for a backend server's rate limit",
         .labelNames = { "service" } }))
+  , sentAttempts(
+      aRegistry.Counters({ .name = "firefly_relay_sent_attempts_total",
+                           .help = "Attempts sent to backend servers, by cause",
+                           .labelNames = { "service", "cause" } }))
   , connections(
       aRegistry.Gauges({ .name = "firefly_relay_connections",
                          .help = "Connections to callers and backend servers",
--- a/servers/relay/relay_metrics.h
+++ b/servers/relay/relay_metrics.h
@@ -28,6 +28,7 @@
   MetricFamily<Gauge>& heldSuspicions;
   MetricFamily<Gauge>& rateLimitedBackends;
   MetricFamily<Counter>& limitWaits;
+  MetricFamily<Counter>& sentAttempts;
   MetricFamily<Gauge>& connections;
   MetricFamily<Gauge>& connectionLimit;
   MetricFamily<Gauge>& callerMemory;
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -138,12 +138,17 @@
       { "backend", aOrder.backend.Value() },
       { "version", VersionOf(aOrder.backend) },
       { "phase", std::string(ToString(aOrder.phase)) },
+      { "cause", ToString(aOrder.cause) },
+      { "service", mOptions.service.Value() },
       { "urgency", std::to_string(aOrder.urgency.Value()) },
       { "expected_ms", Millis(aOrder.expectedWait) },
       { "cached", std::to_string(aOrder.cachedTokens.Value()) },
       { "limit_ms", Millis(aOrder.limitWait) },
       { "copy_from", aOrder.copyFrom ? aOrder.copyFrom->Value() : "" },
       { "ms", Millis(Now() - mArrival) } });
+  mContext.metrics->sentAttempts
+    .With({ mOptions.service.Value(), ToString(aOrder.cause) })
+    .Add();
   if (aOrder.limitWait > Duration::zero()) {
     mContext.metrics->limitWaits.With({ mOptions.service.Value() }).Add();
   }
