Keep repeats to one budget of all hosts, for each service

What callers saw: while many servers of a service fail, repeats pile up at it beyond what the deployment allows.

Cause: each host kept a budget of its own: 10 saved retries whatever the number of hosts, a second one for hedges and resumptions, none for repeats after a broken connection, and one for all services together, so that the calm service earned what the failing one was sent. Class: a bound over all hosts that each host keeps alone. Looked for elsewhere: the rate limits of servers and the limits of customers are divided by the hosts already.

Change: SharedRetryBudget holds the deployment's allowance ([retries] ratio and burst, from the platform's settings where it states them). A host has an equal part of the burst and earns the ratio from its own requests, each service for itself; every repeat that reaches a server takes from it, also after a break. Hedges and resumptions keep their smaller budget besides.

--- a/policy/policy_set.cpp
+++ b/policy/policy_set.cpp
@@ -67,7 +67,8 @@
     set.admission = std::make_unique<BaselineAdmission>();
   }
   if (has("retry-budget")) {
-    set.retries = std::make_unique<ProportionalRetryBudget>();
+    set.retries = std::make_unique<SharedRetryBudget>(
+      SharedRetryBudget::Options{ .allowance = aOptions.retryAllowance });
   } else {
     set.retries = std::make_unique<UnboundedRetryBudget>();
   }
--- a/policy/policy_set.h
+++ b/policy/policy_set.h
@@ -17,7 +17,7 @@
 #include "policy/rate_limit/backend_rate_limiter.h"
 #include "policy/request_limiter.h"
 #include "policy/request_queue.h"
-#include "policy/retry_budget.h"
+#include "policy/retry/retry_budget.h"
 #include "policy/role_controller.h"
 #include "policy/size_estimator.h"
 
@@ -62,6 +62,8 @@
   bool peersAnnouncePrompts = false;
   // A backend server with at least this predicted wait has no capacity.
   Duration maxQueueingTime = std::chrono::milliseconds(1000);
+  // What the repeats of all entries may add to a service's load.
+  RetryAllowance retryAllowance{};
   // Maximum number of requests that wait at this entry.
   std::size_t queueBound = 256;
   // Parts of "firefly" to replace by baseline ones: "admission", "queue",
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -180,8 +180,7 @@
     DispatchQueued(aNow);
     return;
   }
-  mPolicies.retries->OnFirstAttempt();
-  mPolicies.hedges->OnFirstAttempt();
+  CountFirstAttempt(aRequest.info.service);
   Start(aRequest, *choice, false, aNow);
 }
 
@@ -481,7 +480,6 @@
 RequestRouter::Retry(const RequestId& aId, AttemptError aError, Instant aNow)
 {
   auto& request = mRequests.at(aId);
-  const bool broken = aError == AttemptError::kBroken;
   if (!request.info.idempotent && request.mayHaveRun) {
     Fail(aId, FailureReason::kOutcomeUnknown);
     return;
@@ -504,9 +502,8 @@
     RefuseOrFail(aId, RefusalReason::kNoBackend, aNow);
     return;
   }
-  // A retry after a crash needs no budget, and neither does one after an
-  // attempt that added no load to any backend server. All others do.
-  if (!broken && !isUnsent && !mPolicies.retries->TrySpend()) {
+  // An attempt that was not sent has added no load to any backend server.
+  if (!isUnsent && !mPolicies.retries->TrySpend(request.info.service)) {
     RefuseOrFail(aId, RefusalReason::kRetryBudget, aNow);
     return;
   }
@@ -614,6 +611,7 @@
 RequestRouter::SetEntries(const std::vector<HostId>& aEntries, Instant aNow)
 {
   mPolicies.rateLimiter->SetHostCount(aEntries.size(), aNow);
+  mPolicies.retries->SetHostCount(aEntries.size(), aNow);
   mEntries = aEntries;
   std::sort(mEntries.begin(), mEntries.end());
   mPolicies.limits->SetEntries(aEntries);
@@ -908,6 +906,20 @@
                    .version = attempt.version });
 }
 
+void
+RequestRouter::CountFirstAttempt(const ServiceId& aService)
+{
+  mPolicies.retries->OnFirstAttempt(aService);
+  mPolicies.hedges->OnFirstAttempt(aService);
+}
+
+bool
+RequestRouter::TrySpendHedge(const ServiceId& aService)
+{
+  return mPolicies.hedges->TrySpend(aService) &&
+         mPolicies.retries->TrySpend(aService);
+}
+
 void
 RequestRouter::Hedge(Request& aRequest, Instant aNow)
 {
@@ -922,9 +934,10 @@
   }
   // The answer of a plain service that is overdue is more likely lost than
   // late, so that another attempt counts as a retry.
-  auto& budget =
-    aRequest.info.NeedsEngine() ? *mPolicies.hedges : *mPolicies.retries;
-  if (!choice || !budget.TrySpend()) {
+  const auto& service = aRequest.info.service;
+  if (!choice ||
+      !(aRequest.info.NeedsEngine() ? TrySpendHedge(service)
+                                    : mPolicies.retries->TrySpend(service))) {
     return;
   }
   aRequest.wasHedged = true;
@@ -941,7 +954,7 @@
   const auto choice =
     mPolicies.selector->Select(aRequest.info, query, mFleet, aNow);
   if (!choice || choice->startAfter > Duration::zero() ||
-      !mPolicies.hedges->TrySpend()) {
+      !TrySpendHedge(aRequest.info.service)) {
     return;
   }
   aRequest.answeringAttempt = {};
@@ -1046,8 +1059,7 @@
       Refuse(next->requestId, RefusalReason::kDeadline, {});
       continue;
     }
-    mPolicies.retries->OnFirstAttempt();
-    mPolicies.hedges->OnFirstAttempt();
+    CountFirstAttempt(info.service);
     Start(mRequests.at(next->requestId), *chosen, false, aNow);
   }
 }
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -439,6 +439,9 @@
   [[nodiscard]] std::vector<BackendSlot> SuspectCandidates(
     const Request& aRequest,
     Instant aNow) const;
+  void CountFirstAttempt(const ServiceId& aService);
+  // Hedges and resumptions are repeats, and have a smaller budget besides.
+  bool TrySpendHedge(const ServiceId& aService);
   void Hedge(Request& aRequest, Instant aNow);
   void Resume(Request& aRequest, AttemptNumber aAttempt, Instant aNow);
   void HedgeOrResume(Request& aRequest, Instant aNow);
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -49,6 +49,7 @@
                             .crossDomainPenalty = aOptions.crossDomainPenalty,
                             .peersAnnouncePrompts = true,
                             .maxQueueingTime = kFullBacklog,
+                            .retryAllowance = aOptions.retryAllowance,
                             .queueBound = aOptions.queueBound,
                             .disabledParts = { "admission", "hedge" } });
   return std::move(policies.value());
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -37,6 +37,8 @@
     // From this age of the routing table's confirmation on, keys of customers
     // are not accepted; none if revocation is not strict.
     std::optional<Duration> stalenessBound{};
+    // What the repeats of all hosts may add to a service's load.
+    policy::RetryAllowance retryAllowance{};
     // Within which a change of the routing table must be in force.
     Duration changeBound = std::chrono::seconds(2);
   };
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -131,6 +131,7 @@
           .crossDomainPenalty = aSettings.crossDomainPenalty,
           .queueBound = aSettings.queueBound,
           .stalenessBound = aSettings.stalenessBound,
+          .retryAllowance = aSettings.retryAllowance,
           .changeBound = aSettings.changeBound },
         { .executor = &mExecutor,
           .dialect = aParts.dialect,
--- a/servers/relay/relay_settings.cpp
+++ b/servers/relay/relay_settings.cpp
@@ -23,6 +23,8 @@
 constexpr Fraction kGapMillis{ 0.1, 10'000 };
 constexpr Fraction kShares{ 0, 1 };
 constexpr Fraction kWindowSeconds{ 1, 3'600 };
+constexpr Fraction kRetryRatios{ 0, 10 };
+constexpr Fraction kRetryBursts{ 0, 1'000'000 };
 constexpr Fraction kCallRates{ 0.1, 10'000 };
 // The holder stops 500 ms before the end of the lease and renews it after a
 // third.
@@ -145,6 +147,15 @@
   aReader.ReportUnknownKeys();
 }
 
+void
+ReadRetries(SectionReader aReader, RelaySettings& aSettings)
+{
+  auto& allowance = aSettings.retryAllowance;
+  allowance.ratio = aReader.Real("ratio", kRetryRatios, allowance.ratio);
+  allowance.burst = aReader.Real("burst", kRetryBursts, allowance.burst);
+  aReader.ReportUnknownKeys();
+}
+
 void
 ReadRelay(SectionReader aReader, RelaySettings& aSettings)
 {
@@ -220,6 +231,7 @@
   ReadFeeds(root.Section("log_service"), settings);
   ReadRelay(root.Section("relay"), settings);
   ReadAccess(root.Section("access"), settings);
+  ReadRetries(root.Section("retries"), settings);
   ReadEngines(root.Section("engines"), settings);
   settings.duties = ReadDuties(root.Section("duties"), problems);
   auto charts = root.Section("charts");
--- a/servers/relay/relay_settings.h
+++ b/servers/relay/relay_settings.h
@@ -13,6 +13,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "policy/fleet_view.h"
+#include "policy/retry/retry_budget.h"
 #include "servers/http/socket_address.h"
 #include "servers/settings/settings.h"
 
@@ -71,6 +72,7 @@
   // Time after the stop signal for the load balancer to notice that the relay
   // is not ready.
   Duration unreadyGrace{};
+  policy::RetryAllowance retryAllowance{};
   policy::RoleCapacities capacities;
   // Fraction of the engines in a group that only prefill prompts; 0 disables
   // changes of roles. Without a value, it follows the load.
--- a/tests/policy/retry_budget_load_test.cpp
+++ b/tests/policy/retry_budget_load_test.cpp
@@ -120,7 +120,11 @@
       router = std::make_unique<RequestRouter>(
         RequestRouter::Options{ .self = self, .incarnation = Incarnation(1) },
         std::move(
-          *MakePolicySet("firefly", { .self = self, .seed = aIndex + 1 })),
+          *MakePolicySet("firefly",
+                         { .self = self,
+                           .seed = aIndex + 1,
+                           .retryAllowance = { .ratio = kRatio,
+                                               .burst = aLoad.mLoad.slack } })),
         aLoad.mFleet,
         *this);
     }
