Connect through peers while a host reaches no backend server

Cause: nothing noticed that a host reaches no backend server though its peers do. It took each failed connection for one dead server, tried the next one, and had no other way for a request; its notices of silent servers reached its peers. Class: a lost link that is taken for the failure of what is behind it.

Change: policy/reach decides from connections whether the cut is this host's own and which peer is asked. servers/tunnel opens a connection to a backend server through that peer (CONNECT), which only passes bytes on, so that everything else about a request stays with its own host: one way at a time, its deadline, id and key, retries, cancellation, streams. Peers accept only peers and known backend servers and never go on to a third host. Orders to engines take no tunnel. Notices of silence and suspicions of crashes are not sent while the host is in doubt.

Ruled out: leaving the rotation, and handing requests to a peer's relay (docs/DESIGN.md).

--- a/servers/http1/backend_connection.cpp
+++ b/servers/http1/backend_connection.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include <asio/buffer.hpp>
+#include <asio/read_until.hpp>
 #include <asio/write.hpp>
 
 #include "servers/http/socket_address.h"
@@ -23,6 +24,22 @@
 constexpr std::size_t kMaxBodyBytes = std::size_t{ 1 } << 40U;
 constexpr std::size_t kReadBytes = 16U << 10U;
 
+constexpr std::size_t kMaxTunnelAnswerBytes = 512;
+// Peers that are asked for one connection. A peer that can't help says so at
+// once.
+constexpr std::uint32_t kMaxTunnelsTried = 6;
+
+policy::TunnelOutcome
+TunnelOutcomeOf(const std::string& aAnswer)
+{
+  if (aAnswer.starts_with("HTTP/1.1 200 ")) {
+    return policy::TunnelOutcome::kConnected;
+  }
+  return aAnswer.starts_with("HTTP/1.1 502 ")
+           ? policy::TunnelOutcome::kServerUnreachable
+           : policy::TunnelOutcome::kRefused;
+}
+
 // Parses the idle timeout of a Keep-Alive header, written as "timeout=5" or as
 // the number alone.
 std::optional<std::chrono::seconds>
@@ -96,7 +113,16 @@
   if (mState != State::kConnecting) {
     return;
   }
-  const auto address = ParseSocketAddress(mOptions.address.Value());
+  if (mOptions.path != nullptr) {
+    mTunnel = mOptions.path->PickTunnel();
+  }
+  ConnectTo(mTunnel.empty() ? mOptions.address.Value() : mTunnel);
+}
+
+void
+BackendConnection::ConnectTo(const std::string& aAddress)
+{
+  const auto address = ParseSocketAddress(aAddress);
   if (!address) {
     Fail(BackendCallFault::kNotSent);
     return;
@@ -105,27 +131,129 @@
     mExecutor.RunAfter(mOptions.connectTimeout, [weak = weak_from_this()] {
       if (const auto self = weak.lock();
           self && self->mState == State::kConnecting) {
-        self->Fail(BackendCallFault::kNotSent);
+        self->OnConnectFailed();
       }
     });
   mSocket.async_connect(
     tcp::endpoint(address->Ip(), address->port),
     [self = shared_from_this()](const asio::error_code& aCode) {
-      self->OnConnected(aCode);
+      if (aCode != asio::error::operation_aborted) {
+        self->OnConnected(aCode);
+      }
     });
 }
 
+void
+BackendConnection::OnConnectFailed()
+{
+  mConnectTimer.Cancel();
+  if (mOptions.path == nullptr) {
+    Fail(BackendCallFault::kNotSent);
+    return;
+  }
+  if (IsTunnel()) {
+    // Without an answer, the peer or the way to it is at fault.
+    mOptions.path->OnTunnel(mTunnel, policy::TunnelOutcome::kPeerUnreachable);
+  } else {
+    mOptions.path->OnDirect(mOptions.backend, false);
+  }
+  TryTunnel();
+}
+
+void
+BackendConnection::TryTunnel()
+{
+  asio::error_code ec;
+  mSocket.close(ec);
+  mTunnel = mTunnelsTried++ < kMaxTunnelsTried ? mOptions.path->PickTunnel()
+                                               : std::string();
+  if (mTunnel.empty()) {
+    Fail(BackendCallFault::kNotSent);
+    return;
+  }
+  ConnectTo(mTunnel);
+}
+
+void
+BackendConnection::RequestTunnel()
+{
+  const auto& target = mOptions.address.Value();
+  mTunnelBytes =
+    "CONNECT " + target + " HTTP/1.1\r\nHost: " + target + "\r\n\r\n";
+  asio::async_write(
+    mSocket,
+    asio::buffer(mTunnelBytes),
+    [self = shared_from_this()](const asio::error_code& aCode, std::size_t) {
+      if (self->mState != State::kConnecting ||
+          aCode == asio::error::operation_aborted) {
+        return;
+      }
+      if (aCode) {
+        self->OnConnectFailed();
+        return;
+      }
+      self->mTunnelBytes.clear();
+      // The backend server sends nothing before it has a request, so that only
+      // the peer's answer is read here.
+      asio::async_read_until(
+        self->mSocket,
+        asio::dynamic_buffer(self->mTunnelBytes, kMaxTunnelAnswerBytes),
+        "\r\n\r\n",
+        [self](const asio::error_code& aRead, std::size_t) {
+          self->OnTunnelAnswer(aRead);
+        });
+    });
+}
+
+void
+BackendConnection::OnTunnelAnswer(const asio::error_code& aCode)
+{
+  if (mState != State::kConnecting || aCode == asio::error::operation_aborted) {
+    return;
+  }
+  if (aCode) {
+    OnConnectFailed();
+    return;
+  }
+  mConnectTimer.Cancel();
+  const auto outcome = TunnelOutcomeOf(mTunnelBytes);
+  mOptions.path->OnTunnel(mTunnel, outcome);
+  switch (outcome) {
+    case policy::TunnelOutcome::kConnected:
+      OnReady();
+      return;
+    case policy::TunnelOutcome::kServerUnreachable:
+      Fail(BackendCallFault::kNotSent);
+      return;
+    default:
+      TryTunnel();
+  }
+}
+
 void
 BackendConnection::OnConnected(const asio::error_code& aCode)
 {
   if (mState != State::kConnecting) {
     return;
   }
-  mConnectTimer.Cancel();
   if (aCode) {
-    Fail(BackendCallFault::kNotSent);
+    OnConnectFailed();
+    return;
+  }
+  if (IsTunnel()) {
+    RequestTunnel(); // within the same time
     return;
   }
+  mConnectTimer.Cancel();
+  if (mOptions.path != nullptr) {
+    mOptions.path->OnDirect(mOptions.backend, true);
+  }
+  OnReady();
+}
+
+void
+BackendConnection::OnReady()
+{
   SetSocketOptions(mSocket, mOptions.liveness);
   asio::error_code ec;
   mSocket.non_blocking(true, ec);
@@ -222,6 +350,9 @@
 BackendConnection::OnConnectionEnded(const asio::error_code& aCode)
 {
   if (aCode == asio::error::timed_out) {
+    if (mOptions.path != nullptr && !IsTunnel()) {
+      mOptions.path->OnDirect(mOptions.backend, false);
+    }
     Fail(BackendCallFault::kUnacknowledged);
     return;
   }
--- a/servers/http1/backend_connection.h
+++ b/servers/http1/backend_connection.h
@@ -8,6 +8,7 @@
 
 #include <asio/ip/tcp.hpp>
 
+#include "servers/http1/backend_path.h"
 #include "servers/http1/backend_pool.h"
 
 namespace firefly {
@@ -23,6 +24,8 @@
     Duration idleTimeout{};
     std::size_t maxHeadBytes = 0;
     LivenessOptions liveness;
+    // Null if the connection must be direct.
+    BackendPath* path = nullptr;
   };
 
   // The pool must outlive the connection, or aPoolAlive must expire before the
@@ -54,6 +57,9 @@
   // Whether no byte has arrived since the last call ended.
   [[nodiscard]] bool IsQuiet() const;
 
+  // Whether a peer's tunnel carries the connection.
+  [[nodiscard]] bool IsTunnel() const { return !mTunnel.empty(); }
+
   [[nodiscard]] const Options& Settings() const { return mOptions; }
 
 private:
@@ -67,7 +73,16 @@
   };
 
   void Connect();
+  void ConnectTo(const std::string& aAddress);
   void OnConnected(const asio::error_code& aCode);
+  // Tries the next tunnel after a connection could not be made, or fails the
+  // call.
+  void OnConnectFailed();
+  void TryTunnel();
+  // Asks the peer for the tunnel, and reads its answer.
+  void RequestTunnel();
+  void OnTunnelAnswer(const asio::error_code& aCode);
+  void OnReady();
   void SendRequest();
   void OnRequestSent(const asio::error_code& aCode, std::size_t aBytes);
   void WaitForData();
@@ -105,6 +120,10 @@
   // The running call, or the last one.
   BackendCallNumber mCall;
   Timer mConnectTimer;
+  // The address of the tunnel; empty for a direct connection.
+  std::string mTunnel;
+  std::string mTunnelBytes;
+  std::uint32_t mTunnelsTried = 0;
 };
 
 } // namespace firefly
--- a/servers/http1/backend_pool.cpp
+++ b/servers/http1/backend_pool.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "servers/http1/backend_connection.h"
+#include "servers/http1/backend_path.h"
 
 namespace firefly {
 
@@ -101,7 +102,9 @@
                                   .connectTimeout = mOptions.connectTimeout,
                                   .idleTimeout = mOptions.idleTimeout,
                                   .maxHeadBytes = mOptions.maxHeadBytes,
-                                  .liveness = mOptions.liveness },
+                                  .liveness = mOptions.liveness,
+                                  .path = aCall.mayUseTunnel ? mOptions.path
+                                                             : nullptr },
       *this,
       mAlive);
   }
@@ -121,13 +124,18 @@
   // Reuses the newest connection first, so that surplus ones expire.
   for (auto last = idle.end(); last != idle.begin();) {
     --last;
-    if (!last->connection->MayCarry(aCall.request, aCall.noBody)) {
+    const bool isTunnel = last->connection->IsTunnel();
+    const bool needsTunnel = aCall.mayUseTunnel && mOptions.path != nullptr &&
+                             mOptions.path->UsesTunnels();
+    // While this host is cut off, an old direct connection may hang.
+    if (!last->connection->MayCarry(aCall.request, aCall.noBody) ||
+        (isTunnel && !aCall.mayUseTunnel) || (!isTunnel && needsTunnel)) {
       continue;
     }
     auto connection = last->connection;
     const bool usable = last->address == aCall.address && now < last->expires &&
                         now - last->idleSince <= aCall.maxIdleAge &&
-                        connection->IsQuiet();
+                        isTunnel == needsTunnel && connection->IsQuiet();
     last = idle.erase(last);
     if (usable) {
       return connection;
--- a/servers/http1/backend_pool.h
+++ b/servers/http1/backend_pool.h
@@ -19,6 +19,7 @@
 namespace firefly {
 
 class BackendConnection;
+class BackendPath;
 
 // A backend server's address, such as "10.0.0.1:8080".
 using BackendAddress = StrongType<struct BackendAddressTag, std::string>;
@@ -93,7 +94,10 @@
     // Maximum size of a response's head. A longer head fails the call with
     // kMalformed.
     std::size_t maxHeadBytes = 32U << 10U;
-    LivenessOptions liveness;
+    LivenessOptions liveness{};
+    // Decides how new connections are made; null for direct ones only. Must
+    // outlive the pool.
+    BackendPath* path = nullptr;
   };
 
   // A request and the backend server to send it to.
@@ -113,6 +117,9 @@
     // to reuse it. The backend server may have closed an older connection
     // without the pool having noticed.
     Duration maxIdleAge = std::chrono::seconds(60);
+    // The call may reach the backend server from the address of a peer. Orders
+    // must not, since a backend server tells who gives them by the address.
+    bool mayUseTunnel = false;
   };
 
   struct Counters
--- a/servers/relay/backend_registry.h
+++ b/servers/relay/backend_registry.h
@@ -116,6 +116,10 @@
 
   // Returns null if the backend server is unknown or was removed.
   [[nodiscard]] const BackendRecord* Find(const BackendId& aId) const;
+  [[nodiscard]] const std::map<BackendId, BackendRecord>& Records() const
+  {
+    return mRecords;
+  }
   [[nodiscard]] std::size_t Size() const { return mRecords.size(); }
 
 private:
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -15,6 +15,8 @@
 #include "servers/relay/staleness_monitor.h"
 #include "servers/relay/version_history_exchange.h"
 #include "servers/status/status_server.h"
+#include "servers/tunnel/server_reach_monitor.h"
+#include "servers/tunnel/tunnel_server.h"
 
 namespace firefly {
 
@@ -107,6 +109,7 @@
 class RelayServer::Impl
   : private RoutingTablePeers
   , private VersionHistoryPeers
+  , private ReachDirectory
 {
 public:
   Impl(const Parts& aParts, const RelaySettings& aSettings)
@@ -118,7 +121,18 @@
                             mIncarnation.Value()))
     , mMetrics(mRegistry)
     , mCallerMemory(MakeCallerMemory(aSettings))
-    , mPool(mExecutor, { .liveness = MakeLivenessOptions(kBackendAckTimeout) })
+    , mReach(
+        mExecutor,
+        { .reach = { .seed = mSeed + 3 }, .tunnelPort = aSettings.peerPort },
+        *this,
+        mRegistry)
+    , mTunnelServer(
+        mExecutor,
+        { .address = aSettings.callers.host, .port = aSettings.peerPort },
+        mReach)
+    , mPool(mExecutor,
+            { .liveness = MakeLivenessOptions(kBackendAckTimeout),
+              .path = &mReach })
     , mBackendRegistry({ .capacities = aSettings.capacities },
                        mExecutor,
                        mFleet,
@@ -152,12 +166,19 @@
             },
           .announce =
             [this](const policy::BackendNotice& aNotice) {
+              if (IsKnownHereOnly(aNotice)) {
+                return;
+              }
               mPeerUpdates.Send(aNotice, AllPeers());
             },
           .announceCrashSuspicions =
             [this](const std::vector<policy::CrashSuspicion>& aChanges) {
               LogCrashSuspicions(aChanges);
-              mPeerUpdates.Send(aChanges, AllPeers());
+              // Connections that break with this host's own links look like
+              // crashes.
+              if (!mReach.IsInDoubt()) {
+                mPeerUpdates.Send(aChanges, AllPeers());
+              }
             },
           .tableConfirmedAt =
             [this] { return mTableUpdater.Feed().ConfirmedAt(); },
@@ -359,6 +380,9 @@
     if (const auto opened = mPeers.Start(); !opened) {
       return tl::make_unexpected(RelayServerError{ opened.error().message });
     }
+    if (const auto opened = mTunnelServer.Start(); !opened) {
+      return tl::make_unexpected(RelayServerError{ opened.error() });
+    }
     if (const auto opened = mPeerUpdates.Start(); !opened) {
       return tl::make_unexpected(RelayServerError{ opened.error().message });
     }
@@ -442,6 +466,28 @@
     return mPeers.DomainPeerAddresses().size() + mPeers.FarDomainCount();
   }
 
+  // ReachDirectory:
+  [[nodiscard]] const std::vector<std::string>& Peers() const override
+  {
+    return mPeers.PeerAddresses();
+  }
+  [[nodiscard]] std::vector<BackendEndpoint> Backends() const override
+  {
+    std::vector<BackendEndpoint> backends;
+    for (const auto& [id, record] : mBackendRegistry.Records()) {
+      backends.push_back({ .id = id, .address = record.address });
+    }
+    return backends;
+  }
+
+  // Whether the notice says that a backend server is silent, which may only
+  // seem so because this host has lost its own links.
+  [[nodiscard]] bool IsKnownHereOnly(const policy::BackendNotice& aNotice) const
+  {
+    return aNotice.kind == policy::BackendNotice::Kind::kSilent &&
+           mReach.IsInDoubt();
+  }
+
   // VersionHistoryPeers:
   void AskForVersions() override
   {
@@ -619,6 +665,7 @@
       // The load balancer has noticed by now. A request accepted from here on
       // might not end before the process does.
       mRelay.Close();
+      mTunnelServer.Close();
       mCallers.CloseIdle();
     }
     if (passed >= mSettings.stopGrace - kAnswerMargin) {
@@ -710,6 +757,8 @@
   policy::StreamOriginTracker mStreamOrigins;
   RoutingTableReplica mRouting;
   RoutingTableServer mRoutingServer{ mRouting };
+  ServerReachMonitor mReach;
+  TunnelServer mTunnelServer;
   BackendPool mPool;
   BackendRegistry mBackendRegistry;
   Relay mRelay;
--- a/servers/relay/relay_task.cpp
+++ b/servers/relay/relay_task.cpp
@@ -156,6 +156,7 @@
   call.backend = aOrder.backend;
   call.address = BackendAddress(AddressOf(aOrder.backend));
   call.request = mOptions.request.id;
+  call.mayUseTunnel = true;
   AttemptTerms terms{ .backend = aOrder.backend,
                       .address = call.address.Value(),
                       .timeLeft = std::max(kMinTimeLeft, mDeadline - Now()),
