Remember the number of hosts from before a cut

What callers see: a server's rate limit is exceeded by hosts that are cut off from each other.

Found while looking for the class of BUDGET elsewhere (a bound over all hosts that each host keeps alone). Cause: BackendRateLimiter removed the last count of hosts as too old before it noted that this count had been valid until now. A host whose peers had not changed for 10 s and that was then cut off from them took the whole limit.

Change: the last count is valid until the next one.

--- a/policy/rate_limit/backend_rate_limiter.cpp
+++ b/policy/rate_limit/backend_rate_limiter.cpp
@@ -88,13 +88,13 @@
 void
 BackendRateLimiter::SetHostCount(std::size_t aCount, Instant aNow)
 {
-  std::erase_if(mHostCounts, [&](const HostCount& aIt) {
-    return aIt.at + mOptions.hostMemory < aNow;
-  });
   // The count before the change was valid until now.
   if (!mHostCounts.empty()) {
-    mHostCounts.push_back({ .at = aNow, .count = mHostCounts.back().count });
+    mHostCounts.back().at = aNow;
   }
+  std::erase_if(mHostCounts, [&](const HostCount& aIt) {
+    return aIt.at + mOptions.hostMemory < aNow;
+  });
   mHostCounts.push_back({ .at = aNow, .count = aCount });
 }
 
--- a/tests/policy/rate_limit/backend_rate_limiter_test.cpp
+++ b/tests/policy/rate_limit/backend_rate_limiter_test.cpp
@@ -139,3 +139,14 @@
   now += 11s;
   LONGS_EQUAL(45, SendFor(4s));
 }
+
+// Guards against a host that forgets its peers at the moment it is cut off from
+// them, because their number had not changed for long.
+TEST(BackendRateLimiterTest, HostsThatAreCutOffAfterACalmTimeUseTheirPartToo)
+{
+  Name(RequestRate(10));
+  limiter.SetHostCount(10, now);
+  now += 60s;
+  limiter.SetHostCount(2, now);
+  LONGS_EQUAL(8 + 1, SendFor(4s));
+}
