Take no crash evidence from a host's own lost links

Cause: each attempt whose connection broke counted as a crash of its server, and what those requests had in common was held back, here and, by the announcements, at every peer. Class: a lost link of one's own that is taken for the failure of what is behind it.

Change: a connection that breaks puts the link in doubt, and probes tell within milliseconds in the usual case. Until then the evidence waits; if the host is cut off, it is dropped. Suspicions are then announced as before, so that the filter on sending them goes.

The new test fails with the link's state ignored.

--- a/policy/reach/server_reach.cpp
+++ b/policy/reach/server_reach.cpp
@@ -14,6 +14,7 @@
 ServerReach::OnConnected(Instant /*aNow*/)
 {
   mFailed.clear();
+  mBrokenAt.reset();
   if (mIsCutOff && ++mSuccesses >= mOptions.successesToReturn) {
     mIsCutOff = false;
     mPeers.clear();
@@ -33,10 +34,19 @@
   mIsCutOff = mIsCutOff || mFailed.size() >= needed;
 }
 
+void
+ServerReach::OnBroken(Instant aNow)
+{
+  mBrokenAt = aNow;
+}
+
 bool
 ServerReach::IsInDoubt(Instant aNow) const
 {
-  return mIsCutOff || std::ranges::any_of(mFailed, [&](const auto& aIt) {
+  const bool hasBroken =
+    mBrokenAt && aNow - *mBrokenAt < mOptions.failureMemory;
+  return mIsCutOff || hasBroken ||
+         std::ranges::any_of(mFailed, [&](const auto& aIt) {
            return aNow - aIt.second < mOptions.failureMemory;
          });
 }
@@ -49,22 +59,17 @@
   });
 }
 
-PeerAddress
+TunnelPeer
 ServerReach::PickPeer(const std::vector<std::string>& aPeers, Instant aNow)
 {
-  std::vector<PeerAddress> helpful;
-  std::vector<PeerAddress> others;
+  std::vector<TunnelPeer> helpful;
+  std::vector<TunnelPeer> others;
   for (const auto& it : aPeers) {
-    const PeerAddress peer(it);
-    const auto record = mPeers.find(peer);
-    if (record == mPeers.end()) {
-      others.push_back(peer);
-    } else if (record->second.heldUntil > aNow) {
-      continue;
-    } else if (record->second.helpedUntil > aNow) {
-      helpful.push_back(peer);
-    } else {
-      others.push_back(peer);
+    const TunnelPeer peer(it);
+    const auto found = mPeers.find(peer);
+    const auto record = found == mPeers.end() ? PeerRecord{} : found->second;
+    if (record.heldUntil <= aNow) {
+      (record.helpedUntil > aNow ? helpful : others).push_back(peer);
     }
   }
   // Now and then another one, so that a host that was cut off first does not
@@ -73,11 +78,11 @@
   const bool explores =
     !others.empty() && (helpful.empty() || mRandom.Chance(kExplore));
   const auto& from = explores ? others : helpful;
-  return from.empty() ? PeerAddress() : from[mRandom.Below(from.size())];
+  return from.empty() ? TunnelPeer() : from[mRandom.Below(from.size())];
 }
 
 void
-ServerReach::OnTunnel(const PeerAddress& aPeer,
+ServerReach::OnTunnel(const TunnelPeer& aPeer,
                       TunnelOutcome aOutcome,
                       Instant aNow)
 {
--- a/policy/reach/server_reach.h
+++ b/policy/reach/server_reach.h
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,8 +22,8 @@
 
 namespace firefly::policy {
 
-// The IP address of a peer.
-using PeerAddress = StrongType<struct PeerAddressTag, std::string>;
+// The IP address of a peer whose tunnel carries connections.
+using TunnelPeer = StrongType<struct TunnelPeerTag, std::string>;
 
 enum class TunnelOutcome : std::uint8_t
 {
@@ -62,6 +63,10 @@
   void OnConnected(Instant aNow);
   void OnFailed(const BackendId& aBackend, std::size_t aServers, Instant aNow);
 
+  // A connection that carried a request broke. The backend server may have
+  // crashed, or the link was lost; the next connections tell.
+  void OnBroken(Instant aNow);
+
   [[nodiscard]] bool IsCutOff() const { return mIsCutOff; }
 
   // Whether some connections have failed lately and none has succeeded since.
@@ -70,9 +75,9 @@
 
   // Picks the peer for a connection; empty if none is left. Hosts that are cut
   // off together pick different ones.
-  [[nodiscard]] PeerAddress PickPeer(const std::vector<std::string>& aPeers,
-                                     Instant aNow);
-  void OnTunnel(const PeerAddress& aPeer, TunnelOutcome aOutcome, Instant aNow);
+  [[nodiscard]] TunnelPeer PickPeer(const std::vector<std::string>& aPeers,
+                                    Instant aNow);
+  void OnTunnel(const TunnelPeer& aPeer, TunnelOutcome aOutcome, Instant aNow);
 
 private:
   struct PeerRecord
@@ -87,9 +92,11 @@
   Random mRandom;
   bool mIsCutOff = false;
   std::size_t mSuccesses = 0;
+  // When a connection broke, unless one was made since.
+  std::optional<Instant> mBrokenAt;
   // When the last connection to each backend server failed.
   std::map<BackendId, Instant> mFailed;
-  std::map<PeerAddress, PeerRecord> mPeers;
+  std::map<TunnelPeer, PeerRecord> mPeers;
 };
 
 } // namespace firefly::policy
--- a/policy/request_router.cpp
+++ b/policy/request_router.cpp
@@ -447,9 +447,7 @@
                              .produced = attempt.produced });
     aRequest.isTrial = false;
     if (!attempt.isHarmless) {
-      mPolicies.crashCorrelator->OnCrash(
-        aRequest.info, attempt.dispatched, aNow);
-      AnnounceCrashChanges();
+      OnCrashEvidence(aRequest, attempt.dispatched, aNow);
     }
   }
   if (attempt.phase == WorkPhase::kPrefill) {
@@ -588,6 +586,7 @@
 void
 RequestRouter::Tick(Instant aNow)
 {
+  ResolveCrashEvidence();
   HandleExpired(aNow);
   EndHeldRequests(aNow);
   StartDelayed(aNow);
--- a/policy/request_router.h
+++ b/policy/request_router.h
@@ -109,6 +109,16 @@
 
 // Carries out the router's decisions. It is called from within the router's
 // methods and must not call the router back.
+// Whether broken connections may come from this host's own links instead of
+// from backend servers that crashed.
+enum class LinkState : std::uint8_t
+{
+  kSound,
+  // Connections failed lately; soon known.
+  kInDoubt,
+  kCutOff,
+};
+
 class RouterSink
 {
 public:
@@ -128,6 +138,8 @@
   // Answers the caller that the request failed; it may have run.
   virtual void Fail(const RequestId& aId, FailureReason aReason) = 0;
 
+  [[nodiscard]] virtual LinkState Link() const { return LinkState::kSound; }
+
   // Reports an attempt that may have caused a crash, for the log.
   virtual void OnCrashedAttempt(const CrashedAttempt& /*aAttempt*/) {}
 
@@ -378,6 +390,12 @@
   void EndHeldRequests(Instant aNow);
   void ReportHarmless(const Request& aRequest, Attempt& aAttempt, Instant aNow);
   void AnnounceCrashChanges();
+  // Counts a crash as evidence against what the request had in common with
+  // others, once it is known not to come from this host's own links.
+  void OnCrashEvidence(const Request& aRequest,
+                       Instant aDispatched,
+                       Instant aNow);
+  void ResolveCrashEvidence();
   [[nodiscard]] SelectQuery QueryFor(const Request& aRequest) const;
   // Chooses a backend server and how to start there: with a whole run, or with
   // a separate prefill.
@@ -466,6 +484,14 @@
   Requests mRequests;
   // Requests that wait for a place in a backend server's schedule.
   std::vector<RequestId> mDelayedStarts;
+  struct CrashEvidence
+  {
+    RequestInfo info;
+    Instant dispatched{};
+    Instant at{};
+  };
+  // Crashes that wait until it is known whether this host's links are at fault.
+  std::vector<CrashEvidence> mCrashEvidence;
   // Suspects that wait for their turn, in order of arrival.
   std::vector<RequestId> mSuspectQueue;
   RequestId mRunningSuspect;
--- a/policy/request_router_suspects.cpp
+++ b/policy/request_router_suspects.cpp
@@ -6,6 +6,8 @@
 
 #include "policy/request_router.h"
 
+#include <utility>
+
 namespace firefly::policy {
 
 bool
@@ -69,6 +71,33 @@
   AnnounceCrashChanges();
 }
 
+void
+RequestRouter::OnCrashEvidence(const Request& aRequest,
+                               Instant aDispatched,
+                               Instant aNow)
+{
+  mCrashEvidence.push_back(
+    { .info = aRequest.info, .dispatched = aDispatched, .at = aNow });
+  ResolveCrashEvidence();
+}
+
+void
+RequestRouter::ResolveCrashEvidence()
+{
+  const auto link = mSink.Link();
+  if (mCrashEvidence.empty() || link == LinkState::kInDoubt) {
+    return;
+  }
+  const auto evidence = std::exchange(mCrashEvidence, {});
+  if (link == LinkState::kCutOff) {
+    return; // the connections broke with this host's own links
+  }
+  for (const auto& it : evidence) {
+    mPolicies.crashCorrelator->OnCrash(it.info, it.dispatched, it.at);
+  }
+  AnnounceCrashChanges();
+}
+
 void
 RequestRouter::AnnounceCrashChanges()
 {
--- a/servers/http1/backend_connection.cpp
+++ b/servers/http1/backend_connection.cpp
@@ -367,6 +367,9 @@
   // connection in an orderly way.
   if (aCode != asio::error::eof || mWriteFailed || !mReader.FeedEof() ||
       mSkippingResponse) {
+    if (mOptions.path != nullptr && !IsTunnel()) {
+      mOptions.path->OnBroken();
+    }
     Fail(BackendCallFault::kConnectionLost);
     return;
   }
--- a/servers/http1/backend_path.h
+++ b/servers/http1/backend_path.h
@@ -26,6 +26,9 @@
   // A direct connection was made, or could not be.
   virtual void OnDirect(const BackendId& aBackend, bool aIsConnected) = 0;
 
+  // A direct connection broke while it carried a request.
+  virtual void OnBroken() = 0;
+
   // A connection through the tunnel was made, or could not be.
   virtual void OnTunnel(const std::string& aTunnel,
                         policy::TunnelOutcome aOutcome) = 0;
--- a/servers/relay/relay.cpp
+++ b/servers/relay/relay.cpp
@@ -494,6 +494,12 @@
   mTasks.at(aId)->Fail(aReason);
 }
 
+policy::LinkState
+Relay::Link() const
+{
+  return mParts.linkState ? mParts.linkState() : policy::LinkState::kSound;
+}
+
 void
 Relay::OnCrashedAttempt(const policy::CrashedAttempt& aAttempt)
 {
--- a/servers/relay/relay.h
+++ b/servers/relay/relay.h
@@ -65,6 +65,9 @@
     std::function<void(const policy::StreamSend&)> announceStreamSend{};
     // Sends a notice about a backend server to the other relays.
     std::function<void(const policy::BackendNotice&)> announce{};
+    // Whether broken connections may come from this host's own links. Without
+    // this function, they never do.
+    std::function<policy::LinkState()> linkState{};
     // Sends changed crash suspicions to the other relays.
     std::function<void(const std::vector<policy::CrashSuspicion>&)>
       announceCrashSuspicions{};
@@ -130,6 +133,7 @@
   void Cancel(const RequestId& aId, policy::AttemptNumber aAttempt) override;
   void Refuse(const RequestId& aId, const policy::Refusal& aRefusal) override;
   void Fail(const RequestId& aId, policy::FailureReason aReason) override;
+  [[nodiscard]] policy::LinkState Link() const override;
   void OnCrashedAttempt(const policy::CrashedAttempt& aAttempt) override;
   void Announce(const policy::BackendNotice& aNotice) override;
   void AnnounceCrashSuspicions(
--- a/servers/relay/relay_server.cpp
+++ b/servers/relay/relay_server.cpp
@@ -171,14 +171,11 @@
               }
               mPeerUpdates.Send(aNotice, AllPeers());
             },
+          .linkState = [this] { return mReach.Link(); },
           .announceCrashSuspicions =
             [this](const std::vector<policy::CrashSuspicion>& aChanges) {
               LogCrashSuspicions(aChanges);
-              // Connections that break with this host's own links look like
-              // crashes.
-              if (!mReach.IsInDoubt()) {
-                mPeerUpdates.Send(aChanges, AllPeers());
-              }
+              mPeerUpdates.Send(aChanges, AllPeers());
             },
           .tableConfirmedAt =
             [this] { return mTableUpdater.Feed().ConfirmedAt(); },
--- a/servers/tunnel/server_reach_monitor.cpp
+++ b/servers/tunnel/server_reach_monitor.cpp
@@ -113,6 +113,15 @@
   return mReach.IsInDoubt(mExecutor.Now());
 }
 
+policy::LinkState
+ServerReachMonitor::Link() const
+{
+  if (mReach.IsCutOff()) {
+    return policy::LinkState::kCutOff;
+  }
+  return IsInDoubt() ? policy::LinkState::kInDoubt : policy::LinkState::kSound;
+}
+
 bool
 ServerReachMonitor::UsesTunnels() const
 {
@@ -145,12 +154,19 @@
   ProbeIfInDoubt();
 }
 
+void
+ServerReachMonitor::OnBroken()
+{
+  mReach.OnBroken(mExecutor.Now());
+  ProbeIfInDoubt();
+}
+
 void
 ServerReachMonitor::OnTunnel(const std::string& aTunnel,
                              policy::TunnelOutcome aOutcome)
 {
   mTunnels.With({ ToString(aOutcome) }).Add();
-  const policy::PeerAddress peer(aTunnel.substr(0, aTunnel.rfind(':')));
+  const policy::TunnelPeer peer(aTunnel.substr(0, aTunnel.rfind(':')));
   mReach.OnTunnel(peer, aOutcome, mExecutor.Now());
 }
 
--- a/servers/tunnel/server_reach_monitor.h
+++ b/servers/tunnel/server_reach_monitor.h
@@ -13,6 +13,7 @@
 
 #include "core/random.h"
 #include "policy/reach/server_reach.h"
+#include "policy/request_router.h"
 #include "servers/http/asio_executor.h"
 #include "servers/http1/backend_path.h"
 #include "servers/http1/backend_pool.h"
@@ -64,11 +65,13 @@
   // Whether what this host believes of backend servers may come from its own
   // lost links, so that peers must not learn it.
   [[nodiscard]] bool IsInDoubt() const;
+  [[nodiscard]] policy::LinkState Link() const;
 
   // BackendPath:
   [[nodiscard]] bool UsesTunnels() const override;
   std::string PickTunnel() override;
   void OnDirect(const BackendId& aBackend, bool aIsConnected) override;
+  void OnBroken() override;
   void OnTunnel(const std::string& aTunnel,
                 policy::TunnelOutcome aOutcome) override;
 
--- a/tests/policy/reach/server_reach_test.cpp
+++ b/tests/policy/reach/server_reach_test.cpp
@@ -13,9 +13,9 @@
 using namespace std::chrono_literals;
 using firefly::BackendId;
 using firefly::Instant;
-using firefly::policy::PeerAddress;
 using firefly::policy::ServerReach;
 using firefly::policy::TunnelOutcome;
+using firefly::policy::TunnelPeer;
 
 TEST_GROUP(ServerReachTest)
 {
@@ -116,7 +116,7 @@
 TEST(ServerReachTest, GoesOnWithAPeerThatDoesNotReachOneServer)
 {
   CutOff();
-  const PeerAddress peer("p1");
+  const TunnelPeer peer("p1");
   reach.OnTunnel(peer, TunnelOutcome::kServerUnreachable, now);
   LONGS_EQUAL(
     1,
@@ -130,6 +130,7 @@
   constexpr int kPicks = 20;
   std::map<std::string, int> picked;
   std::vector<std::string> all;
+  all.reserve(30);
   for (int i = 0; i < 30; ++i) {
     all.push_back("p" + std::to_string(i));
   }
--- a/tests/policy/request_router_test.cpp
+++ b/tests/policy/request_router_test.cpp
@@ -26,10 +26,12 @@
 using firefly::policy::BackendKind;
 using firefly::policy::BackendNotice;
 using firefly::policy::BackendState;
+using firefly::policy::CrashSuspicion;
 using firefly::policy::DispatchOrder;
 using firefly::policy::FailureReason;
 using firefly::policy::FleetView;
 using firefly::policy::LimitRow;
+using firefly::policy::LinkState;
 using firefly::policy::MakePolicySet;
 using firefly::policy::Refusal;
 using firefly::policy::RefusalReason;
@@ -67,6 +69,13 @@
     notices.push_back(aNotice);
   }
 
+  [[nodiscard]] LinkState Link() const override { return link; }
+  void AnnounceCrashSuspicions(
+    const std::vector<CrashSuspicion>& aChanges) override
+  {
+    suspicions.insert(suspicions.end(), aChanges.begin(), aChanges.end());
+  }
+
   [[nodiscard]] int Dispatched(const RequestId& aId) const
   {
     return static_cast<int>(
@@ -80,6 +89,8 @@
   std::map<RequestId, RefusalReason> refused;
   std::map<RequestId, FailureReason> failed;
   std::vector<BackendNotice> notices;
+  std::vector<CrashSuspicion> suspicions;
+  LinkState link = LinkState::kSound;
 };
 
 } // namespace
@@ -696,3 +707,37 @@
   CHECK(sink.Dispatched(RequestId("b")) == 2 ||
         sink.failed.contains(RequestId("b")));
 }
+
+// Guards against a host that has lost its own links, takes each connection that
+// breaks for a crash, and has what its requests have in common refused
+// everywhere.
+TEST(RequestRouterTest,
+     ConnectionsThatBreakWithTheHostsOwnLinksRaiseNoSuspicion)
+{
+  auto router = MakeRouter(6);
+  const auto breakOne = [&](const std::string& aName, Instant aAt) {
+    auto info = MakeRequest(aName, aAt);
+    info.SetCrashTraits("", { 1, 2 });
+    router.OnArrival(info, aAt);
+    router.OnError(
+      info.requestId, AttemptNumber(1), AttemptError::kBroken, aAt + 10ms);
+  };
+  sink.link = LinkState::kInDoubt;
+  breakOne("a", Instant(10ms));
+  breakOne("b", Instant(11ms));
+  router.Tick(Instant(40ms));
+  CHECK_TRUE(sink.suspicions.empty());
+  sink.link = LinkState::kCutOff;
+  router.Tick(Instant(60ms));
+  breakOne("c", Instant(80ms));
+  sink.link = LinkState::kSound;
+  router.Tick(Instant(200ms));
+  CHECK_TRUE(sink.suspicions.empty());
+  // A crash counts as soon as the links turn out to be sound.
+  sink.link = LinkState::kInDoubt;
+  breakOne("d", Instant(300ms));
+  CHECK_TRUE(sink.suspicions.empty());
+  sink.link = LinkState::kSound;
+  router.Tick(Instant(330ms));
+  CHECK_FALSE(sink.suspicions.empty());
+}
--- a/tests/servers/relay/routing_table_updater_test.cpp
+++ b/tests/servers/relay/routing_table_updater_test.cpp
@@ -107,9 +107,11 @@
   Random random(1);
   while (record.size() < aBytes) {
     const auto number = std::to_string(random.Below(1'000'000'000));
-    record += R"({"name":"r-)" + number +
-              R"(","host":"wura96.example","pathPrefix":"/)" + number +
-              R"(/","kind":"idempotent","timeoutMs":800,)"
+    record += R"({"name":"r-)";
+    record += number;
+    record += R"(","host":"wura96.example","pathPrefix":"/)";
+    record += number;
+    record += R"(/","kind":"idempotent","timeoutMs":800,)"
               R"("targetLatencyMs":150,"priority":2,"service":"kase3b",)"
               R"("maxAttempts":2,"public":false,"sticky":false},)";
   }
--- a/tests/servers/tunnel/tunnel_test.cpp
+++ b/tests/servers/tunnel/tunnel_test.cpp
@@ -98,6 +98,7 @@
   {
     direct++;
   }
+  void OnBroken() override { broken++; }
   void OnTunnel(const std::string& /*aTunnel*/, TunnelOutcome aOutcome) override
   {
     outcomes.push_back(aOutcome);
@@ -107,6 +108,7 @@
   std::vector<std::string> tunnels;
   std::size_t next = 0;
   int direct = 0;
+  int broken = 0;
   std::vector<TunnelOutcome> outcomes;
 };
 
@@ -216,6 +218,7 @@
   Start("/reset");
   Await([&] { return observer.ended || observer.fault; });
   CHECK_TRUE(observer.fault == BackendCallFault::kConnectionLost);
+  LONGS_EQUAL(0, path.broken);
 }
 
 // Guards against servers that go on working for callers who have left.
