Ignore operations on a connection's earlier sockets

What callers could have seen: the answer of a peer's tunnel taken for that of a backend server. A time limit and the answer of the first of two tunnels can complete in the same round of the event loop; the handler of the first then acted on the socket of the second.

Change: each operation knows the attempt that it belongs to. Found by reading; not seen in a run.

Measured: tests of the tunnel (11) and of connections (55) pass.

--- a/servers/http1/backend_connection.cpp
+++ b/servers/http1/backend_connection.cpp
@@ -134,13 +134,13 @@
         self->OnConnectFailed();
       }
     });
-  mSocket.async_connect(
-    tcp::endpoint(address->Ip(), address->port),
-    [self = shared_from_this()](const asio::error_code& aCode) {
-      if (aCode != asio::error::operation_aborted) {
-        self->OnConnected(aCode);
-      }
-    });
+  mSocket.async_connect(tcp::endpoint(address->Ip(), address->port),
+                        [self = shared_from_this(), attempt = mConnectAttempt](
+                          const asio::error_code& aCode) {
+                          if (self->IsConnecting(attempt)) {
+                            self->OnConnected(aCode);
+                          }
+                        });
 }
 
 void
@@ -165,6 +165,7 @@
 {
   asio::error_code ec;
   mSocket.close(ec);
+  mConnectAttempt++;
   mTunnel = mTunnelsTried++ < kMaxTunnelsTried ? mOptions.path->PickTunnel()
                                                : std::string();
   if (mTunnel.empty()) {
@@ -183,9 +184,9 @@
   asio::async_write(
     mSocket,
     asio::buffer(mTunnelBytes),
-    [self = shared_from_this()](const asio::error_code& aCode, std::size_t) {
-      if (self->mState != State::kConnecting ||
-          aCode == asio::error::operation_aborted) {
+    [self = shared_from_this(),
+     attempt = mConnectAttempt](const asio::error_code& aCode, std::size_t) {
+      if (!self->IsConnecting(attempt)) {
         return;
       }
       if (aCode) {
@@ -199,8 +200,10 @@
         self->mSocket,
         asio::dynamic_buffer(self->mTunnelBytes, kMaxTunnelAnswerBytes),
         "\r\n\r\n",
-        [self](const asio::error_code& aRead, std::size_t) {
-          self->OnTunnelAnswer(aRead);
+        [self, attempt](const asio::error_code& aRead, std::size_t) {
+          if (self->IsConnecting(attempt)) {
+            self->OnTunnelAnswer(aRead);
+          }
         });
     });
 }
@@ -208,9 +211,6 @@
 void
 BackendConnection::OnTunnelAnswer(const asio::error_code& aCode)
 {
-  if (mState != State::kConnecting || aCode == asio::error::operation_aborted) {
-    return;
-  }
   if (aCode) {
     OnConnectFailed();
     return;
--- a/servers/http1/backend_connection.h
+++ b/servers/http1/backend_connection.h
@@ -79,6 +79,10 @@
   // call.
   void OnConnectFailed();
   void TryTunnel();
+  [[nodiscard]] bool IsConnecting(std::uint32_t aAttempt) const
+  {
+    return mState == State::kConnecting && mConnectAttempt == aAttempt;
+  }
   // Asks the peer for the tunnel, and reads its answer.
   void RequestTunnel();
   void OnTunnelAnswer(const asio::error_code& aCode);
@@ -124,6 +128,9 @@
   std::string mTunnel;
   std::string mTunnelBytes;
   std::uint32_t mTunnelsTried = 0;
+  // Counts the sockets that were connected one after the other: operations on
+  // an earlier one may complete after the next has begun.
+  std::uint32_t mConnectAttempt = 0;
 };
 
 } // namespace firefly
