Refuse connections of others to the tunnel port at once

What callers could have seen: clients that connect to the tunnel port and send nothing hold its places for a second each, so that hosts that are cut off get none. Found by reading.

Change: who is no live peer is refused before anything is read. A probe of the monitor reports its end from the event loop, because the monitor may destroy it then.

--- a/servers/tunnel/server_reach_monitor.cpp
+++ b/servers/tunnel/server_reach_monitor.cpp
@@ -72,10 +72,19 @@
 private:
   void End(bool aIsConnected)
   {
-    if (!std::exchange(mIsOver, true)) {
-      mTimer.Cancel();
-      mMonitor.OnDirect(mBackend.id, aIsConnected);
+    if (std::exchange(mIsOver, true)) {
+      return;
     }
+    mTimer.Cancel();
+    // The monitor may destroy this probe.
+    mMonitor.mExecutor.Post([monitor = &mMonitor,
+                             id = mBackend.id,
+                             aIsConnected,
+                             alive = std::weak_ptr<bool>(mMonitor.mAlive)] {
+      if (!alive.expired()) {
+        monitor->OnDirect(id, aIsConnected);
+      }
+    });
   }
 
   ServerReachMonitor& mMonitor;
--- a/servers/tunnel/server_reach_monitor.h
+++ b/servers/tunnel/server_reach_monitor.h
@@ -99,6 +99,7 @@
   Timer mProbeTimer;
   MetricFamily<Gauge>& mCutOff;
   MetricFamily<Counter>& mTunnels;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
 } // namespace firefly
--- a/servers/tunnel/tunnel_server.cpp
+++ b/servers/tunnel/tunnel_server.cpp
@@ -133,6 +133,17 @@
 
   void Start()
   {
+    asio::error_code ec;
+    const auto ip = mPeer.remote_endpoint(ec).address().to_string();
+    if (ec || mServer->policy == nullptr) {
+      End();
+      return;
+    }
+    // Others hold no place while they send their request.
+    if (!mServer->policy->IsPeer(ip)) {
+      Refuse(kForbidden);
+      return;
+    }
     SetTimeout(kRequestTimeout);
     asio::async_read_until(
       mPeer,
@@ -170,15 +181,13 @@
   {
     mTimer.Cancel();
     const auto* policy = mServer->policy;
-    asio::error_code ec;
-    const auto ip = mPeer.remote_endpoint(ec).address().to_string();
-    if (policy == nullptr || ec) {
+    if (policy == nullptr) {
       End();
       return;
     }
     mTarget = TargetOf(mRequest);
     const auto address = ParseSocketAddress(mTarget);
-    if (!address || !policy->IsPeer(ip) || !policy->IsBackend(mTarget)) {
+    if (!address || !policy->IsBackend(mTarget)) {
       Refuse(kForbidden);
       return;
     }
--- a/tests/servers/tunnel/tunnel_test.cpp
+++ b/tests/servers/tunnel/tunnel_test.cpp
@@ -237,6 +237,8 @@
   const auto connect = "CONNECT " + backend.Address() + " HTTP/1.1\r\n\r\n";
   policy.isPeer = false;
   STRCMP_EQUAL("HTTP/1.1 403", StatusFor(connect).c_str());
+  // Before they have sent anything.
+  STRCMP_EQUAL("HTTP/1.1 403", StatusFor("").c_str());
   policy.isPeer = true;
   policy.isBackend = false;
   STRCMP_EQUAL("HTTP/1.1 403", StatusFor(connect).c_str());
