Leave room in the default retry budget for crashed engines

What callers would see: where the platform states no allowance, requests that a crashed engine broke fail instead of being repeated.

Cause: repeats after a crash take from the budget since it is shared by the hosts, and its default was too small for two engines that end with 64 requests each.

Change: the default burst is 200. Deployments whose platform states an allowance are as before.

--- a/policy/retry/retry_budget.h
+++ b/policy/retry/retry_budget.h
@@ -60,8 +60,8 @@
 {
   // Repeats for each request of the service.
   double ratio = 0.1;
-  // Repeats beside these.
-  double burst = 50;
+  // Repeats beside these. Two engines that end may break 64 requests each.
+  double burst = 200;
 };
 
 // This host's part of the deployment's budget: what its own requests earn, and
